Lay out the workspace and the shared modules

Cause: an empty repository; the parts can only go side by side once frames, errors, settings and the platform's protocols are agreed.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PY := .venv/bin/python
+CONTRACT ?= examples/tabuleiro.contract
+SECONDS ?= 60
+PACKAGES := packages/dotterelgrade packages/dotterelgrade-entry \
+	packages/dotterelgrade-agent packages/dotterelgrade-standins
+
+.PHONY: demo test lint format fuzz mutants bench capacity
+
+.venv/installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	python3 -m venv .venv
+	$(PY) -m pip install -q -c constraints.txt setuptools wheel
+	$(PY) -m pip install -q --no-build-isolation -c constraints.txt \
+		$(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: .venv/installed
+	$(PY) -m dotterelgrade_standins demo --contract $(CONTRACT)
+
+test: .venv/installed
+	$(PY) -m pytest
+
+lint: .venv/installed
+	.venv/bin/ruff format --check packages examples benchmarks
+	.venv/bin/ruff check packages examples benchmarks
+
+format: .venv/installed
+	.venv/bin/ruff format packages examples benchmarks
+	.venv/bin/ruff check --fix packages examples benchmarks
+
+fuzz: .venv/installed
+	$(PY) -m dotterelgrade_standins fuzz --seconds $(SECONDS)
+
+mutants: .venv/installed
+	$(PY) -m dotterelgrade_standins mutants
+
+bench: .venv/installed
+	$(PY) -m dotterelgrade_standins bench
+
+capacity: .venv/installed
+	$(PY) -m dotterelgrade_standins capacity
--- /dev/null
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each backend server."""
--- /dev/null
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process and the operators' commands."""
--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, the load tool, experiments and the oracle."""
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes of dotterelgrade share."""
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/admin.py
@@ -0,0 +1,137 @@
+"""The admin address of a process: state, metrics, health and decisions."""
+
+from collections.abc import Callable, Iterable, Iterator
+import contextlib
+import dataclasses
+import json
+import logging
+from typing import Any, Protocol
+import urllib.parse
+
+from gevent import pywsgi
+
+from dotterelgrade import journal as journal_lib
+from dotterelgrade import metrics as metrics_lib
+
+_LOG = logging.getLogger(__name__)
+
+Handler = Callable[[str, dict[str, str]], tuple[int, Any]]
+
+
+class Process(Protocol):
+    """What a process shows on its admin address."""
+
+    @property
+    def metrics(self) -> metrics_lib.Metrics:
+        """The metrics of the process."""
+
+    @property
+    def journal(self) -> journal_lib.Journal:
+        """The decisions of the process."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process takes new work."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the whole state as JSON values."""
+
+
+class AdminApp:
+    """A WSGI application with the routes that both programs share.
+
+    `GET /state`, `/metrics`, `/healthz`, `/readyz`, `/journal`,
+    `/explain/REQUEST_ID`; a program adds its own with `route`.
+    """
+
+    def __init__(self, process: Process) -> None:
+        """Initializes the application.
+
+        Args:
+            process: The process to show.
+        """
+        self._process = process
+        self._routes: dict[tuple[str, str], Handler] = {}
+        self.route("GET", "state", lambda _, __: (200, process.dump()))
+        self.route("GET", "healthz", lambda _, __: (200, {"healthy": True}))
+        self.route("GET", "readyz", self._ready)
+        self.route("GET", "journal", self._journal)
+        self.route("GET", "explain", self._explain)
+
+    def route(self, method: str, name: str, handler: Handler) -> None:
+        """Adds a route.
+
+        Args:
+            method: HTTP method.
+            name: First segment of the path.
+            handler: Gets the rest of the path and the query; returns the
+                status and a JSON value.
+        """
+        self._routes[(method, name)] = handler
+
+    def _ready(self, _: str, __: dict[str, str]) -> tuple[int, Any]:
+        ready = self._process.is_ready
+        return (200 if ready else 503), {"ready": ready}
+
+    def _journal(self, _: str, query: dict[str, str]) -> tuple[int, Any]:
+        text = query.get("count", "100")
+        if not text.isdecimal():
+            return 400, {"error": "count: expected a whole number"}
+        entries = self._process.journal.latest(int(text))
+        return 200, [dataclasses.asdict(entry) for entry in entries]
+
+    def _explain(self, rest: str, _: dict[str, str]) -> tuple[int, Any]:
+        entries = self._process.journal.for_request(rest)
+        status = 200 if entries else 404
+        return status, [dataclasses.asdict(entry) for entry in entries]
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        path = environ["PATH_INFO"].strip("/")
+        name, _, rest = path.partition("/")
+        if name == "metrics":
+            body = self._process.metrics.as_text()
+            return _respond(start_response, 200, body, "text/plain")
+        handler = self._routes.get((environ["REQUEST_METHOD"], name))
+        if handler is None:
+            status, value = 404, {"error": f"no route for /{path}"}
+        else:
+            query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
+            status, value = handler(rest, query)
+        body = json.dumps(value, default=str).encode()
+        return _respond(start_response, status, body, "application/json")
+
+
+def _respond(
+    start_response: Callable[..., Any], status: int, body: bytes, kind: str
+) -> list[bytes]:
+    headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
+    start_response(f"{status} {'OK' if status < 400 else 'Error'}", headers)
+    return [body]
+
+
+@contextlib.contextmanager
+def serving(
+    app: Callable[..., Iterable[bytes]], *, host: str, port: int
+) -> Iterator[pywsgi.WSGIServer]:
+    """Serves a WSGI application while the context is open.
+
+    Args:
+        app: The application.
+        host: IP number to bind.
+        port: TCP port to bind.
+
+    Yields:
+        The listening server.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    wsgi_server = pywsgi.WSGIServer((host, port), app, log=None, error_log=_LOG)
+    wsgi_server.start()
+    try:
+        yield wsgi_server
+    finally:
+        wsgi_server.stop(timeout=1)
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/errors.py
@@ -0,0 +1,186 @@
+"""The closed list of error kinds and the answer that belongs to each."""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+import http
+from typing import Any
+
+
+class Run(enum.StrEnum):
+    """What is known about whether the call was run."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of error that a process of the system reports."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not_found"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    RATE_LIMITED = "rate_limited"
+    CONCURRENCY_LIMITED = "concurrency_limited"
+    OVER_BOUND = "over_bound"
+    NO_CAPACITY = "no_capacity"
+    LEAVING = "leaving"
+    NOT_READY = "not_ready"
+    LOG_UNAVAILABLE = "log_unavailable"
+    KEY_INVALID = "key_invalid"
+    KEY_TOO_OLD = "key_too_old"
+    KEY_REUSED = "key_reused"
+    CLAIM_UNRESOLVED = "claim_unresolved"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    INTERRUPTED = "interrupted"
+    CALLER_GONE = "caller_gone"
+    CONTRACT_INVALID = "contract_invalid"
+    CONTRACT_CONFLICT = "contract_conflict"
+    SETTINGS_INVALID = "settings_invalid"
+    FRAME_INVALID = "frame_invalid"
+    PEER_UNAUTHENTICATED = "peer_unauthenticated"
+    PEER_UNREACHABLE = "peer_unreachable"
+    RECORD_INVALID = "record_invalid"
+    RECORD_EXPIRED = "record_expired"
+    ENGINE_FAILED = "engine_failed"
+    ENGINE_REFUSED = "engine_refused"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """How an error kind is answered to a caller.
+
+    Attributes:
+        status: HTTP status code.
+        run: What the answer says about whether the call was run.
+        retryable: Whether the same call may succeed later.
+    """
+
+    status: http.HTTPStatus
+    run: Run
+    retryable: bool = False
+
+
+def _not_run(status: int, *, retryable: bool = False) -> Answer:
+    return Answer(
+        status=http.HTTPStatus(status), run=Run.NOT_RUN, retryable=retryable
+    )
+
+
+def _unknown(status: int) -> Answer:
+    return Answer(status=http.HTTPStatus(status), run=Run.UNKNOWN)
+
+
+ANSWERS: Mapping[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: _not_run(400),
+    ErrorKind.UNAUTHORIZED: _not_run(401),
+    ErrorKind.NOT_FOUND: _not_run(404),
+    ErrorKind.UNKNOWN_MODEL: _not_run(404),
+    ErrorKind.UNKNOWN_SERVICE: _not_run(404),
+    ErrorKind.METHOD_NOT_ALLOWED: _not_run(405),
+    ErrorKind.BODY_TOO_LARGE: _not_run(413),
+    ErrorKind.REQUEST_TIMEOUT: _not_run(408),
+    ErrorKind.RATE_LIMITED: _not_run(429, retryable=True),
+    ErrorKind.CONCURRENCY_LIMITED: _not_run(429, retryable=True),
+    ErrorKind.OVER_BOUND: _not_run(503, retryable=True),
+    ErrorKind.NO_CAPACITY: _not_run(503, retryable=True),
+    ErrorKind.LEAVING: _not_run(503, retryable=True),
+    ErrorKind.NOT_READY: _not_run(503, retryable=True),
+    ErrorKind.LOG_UNAVAILABLE: _not_run(503, retryable=True),
+    ErrorKind.KEY_INVALID: _not_run(400),
+    ErrorKind.KEY_TOO_OLD: _not_run(409),
+    ErrorKind.KEY_REUSED: _not_run(422),
+    ErrorKind.CLAIM_UNRESOLVED: _unknown(409),
+    ErrorKind.OUTCOME_UNKNOWN: _unknown(502),
+    ErrorKind.DEADLINE_EXCEEDED: _unknown(504),
+    ErrorKind.INTERRUPTED: _unknown(502),
+    ErrorKind.CALLER_GONE: _unknown(408),
+    ErrorKind.CONTRACT_INVALID: _not_run(400),
+    ErrorKind.CONTRACT_CONFLICT: _not_run(409),
+    ErrorKind.SETTINGS_INVALID: _not_run(400),
+    ErrorKind.FRAME_INVALID: _not_run(400),
+    ErrorKind.PEER_UNAUTHENTICATED: _not_run(401),
+    ErrorKind.PEER_UNREACHABLE: _not_run(503, retryable=True),
+    ErrorKind.RECORD_INVALID: _not_run(400),
+    ErrorKind.RECORD_EXPIRED: _not_run(410),
+    ErrorKind.ENGINE_FAILED: _unknown(502),
+    ErrorKind.ENGINE_REFUSED: _not_run(503, retryable=True),
+    ErrorKind.INTERNAL: _unknown(500),
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Error:
+    """One reported error.
+
+    Attributes:
+        kind: The kind, from the closed list.
+        message: One sentence for a person.
+        retry_after_s: Seconds after which a retry is sensible, or None.
+        run: Overrides the run state of the kind's answer, or None.
+    """
+
+    kind: ErrorKind
+    message: str
+    retry_after_s: float | None = None
+    run: Run | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """The answer that belongs to the kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def run_state(self) -> Run:
+        """Whether the call was run, as told to the caller."""
+        return self.run or self.answer.run
+
+    def as_body(self, *, request_id: str) -> dict[str, Any]:
+        """Returns the JSON body of the answer.
+
+        Args:
+            request_id: The identifier of the request that failed.
+
+        Returns:
+            The error object in the shape that callers see.
+        """
+        return {
+            "error": {
+                "kind": self.kind.value,
+                "message": self.message,
+                "run": self.run_state.value,
+                "request_id": request_id,
+                "retry_after_s": self.retry_after_s,
+            }
+        }
+
+
+class DotterelgradeError(Exception):
+    """Carries an `Error` where a return value can't."""
+
+    def __init__(self, error: Error) -> None:
+        """Initializes the exception.
+
+        Args:
+            error: The error to carry.
+        """
+        super().__init__(f"{error.kind}: {error.message}")
+        self._error = error
+
+    @property
+    def error(self) -> Error:
+        """The carried error."""
+        return self._error
+
+
+def fail(kind: ErrorKind, message: str) -> DotterelgradeError:
+    """Returns an exception for an error of the given kind."""
+    return DotterelgradeError(Error(kind=kind, message=message))
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/messages.py
@@ -0,0 +1,510 @@
+"""The frames that the system's processes exchange.
+
+A frame is a two-element array `[tag, fields]` in msgpack: the tag is the class
+name of a registered frozen data class, and the fields are a map. Durations are
+milliseconds relative to receipt, since hosts do not share a clock.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+from typing import Any, TypeVar
+
+import msgspec
+
+from dotterelgrade import errors
+
+PROTOCOL_VERSION = 1
+
+_T = TypeVar("_T")
+_FRAMES: dict[str, type] = {}
+
+
+def frame(cls: type[_T]) -> type[_T]:
+    """Registers a frozen data class as a frame."""
+    _FRAMES[cls.__name__] = cls
+    return cls
+
+
+def registered() -> dict[str, type]:
+    """Returns the registered frames by tag."""
+    return dict(_FRAMES)
+
+
+_field_names: dict[type, tuple[str, ...]] = {}
+
+
+def to_wire(message: Any) -> list[Any]:
+    """Returns the array that stands for a frame on the wire."""
+    return [type(message).__name__, _to_plain(message)]
+
+
+def _to_plain(value: Any) -> Any:
+    cls = type(value)
+    if cls in (int, str, float, bool, bytes) or value is None:
+        return value
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, tuple | list):
+        return [_to_plain(item) for item in value]
+    if isinstance(value, dict):
+        return value
+    names = _field_names.get(cls)
+    if names is None:
+        names = tuple(field.name for field in dataclasses.fields(cls))
+        _field_names[cls] = names
+    return {name: _to_plain(getattr(value, name)) for name in names}
+
+
+def from_wire(value: Any) -> Any:
+    """Checks a decoded array and returns the frame.
+
+    Args:
+        value: What the msgpack decoder returned.
+
+    Returns:
+        An instance of the registered data class.
+
+    Raises:
+        errors.DotterelgradeError: FRAME_INVALID, for anything else.
+    """
+    try:
+        tag, fields = value
+        cls = _FRAMES[tag]
+        return msgspec.convert(fields, cls)
+    except (TypeError, ValueError, KeyError, msgspec.ValidationError) as error:
+        raise errors.fail(
+            errors.ErrorKind.FRAME_INVALID, f"invalid frame: {error!r}"
+        ) from error
+
+
+_frozen: Callable[[type[_T]], type[_T]] = dataclasses.dataclass(
+    frozen=True, kw_only=True
+)
+
+
+class Role(enum.StrEnum):
+    """The role of a process."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class ProcessState(enum.StrEnum):
+    """The life cycle of a process as its peers see it."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@frame
+@_frozen
+class Hello:
+    """Opens a connection in both directions.
+
+    Attributes:
+        version: `PROTOCOL_VERSION` of the sender.
+        process: Identifier of the sender's incarnation, new at each start.
+        role: The sender's role.
+        host: The sender's IP number.
+        port: The sender's port for peers; 0 when it accepts none.
+        failure_domain: The sender's failure domain.
+        nonce: 16 random bytes for the peer's proof.
+    """
+
+    version: int
+    process: str
+    role: Role
+    host: str
+    port: int
+    failure_domain: str
+    nonce: bytes
+
+
+@frame
+@_frozen
+class Proof:
+    """Proves knowledge of the shared key: HMAC-SHA256 over both nonces."""
+
+    digest: bytes
+
+
+@frame
+@_frozen
+class Goodbye:
+    """Says why the sender closes the connection."""
+
+    reason: str
+
+
+@_frozen
+class BackendReport:
+    """The load of one backend server.
+
+    Attributes:
+        backend: Name of the backend server, unique on its agent.
+        kind: "engine" or "service".
+        model: Model whose layers it holds; empty when it holds none.
+        version: Version of the model.
+        first_layer: First layer held.
+        last_layer: Last layer held, inclusive.
+        accelerator: Accelerator kind.
+        sequences: Sequences admitted and not finished.
+        queued_tokens: Tokens that wait for a step.
+        slots_free: Sequences that may still be admitted.
+        step_ms: Smoothed duration of a step of the engine.
+        token_ms: Smoothed engine time for one prompt token.
+        service: Name of the plain service; empty for an engine.
+        cached_prefixes: Digests of prompt prefixes in the engine's cache.
+        healthy: Whether the backend server answers.
+    """
+
+    backend: str
+    kind: str
+    model: str = ""
+    version: str = ""
+    first_layer: int = 0
+    last_layer: int = -1
+    accelerator: str = ""
+    sequences: int = 0
+    queued_tokens: int = 0
+    slots_free: int = 0
+    step_ms: float = 0.0
+    token_ms: float = 0.0
+    service: str = ""
+    cached_prefixes: tuple[int, ...] = ()
+    healthy: bool = True
+
+
+@frame
+@_frozen
+class Report:
+    """A heartbeat with the load of every backend server of an agent.
+
+    Attributes:
+        state: The life cycle of the sender.
+        contract_offset: Log offset up to which the contract is in force.
+        backends: One report per backend server.
+        links: Smoothed round-trip times to other agents, by "host:port", ms.
+    """
+
+    state: ProcessState
+    contract_offset: int
+    backends: tuple[BackendReport, ...] = ()
+    links: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@frame
+@_frozen
+class Ping:
+    """Asks for a `Pong` with the same sequence number."""
+
+    sequence: int
+
+
+@frame
+@_frozen
+class Pong:
+    """Answers a `Ping`."""
+
+    sequence: int
+
+
+@_frozen
+class Hop:
+    """Where a stage sends its outputs: the next agent's backend server."""
+
+    host: str
+    port: int
+    backend: str
+
+
+@frame
+@_frozen
+class Admit:
+    """Asks an agent to reserve a slot for one stage of a request.
+
+    Attributes:
+        request_id: Identifier of the request.
+        attempt: Fencing number; frames with a lower one are dropped.
+        stage: Index of the stage in the chain.
+        backend: Backend server that is to run the stage.
+        model: Model name.
+        first_layer: First layer the stage runs.
+        last_layer: Last layer the stage runs, inclusive.
+        next_hop: The next stage, or None when outputs are tokens for the
+            entry.
+        workspace: Workspace of the caller.
+        priority: Lower numbers run first.
+        deadline_ms: Time left until the bound on the first token.
+        prompt_tokens: Length of the prompt.
+        max_tokens: The most tokens the request may generate.
+        mute_before: Outputs of steps that start at lower positions are not
+            sent on, since the stages behind have run them.
+    """
+
+    request_id: str
+    attempt: int
+    stage: int
+    backend: str
+    model: str
+    first_layer: int
+    last_layer: int
+    next_hop: Hop | None
+    workspace: str
+    priority: int
+    deadline_ms: float
+    prompt_tokens: int
+    max_tokens: int
+    mute_before: int = 0
+
+
+@frame
+@_frozen
+class Admitted:
+    """The slot is reserved; nothing has run.
+
+    Attributes:
+        request_id: Identifier of the request.
+        attempt: The attempt admitted.
+        stage: Index of the stage.
+        report: The load of the backend server after the reservation.
+    """
+
+    request_id: str
+    attempt: int
+    stage: int
+    report: BackendReport
+
+
+@frame
+@_frozen
+class Refused:
+    """The stage was not admitted and nothing of it ran or will run."""
+
+    request_id: str
+    attempt: int
+    stage: int
+    kind: errors.ErrorKind
+    message: str
+    retry_after_ms: float = 0.0
+    report: BackendReport | None = None
+
+
+@frame
+@_frozen
+class Rewire:
+    """Moves a surviving stage to a higher attempt after a stage was replaced.
+
+    The agent keeps its cache, adopts the attempt and the next hop, and answers
+    `Rewired`, or `Refused` when it does not hold the sequence.
+    """
+
+    request_id: str
+    attempt: int
+    stage: int
+    next_hop: Hop | None
+    mute_before: int
+
+
+@frame
+@_frozen
+class Rewired:
+    """Answers `Rewire`.
+
+    Attributes:
+        request_id: Identifier of the request.
+        attempt: The adopted attempt.
+        stage: Index of the stage.
+        next_position: The first position that the stage has not run.
+        replayable: Whether every output since position 0 is buffered.
+    """
+
+    request_id: str
+    attempt: int
+    stage: int
+    next_position: int
+    replayable: bool
+
+
+@frame
+@_frozen
+class Replay:
+    """Asks a stage to send its buffered outputs to its next hop."""
+
+    request_id: str
+    attempt: int
+
+
+@_frozen
+class Step:
+    """Inputs of one stage for consecutive positions.
+
+    Attributes:
+        request_id: Identifier of the request.
+        attempt: The sender's attempt.
+        stage: Index of the stage that is to run.
+        position: Position of the first input.
+        inputs: One value per position: tokens for the first stage, outputs of
+            the stage before for the others.
+    """
+
+    request_id: str
+    attempt: int
+    stage: int
+    position: int
+    inputs: tuple[int, ...]
+
+
+@frame
+@_frozen
+class Steps:
+    """A batch of steps between two neighbours."""
+
+    steps: tuple[Step, ...]
+
+
+@_frozen
+class Token:
+    """A token sampled by the last stage, at its position in the sequence."""
+
+    request_id: str
+    attempt: int
+    position: int
+    token: int
+
+
+@frame
+@_frozen
+class Tokens:
+    """A batch of tokens for one entry."""
+
+    tokens: tuple[Token, ...]
+
+
+@frame
+@_frozen
+class StageFailed:
+    """A stage cannot go on with a request.
+
+    Attributes:
+        request_id: Identifier of the request.
+        attempt: The attempt that failed.
+        stage: Index of the stage to replace.
+        kind: What failed.
+        message: One sentence for the journal.
+    """
+
+    request_id: str
+    attempt: int
+    stage: int
+    kind: errors.ErrorKind
+    message: str
+
+
+@frame
+@_frozen
+class Release:
+    """Ends a request at an agent: finished, cancelled or given up."""
+
+    request_id: str
+    attempt: int
+    cancelled: bool = False
+
+
+@frame
+@_frozen
+class Call:
+    """A call to a plain service.
+
+    Attributes:
+        request_id: Identifier of the request.
+        backend: Backend server that is to run it.
+        service: Name of the service.
+        workspace: Workspace of the caller.
+        method: HTTP method.
+        path: Path below the service, with its query string.
+        headers: Headers to pass on.
+        body: Request body.
+        key: Idempotency key (UUIDv7) or empty.
+        digest: SHA-256 over workspace, service, method, path and body.
+        deadline_ms: Time left for the answer.
+    """
+
+    request_id: str
+    backend: str
+    service: str
+    workspace: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    key: str
+    digest: str
+    deadline_ms: float
+
+
+@frame
+@_frozen
+class CallReply:
+    """The whole answer of a plain service.
+
+    Attributes:
+        request_id: Identifier of the request.
+        status: HTTP status.
+        headers: Headers to pass back.
+        body: Response body.
+        repeated: Whether it is the recorded outcome of an earlier call.
+    """
+
+    request_id: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    repeated: bool = False
+
+
+@frame
+@_frozen
+class CallFailed:
+    """A call to a plain service has no answer.
+
+    Attributes:
+        request_id: Identifier of the request.
+        kind: What failed.
+        message: One sentence for the caller.
+        run: Whether the call was run.
+        retry_after_ms: When a retry is sensible; 0 when unknown.
+    """
+
+    request_id: str
+    kind: errors.ErrorKind
+    message: str
+    run: errors.Run
+    retry_after_ms: float = 0.0
+
+
+@frame
+@_frozen
+class RecordsWanted:
+    """Asks a peer for contract records after an offset, in a log outage."""
+
+    after_offset: int
+
+
+@_frozen
+class RelayedRecord:
+    """One record of the contract stream with the offset the log gave it."""
+
+    offset: int
+    body: bytes
+
+
+@frame
+@_frozen
+class Records:
+    """Contract records in order, with the first offset the sender keeps."""
+
+    records: tuple[RelayedRecord, ...]
+    covers: int
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_wire.py
@@ -0,0 +1,77 @@
+import gevent
+from gevent import queue
+import msgpack
+import pytest
+
+from dotterelgrade import errors
+from dotterelgrade import messages
+from dotterelgrade import wire
+
+
+def _identity(host, *, port=0, key=b"k" * 16):
+    return wire.Identity(
+        process=f"process-{host}",
+        role=messages.Role.AGENT,
+        host=host,
+        port=port,
+        failure_domain="recife-a",
+        shared_key=key,
+    )
+
+
+@pytest.fixture
+def server():
+    received = queue.Queue()
+
+    def handle(connection):
+        for message in connection:
+            received.put(message)
+            connection.send(messages.Pong(sequence=1))
+
+    identity = _identity("127.0.9.1", port=17400)
+    with wire.listening(handle, identity=identity):
+        yield received
+
+
+def test_frames_arrive_whole_and_in_order(server):
+    connection = wire.dial("127.0.9.1", 17400, identity=_identity("127.0.9.2"))
+    for number in range(100):
+        connection.send(messages.Ping(sequence=number))
+    got = [server.get(timeout=5).sequence for _ in range(100)]
+    assert got == list(range(100))
+    connection.close("done")
+
+
+def test_wrong_key_is_refused(server):
+    with pytest.raises(errors.DotterelgradeError) as caught:
+        wire.dial(
+            "127.0.9.1",
+            17400,
+            identity=_identity("127.0.9.2", key=b"z" * 16),
+        )
+    assert caught.value.error.kind in (
+        errors.ErrorKind.PEER_UNAUTHENTICATED,
+        errors.ErrorKind.PEER_UNREACHABLE,
+    )
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xc1",
+        msgpack.packb(["NoSuchFrame", {}]),
+        msgpack.packb(["Ping", {"sequence": "one"}]),
+        msgpack.packb({"not": "an array"}),
+        msgpack.packb([["list as tag"], {}]),
+    ],
+)
+def test_invalid_frame_closes_only_its_connection(server, data):
+    bad = wire.dial("127.0.9.1", 17400, identity=_identity("127.0.9.2"))
+    good = wire.dial("127.0.9.1", 17400, identity=_identity("127.0.9.3"))
+    bad._outbox.append(data)
+    bad._wakeup.set()
+    with gevent.Timeout(5):
+        assert list(bad) == []
+    assert good.send(messages.Ping(sequence=7))
+    assert server.get(timeout=5) == messages.Ping(sequence=7)
+    good.close("done")
