Test the shared modules and mend two faults they showed

Cause: the shared modules had a test for the stream only. They showed that a settings file whose top value is not an object raised AttributeError, and that rendezvous scores took no strings; both are mended at their source. Conclusion: any JSON value now gets settings or a list of faults.

--- a/packages/dotterelgrade/src/dotterelgrade/rendezvous.py
+++ b/packages/dotterelgrade/src/dotterelgrade/rendezvous.py
@@ -7,7 +7,7 @@
 
 def score(key: str, node: str) -> int:
     """Returns the 64-bit weight of a node for a key."""
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{node}")
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{node}".encode())
 
 
 def rank(key: str, nodes: Iterable[str]) -> list[str]:
--- a/packages/dotterelgrade/src/dotterelgrade/settings.py
+++ b/packages/dotterelgrade/src/dotterelgrade/settings.py
@@ -94,6 +94,19 @@
     return structure
 
 
+def _object_hook(cls: type, converter: cattrs.Converter) -> Any:
+    structure_object = gen.make_dict_structure_fn(
+        cls, converter, _cattrs_forbid_extra_keys=True
+    )
+
+    def structure(value: Any, kind: Any) -> Any:
+        if not isinstance(value, dict):
+            raise TypeError(f"expected an object, got {value!r}")
+        return structure_object(value, kind)
+
+    return structure
+
+
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
     converter.register_structure_hook(int, _strict((int,), "a whole number"))
@@ -101,10 +114,7 @@
     converter.register_structure_hook(str, _strict((str,), "a string"))
     converter.register_structure_hook(bool, _strict((bool,), "true or false"))
     converter.register_structure_hook_factory(
-        dataclasses.is_dataclass,
-        lambda cls: gen.make_dict_structure_fn(
-            cls, converter, _cattrs_forbid_extra_keys=True
-        ),
+        dataclasses.is_dataclass, lambda cls: _object_hook(cls, converter)
     )
     return converter
 
@@ -117,7 +127,7 @@
         keys = ", ".join(sorted(error.extra_fields))
         return f"unknown keys: {keys}"
     if isinstance(error, KeyError):
-        return "required key is missing"
+        return f"required key is missing: {error.args[0]}"
     return str(error) or repr(error)
 
 
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_errors.py
@@ -0,0 +1,22 @@
+from dotterelgrade import errors
+
+
+def test_every_kind_has_an_answer():
+    assert set(errors.ANSWERS) == set(errors.ErrorKind)
+
+
+def test_only_calls_that_did_not_run_are_retryable():
+    for answer in errors.ANSWERS.values():
+        assert answer.run is errors.Run.NOT_RUN or not answer.retryable
+
+
+def test_body_says_whether_the_call_ran():
+    error = errors.Error(
+        kind=errors.ErrorKind.OUTCOME_UNKNOWN,
+        message="the connection was lost",
+        run=errors.Run.RAN,
+    )
+    body = error.as_body(request_id="r1")["error"]
+    assert body["run"] == "ran"
+    assert body["request_id"] == "r1"
+    assert body["kind"] == "outcome_unknown"
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_messages.py
@@ -0,0 +1,70 @@
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies as st
+import msgpack
+import pytest
+
+from dotterelgrade import errors
+from dotterelgrade import messages
+
+_STEP = messages.Step(
+    request_id="r1", attempt=1, stage=0, position=0, inputs=(1, 2**60)
+)
+_ADMIT = messages.Admit(
+    request_id="r1",
+    attempt=1,
+    stage=0,
+    backend="engine-1",
+    model="inlay",
+    first_layer=0,
+    last_layer=7,
+    next_hop=messages.Hop(host="127.0.0.2", port=7400, backend="engine-2"),
+    workspace="bench",
+    priority=1,
+    deadline_ms=340.0,
+    prompt_tokens=2,
+    max_tokens=8,
+)
+_REPORT = messages.Report(
+    state=messages.ProcessState.READY,
+    contract_offset=7,
+    backends=(messages.BackendReport(backend="engine-1", kind="engine"),),
+    links={"127.0.0.2:7400": 0.5},
+)
+
+
+@pytest.mark.parametrize(
+    "message", [_ADMIT, _REPORT, messages.Steps(steps=(_STEP,))]
+)
+def test_frame_survives_the_wire(message):
+    data = msgpack.packb(messages.to_wire(message))
+    assert messages.from_wire(msgpack.unpackb(data)) == message
+
+
+def test_every_frame_is_a_frozen_data_class():
+    for cls in messages.registered().values():
+        assert dataclasses.is_dataclass(cls)
+        assert cls.__dataclass_params__.frozen
+
+
+_VALUES = st.recursive(
+    st.none() | st.integers() | st.text() | st.binary() | st.floats(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+_ARRAYS = st.tuples(
+    st.sampled_from(sorted(messages.registered())) | _VALUES, _VALUES
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(_ARRAYS | _VALUES)
+def test_anything_else_is_an_invalid_frame(value):
+    try:
+        messages.from_wire(value)
+    except errors.DotterelgradeError as error:
+        assert error.error.kind is errors.ErrorKind.FRAME_INVALID
