--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/oracle.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/oracle.py
@@ -17,6 +17,7 @@
 import collections
 from collections.abc import Iterable, Iterator, Mapping
 import dataclasses
+import re
 import time
 
 from dotterelgrade import errors
@@ -24,6 +25,7 @@
 
 LEAVING_GRACE_S = 3.0
 IN_FORCE_LIMIT_S = 13.0
+_SEPARATOR = re.compile("[^0-9A-Za-z_-]")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -203,7 +205,8 @@
         Args:
             engine: Incarnation of the engine.
             host: IP number of its host.
-            sequence: The engine's sequence; contains the request's identifier.
+            sequence: The engine's sequence; the request's identifier is a part
+                of it between other signs than letters, digits, _ and -.
             position: First position of the step.
             count: Number of positions.
             first_layer: First layer of the engine.
@@ -359,25 +362,23 @@
                 yield f"{name}: no final answer"
 
     def _false_not_run(self) -> Iterator[str]:
+        ran = {
+            part
+            for sequence in {step.sequence for step in self._steps}
+            for part in _SEPARATOR.split(sequence)
+        }
         for name, call in self._calls.items():
-            if call.run is not errors.Run.NOT_RUN:
-                continue
-            if call.request_id and any(
-                call.request_id in step.sequence for step in self._steps
-            ):
+            if call.run is errors.Run.NOT_RUN and call.request_id in ran:
                 yield f"{name}: told not_run, but steps of it ran"
         yield from self._false_not_run_deposits()
 
     def _false_not_run_deposits(self) -> Iterator[str]:
+        calls = collections.defaultdict(list)
+        for call in self._calls.values():
+            if call.run is not errors.Run.NOT_RUN:
+                calls[call.account].append(call.sent_at_s)
         for deposit in self._deposits:
-            possible = [
-                call
-                for call in self._calls.values()
-                if call.account == deposit.account
-                and call.run is not errors.Run.NOT_RUN
-                and call.sent_at_s <= deposit.at_s
-            ]
-            if not possible:
+            if not any(t <= deposit.at_s for t in calls[deposit.account]):
                 yield f"{deposit.account}: told not_run, but it ran"
 
     def _doubled_steps(self) -> Iterator[str]:
