Add the contract, its feed and the shared log clients

Cause: nothing yet read the operators' rules or followed the log. The log client and the host list no longer let a parser error of the HTTP client through to their callers, and an expired read tells the first offset that is kept.

--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/appender.py
@@ -0,0 +1,201 @@
+"""Lets many callers share one append to a stream of the log."""
+
+import collections
+import dataclasses
+import json
+import logging
+from typing import Any
+import uuid
+
+import gevent
+from gevent import event
+from returns import result
+
+from dotterelgrade import errors
+from dotterelgrade import log_client
+
+_LOG = logging.getLogger(__name__)
+
+MAX_QUEUED = 10_000
+MAX_BATCH_ITEMS = 500
+MAX_BATCH_BYTES = 256 * 1024
+_RETRY_AFTER_S = 1.0
+BATCH_TYPE = "batch"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Batch:
+    """Items that were appended together.
+
+    Attributes:
+        id: Identifier of the batch; a doubled append carries the same.
+        items: The items in the order of their callers.
+    """
+
+    id: str
+    items: tuple[dict[str, Any], ...]
+
+
+def encode(batch: Batch) -> bytes:
+    """Returns the JSON body of a batch."""
+    items = [json.dumps(item) for item in batch.items]
+    return _join(batch.id, items)
+
+
+def decode(body: bytes) -> Batch:
+    """Checks the body of a record that holds a batch.
+
+    Args:
+        body: What the log holds.
+
+    Returns:
+        The typed batch.
+
+    Raises:
+        errors.DotterelgradeError: RECORD_INVALID, for anything else.
+    """
+    try:
+        value = json.loads(body)
+        items = value["items"]
+        if value["type"] != BATCH_TYPE or not isinstance(value["id"], str):
+            raise ValueError("not a batch")
+        if not all(isinstance(item, dict) for item in items):
+            raise ValueError("an item is not an object")
+        return Batch(id=value["id"], items=tuple(items))
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise errors.fail(
+            errors.ErrorKind.RECORD_INVALID, f"no batch: {error!r}"
+        ) from error
+
+
+def _join(batch_id: str, items: list[str]) -> bytes:
+    head = json.dumps({"type": BATCH_TYPE, "id": batch_id})
+    return f'{head[:-1]}, "items": [{", ".join(items)}]}}'.encode()
+
+
+@dataclasses.dataclass(eq=False)
+class _Waiting:
+    text: str
+    answer: event.AsyncResult
+    is_withdrawn: bool = False
+
+
+class Appender:
+    """Appends items of many callers, one append at a time.
+
+    What arrives while an append is under way leaves with the next one, so the
+    batches grow with the load and a lone item does not wait.
+    """
+
+    def __init__(
+        self,
+        log: log_client.Log,
+        stream: str,
+        *,
+        max_queued: int = MAX_QUEUED,
+        max_batch_items: int = MAX_BATCH_ITEMS,
+        max_batch_bytes: int = MAX_BATCH_BYTES,
+    ) -> None:
+        """Initializes an appender with an empty queue.
+
+        Args:
+            log: The log service.
+            stream: Name of the stream.
+            max_queued: The most items that wait.
+            max_batch_items: The most items of one append.
+            max_batch_bytes: Bytes of items beyond which a batch is closed.
+        """
+        self._log = log
+        self._stream = stream
+        self._max_queued = max_queued
+        self._max_batch_items = max_batch_items
+        self._max_batch_bytes = max_batch_bytes
+        self._queue: collections.deque[_Waiting] = collections.deque()
+        self._writer: gevent.Greenlet | None = None
+        self._appends = 0
+        self._items = 0
+
+    def __repr__(self) -> str:
+        """Shows the stream and the queue."""
+        return f"<Appender {self._stream}, {len(self._queue)} queued>"
+
+    @property
+    def queued(self) -> int:
+        """Items that wait for an append."""
+        return len(self._queue)
+
+    @property
+    def appends(self) -> int:
+        """Appends tried so far."""
+        return self._appends
+
+    @property
+    def items(self) -> int:
+        """Items in those appends."""
+        return self._items
+
+    def submit(
+        self, item: dict[str, Any], *, timeout_s: float
+    ) -> result.Result[int, errors.Error]:
+        """Appends an item together with those of other callers.
+
+        Args:
+            item: A JSON object.
+            timeout_s: How long to wait, s.
+
+        Returns:
+            The offset of the batch, or LOG_UNAVAILABLE, in which case the
+            item may still have been appended.
+        """
+        if len(self._queue) >= self._max_queued:
+            return _unavailable("too many items wait for the log")
+        waiting = _Waiting(text=json.dumps(item), answer=event.AsyncResult())
+        self._queue.append(waiting)
+        if not self._writer:
+            self._writer = gevent.spawn(self._write)
+        waiting.answer.wait(timeout_s)
+        if waiting.answer.ready():
+            return waiting.answer.get()
+        waiting.is_withdrawn = True
+        return _unavailable(f"no answer within {timeout_s} s")
+
+    def _write(self) -> None:
+        while batch := self._take_batch():
+            body = _join(uuid.uuid4().hex, [item.text for item in batch])
+            self._appends += 1
+            self._items += len(batch)
+            answer = self._append(body)
+            for item in batch:
+                item.answer.set(answer)
+
+    def _append(self, body: bytes) -> result.Result[int, errors.Error]:
+        try:
+            return self._log.append(self._stream, body)
+        except Exception as error:
+            # The callers must hear of it, whatever the client raised.
+            _LOG.exception("append failed", extra={"stream": self._stream})
+            return _unavailable(repr(error))
+
+    def _take_batch(self) -> list[_Waiting]:
+        batch: list[_Waiting] = []
+        size = 0
+        while (
+            self._queue
+            and len(batch) < self._max_batch_items
+            and size < self._max_batch_bytes
+        ):
+            item = self._queue.popleft()
+            if not item.is_withdrawn:
+                batch.append(item)
+                size += len(item.text)
+        return batch
+
+
+def _unavailable(reason: str) -> result.Result[int, errors.Error]:
+    return result.Failure(
+        errors.Error(
+            kind=errors.ErrorKind.LOG_UNAVAILABLE,
+            message=reason,
+            retry_after_s=_RETRY_AFTER_S,
+        )
+    )
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/contract.py
@@ -0,0 +1,405 @@
+"""The contract: the deterministic fold of the log's contract stream."""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+import hashlib
+import json
+import types
+from typing import Any, TypeVar
+
+from dotterelgrade import contract_records
+from dotterelgrade import errors
+from dotterelgrade import grammar
+from dotterelgrade import log_client
+from dotterelgrade import rules
+
+MAX_REMOVALS_KEPT = 1_000
+_DIGEST_BITS = 256
+
+_R = TypeVar("_R")
+_frozen = dataclasses.dataclass(frozen=True, kw_only=True)
+
+
+class OutcomeKind(enum.StrEnum):
+    """What a record did to the contract."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    SNAPSHOT = "snapshot"
+    ADOPTED = "adopted"
+    STALE = "stale"
+    GAP = "gap"
+    INVALID = "invalid"
+
+
+@_frozen
+class Conflict:
+    """Why one line of an edit lost.
+
+    Attributes:
+        identity: Kind and subject.
+        seen: Offset that the edit had seen.
+        winner: The line in force, or the removal that came before the edit.
+    """
+
+    identity: str
+    seen: int
+    winner: contract_records.HeldLine | contract_records.Removal | None
+
+
+@_frozen
+class Outcome:
+    """What one record did.
+
+    Attributes:
+        kind: The verdict.
+        offset: Offset of the record.
+        id: Identifier of an edit record, or empty.
+        author: Author of an edit record, or empty.
+        changed: Identities whose lines changed.
+        conflicts: Every line that lost, for CONFLICT.
+        reason: Why, for INVALID.
+    """
+
+    kind: OutcomeKind
+    offset: int
+    id: str = ""
+    author: str = ""
+    changed: tuple[str, ...] = ()
+    conflicts: tuple[Conflict, ...] = ()
+    reason: str = ""
+
+
+def _line_hash(identity: str, text: str, offset: int, author: str) -> int:
+    fields = json.dumps([identity, text, offset, author]).encode()
+    return int.from_bytes(hashlib.sha256(fields).digest(), "big")
+
+
+class Contract:
+    """Every line in force at one offset of the log, and nothing else.
+
+    The fold depends on the records alone, so that all processes agree on
+    which edits were accepted. The offset never goes back.
+    """
+
+    def __init__(self) -> None:
+        """Initializes the contract before the first record."""
+        self._offset = 0
+        self._lines: dict[str, contract_records.HeldLine] = {}
+        self._removals: dict[str, contract_records.Removal] = {}
+        self._forgotten = 0
+        self._hash_sum = 0
+        self._rules: dict[str, rules.Rule] = {}
+        self._unreadable: dict[str, tuple[grammar.Fault, ...]] = {}
+        self._by_kind: dict[type, dict[str, Any]] = {}
+        self._index: dict[str, rules.WorkspaceRule] | None = None
+
+    def __repr__(self) -> str:
+        """Shows the offset and the number of lines."""
+        return f"<Contract at {self._offset}, {len(self._lines)} lines>"
+
+    @property
+    def offset(self) -> int:
+        """Offset of the last record folded in; 0 before the first."""
+        return self._offset
+
+    @property
+    def lines(self) -> tuple[contract_records.HeldLine, ...]:
+        """Every line in force, by kind and subject."""
+        order = {keyword: place for place, keyword in enumerate(rules.kinds())}
+
+        def place(line: contract_records.HeldLine) -> tuple[int, str]:
+            keyword = line.identity.partition(" ")[0]
+            return order.get(keyword, len(order)), line.identity
+
+        return tuple(sorted(self._lines.values(), key=place))
+
+    @property
+    def unreadable(self) -> Mapping[str, tuple[grammar.Fault, ...]]:
+        """Lines that this version of the grammar can't read, with why."""
+        return types.MappingProxyType(self._unreadable)
+
+    @property
+    def digest(self) -> str:
+        """Hexadecimal digest of the fold, the same at every process."""
+        state = f"{self._hash_sum:064x} {self._forgotten}"
+        return hashlib.sha256(state.encode()).hexdigest()
+
+    def line(self, identity: str) -> contract_records.HeldLine | None:
+        """Returns the line of that identity, or None."""
+        return self._lines.get(identity)
+
+    def apply(self, record: log_client.Record) -> Outcome:
+        """Folds one record in.
+
+        A record past the next offset changes nothing, unless it is a snapshot
+        from which the fold can go on.
+
+        Args:
+            record: A record of the contract stream.
+
+        Returns:
+            What it did; broken records are INVALID and only move the offset.
+        """
+        if record.offset <= self._offset:
+            return Outcome(kind=OutcomeKind.STALE, offset=record.offset)
+        try:
+            body = contract_records.decode(record.body)
+        except errors.DotterelgradeError as error:
+            outcome = self._verdict(
+                record, OutcomeKind.INVALID, reason=error.error.message
+            )
+        else:
+            if isinstance(body, contract_records.SnapshotRecord):
+                return self._apply_snapshot(record, body)
+            outcome = self._apply_edit(record, body)
+        return outcome
+
+    def _verdict(
+        self, record: log_client.Record, kind: OutcomeKind, **fields: Any
+    ) -> Outcome:
+        if record.offset != self._offset + 1:
+            return Outcome(kind=OutcomeKind.GAP, offset=record.offset)
+        self._offset = record.offset
+        return Outcome(kind=kind, offset=record.offset, **fields)
+
+    def _apply_edit(
+        self, record: log_client.Record, body: contract_records.EditRecord
+    ) -> Outcome:
+        if record.offset != self._offset + 1:
+            return Outcome(kind=OutcomeKind.GAP, offset=record.offset)
+        conflicts = tuple(
+            conflict
+            for edit in body.edits
+            if (conflict := self._conflict(edit, body.base)) is not None
+        )
+        if conflicts:
+            return self._verdict(
+                record,
+                OutcomeKind.CONFLICT,
+                id=body.id,
+                author=body.author,
+                conflicts=conflicts,
+            )
+        for edit in body.edits:
+            self._put(edit, offset=record.offset, author=body.author)
+        self._trim_removals()
+        return self._verdict(
+            record,
+            OutcomeKind.ACCEPTED,
+            id=body.id,
+            author=body.author,
+            changed=tuple(edit.identity for edit in body.edits),
+        )
+
+    def _conflict(
+        self, edit: contract_records.Edit, base: int
+    ) -> Conflict | None:
+        line = self._lines.get(edit.identity)
+        if edit.seen:
+            if line is not None and line.offset == edit.seen:
+                return None
+            winner = line or self._removals.get(edit.identity)
+        else:
+            # A delayed duplicate of a line's first edit must not bring the
+            # line back after it was removed.
+            removal = self._removals.get(edit.identity)
+            removed_at = removal.offset if removal else self._forgotten
+            if line is None and base >= removed_at:
+                return None
+            winner = line or removal
+        return Conflict(identity=edit.identity, seen=edit.seen, winner=winner)
+
+    def _put(
+        self, edit: contract_records.Edit, *, offset: int, author: str
+    ) -> None:
+        self._drop(edit.identity)
+        if edit.text is None:
+            self._hold_removal(
+                contract_records.Removal(
+                    identity=edit.identity, offset=offset, author=author
+                )
+            )
+            return
+        removal = self._removals.pop(edit.identity, None)
+        if removal is not None:
+            self._add_hash(-_removal_hash(removal))
+        self._hold(
+            contract_records.HeldLine(
+                identity=edit.identity,
+                text=edit.text,
+                offset=offset,
+                author=author,
+            )
+        )
+
+    def _hold(self, line: contract_records.HeldLine) -> None:
+        self._lines[line.identity] = line
+        self._add_hash(_held_hash(line))
+        parsed = grammar.parse_line(line.text)
+        faults = parsed.swap().value_or(())
+        if not faults and parsed.unwrap().identity != line.identity:
+            faults = (_misnamed(parsed.unwrap()),)
+        if faults:
+            self._unreadable[line.identity] = faults
+            return
+        rule = parsed.unwrap().rule
+        self._rules[line.identity] = rule
+        self._by_kind.setdefault(type(rule), {})[line.identity] = rule
+        self._index = None
+
+    def _drop(self, identity: str) -> None:
+        line = self._lines.pop(identity, None)
+        if line is None:
+            return
+        self._add_hash(-_held_hash(line))
+        self._unreadable.pop(identity, None)
+        rule = self._rules.pop(identity, None)
+        if rule is not None:
+            del self._by_kind[type(rule)][identity]
+            self._index = None
+
+    def _hold_removal(self, removal: contract_records.Removal) -> None:
+        self._removals[removal.identity] = removal
+        self._add_hash(_removal_hash(removal))
+
+    def _trim_removals(self) -> None:
+        while len(self._removals) > MAX_REMOVALS_KEPT:
+            oldest = next(iter(self._removals.values()))
+            del self._removals[oldest.identity]
+            self._add_hash(-_removal_hash(oldest))
+            self._forgotten = max(self._forgotten, oldest.offset)
+
+    def _add_hash(self, value: int) -> None:
+        self._hash_sum = (self._hash_sum + value) % (1 << _DIGEST_BITS)
+
+    def snapshot(self) -> contract_records.SnapshotRecord:
+        """Returns a record that stands for everything folded in so far."""
+        return contract_records.SnapshotRecord(
+            covers=self._offset,
+            lines=tuple(self._lines.values()),
+            digest=self.digest,
+            removals=tuple(self._removals.values()),
+            forgotten=self._forgotten,
+        )
+
+    def _apply_snapshot(
+        self, record: log_client.Record, body: contract_records.SnapshotRecord
+    ) -> Outcome:
+        if body.covers <= self._offset:
+            return self._verdict(record, OutcomeKind.SNAPSHOT)
+        fold = _from_snapshot(body)
+        if fold is None or body.covers >= record.offset:
+            reason = "the snapshot's digest does not match its lines"
+            return self._verdict(record, OutcomeKind.INVALID, reason=reason)
+        return self._adopt(fold, record.offset)
+
+    def adopt(self, body: contract_records.SnapshotRecord) -> Outcome:
+        """Takes over a snapshot handed over by a peer.
+
+        Args:
+            body: The snapshot.
+
+        Returns:
+            ADOPTED, STALE when it covers no more than is held, or INVALID.
+        """
+        if body.covers <= self._offset:
+            return Outcome(kind=OutcomeKind.STALE, offset=body.covers)
+        fold = _from_snapshot(body)
+        if fold is None:
+            return Outcome(
+                kind=OutcomeKind.INVALID,
+                offset=body.covers,
+                reason="the snapshot's digest does not match its lines",
+            )
+        return self._adopt(fold, body.covers)
+
+    def _adopt(self, fold: "Contract", offset: int) -> Outcome:
+        before = self._lines
+        changed = tuple(
+            identity
+            for identity in {**before, **fold._lines}
+            if before.get(identity) != fold._lines.get(identity)
+        )
+        self.__dict__.update(fold.__dict__)
+        return Outcome(kind=OutcomeKind.ADOPTED, offset=offset, changed=changed)
+
+    def _of(self, cls: type[_R]) -> tuple[_R, ...]:
+        # Sorted, since the order of a dict depends on the way to this offset.
+        held = self._by_kind.get(cls, {})
+        return tuple(held[identity] for identity in sorted(held))
+
+    def bound_for(self, workspace: str) -> rules.BoundRule | None:
+        """Returns the bound of a workspace, or the one for all."""
+        own = self._rules.get(f"bound workspace={workspace}")
+        return own or self._rules.get(f"bound workspace={rules.ANY}")
+
+    def model(self, name: str) -> rules.ModelRule | None:
+        """Returns the model of that name, or None."""
+        return self._rules.get(f"model name={name}")
+
+    def models(self) -> tuple[rules.ModelRule, ...]:
+        """Returns every model."""
+        return self._of(rules.ModelRule)
+
+    def places(self, model: str) -> tuple[rules.PlaceRule, ...]:
+        """Returns where the layers of a model run, by first layer."""
+        places = [p for p in self._of(rules.PlaceRule) if p.model == model]
+        return tuple(
+            sorted(places, key=lambda p: (p.first_layer, p.last_layer))
+        )
+
+    def workspace_by_key(self, sha256_hex: str) -> rules.WorkspaceRule | None:
+        """Returns the workspace whose bearer key has that digest, or None."""
+        if self._index is None:
+            self._index = {w.key_sha256: w for w in self.workspaces()}
+        return self._index.get(sha256_hex)
+
+    def workspace(self, name: str) -> rules.WorkspaceRule | None:
+        """Returns the workspace of that name, or None."""
+        return self._rules.get(f"workspace name={name}")
+
+    def workspaces(self) -> tuple[rules.WorkspaceRule, ...]:
+        """Returns every workspace."""
+        return self._of(rules.WorkspaceRule)
+
+    def service(self, name: str) -> rules.ServiceRule | None:
+        """Returns the plain service of that name, or None."""
+        return self._rules.get(f"service name={name}")
+
+    def services(self) -> tuple[rules.ServiceRule, ...]:
+        """Returns every plain service."""
+        return self._of(rules.ServiceRule)
+
+    def is_draining(self, host: str) -> bool:
+        """Whether the backend servers of a host get no new work."""
+        return f"drain host={host}" in self._rules
+
+
+def _held_hash(line: contract_records.HeldLine) -> int:
+    return _line_hash(line.identity, line.text, line.offset, line.author)
+
+
+def _removal_hash(removal: contract_records.Removal) -> int:
+    return _line_hash(removal.identity, "", removal.offset, removal.author)
+
+
+def _misnamed(line: grammar.Line) -> grammar.Fault:
+    return grammar.Fault(
+        line=1,
+        column=1,
+        message="the record names another rule",
+        expected=repr(line.identity),
+    )
+
+
+def _from_snapshot(body: contract_records.SnapshotRecord) -> Contract | None:
+    fold = Contract()
+    fold._offset = body.covers
+    fold._forgotten = body.forgotten
+    for line in body.lines:
+        fold._hold(line)
+    for removal in body.removals:
+        fold._hold_removal(removal)
+    return fold if fold.digest == body.digest else None
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -0,0 +1,274 @@
+"""Keeps the contract of one process up to date with the log."""
+
+from collections.abc import Callable
+import logging
+import time
+from typing import Any
+
+import gevent
+
+from dotterelgrade import contract as contract_lib
+from dotterelgrade import contract_records
+from dotterelgrade import errors
+from dotterelgrade import follower as follower_lib
+from dotterelgrade import journal as journal_lib
+from dotterelgrade import log_client
+from dotterelgrade import messages
+from dotterelgrade import relay_buffer
+from dotterelgrade import snapshots
+
+_LOG = logging.getLogger(__name__)
+
+Listener = Callable[[contract_lib.Outcome], None]
+
+_SNAPSHOT_CHECK_S = 1.0
+_CHANGES = (contract_lib.OutcomeKind.ACCEPTED, contract_lib.OutcomeKind.ADOPTED)
+
+
+class ContractFeed:
+    """Folds the contract stream and hands records on to peers.
+
+    While the log is down, records come from peers instead; they carry the
+    offset that the log gave them, so the fold stays the same.
+    """
+
+    def __init__(
+        self,
+        log: log_client.Log,
+        *,
+        journal: journal_lib.Journal | None = None,
+        settings: snapshots.SnapshotSettings | None = None,
+        wait_ms: int = log_client.MAX_WAIT_MS,
+        seed: int | None = None,
+    ) -> None:
+        """Initializes a feed that has read nothing.
+
+        Args:
+            log: The log service.
+            journal: Where decisions are noted, or None.
+            settings: How often snapshots are taken.
+            wait_ms: How long a read waits for a new record, ms.
+            seed: Seed of the waits.
+        """
+        self._log = log
+        self._journal = journal or journal_lib.Journal(capacity=1)
+        self._contract = contract_lib.Contract()
+        self._relay = relay_buffer.RelayBuffer()
+        self._schedule = snapshots.SnapshotSchedule(
+            settings or snapshots.SnapshotSettings(),
+            now=time.monotonic(),
+            seed=seed,
+        )
+        self._follower = follower_lib.Follower(
+            log,
+            log_client.CONTRACT_STREAM,
+            self._handle,
+            journal=self._journal,
+            wait_ms=wait_ms,
+            seed=seed,
+        )
+        self._listeners: list[Listener] = []
+        self._was_caught_up = False
+        self._peer_offset = 0
+        self._counts = dict.fromkeys(contract_lib.OutcomeKind, 0)
+
+    def __repr__(self) -> str:
+        """Shows the contract and whether it is caught up."""
+        state = "caught up" if self.is_caught_up else "behind"
+        return f"<ContractFeed {self._contract!r} {state}>"
+
+    @property
+    def contract(self) -> contract_lib.Contract:
+        """The contract in force at this process."""
+        return self._contract
+
+    @property
+    def offset(self) -> int:
+        """Offset up to which the contract is in force."""
+        return self._contract.offset
+
+    @property
+    def log_is_up(self) -> bool:
+        """Whether the log answered the latest read."""
+        return self._follower.is_connected
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether a process with this contract may take work.
+
+        True from the moment on when the contract reached the end of the log,
+        or, while the log is down, the highest offset of the peers.
+        """
+        if not self._was_caught_up:
+            self._was_caught_up = self._at_end() or self._at_peers()
+        return self._was_caught_up
+
+    def _at_end(self) -> bool:
+        end = self._follower.end
+        return end is not None and self._contract.offset + 1 >= end
+
+    def _at_peers(self) -> bool:
+        down = self._follower.failures and not self._follower.is_connected
+        return bool(down) and 0 < self._peer_offset <= self._contract.offset
+
+    def run(self) -> None:
+        """Follows the log until the greenlet is killed."""
+        helper = gevent.spawn(self._take_snapshots)
+        try:
+            self._follower.run()
+        finally:
+            helper.kill()
+
+    def step(self) -> bool:
+        """Reads the log once; False when it did not answer."""
+        return self._follower.step()
+
+    def add_listener(self, listener: Listener) -> None:
+        """Adds a callable that gets the outcome of each change."""
+        self._listeners.append(listener)
+
+    def _handle(self, record: log_client.Record) -> None:
+        outcome = self._fold(record)
+        if outcome.kind is contract_lib.OutcomeKind.ADOPTED:
+            self._follower.seek(self._contract.offset + 1)
+
+    def _fold(self, record: log_client.Record) -> contract_lib.Outcome:
+        outcome = self._contract.apply(record)
+        if self._contract.offset == record.offset:
+            self._relay.add(record)
+        if outcome.kind is contract_lib.OutcomeKind.SNAPSHOT:
+            self._saw_snapshot(record)
+        self._note(outcome)
+        return outcome
+
+    def _saw_snapshot(self, record: log_client.Record) -> None:
+        body = contract_records.decode(record.body)
+        self._schedule.saw(covers=body.covers, now=time.monotonic())
+
+    def _note(self, outcome: contract_lib.Outcome) -> None:
+        self._counts[outcome.kind] += 1
+        kinds = contract_lib.OutcomeKind
+        if outcome.kind is kinds.INVALID:
+            _LOG.warning(
+                "contract record skipped",
+                extra={"offset": outcome.offset, "reason": outcome.reason},
+            )
+        if outcome.kind not in (kinds.STALE, kinds.GAP, kinds.SNAPSHOT):
+            self._journal.record(
+                f"contract_{outcome.kind}",
+                reason=outcome.reason or f"record of {outcome.author or 'log'}",
+                offset=outcome.offset,
+                id=outcome.id,
+                lines=len(outcome.changed) or len(outcome.conflicts),
+            )
+        if outcome.kind in _CHANGES:
+            for listener in self._listeners:
+                listener(outcome)
+
+    def records_after(self, offset: int) -> messages.Records:
+        """Returns what a peer at that offset needs.
+
+        Args:
+            offset: Offset of the peer's contract.
+
+        Returns:
+            The records after it, or a snapshot when they are not all kept.
+        """
+        covers = self._contract.offset
+        records: tuple[messages.RelayedRecord, ...] = ()
+        if offset < covers:
+            kept = self._relay.after(offset)
+            records = kept if kept is not None else (self._as_record(),)
+        return messages.Records(records=records, covers=covers)
+
+    def _as_record(self) -> messages.RelayedRecord:
+        body = contract_records.encode(self._contract.snapshot())
+        return messages.RelayedRecord(offset=self._contract.offset, body=body)
+
+    def offer(self, records: messages.Records) -> None:
+        """Folds in what a peer relayed.
+
+        Args:
+            records: The peer's answer to `RecordsWanted`.
+        """
+        for relayed in records.records:
+            if relayed.offset <= self._contract.offset:
+                continue
+            if not self._adopt(relayed):
+                self._fold(
+                    log_client.Record(offset=relayed.offset, body=relayed.body)
+                )
+        self.note_peer_offset(records.covers)
+        self._follower.seek(
+            max(self._follower.position, self._contract.offset + 1)
+        )
+
+    def _adopt(self, relayed: messages.RelayedRecord) -> bool:
+        try:
+            body = contract_records.decode(relayed.body)
+        except errors.DotterelgradeError:
+            return False
+        # In the log a snapshot never covers its own offset; a peer's does.
+        if (
+            not isinstance(body, contract_records.SnapshotRecord)
+            or body.covers != relayed.offset
+        ):
+            return False
+        self._note(self._contract.adopt(body))
+        return True
+
+    def note_peer_offset(self, offset: int) -> None:
+        """Notes the contract offset of a peer that can be reached.
+
+        Args:
+            offset: Offset up to which the contract is in force there.
+        """
+        self._peer_offset = max(self._peer_offset, offset)
+
+    def _take_snapshots(self) -> None:
+        while True:
+            gevent.sleep(_SNAPSHOT_CHECK_S)
+            if self.snapshot_is_due():
+                gevent.sleep(self._schedule.wait_s())
+                if self.snapshot_is_due():
+                    self.append_snapshot()
+
+    def snapshot_is_due(self) -> bool:
+        """Whether the log needs a newer snapshot that this process has."""
+        return (
+            self._follower.is_connected
+            and self._at_end()
+            and self._schedule.is_due(
+                offset=self._contract.offset,
+                first_kept=self._follower.first_kept,
+                now=time.monotonic(),
+            )
+        )
+
+    def append_snapshot(self) -> None:
+        """Appends a snapshot of the contract held."""
+        body = contract_records.encode(self._contract.snapshot())
+        answer = self._log.append(log_client.CONTRACT_STREAM, body)
+        self._journal.record(
+            "contract_snapshot",
+            reason="the latest one was too old",
+            covers=self._contract.offset,
+            appended=str(answer),
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state as JSON values."""
+        return {
+            "offset": self._contract.offset,
+            "lines": len(self._contract.lines),
+            "unreadable": sorted(self._contract.unreadable),
+            "digest": self._contract.digest,
+            "caught_up": self.is_caught_up,
+            "log_up": self._follower.is_connected,
+            "log_end": self._follower.end,
+            "log_first_kept": self._follower.first_kept,
+            "peer_offset": self._peer_offset,
+            "snapshot_covers": self._schedule.covers,
+            "relay_records": len(self._relay),
+            "outcomes": {kind.value: n for kind, n in self._counts.items()},
+        }
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/follower.py
@@ -0,0 +1,201 @@
+"""Follows one stream of the log service through outages and lost records."""
+
+from collections.abc import Callable
+import logging
+import random
+
+import gevent
+from returns import pipeline
+
+from dotterelgrade import errors
+from dotterelgrade import journal as journal_lib
+from dotterelgrade import log_client
+
+_LOG = logging.getLogger(__name__)
+
+Handler = Callable[[log_client.Record], None]
+
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
+
+
+class Follower:
+    """Hands every record of a stream to a handler, in order and once.
+
+    An outage of the log is waited out. A record that the handler can't take
+    is counted and skipped, and records no longer kept are skipped over.
+    """
+
+    def __init__(
+        self,
+        log: log_client.Log,
+        stream: str,
+        handler: Handler,
+        *,
+        start: int = 1,
+        journal: journal_lib.Journal | None = None,
+        wait_ms: int = log_client.MAX_WAIT_MS,
+        seed: int | None = None,
+    ) -> None:
+        """Initializes a follower that has read nothing.
+
+        Args:
+            log: The log service.
+            stream: Name of the stream.
+            handler: Called with each record; what it raises is logged.
+            start: Offset of the first record to read.
+            journal: Where skipped records are noted, or None.
+            wait_ms: How long a read waits for a new record, ms.
+            seed: Seed of the jitter between failed reads.
+        """
+        self._log = log
+        self._stream = stream
+        self._handler = handler
+        self._position = start
+        self._journal = journal or journal_lib.Journal(capacity=1)
+        self._wait_ms = wait_ms
+        self._random = random.Random(seed)
+        self._backoff_s = FIRST_BACKOFF_S
+        self._first_kept = 1
+        self._end: int | None = None
+        self._is_connected = False
+        self._failures = 0
+        self._broken = 0
+        self._expired = 0
+
+    def __repr__(self) -> str:
+        """Shows the stream, the position and the end."""
+        return f"<Follower {self._stream} at {self._position} of {self._end}>"
+
+    @property
+    def position(self) -> int:
+        """Offset of the next record to read."""
+        return self._position
+
+    @property
+    def end(self) -> int | None:
+        """Offset that the next append will get; None before the first read."""
+        return self._end
+
+    @property
+    def first_kept(self) -> int:
+        """First offset that the stream kept at the latest read."""
+        return self._first_kept
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the latest read was answered."""
+        return self._is_connected
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether every record that the log held at the latest read is read."""
+        return self._end is not None and self._position >= self._end
+
+    @property
+    def failures(self) -> int:
+        """Reads that failed."""
+        return self._failures
+
+    @property
+    def broken(self) -> int:
+        """Records that the handler could not take."""
+        return self._broken
+
+    @property
+    def expired(self) -> int:
+        """Records that were no longer kept when they were asked for."""
+        return self._expired
+
+    def seek(self, position: int) -> None:
+        """Sets the offset of the next record to read."""
+        self._position = position
+
+    def run(self) -> None:
+        """Follows the stream until the greenlet is killed."""
+        while True:
+            if self.step():
+                self._backoff_s = FIRST_BACKOFF_S
+                gevent.sleep(0)
+                continue
+            gevent.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
+            self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
+
+    def step(self) -> bool:
+        """Reads once and handles what was read.
+
+        Returns:
+            False when the log did not answer.
+        """
+        start = self._position
+        wait_ms = self._wait_ms if self.is_caught_up else 0
+        answer = self._log.read(self._stream, start=start, wait_ms=wait_ms)
+        if not pipeline.is_successful(answer):
+            return self._failed(answer.failure())
+        page = answer.unwrap()
+        self._is_connected = True
+        self._first_kept = page.first_kept
+        for record in page.records:
+            if not self._take(record):
+                break
+        # Set last, so that a page half handled does not count as caught up.
+        self._end = page.end
+        return True
+
+    def _take(self, record: log_client.Record) -> bool:
+        """Handles a record; False when the rest of its page is of no use."""
+        if record.offset < self._position:
+            return True
+        self._position = record.offset + 1
+        try:
+            self._handler(record)
+        except Exception as error:
+            self._skip(record, error)
+        return self._position == record.offset + 1
+
+    def _skip(self, record: log_client.Record, error: Exception) -> None:
+        self._broken += 1
+        expected = isinstance(error, errors.DotterelgradeError)
+        _LOG.warning(
+            "record skipped",
+            extra={
+                "stream": self._stream,
+                "offset": record.offset,
+                "reason": str(error),
+            },
+            exc_info=None if expected else error,
+        )
+        self._journal.record(
+            "record_skipped",
+            reason=str(error)[:200],
+            stream=self._stream,
+            offset=record.offset,
+        )
+
+    def _failed(self, error: errors.Error) -> bool:
+        if isinstance(error, log_client.ExpiredError):
+            return self._jump(error.first_kept)
+        if self._is_connected or not self._failures:
+            _LOG.warning(
+                "log unavailable",
+                extra={"stream": self._stream, "reason": error.message},
+            )
+        self._failures += 1
+        self._is_connected = False
+        return False
+
+    def _jump(self, first_kept: int) -> bool:
+        self._is_connected = True
+        if first_kept <= self._position:
+            return False
+        self._expired += first_kept - self._position
+        self._first_kept = first_kept
+        self._journal.record(
+            "records_expired",
+            reason="the log no longer keeps them",
+            stream=self._stream,
+            offset=self._position,
+            first_kept=first_kept,
+        )
+        self._position = first_kept
+        return True
--- a/packages/dotterelgrade/src/dotterelgrade/host_list.py
+++ b/packages/dotterelgrade/src/dotterelgrade/host_list.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import geventhttpclient
+import geventhttpclient.response
 import msgspec
 from returns import result
 
@@ -65,7 +66,14 @@
             if response.status_code != _HTTP_OK:
                 return _unreachable(f"answered {response.status_code}")
             return result.Success(_to_entries(json.loads(data)))
-        except (OSError, ValueError, KeyError, TypeError) as error:
+        except (
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+            RecursionError,
+            geventhttpclient.response.HTTPParseError,
+        ) as error:
             return _unreachable(repr(error))
 
 
--- a/packages/dotterelgrade/src/dotterelgrade/log_client.py
+++ b/packages/dotterelgrade/src/dotterelgrade/log_client.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 import geventhttpclient
+import geventhttpclient.response
 from returns import result
 
 from dotterelgrade import errors
@@ -21,6 +22,14 @@
 MAX_WAIT_MS = 5_000
 _HTTP_OK = 200
 _HTTP_GONE = 410
+_FAILURES = (
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+    RecursionError,
+    geventhttpclient.response.HTTPParseError,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,6 +60,18 @@
     end: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ExpiredError(errors.Error):
+    """A read from an offset that the stream no longer keeps.
+
+    Attributes:
+        first_kept: First offset that the stream still keeps.
+    """
+
+    kind: errors.ErrorKind = errors.ErrorKind.RECORD_EXPIRED
+    first_kept: int
+
+
 class Log(Protocol):
     """The log service as the system uses it."""
 
@@ -70,7 +91,7 @@
         """Reads records from an offset on.
 
         Returns:
-            A page, RECORD_EXPIRED when `start` is no longer kept, or
+            A page, an `ExpiredError` when `start` is no longer kept, or
             LOG_UNAVAILABLE.
         """
 
@@ -117,7 +138,7 @@
             if response.status_code != _HTTP_OK:
                 return _unavailable(f"append answered {response.status_code}")
             return result.Success(int(json.loads(data)["offset"]))
-        except (OSError, ValueError, KeyError, TypeError) as error:
+        except _FAILURES as error:
             return _unavailable(repr(error))
 
     def read(
@@ -130,15 +151,15 @@
             data = response.read()
             if response.status_code == _HTTP_GONE:
                 return result.Failure(
-                    errors.Error(
-                        kind=errors.ErrorKind.RECORD_EXPIRED,
+                    ExpiredError(
                         message=f"offset {start} of {stream} is no longer kept",
+                        first_kept=int(json.loads(data)["first_kept"]),
                     )
                 )
             if response.status_code != _HTTP_OK:
                 return _unavailable(f"read answered {response.status_code}")
             return result.Success(_to_page(json.loads(data)))
-        except (OSError, ValueError, KeyError, TypeError) as error:
+        except _FAILURES as error:
             return _unavailable(repr(error))
 
 
--- a/packages/dotterelgrade/src/dotterelgrade/messages.py
+++ b/packages/dotterelgrade/src/dotterelgrade/messages.py
@@ -504,7 +504,13 @@
 @frame
 @_frozen
 class Records:
-    """Contract records in order, with the first offset the sender keeps."""
+    """Contract records in order, relayed from peer to peer.
+
+    Attributes:
+        records: Records after the offset asked for; a snapshot whose own
+            offset is the one it covers when the sender no longer keeps them.
+        covers: Offset up to which the sender holds the contract.
+    """
 
     records: tuple[RelayedRecord, ...]
     covers: int
--- a/packages/dotterelgrade/src/dotterelgrade/rules.py
+++ b/packages/dotterelgrade/src/dotterelgrade/rules.py
@@ -2,16 +2,76 @@
 
 from collections.abc import Callable, Mapping
 import dataclasses
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
+
+from dotterelgrade import rule_values
 
 _T = TypeVar("_T", bound=type)
 
-ANY = "*"
+ANY = rule_values.ANY
+REPEAT_NEVER = "never"
+REPEAT_SAFE = "safe"
+MAX_PRIORITY = 9
+_METADATA = "key"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Key:
+    """One `name=value` of a rule.
+
+    Attributes:
+        name: The name in the contract.
+        reader: Reads the value.
+        fields: Fields of the rule class that take the value; a reader of
+            several fields returns a tuple.
+        required: Whether a rule without it is refused.
+    """
+
+    name: str
+    reader: rule_values.Reader
+    fields: tuple[str, ...]
+    required: bool
+
+
+def key(
+    reader: rule_values.Reader,
+    *,
+    name: str = "",
+    fields: tuple[str, ...] = (),
+    default: Any = dataclasses.MISSING,
+) -> Any:
+    """Returns a data class field that a key of the contract sets.
+
+    Args:
+        reader: Reads the value.
+        name: The name in the contract; the field's own when empty.
+        fields: Every field set by the key; only this one when empty.
+        default: Value of the field when the key is left out.
+    """
+    return dataclasses.field(
+        default=default, metadata={_METADATA: (reader, name, fields)}
+    )
+
+
+def keys(cls: type) -> tuple[Key, ...]:
+    """Returns the keys of a rule class in the order of its fields."""
+    return tuple(
+        Key(
+            name=field.metadata[_METADATA][1] or field.name,
+            reader=field.metadata[_METADATA][0],
+            fields=field.metadata[_METADATA][2] or (field.name,),
+            required=field.default is dataclasses.MISSING,
+        )
+        for field in dataclasses.fields(cls)
+        if _METADATA in field.metadata
+    )
 
 
 class Rule(Protocol):
     """One checked rule of the contract."""
 
+    keyword: str
+
     @property
     def identity(self) -> str:
         """Kind and subject; an edit of the same identity replaces the rule."""
@@ -47,9 +107,11 @@
         between_tokens_p95_s: The same between two tokens, s.
     """
 
-    workspace: str = ANY
-    first_token_p95_s: float
-    between_tokens_p95_s: float
+    workspace: str = key(rule_values.name_or_any)
+    first_token_p95_s: float = key(rule_values.duration, name="first_token_p95")
+    between_tokens_p95_s: float = key(
+        rule_values.duration, name="between_tokens_p95"
+    )
 
     @property
     def identity(self) -> str:
@@ -68,9 +130,9 @@
         version: Version to serve; empty for any.
     """
 
-    name: str
-    layers: int
-    version: str = ""
+    name: str = key(rule_values.name)
+    layers: int = key(rule_values.whole(1, rule_values.MAX_LAYERS))
+    version: str = key(rule_values.name, default="")
 
     @property
     def identity(self) -> str:
@@ -92,12 +154,20 @@
         accelerators: Allowed accelerator kinds; empty for any.
     """
 
-    model: str
-    first_layer: int
+    model: str = key(rule_values.name)
+    first_layer: int = key(
+        rule_values.layer_range,
+        name="layers",
+        fields=("first_layer", "last_layer"),
+    )
     last_layer: int
-    failure_domains: tuple[str, ...]
-    replicas: int
-    accelerators: tuple[str, ...] = ()
+    failure_domains: tuple[str, ...] = key(
+        rule_values.names, name="failure_domain"
+    )
+    replicas: int = key(rule_values.whole(1, rule_values.MAX_REPLICAS))
+    accelerators: tuple[str, ...] = key(
+        rule_values.names, name="accelerator", default=()
+    )
 
     @property
     def identity(self) -> str:
@@ -123,12 +193,14 @@
         priority: Lower numbers run first.
     """
 
-    name: str
-    key_sha256: str
-    weight: float = 1.0
-    rate_per_s: float = 10.0
-    concurrent: int = 16
-    priority: int = 5
+    name: str = key(rule_values.name)
+    key_sha256: str = key(rule_values.digest, name="key")
+    weight: float = key(rule_values.decimal, default=1.0)
+    rate_per_s: float = key(rule_values.rate, name="rate", default=10.0)
+    concurrent: int = key(
+        rule_values.whole(1, rule_values.MAX_NUMBER), default=16
+    )
+    priority: int = key(rule_values.whole(0, MAX_PRIORITY), default=5)
 
     @property
     def identity(self) -> str:
@@ -147,9 +219,11 @@
         repeat: "never" when a call must run at most once, "safe" otherwise.
     """
 
-    name: str
-    to: str
-    repeat: str = "never"
+    name: str = key(rule_values.name)
+    to: str = key(rule_values.name)
+    repeat: str = key(
+        rule_values.one_of(REPEAT_NEVER, REPEAT_SAFE), default=REPEAT_NEVER
+    )
 
     @property
     def identity(self) -> str:
@@ -166,7 +240,7 @@
         host: IP number of the host.
     """
 
-    host: str
+    host: str = key(rule_values.ip_number)
 
     @property
     def identity(self) -> str:
