--- /dev/null
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -0,0 +1,248 @@
+import contextlib
+import itertools
+
+import gevent
+from gevent import event
+import pytest
+from returns import result
+
+from dotterelgrade import messages
+from dotterelgrade import settings as settings_lib
+from dotterelgrade import wire
+from dotterelgrade_agent import agent
+from dotterelgrade_agent import agent_settings
+from dotterelgrade_standins import engine
+from dotterelgrade_standins import hosts_service
+from dotterelgrade_standins import layers
+from dotterelgrade_standins import log_service
+
+KEY = "k" * 16
+LAYERS = 9
+_HOST_NUMBERS = itertools.count(1)
+
+
+class LocalHosts:
+    """The host list without HTTP."""
+
+    def __init__(self, service):
+        self._service = service
+
+    def read(self):
+        return result.Success(self._service.entries())
+
+
+class FakeEntry:
+    """Speaks the entry's side of the protocol, frame by frame."""
+
+    def __init__(self, host, agents):
+        self.host = host
+        self.agents = agents
+        self.process = f"entry-{host}"
+        self.connections = {}
+        self.received = []
+        self._arrived = event.Event()
+
+    def dial(self, target):
+        identity = wire.Identity(
+            process=self.process,
+            role=messages.Role.ENTRY,
+            host=self.host,
+            port=0,
+            failure_domain="recife-a",
+            shared_key=KEY.encode(),
+        )
+        process = target.settings.process
+        connection = wire.dial(
+            process.host, process.peer_port, identity=identity
+        )
+        self.connections[target] = connection
+        gevent.spawn(self._read, target, connection)
+        return connection
+
+    def _read(self, target, connection):
+        for message in connection:
+            self.received.append((target, message))
+            self._arrived.set()
+
+    def send(self, target, message):
+        if target not in self.connections:
+            self.dial(target)
+        assert self.connections[target].send(message)
+
+    def wait(self, kind, *, where=lambda message: True, timeout_s=10):
+        """Returns the first frame of a kind, and forgets it."""
+        with gevent.Timeout(timeout_s):
+            while True:
+                self._arrived.clear()
+                for item in self.received:
+                    if isinstance(item[1], kind) and where(item[1]):
+                        self.received.remove(item)
+                        return item[1]
+                self._arrived.wait()
+
+    def frames(self, kind):
+        return [frame for _, frame in self.received if isinstance(frame, kind)]
+
+
+def hop(target, backend="engine"):
+    process = target.settings.process
+    return messages.Hop(
+        host=process.host, port=process.peer_port, backend=backend
+    )
+
+
+def admit(request_id, *, stage, next_hop, **changes):
+    values = {
+        "request_id": request_id,
+        "attempt": 1,
+        "stage": stage,
+        "backend": "engine",
+        "model": "inlay",
+        "first_layer": 3 * stage,
+        "last_layer": 3 * stage + 2,
+        "next_hop": next_hop,
+        "workspace": "bench",
+        "priority": 5,
+        "deadline_ms": 1_000.0,
+        "prompt_tokens": 3,
+        "max_tokens": 8,
+    }
+    return messages.Admit(**{**values, **changes})
+
+
+class Fleet:
+    """Agents, engines and an entry on loopback addresses of one test."""
+
+    def __init__(self, stack, number):
+        self.stack = stack
+        self.number = number
+        self.log = log_service.LogService()
+        self.hosts = hosts_service.HostsService(())
+        self.engines = {}
+        self._next = itertools.count(1)
+        self.entry = FakeEntry(self.address(), ())
+
+    def address(self):
+        return f"127.30.{self.number}.{next(self._next)}"
+
+    def engine(self, stage, **options):
+        host = self.address()
+        values = {
+            "name": f"engine-{stage}-{host}",
+            "model": "inlay",
+            "first_layer": 3 * stage,
+            "last_layer": 3 * stage + 2,
+            "models": {"inlay": LAYERS},
+            "time_scale": 0.1,
+            **options,
+        }
+        made = engine.Engine(engine.EngineSettings(**values))
+        self.stack.enter_context(engine.serving(made, host=host, port=17700))
+        return made, f"http://{host}:17700"
+
+    def settings(self, backends, *, host=None, **options):
+        return agent_settings.AgentSettings(
+            process=settings_lib.ProcessSettings(
+                host=host or self.address(),
+                peer_port=17400,
+                admin_port=17401,
+                failure_domain="recife-a",
+                shared_key=KEY,
+            ),
+            platform=settings_lib.PlatformSettings(
+                log_url="http://127.30.0.1:1", hosts_url="http://127.30.0.1:1"
+            ),
+            backends=tuple(backends),
+            **options,
+        )
+
+    def start(self, settings):
+        """Runs an agent until the test ends; `stack` can end it earlier."""
+        stack = self.stack.enter_context(contextlib.ExitStack())
+        started = stack.enter_context(
+            agent.running(
+                settings,
+                log=log_service.LocalLog(self.log),
+                hosts=LocalHosts(self.hosts),
+            )
+        )
+        started.stack = stack
+        return started
+
+    def engine_agent(self, stage, *, backend=None, **options):
+        made, url = self.engine(stage, **options)
+        settings = agent_settings.BackendSettings(
+            name="engine", kind="engine", url=url, **(backend or {})
+        )
+        started = self.start(self.settings([settings]))
+        self.engines[started] = made
+        return started
+
+    def chain(self, **options):
+        agents = [self.engine_agent(stage, **options) for stage in range(3)]
+        for item in agents:
+            self.wait_usable(item)
+        return agents
+
+    def wait_usable(self, target):
+        self.entry.send(target, messages.Ping(sequence=1))
+        self.entry.wait(
+            messages.Report,
+            where=lambda report: (
+                all(b.healthy for b in report.backends)
+                and report.state == messages.ProcessState.READY
+            ),
+        )
+
+    def admit_chain(self, request_id, agents, **changes):
+        hops = [hop(item) for item in agents[1:]] + [None]
+        for stage, (target, next_hop) in enumerate(
+            zip(agents, hops, strict=True)
+        ):
+            self.entry.send(
+                target,
+                admit(request_id, stage=stage, next_hop=next_hop, **changes),
+            )
+            self.entry.wait(messages.Admitted)
+
+    def step(self, target, request_id, position, inputs, *, attempt=1, stage=0):
+        step = messages.Step(
+            request_id=request_id,
+            attempt=attempt,
+            stage=stage,
+            position=position,
+            inputs=tuple(inputs),
+        )
+        self.entry.send(target, messages.Steps(steps=(step,)))
+
+    def token(self, request_id, position):
+        """Waits for the token of a position."""
+        frame = self.entry.wait(
+            messages.Tokens,
+            where=lambda tokens: any(
+                token.request_id == request_id and token.position == position
+                for token in tokens.tokens
+            ),
+        )
+        return next(
+            token.token
+            for token in frame.tokens
+            if token.request_id == request_id and token.position == position
+        )
+
+    def generate(self, target, request_id, prompt, count, *, attempt=1):
+        """Drives a whole answer through a chain that was admitted."""
+        tokens = []
+        self.step(target, request_id, 0, prompt, attempt=attempt)
+        for position in range(len(prompt), len(prompt) + count):
+            tokens.append(self.token(request_id, position))
+            self.step(
+                target, request_id, position, tokens[-1:], attempt=attempt
+            )
+        return tuple(tokens)
+
+
+@pytest.fixture
+def fleet():
+    with contextlib.ExitStack() as stack:
+        yield Fleet(stack, next(_HOST_NUMBERS))
