--- /dev/null
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/serve_command.py
@@ -0,0 +1,66 @@
+"""The command that runs an entry process."""
+
+import pathlib
+import signal
+from typing import Any, ClassVar
+
+from cleo import exceptions
+from cleo import helpers
+import gevent
+from gevent import event
+from returns import pipeline
+from returns import result
+
+from dotterelgrade import errors
+from dotterelgrade import logs
+from dotterelgrade import settings as settings_lib
+from dotterelgrade_entry import console
+from dotterelgrade_entry import entry as entry_lib
+from dotterelgrade_entry import entry_settings
+
+
+class ServeCommand(console.OperatorCommand):
+    """Runs an entry until it is told to stop."""
+
+    name = "serve"
+    description = "Run an entry until SIGTERM, which stops it gracefully."
+    options: ClassVar[list[Any]] = [
+        *console.OperatorCommand.options,
+        helpers.option("settings", "s", "Settings in JSON.", flag=False),
+    ]
+
+    def perform(self) -> result.Result[console.Report, errors.Error]:
+        """Serves callers, then finishes what is in flight."""
+        path = self.option("settings")
+        if not path:
+            raise exceptions.CleoUserError("expected --settings FILE")
+        loaded = settings_lib.load(
+            pathlib.Path(path), entry_settings.EntrySettings
+        )
+        if not pipeline.is_successful(loaded):
+            return result.Failure(loaded.failure())
+        return _serve(loaded.unwrap())
+
+
+def _serve(
+    settings: entry_settings.EntrySettings,
+) -> result.Result[console.Report, errors.Error]:
+    logs.configure(process=settings.process.host, role="entry")
+    stop = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop.set)
+    try:
+        with entry_lib.running(settings) as entry:
+            stop.wait()
+            entry.drain()
+    except OSError as error:
+        return _refuse(f"cannot serve: {error}")
+    return result.Success(
+        console.Report(text="stopped", data={"stopped": True})
+    )
+
+
+def _refuse(message: str) -> result.Result[console.Report, errors.Error]:
+    return result.Failure(
+        errors.Error(kind=errors.ErrorKind.SETTINGS_INVALID, message=message)
+    )
--- a/packages/dotterelgrade/src/dotterelgrade/contract.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract.py
@@ -5,6 +5,7 @@
 import enum
 import hashlib
 import json
+import re
 import types
 from typing import Any, TypeVar
 
@@ -16,6 +17,7 @@
 
 MAX_REMOVALS_KEPT = 1_000
 _DIGEST_BITS = 256
+_NUMBERS = re.compile(r"(\D*)(\d*)")
 
 _R = TypeVar("_R")
 _frozen = dataclasses.dataclass(frozen=True, kw_only=True)
@@ -109,9 +111,13 @@
         """Every line in force, by kind and subject."""
         order = {keyword: place for place, keyword in enumerate(rules.kinds())}
 
-        def place(line: contract_records.HeldLine) -> tuple[int, str]:
+        def place(line: contract_records.HeldLine) -> tuple[Any, ...]:
             keyword = line.identity.partition(" ")[0]
-            return order.get(keyword, len(order)), line.identity
+            numbered = tuple(
+                (word, int(part or 0))
+                for word, part in _NUMBERS.findall(line.identity)
+            )
+            return order.get(keyword, len(order)), numbered
 
         return tuple(sorted(self._lines.values(), key=place))
 
--- a/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -1,6 +1,6 @@
 """Keeps the contract of one process up to date with the log."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 import logging
 import time
 from typing import Any
@@ -22,7 +22,9 @@
 Listener = Callable[[contract_lib.Outcome], None]
 
 _SNAPSHOT_CHECK_S = 1.0
-_CHANGES = (contract_lib.OutcomeKind.ACCEPTED, contract_lib.OutcomeKind.ADOPTED)
+CHANGES = frozenset(
+    {contract_lib.OutcomeKind.ACCEPTED, contract_lib.OutcomeKind.ADOPTED}
+)
 
 
 class ContractFeed:
@@ -67,7 +69,9 @@
             wait_ms=wait_ms,
             seed=seed,
         )
-        self._listeners: list[Listener] = []
+        self._listeners: list[
+            tuple[Listener, Collection[contract_lib.OutcomeKind]]
+        ] = []
         self._was_caught_up = False
         self._peer_offset = 0
         self._counts = dict.fromkeys(contract_lib.OutcomeKind, 0)
@@ -92,6 +96,22 @@
         """Whether the log answered the latest read."""
         return self._follower.is_connected
 
+    @property
+    def position(self) -> int:
+        """Offset of the next record to read."""
+        return self._follower.position
+
+    @property
+    def first_kept(self) -> int:
+        """First offset that the log kept at the latest read."""
+        return self._follower.first_kept
+
+    @property
+    def is_at_end(self) -> bool:
+        """Whether the contract holds all that the log held when last read."""
+        end = self._follower.end
+        return end is not None and self._contract.offset + 1 >= end
+
     @property
     def is_caught_up(self) -> bool:
         """Whether a process with this contract may take work.
@@ -100,13 +120,9 @@
         or, while the log is down, the highest offset of the peers.
         """
         if not self._was_caught_up:
-            self._was_caught_up = self._at_end() or self._at_peers()
+            self._was_caught_up = self.is_at_end or self._at_peers()
         return self._was_caught_up
 
-    def _at_end(self) -> bool:
-        end = self._follower.end
-        return end is not None and self._contract.offset + 1 >= end
-
     def _at_peers(self) -> bool:
         down = self._follower.failures and not self._follower.is_connected
         return bool(down) and 0 < self._peer_offset <= self._contract.offset
@@ -123,9 +139,19 @@
         """Reads the log once; False when it did not answer."""
         return self._follower.step()
 
-    def add_listener(self, listener: Listener) -> None:
-        """Adds a callable that gets the outcome of each change."""
-        self._listeners.append(listener)
+    def add_listener(
+        self,
+        listener: Listener,
+        *,
+        kinds: Collection[contract_lib.OutcomeKind] = CHANGES,
+    ) -> None:
+        """Adds a callable that gets outcomes as they happen.
+
+        Args:
+            listener: Called with each outcome.
+            kinds: The kinds it wants; those that change lines by default.
+        """
+        self._listeners.append((listener, kinds))
 
     def _handle(self, record: log_client.Record) -> None:
         outcome = self._fold(record)
@@ -161,8 +187,8 @@
                 id=outcome.id,
                 lines=len(outcome.changed) or len(outcome.conflicts),
             )
-        if outcome.kind in _CHANGES:
-            for listener in self._listeners:
+        for listener, wanted in self._listeners:
+            if outcome.kind in wanted:
                 listener(outcome)
 
     def records_after(self, offset: int) -> messages.Records:
@@ -237,7 +263,7 @@
         """Whether the log needs a newer snapshot that this process has."""
         return (
             self._follower.is_connected
-            and self._at_end()
+            and self.is_at_end
             and self._schedule.is_due(
                 offset=self._contract.offset,
                 first_kept=self._follower.first_kept,
--- a/packages/dotterelgrade/src/dotterelgrade/grammar.py
+++ b/packages/dotterelgrade/src/dotterelgrade/grammar.py
@@ -31,6 +31,7 @@
         rule: The checked rule.
         who: The person, desk or team that asked for it.
         why: The reason given.
+        number: Number of the line in its file, from 1.
     """
 
     identity: str
@@ -38,6 +39,7 @@
     rule: rules.Rule
     who: str
     why: str
+    number: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -111,6 +113,7 @@
             rule=rule,
             who=who,
             why=why,
+            number=self._number,
         )
 
     def _is_plain(self) -> bool:
