--- /dev/null
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -0,0 +1,150 @@
+"""An entry's view of one backend server: its report and own work since."""
+
+from collections.abc import Callable
+import time
+
+from dotterelgrade import messages
+
+SLOW_START_S = 2.0
+_SLOW_START_SLOTS = 2
+_BASE_EJECTION_S = 0.5
+_MAX_EJECTION_S = 30.0
+_FORGIVENESS_S = 10.0
+
+
+class BackendView:
+    """What an entry believes about a backend server.
+
+    Reports are stale on arrival, so the entry adds the work it has given the
+    backend server since the last one.
+    """
+
+    def __init__(
+        self,
+        agent: str,
+        report: messages.BackendReport,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Initializes the view of a newly reported backend server.
+
+        Args:
+            agent: Address of the agent, "host:port".
+            report: Its first report.
+            clock: Monotonic time, s.
+        """
+        self._agent = agent
+        self._clock = clock
+        self._report = report
+        self._since = clock()
+        self._pending: set[str] = set()
+        self._released = 0
+        self._unreported_tokens = 0
+        self._failures = 0
+        self._failed_at = 0.0
+        self._ejected_until = 0.0
+
+    def __repr__(self) -> str:
+        """Shows the backend server and its load."""
+        return (
+            f"<BackendView {self.key} {self._report.sequences} sequences, "
+            f"{self.slots_free} free>"
+        )
+
+    @property
+    def agent(self) -> str:
+        """Address of the agent, "host:port"."""
+        return self._agent
+
+    @property
+    def key(self) -> str:
+        """Identifier of the backend server in the fleet."""
+        return f"{self._agent}/{self._report.backend}"
+
+    @property
+    def report(self) -> messages.BackendReport:
+        """The latest report."""
+        return self._report
+
+    @property
+    def slots_free(self) -> int:
+        """Slots that are left after own work since the report."""
+        free = self._report.slots_free - len(self._pending) + self._released
+        return min(free, self._slow_start_limit())
+
+    @property
+    def sequences(self) -> int:
+        """Sequences held, with own work since the report."""
+        held = self._report.sequences + len(self._pending) - self._released
+        return max(held, 0)
+
+    @property
+    def queued_tokens(self) -> int:
+        """Tokens that wait for a step, with own work since the report."""
+        return self._report.queued_tokens + self._unreported_tokens
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether it gets no work for a while because of failures."""
+        return self._clock() < self._ejected_until
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it may get new work."""
+        return self._report.healthy and not self.is_ejected
+
+    def _slow_start_limit(self) -> int:
+        age = self._clock() - self._since
+        if age >= SLOW_START_S:
+            return self._report.slots_free + self._released
+        size = self._report.slots_free + self._report.sequences
+        ramp = int(size * age / SLOW_START_S)
+        return _SLOW_START_SLOTS + ramp - len(self._pending)
+
+    def note_report(self, report: messages.BackendReport) -> None:
+        """Takes a newer report, which contains the work known until then."""
+        returned = report.healthy and not self._report.healthy
+        if returned or report.model != self._report.model:
+            self._since = self._clock()
+        self._report = report
+        self._released = 0
+        self._unreported_tokens = 0
+
+    def note_asked(self, request_id: str, *, tokens: int) -> None:
+        """Counts an admission whose answer is not known yet."""
+        self._pending.add(request_id)
+        self._unreported_tokens += tokens
+
+    def note_answered(
+        self, request_id: str, report: messages.BackendReport | None
+    ) -> None:
+        """Takes the answer to an admission, or its absence."""
+        self._pending.discard(request_id)
+        if report is not None:
+            tokens = self._unreported_tokens
+            self.note_report(report)
+            # The report is from before the prompts arrive.
+            self._unreported_tokens = tokens
+
+    def note_released(self) -> None:
+        """Counts a sequence that the entry has ended."""
+        self._released += 1
+
+    def note_success(self) -> None:
+        """Forgets failures after an answer."""
+        if self._clock() - self._failed_at > _FORGIVENESS_S:
+            self._failures = 0
+
+    def eject(self) -> float:
+        """Ejects it for a time that doubles with repeated failures.
+
+        Returns:
+            The duration of the ejection, s.
+        """
+        duration = min(_BASE_EJECTION_S * 2**self._failures, _MAX_EJECTION_S)
+        self._failures = min(self._failures + 1, 10)
+        now = self._clock()
+        self._failed_at = now
+        self._ejected_until = now + duration
+        self._since = now + duration
+        return duration
--- /dev/null
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_metrics.py
@@ -0,0 +1,106 @@
+"""The metrics of an entry: latencies by workspace, refusals by kind."""
+
+import re
+import time
+
+from dotterelgrade import errors
+from dotterelgrade import metrics as metrics_lib
+from dotterelgrade_entry import request as request_lib
+
+_NOT_NAME = re.compile(r"[^a-zA-Z0-9_]")
+_MAX_WORKSPACES = 1_000
+
+
+class TokenWatch:
+    """Measures the latencies of one request's tokens at the entry."""
+
+    def __init__(
+        self,
+        request: request_lib.Request,
+        *,
+        first: metrics_lib.Latency,
+        between: metrics_lib.Latency,
+    ) -> None:
+        """Initializes a watch before the first token.
+
+        Args:
+            request: The request.
+            first: Takes the time from the arrival to the first token.
+            between: Takes the times between tokens.
+        """
+        self._request = request
+        self._first = first
+        self._between = between
+        self._latest: float | None = None
+
+    def note_token(self) -> None:
+        """Notes that a token was accepted just now."""
+        now = time.monotonic()
+        if self._latest is None:
+            self._first.record(now - self._request.arrived_at)
+        else:
+            self._between.record(now - self._latest)
+        self._latest = now
+
+
+class EntryMetrics:
+    """Keeps the metrics of an entry."""
+
+    def __init__(self, metrics: metrics_lib.Metrics) -> None:
+        """Registers the metrics.
+
+        Args:
+            metrics: The metrics of the process.
+        """
+        self._metrics = metrics
+        self._workspaces: set[str] = set()
+        self._refusals = metrics.counter(
+            "dotterelgrade_refusals",
+            "Requests answered with an error",
+            ("kind",),
+        )
+        self._requests = metrics.counter(
+            "dotterelgrade_requests", "Model requests that ended", ("outcome",)
+        )
+        self._tokens = metrics.counter(
+            "dotterelgrade_tokens", "Tokens of answers"
+        )
+        self._duration = metrics.latency(
+            "dotterelgrade_request_seconds", "Duration of model requests, s"
+        )
+
+    def note_refusal(self, kind: errors.ErrorKind) -> None:
+        """Counts a request that got an error as its answer."""
+        self._refusals.labels(kind.value).inc()
+
+    def note_end(
+        self, request: request_lib.Request, *, duration_s: float
+    ) -> None:
+        """Counts a model request that ended.
+
+        Args:
+            request: The request.
+            duration_s: Its duration, s.
+        """
+        outcome = "whole" if request.is_finished else "not_whole"
+        self._requests.labels(outcome).inc()
+        self._tokens.inc(len(request.emitted))
+        self._duration.record(duration_s)
+
+    def watch(self, request: request_lib.Request) -> TokenWatch:
+        """Returns the watch for a new request."""
+        name = _NOT_NAME.sub("_", request.order.workspace)
+        if len(self._workspaces) >= _MAX_WORKSPACES:
+            name = "other" if name not in self._workspaces else name
+        self._workspaces.add(name)
+        return TokenWatch(
+            request,
+            first=self._metrics.latency(
+                f"dotterelgrade_first_token_seconds_{name}",
+                "Time from arrival to the first token, s",
+            ),
+            between=self._metrics.latency(
+                f"dotterelgrade_between_tokens_seconds_{name}",
+                "Time between two tokens, s",
+            ),
+        )
--- /dev/null
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -0,0 +1,327 @@
+"""Chooses the chain of backend servers that covers a model's layers."""
+
+from collections.abc import Collection, Sequence
+import dataclasses
+import random
+
+from returns import result
+
+from dotterelgrade import errors
+from dotterelgrade_entry import agent_peer
+from dotterelgrade_entry import backend_view
+from dotterelgrade_entry import cost_model
+from dotterelgrade_entry import fleet as fleet_lib
+from dotterelgrade_entry import policies
+from dotterelgrade_entry import request as request_lib
+
+_RETRY_AFTER_S = 1.0
+_TYPICAL_TOKENS = 32
+_MS_PER_S = 1000
+
+Ranges = dict[fleet_lib.LayerRange, list[fleet_lib.Candidate]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stage:
+    """One backend server of a chain.
+
+    Attributes:
+        peer: Its agent.
+        view: What is known of it.
+        first_layer: First layer it runs.
+        last_layer: Last layer it runs, inclusive.
+    """
+
+    peer: agent_peer.AgentPeer
+    view: backend_view.BackendView
+    first_layer: int
+    last_layer: int
+
+    @property
+    def key(self) -> str:
+        """Identifier of the backend server in the fleet."""
+        return self.view.key
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Chain:
+    """Stages in the order of their layers, with the predicted cost."""
+
+    stages: tuple[Stage, ...]
+    cost: cost_model.Cost
+
+    def __str__(self) -> str:
+        """Lists the backend servers."""
+        return " > ".join(stage.key for stage in self.stages)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Path:
+    cost: cost_model.Cost
+    score: float
+    stages: tuple[Stage, ...]
+
+
+class Planner:
+    """Finds chains over layer boundaries with one registered policy.
+
+    A predicting policy compares whole chains by their predicted latency; the
+    others pick stage by stage. Only a few candidates of each layer range are
+    looked at, so the cost does not grow with the fleet.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        *,
+        policy: policies.Policy,
+        candidates_per_range: int,
+    ) -> None:
+        """Initializes the planner.
+
+        Args:
+            fleet: The agents that are known.
+            policy: How candidates are ranked.
+            candidates_per_range: Backend servers compared per layer range.
+        """
+        self._fleet = fleet
+        self._policy = policy
+        self._candidates_per_range = candidates_per_range
+
+    @property
+    def policy(self) -> policies.Policy:
+        """How candidates are ranked."""
+        return self._policy
+
+    def plan(
+        self,
+        order: request_lib.RequestOrder,
+        *,
+        layers: int,
+        version: str = "",
+        avoid: Collection[str] = (),
+    ) -> result.Result[Chain, errors.Error]:
+        """Chooses a chain.
+
+        Args:
+            order: What the caller asked for.
+            layers: Number of layers of the model.
+            version: Version of the model to use; empty for any.
+            avoid: Keys of backend servers that are not to be used.
+
+        Returns:
+            The chain, or NO_CAPACITY.
+        """
+        ranges = _leading_to_end(
+            self._usable(order.model, version, avoid), layers
+        )
+        if not any(first == 0 for first, _ in ranges):
+            return _no_capacity(f"no free chain covers model {order.model}")
+        if self._policy.predicts:
+            return result.Success(self._shortest(ranges, order, layers))
+        return result.Success(self._picked(ranges, order, layers))
+
+    def plan_stage(
+        self,
+        order: request_lib.RequestOrder,
+        *,
+        chain: Sequence[Stage],
+        index: int,
+        version: str = "",
+        avoid: Collection[str] = (),
+    ) -> result.Result[Stage, errors.Error]:
+        """Chooses a replacement for one stage of a chain.
+
+        Args:
+            order: What the caller asked for.
+            chain: The stages as they are.
+            index: Index of the stage to replace.
+            version: Version of the model to use; empty for any.
+            avoid: Keys of backend servers that are not to be used.
+
+        Returns:
+            A stage with the same layers, or NO_CAPACITY.
+        """
+        old = chain[index]
+        layers = (old.first_layer, old.last_layer)
+        used = {stage.key for stage in chain} | set(avoid)
+        ranges = self._usable(order.model, version, used)
+        if layers not in ranges:
+            return _no_capacity(f"no other backend server for layers {layers}")
+        before = chain[index - 1] if index else None
+        sampled = self._sample(ranges[layers])
+        best = min(
+            (_stage(candidate, layers) for candidate in sampled),
+            key=lambda stage: self._step(before, stage, order).total_s(
+                _TYPICAL_TOKENS
+            ),
+        )
+        return result.Success(best)
+
+    def _usable(
+        self, model: str, version: str, avoid: Collection[str]
+    ) -> Ranges:
+        found = self._fleet.candidates(model, version)
+        ranges = {}
+        for layers, members in found.items():
+            free = [
+                candidate
+                for candidate in members
+                if candidate[1].slots_free > 0 and candidate[1].key not in avoid
+            ]
+            if free:
+                ranges[layers] = free
+        return ranges
+
+    def _sample(
+        self, members: list[fleet_lib.Candidate]
+    ) -> list[fleet_lib.Candidate]:
+        if len(members) <= self._candidates_per_range:
+            return members
+        return random.sample(members, self._candidates_per_range)
+
+    def _picked(
+        self, ranges: Ranges, order: request_lib.RequestOrder, layers: int
+    ) -> Chain:
+        stages: list[Stage] = []
+        boundary = 0
+        while boundary < layers:
+            members = [
+                candidate
+                for (first, _), group in ranges.items()
+                if first == boundary
+                for candidate in group
+            ]
+            peer, view = self._policy.pick(members)
+            last = view.report.last_layer
+            stages.append(_stage((peer, view), (boundary, last)))
+            boundary = last + 1
+        return Chain(stages=tuple(stages), cost=self.cost(stages, order))
+
+    def cost(
+        self, stages: Sequence[Stage], order: request_lib.RequestOrder
+    ) -> cost_model.Cost:
+        """Returns the predicted cost of a chain."""
+        cost = cost_model.Cost()
+        before = None
+        for stage in stages:
+            cost = cost.plus(self._step(before, stage, order))
+            before = stage
+        return cost.plus(self._way_back(stages[-1]))
+
+    def _shortest(
+        self, ranges: Ranges, order: request_lib.RequestOrder, layers: int
+    ) -> Chain:
+        sampled = {
+            key: [_stage(c, key) for c in self._sample(members)]
+            for key, members in ranges.items()
+        }
+        paths: dict[int, list[_Path]] = {0: [_Path(cost_model.Cost(), 0.0, ())]}
+        for key in sorted(sampled):
+            for stage in sampled[key]:
+                path = self._extend(paths.get(key[0], []), stage, order)
+                if path is not None:
+                    paths.setdefault(key[1] + 1, []).append(path)
+        ends = [self._closed(path, order) for path in paths[layers]]
+        best = min(ends, key=lambda path: path.score)
+        return Chain(stages=best.stages, cost=best.cost)
+
+    def _extend(
+        self,
+        paths: list[_Path],
+        stage: Stage,
+        order: request_lib.RequestOrder,
+    ) -> _Path | None:
+        own = self._own_cost(stage, order)
+        best: tuple[float, _Path, cost_model.Cost] | None = None
+        for path in paths:
+            before = path.stages[-1] if path.stages else None
+            step = own.plus(cost_model.link(self._one_way_s(before, stage)))
+            score = path.score + self._score(step, order)
+            if best is None or score < best[0]:
+                best = (score, path, step)
+        if best is None:
+            return None
+        score, path, step = best
+        return _Path(path.cost.plus(step), score, (*path.stages, stage))
+
+    def _closed(self, path: _Path, order: request_lib.RequestOrder) -> _Path:
+        back = self._way_back(path.stages[-1])
+        score = path.score + self._score(back, order)
+        return _Path(path.cost.plus(back), score, path.stages)
+
+    def _score(
+        self, cost: cost_model.Cost, order: request_lib.RequestOrder
+    ) -> float:
+        return cost.total_s(min(order.max_tokens, _TYPICAL_TOKENS))
+
+    def _own_cost(
+        self, stage: Stage, order: request_lib.RequestOrder
+    ) -> cost_model.Cost:
+        return cost_model.stage(
+            stage.view, prompt_tokens=len(order.prompt), cached_tokens=0
+        )
+
+    def _step(
+        self,
+        before: Stage | None,
+        stage: Stage,
+        order: request_lib.RequestOrder,
+    ) -> cost_model.Cost:
+        link = cost_model.link(self._one_way_s(before, stage))
+        return self._own_cost(stage, order).plus(link)
+
+    def _way_back(self, last: Stage) -> cost_model.Cost:
+        rtt = last.peer.rtt_s
+        return cost_model.link((rtt or cost_model.DEFAULT_RTT_S) / 2)
+
+    def _one_way_s(self, before: Stage | None, stage: Stage) -> float:
+        if before is None:
+            return (stage.peer.rtt_s or cost_model.DEFAULT_RTT_S) / 2
+        if before.peer is stage.peer:
+            return 0.0
+        measured = before.peer.links.get(stage.peer.address)
+        if measured is None:
+            measured = stage.peer.links.get(before.peer.address)
+        if measured is not None:
+            return measured / _MS_PER_S / 2
+        return self._guessed_one_way_s(before, stage)
+
+    def _guessed_one_way_s(self, before: Stage, stage: Stage) -> float:
+        # Both seen from the entry; the longer way bounds a missing figure.
+        known = [
+            rtt
+            for rtt in (before.peer.rtt_s, stage.peer.rtt_s)
+            if rtt is not None
+        ]
+        return max(known, default=cost_model.DEFAULT_RTT_S) / 2
+
+
+def _stage(
+    candidate: fleet_lib.Candidate, layers: fleet_lib.LayerRange
+) -> Stage:
+    peer, view = candidate
+    return Stage(
+        peer=peer, view=view, first_layer=layers[0], last_layer=layers[1]
+    )
+
+
+def _leading_to_end(ranges: Ranges, layers: int) -> Ranges:
+    reachable = {layers}
+    kept = {}
+    for key in sorted(ranges, reverse=True):
+        first, last = key
+        if first <= last and last + 1 in reachable:
+            reachable.add(first)
+            kept[key] = ranges[key]
+    return kept
+
+
+def _no_capacity(message: str) -> result.Failure[errors.Error]:
+    return result.Failure(
+        errors.Error(
+            kind=errors.ErrorKind.NO_CAPACITY,
+            message=message,
+            retry_after_s=_RETRY_AFTER_S,
+        )
+    )
