--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/accelerators.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/accelerators.py
@@ -39,18 +39,18 @@
 
 ACCELERATORS = {
     "h100": Accelerator(
-        base_ms=0.25, sequence_ms=0.010, prompt_token_ms=0.006, max_sequences=64
+        base_ms=0.25, sequence_ms=0.03, prompt_token_ms=0.006, max_sequences=64
     ),
     "a100": Accelerator(
-        base_ms=0.35, sequence_ms=0.015, prompt_token_ms=0.010, max_sequences=64
+        base_ms=0.35, sequence_ms=0.045, prompt_token_ms=0.01, max_sequences=64
     ),
     "l40": Accelerator(
-        base_ms=0.50, sequence_ms=0.025, prompt_token_ms=0.018, max_sequences=32
+        base_ms=0.5, sequence_ms=0.075, prompt_token_ms=0.018, max_sequences=32
     ),
     "a10": Accelerator(
-        base_ms=0.75, sequence_ms=0.045, prompt_token_ms=0.035, max_sequences=24
+        base_ms=0.75, sequence_ms=0.12, prompt_token_ms=0.035, max_sequences=24
     ),
     "t4": Accelerator(
-        base_ms=1.20, sequence_ms=0.080, prompt_token_ms=0.075, max_sequences=16
+        base_ms=1.2, sequence_ms=0.2, prompt_token_ms=0.075, max_sequences=16
     ),
 }
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/engine.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/engine.py
@@ -166,6 +166,7 @@
         self._waiting = 0
         self._busy_s = 0.0
         self._tokens_run = 0
+        self._runs_noted = 0
         self._runs: collections.deque[StepRun] = collections.deque(
             maxlen=_MAX_RUNS
         )
@@ -193,7 +194,7 @@
         self.route("GET", "/sequences/([^/]+)/kv", self._handle_export)
         self.route("PUT", "/sequences/([^/]+)/kv", self._handle_import)
         self.route("GET", "/events", self._handle_events)
-        self.route("GET", "/runs", lambda _: self._list_runs())
+        self.route("GET", "/runs", self._handle_runs)
         self.route("POST", "/faults", self._handle_faults)
 
     @property
@@ -354,6 +355,7 @@
 
     def _note_run(self, name: str, position: int, count: int) -> None:
         self._tokens_run += count
+        self._runs_noted += 1
         self._runs.append(
             StepRun(
                 sequence=name,
@@ -386,8 +388,14 @@
             return None, "out_of_order"
         return sequence, None
 
-    def _list_runs(self) -> Any:
-        return {"runs": [dataclasses.asdict(run) for run in self._runs]}
+    def _handle_runs(self, call: web.Call) -> Any:
+        first_kept = self._runs_noted - len(self._runs)
+        skip = max(0, call.number("from", 0) - first_kept)
+        runs = list(self._runs)[skip:]
+        return {
+            "runs": [dataclasses.asdict(run) for run in runs],
+            "next": self._runs_noted,
+        }
 
     def _list_sequences(self) -> Any:
         self._play()
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/hosts_service.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/hosts_service.py
@@ -118,4 +118,4 @@
 
 
 def _key(entry: host_list.HostEntry) -> _Key:
-    return entry.host, entry.role.value, entry.peer_port
+    return entry.host, str(entry.role), entry.peer_port
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/shaper.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/shaper.py
@@ -28,54 +28,71 @@
     cut: bool = False
 
 
-class LinkShaper:
-    """A `wire.Shaper` for the links that leave one failure domain.
-
-    A connection's writer sleeps for the delay, so writes that are due in the
-    meantime leave together after it, and order is kept.
-    """
+class Links:
+    """The links of a deployment, shared by the shapers of one process."""
 
-    def __init__(
-        self,
-        failure_domain: str,
-        links: Iterable[LinkSettings] = (),
-        *,
-        seed: int = 0,
-    ) -> None:
-        """Initializes the links of a process.
+    def __init__(self, links: Iterable[LinkSettings] = ()) -> None:
+        """Initializes the links.
 
         Args:
-            failure_domain: Failure domain of the process.
             links: The links; the first one that matches counts.
-            seed: Seed of the jitter.
         """
-        self._failure_domain = failure_domain
         self._links = list(links)
-        self._random = random.Random(seed)
 
     def __repr__(self) -> str:
-        """Shows the failure domain and the number of links."""
-        return f"<LinkShaper {self._failure_domain} {len(self._links)} links>"
+        """Shows the number of links."""
+        return f"<Links {len(self._links)}>"
 
-    def set_links(self, links: Iterable[LinkSettings]) -> None:
+    def replace(self, links: Iterable[LinkSettings]) -> None:
         """Replaces every link."""
         self._links = list(links)
 
-    def set_link(self, link: LinkSettings) -> None:
+    def put(self, link: LinkSettings) -> None:
         """Puts a link before all others."""
         others = [old for old in self._links if old.between != link.between]
         self._links = [link, *others]
 
-    def link_to(self, failure_domain: str) -> LinkSettings | None:
-        """Returns the link to a failure domain, or None for a plain one."""
+    def find(self, one: str, other: str) -> LinkSettings | None:
+        """Returns the link of two failure domains, None for a plain one."""
         for link in self._links:
-            if _matches(link.between, self._failure_domain, failure_domain):
+            if _matches(link.between, one, other):
                 return link
         return None
 
+
+class LinkShaper:
+    """A `wire.Shaper` for the links that leave one failure domain.
+
+    A connection's writer sleeps for the delay, so writes that become due in
+    the meantime leave together after it, and order is kept.
+    """
+
+    def __init__(
+        self, failure_domain: str, links: Links | None = None, *, seed: int = 0
+    ) -> None:
+        """Initializes the shaper of a process.
+
+        Args:
+            failure_domain: Failure domain of the process.
+            links: The links, which may change later.
+            seed: Seed of the jitter.
+        """
+        self._failure_domain = failure_domain
+        self._links = links or Links()
+        self._random = random.Random(seed)
+
+    def __repr__(self) -> str:
+        """Shows the failure domain and the links."""
+        return f"<LinkShaper {self._failure_domain} {self._links}>"
+
+    @property
+    def links(self) -> Links:
+        """The links."""
+        return self._links
+
     def delay_s(self, peer: messages.Hello, size: int) -> float | None:
         """Returns the delay of a write, s, or None to drop the link."""
-        link = self.link_to(peer.failure_domain)
+        link = self._links.find(self._failure_domain, peer.failure_domain)
         if link is None:
             return 0.0
         if link.cut:
--- a/packages/dotterelgrade-standins/tests/test_shaper.py
+++ b/packages/dotterelgrade-standins/tests/test_shaper.py
@@ -10,7 +10,7 @@
 def test_first_matching_link_counts_in_both_directions():
     slow = shaper.LinkSettings(between=("b", "a"), delay_ms=5)
     other = shaper.LinkSettings(between=("*", "*"), delay_ms=1)
-    links = shaper.LinkShaper("a", [slow, other])
+    links = shaper.LinkShaper("a", shaper.Links([slow, other]))
     assert links.delay_s(peer_in("b"), 10) == 0.005
     assert links.delay_s(peer_in("c"), 10) == 0.001
 
@@ -18,15 +18,17 @@
 def test_cut_link_drops_and_comes_back():
     links = shaper.LinkShaper("a")
     assert links.delay_s(peer_in("b"), 10) == 0.0
-    links.set_link(shaper.LinkSettings(between=("a", "b"), cut=True))
+    links.links.put(shaper.LinkSettings(between=("a", "b"), cut=True))
     assert links.delay_s(peer_in("b"), 10) is None
-    links.set_link(shaper.LinkSettings(between=("a", "b")))
+    links.links.put(shaper.LinkSettings(between=("a", "b")))
     assert links.delay_s(peer_in("b"), 10) == 0.0
 
 
 def test_bandwidth_adds_to_the_delay():
     links = shaper.LinkShaper(
         "a",
-        [shaper.LinkSettings(between=("a", "*"), bytes_per_s=1000)],
+        shaper.Links(
+            [shaper.LinkSettings(between=("a", "*"), bytes_per_s=1000)]
+        ),
     )
     assert links.delay_s(peer_in("b"), 500) == 0.5
