Prove the agent's sequences, claims and stages under failure

Found by them: nothing in the aggregates; the fake entry mistook one agent's report for another's, which the tests now tell apart.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/stages.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/stages.py
@@ -19,7 +19,7 @@
 
 _MS_PER_S = 1000
 _MAX_ENDED = 20_000
-_SWEEP_INTERVAL_S = 5.0
+SWEEP_INTERVAL_S = 5.0
 IDLE_LIMIT_S = 60.0
 
 
@@ -349,7 +349,7 @@
     def sweep(self) -> None:
         """Ends stages whose entry has forgotten them, until killed."""
         while True:
-            gevent.sleep(_SWEEP_INTERVAL_S)
+            gevent.sleep(SWEEP_INTERVAL_S)
             oldest = time.monotonic() - IDLE_LIMIT_S
             for stage in [s for s in self._all() if s.used_at < oldest]:
                 error = errors.Error(
--- a/packages/dotterelgrade-agent/tests/conftest.py
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -13,7 +13,6 @@
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_standins import engine
 from dotterelgrade_standins import hosts_service
-from dotterelgrade_standins import layers
 from dotterelgrade_standins import log_service
 
 KEY = "k" * 16
@@ -69,29 +68,31 @@
             self.dial(target)
         assert self.connections[target].send(message)
 
-    def wait(self, kind, *, where=lambda message: True, timeout_s=10):
+    def wait(self, kind, *, where=lambda message: True, source=None):
         """Returns the first frame of a kind, and forgets it."""
-        with gevent.Timeout(timeout_s):
+        with gevent.Timeout(10):
             while True:
                 self._arrived.clear()
-                for item in self.received:
-                    if isinstance(item[1], kind) and where(item[1]):
-                        self.received.remove(item)
-                        return item[1]
+                for target, frame in self.received:
+                    if source not in (None, target):
+                        continue
+                    if isinstance(frame, kind) and where(frame):
+                        self.received.remove((target, frame))
+                        return frame
                 self._arrived.wait()
 
     def frames(self, kind):
         return [frame for _, frame in self.received if isinstance(frame, kind)]
 
 
-def hop(target, backend="engine"):
+def _hop(target, backend="engine"):
     process = target.settings.process
     return messages.Hop(
         host=process.host, port=process.peer_port, backend=backend
     )
 
 
-def admit(request_id, *, stage, next_hop, **changes):
+def _admit(request_id, *, stage, next_hop, **changes):
     values = {
         "request_id": request_id,
         "attempt": 1,
@@ -169,15 +170,29 @@
         started.stack = stack
         return started
 
-    def engine_agent(self, stage, *, backend=None, **options):
-        made, url = self.engine(stage, **options)
-        settings = agent_settings.BackendSettings(
-            name="engine", kind="engine", url=url, **(backend or {})
-        )
-        started = self.start(self.settings([settings]))
-        self.engines[started] = made
+    def backend(self, stage, *, name="engine", **options):
+        """Starts an engine and returns the settings that name it."""
+        self.made, url = self.engine(stage, **options)
+        return agent_settings.BackendSettings(name=name, kind="engine", url=url)
+
+    def engine_agent(self, stage, *, agent=None, **options):
+        backend = self.backend(stage, **options)
+        started = self.start(self.settings([backend], **(agent or {})))
+        self.engines[started] = self.made
         return started
 
+    def dial_as_agent(self, target):
+        identity = wire.Identity(
+            process="stranger",
+            role=messages.Role.AGENT,
+            host=self.address(),
+            port=0,
+            failure_domain="recife-a",
+            shared_key=KEY.encode(),
+        )
+        process = target.settings.process
+        return wire.dial(process.host, process.peer_port, identity=identity)
+
     def chain(self, **options):
         agents = [self.engine_agent(stage, **options) for stage in range(3)]
         for item in agents:
@@ -192,16 +207,17 @@
                 all(b.healthy for b in report.backends)
                 and report.state == messages.ProcessState.READY
             ),
+            source=target,
         )
 
     def admit_chain(self, request_id, agents, **changes):
-        hops = [hop(item) for item in agents[1:]] + [None]
+        hops = [_hop(item) for item in agents[1:]] + [None]
         for stage, (target, next_hop) in enumerate(
             zip(agents, hops, strict=True)
         ):
             self.entry.send(
                 target,
-                admit(request_id, stage=stage, next_hop=next_hop, **changes),
+                _admit(request_id, stage=stage, next_hop=next_hop, **changes),
             )
             self.entry.wait(messages.Admitted)
 
@@ -242,6 +258,16 @@
         return tuple(tokens)
 
 
+@pytest.fixture
+def hop():
+    return _hop
+
+
+@pytest.fixture
+def admit():
+    return _admit
+
+
 @pytest.fixture
 def fleet():
     with contextlib.ExitStack() as stack:
