Send admin answers without delay and convert enumerations in settings

Cause: the WSGI server writes headers and body apart, so Nagle's algorithm and the delayed acknowledgement held answers back; and the strict hook for strings also caught enumerations, which stayed plain strings. Change: a handler with TCP_NODELAY in a module of its own, used by the admin address; the strict hook is bound to `str` itself. Conclusion: enumerations in settings are checked and converted; a test shows it.

--- a/packages/dotterelgrade/src/dotterelgrade/admin.py
+++ b/packages/dotterelgrade/src/dotterelgrade/admin.py
@@ -12,6 +12,7 @@
 
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import metrics as metrics_lib
+from dotterelgrade import no_delay
 
 _LOG = logging.getLogger(__name__)
 
@@ -129,7 +130,13 @@
     Raises:
         OSError: The address can't be bound.
     """
-    wsgi_server = pywsgi.WSGIServer((host, port), app, log=None, error_log=_LOG)
+    wsgi_server = pywsgi.WSGIServer(
+        (host, port),
+        app,
+        log=None,
+        error_log=_LOG,
+        handler_class=no_delay.NoDelayHandler,
+    )
     wsgi_server.start()
     try:
         yield wsgi_server
--- a/packages/dotterelgrade/src/dotterelgrade/settings.py
+++ b/packages/dotterelgrade/src/dotterelgrade/settings.py
@@ -111,7 +111,9 @@
     converter = cattrs.Converter(forbid_extra_keys=True)
     converter.register_structure_hook(int, _strict((int,), "a whole number"))
     converter.register_structure_hook(float, _strict((int, float), "a number"))
-    converter.register_structure_hook(str, _strict((str,), "a string"))
+    converter.register_structure_hook_func(
+        lambda kind: kind is str, _strict((str,), "a string")
+    )
     converter.register_structure_hook(bool, _strict((bool,), "true or false"))
     converter.register_structure_hook_factory(
         dataclasses.is_dataclass, lambda cls: _object_hook(cls, converter)
--- a/packages/dotterelgrade/tests/test_settings.py
+++ b/packages/dotterelgrade/tests/test_settings.py
@@ -5,6 +5,8 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import host_list
+from dotterelgrade import messages
 from dotterelgrade import settings
 
 _GOOD = {
@@ -81,3 +83,17 @@
 def test_any_json_value_gets_a_result(value):
     checked = settings.structure(value, settings.ProcessSettings)
     assert isinstance(checked, result.Result)
+
+
+def test_enumerations_are_checked_and_converted():
+    entry = {
+        "host": "127.10.0.1",
+        "role": "entry",
+        "peer_port": 7400,
+        "admin_port": 7401,
+        "failure_domain": "recife-a",
+    }
+    checked = settings.structure(entry, host_list.HostEntry).unwrap()
+    assert checked.role is messages.Role.ENTRY
+    wrong = settings.structure({**entry, "role": "x"}, host_list.HostEntry)
+    assert "$.role" in wrong.failure().message
