--- a/packages/dotterelgrade-agent/tests/conftest.py
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -175,6 +175,20 @@
         self.made, url = self.engine(stage, **options)
         return agent_settings.BackendSettings(name=name, kind="engine", url=url)
 
+    def serve(self, module, app):
+        """Serves a stand-in and returns its base URL."""
+        host = self.address()
+        self.stack.enter_context(module.serving(app, host=host, port=17800))
+        return f"http://{host}:17800"
+
+    def service_backend(self, url):
+        return agent_settings.BackendSettings(
+            name="order", kind="service", service="order", url=url
+        )
+
+    def claim_settings(self):
+        return agent_settings.ClaimSettings()
+
     def engine_agent(self, stage, *, agent=None, **options):
         backend = self.backend(stage, **options)
         started = self.start(self.settings([backend], **(agent or {})))
