--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
@@ -29,6 +29,7 @@
 _FIRST_ENTRY = 2
 _FIRST_WORKER = 10
 _FIRST_ORDER_WORKER = 200
+_LIMIT = re.compile(r"( rate=| concurrent=)([0-9]+)(/s|\b)")
 _DURATION = re.compile(r"(_p95=)([0-9.]+)(ms|s)\b")
 
 
@@ -51,10 +52,14 @@
         domain_delay_ms: One-way delay between failure domains, ms.
         load_s: Time that an engine takes to load layers, s.
         hosts_lag_s: Lag of the host list, s.
-        agents_per_process: Agents that share one operating-system process.
-        engines_per_process: The same for engines.
+        workers_per_process: Workers in a row whose agents share one
+            operating-system process, and their engines another one, as far
+            as they are in one failure domain.
         policy: Routing policy of the entries.
         models: Names of the models to place; empty for all.
+        limit_scale: Factor on the workspaces' limits.
+        isolated: Whether the first worker of each place rule has processes of
+            its own, so that it can be killed alone.
     """
 
     network: str = "127.40"
@@ -67,10 +72,11 @@
     domain_delay_ms: float = 0.5
     load_s: float = 1.0
     hosts_lag_s: float = 0.5
-    agents_per_process: int = 1
-    engines_per_process: int = 1
+    workers_per_process: int = 1
     policy: str = "predicted"
     models: tuple[str, ...] = ()
+    limit_scale: float = 1.0
+    isolated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -123,7 +129,10 @@
             PlanError: The contract has faults.
         """
         self._settings = settings
-        self._text = scaled_contract(contract_text, settings.time_scale)
+        self._text = scaled_limits(
+            scaled_bounds(contract_text, settings.time_scale),
+            settings.limit_scale,
+        )
         outcome = grammar.parse(self._text)
         faults = outcome.swap().value_or(())
         if faults:
@@ -189,7 +198,8 @@
 
     def layers_of(self) -> dict[str, int]:
         """Returns the number of layers of each model."""
-        return {rule.name: rule.layers for rule in self.rules_of(rules.ModelRule)}
+        models = self.rules_of(rules.ModelRule)
+        return {rule.name: rule.layers for rule in models}
 
     def rules_of(self, kind: type) -> list:
         """Returns the contract's rules of one kind."""
@@ -275,15 +285,16 @@
         place: rules.PlaceRule | None,
     ) -> Worker:
         settings = self._settings
-        agents = number // settings.agents_per_process + 1
-        engines = number // settings.engines_per_process + 1
+        group = f"{domain}-{number // settings.workers_per_process + 1}"
+        if settings.isolated and replica == 0 and place:
+            group = f"{domain}-alone-{number + 1}"
         return Worker(
             host=self._host(domain, _FIRST_WORKER + number),
             failure_domain=domain,
             place=place,
             accelerator=settings.mix[replica % len(settings.mix)],
-            agent_process=f"agents-{agents}",
-            backend_process=f"engines-{engines}",
+            agent_process=f"agents-{group}",
+            backend_process=f"engines-{group}",
         )
 
     def _plan_order_workers(self) -> Iterable[Worker]:
@@ -404,7 +415,7 @@
         )
 
 
-def scaled_contract(text: str, factor: float) -> str:
+def scaled_bounds(text: str, factor: float) -> str:
     """Returns a contract whose bounds are longer by a factor."""
 
     def scale(match: re.Match[str]) -> str:
@@ -412,3 +423,13 @@
         return f"{match[1]}{value:g}{match[3]}"
 
     return _DURATION.sub(scale, text)
+
+
+def scaled_limits(text: str, factor: float) -> str:
+    """Returns a contract whose workspaces have larger limits by a factor."""
+
+    def scale(match: re.Match[str]) -> str:
+        value = max(1, round(float(match[2]) * factor))
+        return f"{match[1]}{value}{match[3]}"
+
+    return _LIMIT.sub(scale, text)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/launcher.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/launcher.py
@@ -54,6 +54,11 @@
         """Where settings and logs of the processes are kept."""
         return self._directory
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the running processes."""
+        return tuple(self._running)
+
     def pid(self, name: str) -> int:
         """Returns the process identifier of a running process."""
         return self._running[name].pid
@@ -139,6 +144,11 @@
         for child in list(self._running.values()):
             child.send_signal(signal.SIGHUP)
 
+    def change(self, deployment: deployment_lib.Deployment) -> None:
+        """Replaces the settings of processes that are started from now on."""
+        self._deployment = deployment
+        deployment_lib.write(deployment, self._directory)
+
     def stop_all(self) -> None:
         """Ends every process at once."""
         for child in list(self._running.values()):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
@@ -12,6 +12,8 @@
 
 from gevent import pywsgi
 
+from dotterelgrade import no_delay
+
 _LOG = logging.getLogger(__name__)
 
 _SOCKET_KEY = "dotterelgrade.socket"
@@ -145,15 +147,9 @@
     )
 
 
-class _Handler(pywsgi.WSGIHandler):
+class _Handler(no_delay.NoDelayHandler):
     """Gives applications their socket, and stays quiet about dropped calls."""
 
-    def handle(self) -> None:
-        # An answer leaves in two writes; Nagle's algorithm would hold the
-        # second one back until the delayed acknowledgement of the first.
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle()
-
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ[_SOCKET_KEY] = self.socket
