Let idle engines take vacant layer ranges

Change: seats of place rules in the stream placement, taken by compare and set on the fencing number of the holder they replace; the ranked wait, the weight store's rate, orders whose fencing numbers never go back, and a view of the host list with a grace for new hosts.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -25,12 +25,17 @@
 from dotterelgrade_agent import engine_backend
 from dotterelgrade_agent import entry_links
 from dotterelgrade_agent import hops as hops_lib
+from dotterelgrade_agent import host_view
 from dotterelgrade_agent import keyed_calls
+from dotterelgrade_agent import orders as orders_lib
+from dotterelgrade_agent import placement_log
 from dotterelgrade_agent import relay as relay_lib
+from dotterelgrade_agent import repair as repair_lib
 from dotterelgrade_agent import reports
 from dotterelgrade_agent import server as server_lib
 from dotterelgrade_agent import service_backend
 from dotterelgrade_agent import stages as stages_lib
+from dotterelgrade_agent import weight_store_client
 
 _FAREWELL_S = 0.2
 
@@ -44,7 +49,7 @@
         *,
         shaper: wire.Shaper | None = None,
         log: log_client.Log | None = None,
-        hosts: host_list.HostList | None = None,
+        hosts: host_view.HostSource | None = None,
     ) -> None:
         """Initializes an agent that does not run yet.
 
@@ -67,15 +72,22 @@
         )
         self._make_backends()
         self._make_parts()
+        self._hosts = host_view.HostView(
+            hosts or host_list.HostList(settings.platform),
+            poll_s=settings.hosts_poll_s,
+            grace_s=settings.host_grace_s,
+            on_change=lambda: self._departure.update(),
+        )
         self._departure = departure_lib.Departure(
             settings,
             feed=self._feed,
-            hosts=hosts or host_list.HostList(settings.platform),
+            hosts=self._hosts,
             in_flight=lambda: self.in_flight,
             on_change=self._leave,
             journal=self._journal,
         )
         self._feed.add_listener(self._contract_changed)
+        self._make_repairs()
 
     def _make_backends(self) -> None:
         observers = backend_lib.Observers(
@@ -140,6 +152,33 @@
             )
         )
 
+    def _make_repairs(self) -> None:
+        self._placement = placement_log.PlacementLog(
+            self._log, journal=self._journal
+        )
+        sources = repair_lib.Sources(
+            feed=self._feed,
+            hosts=self._hosts,
+            placement=self._placement,
+            departure=self._departure,
+            journal=self._journal,
+        )
+        store = weight_store_client.WeightStoreClient(self._settings.platform)
+        self._repairs = [
+            repair_lib.Repair(
+                self._settings,
+                backend=engine,
+                orders=orders_lib.Orders(
+                    engine,
+                    host=self._identity.host,
+                    store=store,
+                    journal=self._journal,
+                ),
+                sources=sources,
+            )
+            for engine in self._engines.values()
+        ]
+
     def __repr__(self) -> str:
         """Shows the address, the state and the work in flight."""
         return (
@@ -265,9 +304,11 @@
         for body in (
             self._feed.run,
             self._claims.run,
-            self._departure.watch_hosts,
+            self._hosts.run,
+            self._placement.run,
             self._reporter.run,
             self._stages.sweep,
+            *(item.run for item in self._repairs),
         ):
             self._greenlets.spawn(body)
 
@@ -316,6 +357,8 @@
             "backends": {
                 name: item.dump() for name, item in self._backends.items()
             },
+            "placement": self._placement.dump(),
+            "repairs": [item.dump() for item in self._repairs],
             "links": self._hops.links,
             "entries": [repr(link) for link in self._links],
             "reporter": repr(self._reporter),
@@ -343,7 +386,7 @@
     *,
     shaper: wire.Shaper | None = None,
     log: log_client.Log | None = None,
-    hosts: host_list.HostList | None = None,
+    hosts: host_view.HostSource | None = None,
 ) -> Iterator[Agent]:
     """Runs an agent while the context is open, then ends it at once.
 
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
@@ -116,6 +116,11 @@
         takeover_rank_s: Wait per rank before a vacant layer range is taken, s.
         takeover_settle_s: Time that a shortage must last before anybody acts,
             s.
+        takeover_timeout_s: Longest wait for a take-over to be read back, s.
+        load_timeout_s: Time limit of a load, s.
+        placement_renew_s: Interval at which what is held is said again, well
+            inside the retention of the log, s.
+        host_grace_s: Time that a new host has to show in the host list, s.
         drain_timeout_s: Time for work in flight when the agent leaves, s.
         repairs: Whether an idle engine may take a vacant layer range.
     """
@@ -130,6 +135,10 @@
     orphan_grace_s: float = 3.0
     takeover_rank_s: float = 0.5
     takeover_settle_s: float = 2.0
+    takeover_timeout_s: float = 2.0
+    load_timeout_s: float = 120.0
+    placement_renew_s: float = 600.0
+    host_grace_s: float = 10.0
     drain_timeout_s: float = 600.0
     repairs: bool = True
 
@@ -148,6 +157,10 @@
             "orphan_grace_s",
             "takeover_rank_s",
             "takeover_settle_s",
+            "takeover_timeout_s",
+            "load_timeout_s",
+            "placement_renew_s",
+            "host_grace_s",
             "drain_timeout_s",
         )
 
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/departure.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/departure.py
@@ -5,12 +5,11 @@
 
 import gevent
 from gevent import event
-from returns import result
 
 from dotterelgrade import contract_feed
-from dotterelgrade import host_list
 from dotterelgrade import journal as journal_lib
 from dotterelgrade_agent import agent_settings
+from dotterelgrade_agent import host_view
 
 _POLL_S = 0.05
 
@@ -27,7 +26,7 @@
         settings: agent_settings.AgentSettings,
         *,
         feed: contract_feed.ContractFeed,
-        hosts: host_list.HostList,
+        hosts: host_view.HostView,
         in_flight: Callable[[], int],
         on_change: Callable[[str], None],
         journal: journal_lib.Journal,
@@ -37,7 +36,7 @@
         Args:
             settings: Where the agent runs and how long it waits.
             feed: The contract, with its `drain` rules.
-            hosts: The list of hosts.
+            hosts: The hosts as the platform lists them.
             in_flight: Returns how much work is not finished.
             on_change: Called with the reason to leave, or an empty one.
             journal: Takes decisions.
@@ -49,7 +48,6 @@
         self._on_change = on_change
         self._journal = journal
         self._stop_reason = ""
-        self._listed_as_leaving = False
         self._reason = ""
         self._stopping = event.Event()
 
@@ -95,30 +93,10 @@
             return self._stop_reason
         if self._feed.contract.is_draining(self._settings.process.host):
             return "the contract drains this host"
-        if self._listed_as_leaving:
+        if self._hosts.is_leaving(self._settings.process):
             return "the host list says that this host leaves"
         return ""
 
-    def watch_hosts(self) -> None:
-        """Looks at the host list until killed."""
-        while True:
-            self.look_at_hosts()
-            gevent.sleep(self._settings.hosts_poll_s)
-
-    def look_at_hosts(self) -> None:
-        """Reads the host list once; while it is down nothing changes."""
-        answer = self._hosts.read()
-        if isinstance(answer, result.Failure):
-            return
-        process = self._settings.process
-        self._listed_as_leaving = any(
-            entry.is_leaving
-            for entry in answer.unwrap()
-            if (entry.host, entry.peer_port)
-            == (process.host, process.peer_port)
-        )
-        self.update()
-
     def wait(self) -> bool:
         """Waits until the work in flight has ended.
 
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
@@ -62,6 +62,7 @@
         self._wakeup = event.Event()
         self._times = step_times.StepTimes()
         self._residence_s = _FIRST_RESIDENCE_S
+        self._withheld = ""
         self._greenlets = gevent.pool.Group()
 
     def __repr__(self) -> str:
@@ -97,7 +98,7 @@
     @property
     def slots_free(self) -> int:
         """How many more sequences fit now."""
-        if not self._watch.is_usable:
+        if self._withheld or not self._watch.is_usable:
             return 0
         used = len(self._sequences) + len(self._cancellations)
         return max(self.slots - used, 0)
@@ -125,7 +126,7 @@
             "slots_free": self.slots_free,
             "step_ms": round(self._times.step_ms, 3),
             "token_ms": round(self._times.token_ms, 5),
-            "healthy": self._watch.is_usable,
+            "healthy": self._watch.is_usable and not self._withheld,
         }
         if status is None:
             return messages.BackendReport(**common)
@@ -139,6 +140,15 @@
             **common,
         )
 
+    def withhold(self, reason: str) -> None:
+        """Refuses new sequences, as before a load; an empty reason ends it.
+
+        Args:
+            reason: Why, in one clause.
+        """
+        self._withheld = reason
+        self._observers.listener.changed()
+
     def start(self) -> None:
         """Begins to look at the engine and to run batches."""
         self._greenlets.spawn(self._watch.run, on_recovered=self._clean_up)
@@ -207,6 +217,12 @@
                 f"{self._settings.name} is not usable: {self._watch.reason}",
                 retry_after_s=_RETRY_AFTER_UNHEALTHY_S,
             )
+        if self._withheld:
+            return backend.refuse(
+                errors.ErrorKind.ENGINE_REFUSED,
+                f"{self._settings.name}: {self._withheld}",
+                retry_after_s=_RETRY_AFTER_UNHEALTHY_S,
+            )
         status = self._watch.status
         held = (status.model, status.first_layer, status.last_layer)
         asked = (admit.model, admit.first_layer, admit.last_layer)
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_client.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_client.py
@@ -55,6 +55,15 @@
     vocabulary: int = 0
     loading: bool = False
 
+    def holds(
+        self, *, model: str, version: str, first_layer: int, last_layer: int
+    ) -> bool:
+        """Whether exactly this range is held; an empty version is any."""
+        held = (self.model, self.first_layer, self.last_layer)
+        return held == (model, first_layer, last_layer) and (
+            version in ("", self.version)
+        )
+
 
 class StepResult(msgspec.Struct, frozen=True, kw_only=True):
     """What one item of a batch led to.
