--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -250,9 +250,11 @@
         )
         if replies.is_complete:
             return result.Success(None)
-        return result.Failure(self._give_back(replies))
+        error = self._note_unwilling(replies)
+        self._link.release(cancelled=True)
+        return result.Failure(error)
 
-    def _give_back(self, replies: chain_link.Replies) -> errors.Error:
+    def _note_unwilling(self, replies: chain_link.Replies) -> errors.Error:
         error = errors.Error(
             kind=errors.ErrorKind.NO_CAPACITY,
             message="an agent did not answer the admission",
@@ -270,7 +272,6 @@
                 kind=refused.kind.value,
             )
             error = _refusal_error(refused)
-        self._link.release(cancelled=True)
         return error
 
     def _blame(self, stage: planner_lib.Stage, reason: str) -> None:
@@ -316,8 +317,7 @@
             emitted=len(self._request.emitted),
         )
         self._avoid = {self._link.stages[index].key for index in dead}
-        self._repairs += 1
-        if self._repairs <= _MAX_REPAIRS and self._replace(dead):
+        if self._replace_all(dead):
             self._link.note_progress()
             return
         if self._link.stages:
@@ -348,11 +348,28 @@
         self._begin(chain)
         return True
 
-    def _replace(self, dead: set[int]) -> bool:
+    def _replace_all(self, dead: set[int]) -> bool:
+        """Replaces lost stages, and those that are lost meanwhile."""
+        lost = set(dead)
+        while len(lost) < len(self._link.stages):
+            self._repairs += 1
+            if self._repairs > _MAX_REPAIRS:
+                return False
+            stages = self._plan_replacements(lost)
+            if stages is None:
+                return False
+            replies = self._rejoin(stages, lost)
+            if replies.is_complete:
+                return self._resume(lost, replies)
+            self._note_unwilling(replies)
+            lost |= replies.missing | set(replies.refused)
+        return False
+
+    def _plan_replacements(
+        self, lost: set[int]
+    ) -> list[planner_lib.Stage] | None:
         stages = list(self._link.stages)
-        if len(dead) == len(stages):
-            return False
-        for index in sorted(dead):
+        for index in sorted(lost):
             chosen = self._tools.planner.plan_stage(
                 self._request.order,
                 chain=stages,
@@ -361,18 +378,19 @@
                 avoid=self._avoid,
             )
             if isinstance(chosen, result.Failure):
-                return False
+                return None
             stages[index] = chosen.unwrap()
+        return stages
+
+    def _rejoin(
+        self, stages: list[planner_lib.Stage], lost: set[int]
+    ) -> chain_link.Replies:
         self._request.begin_attempt()
-        self._leave_behind(dead)
-        self._link.adopt(stages, self._mutes(dead, len(stages)))
-        replies = self._link.admit(
-            dead, timeout_s=self._tools.settings.admit_timeout_s
+        self._leave_behind(lost)
+        self._link.adopt(stages, self._mutes(lost, len(stages)))
+        return self._link.admit(
+            lost, timeout_s=self._tools.settings.admit_timeout_s
         )
-        if not replies.is_complete:
-            self._give_back(replies)
-            return False
-        return self._resume(dead, replies)
 
     def _leave_behind(self, dead: set[int]) -> None:
         release = messages.Release(
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -144,7 +144,7 @@
         """
         old = chain[index]
         layers = (old.first_layer, old.last_layer)
-        used = {stage.key for stage in chain} | set(avoid)
+        used = {s.key for i, s in enumerate(chain) if i != index} | set(avoid)
         ranges = self._usable(order.model, version, used)
         if layers not in ranges:
             return _no_capacity(f"no other backend server for layers {layers}")
--- a/packages/dotterelgrade-entry/tests/conftest.py
+++ b/packages/dotterelgrade-entry/tests/conftest.py
@@ -6,6 +6,7 @@
 import time
 
 import gevent
+from gevent import event
 import geventhttpclient
 import pytest
 from returns import result
@@ -15,6 +16,7 @@
 from dotterelgrade import host_list
 from dotterelgrade import messages
 from dotterelgrade import settings as settings_lib
+from dotterelgrade import wire
 from dotterelgrade_agent import agent
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_entry import entry
@@ -58,6 +60,71 @@
         gevent.sleep(0.01)
 
 
+class FreezableShaper:
+    """Holds back what a process sends while it is frozen."""
+
+    def __init__(self):
+        self._thawed = event.Event()
+        self._thawed.set()
+
+    def freeze(self):
+        self._thawed.clear()
+
+    def thaw(self):
+        self._thawed.set()
+
+    def delay_s(self, peer, size):
+        self._thawed.wait()
+        return 0.0
+
+
+class FakeAgent:
+    """Reports a fast, free engine and answers as a test says."""
+
+    def __init__(self, process, first, last, on_frame):
+        self.process = process
+        self.frames = []
+        self.connections = []
+        self._on_frame = on_frame
+        self.report = messages.BackendReport(
+            backend="engine",
+            kind="engine",
+            model="inlay",
+            first_layer=first,
+            last_layer=last,
+            slots_free=16,
+            step_ms=0.001,
+            token_ms=0.001,
+        )
+
+    def handle(self, connection):
+        self.connections.append(connection)
+        connection.send(
+            messages.Report(
+                state=messages.ProcessState.READY,
+                contract_offset=0,
+                backends=(self.report,),
+            )
+        )
+        for frame in connection:
+            if isinstance(frame, messages.Ping):
+                connection.send(messages.Pong(sequence=frame.sequence))
+            else:
+                self.frames.append(frame)
+                self._on_frame(self, connection, frame)
+
+    def admitted(self, frame):
+        return messages.Admitted(
+            request_id=frame.request_id,
+            attempt=frame.attempt,
+            stage=frame.stage,
+            report=self.report,
+        )
+
+    def of(self, kind):
+        return [frame for frame in self.frames if isinstance(frame, kind)]
+
+
 class LocalHosts:
     def __init__(self):
         self.entries = {}
@@ -166,6 +233,21 @@
         running = self._start(process, (backend,), stack, shaper)
         return Node(process.host, running, server, stack)
 
+    def start_fake_agent(self, first, last, on_frame):
+        process = self.process()
+        fake = FakeAgent(process, first, last, on_frame)
+        identity = wire.Identity(
+            process=f"fake-{process.host}",
+            role=messages.Role.AGENT,
+            host=process.host,
+            port=process.peer_port,
+            failure_domain=process.failure_domain,
+            shared_key=KEY.encode(),
+        )
+        self.stack.enter_context(wire.listening(fake.handle, identity=identity))
+        self.hosts.put(process, messages.Role.AGENT)
+        return fake
+
     def start_order_worker(self, service=None):
         process = self.process()
         stack = contextlib.ExitStack()
@@ -261,6 +343,24 @@
         return self.call(target, "/v1/completions", body)
 
 
+def requests_in_flight(target):
+    return target.dump()["requests"]
+
+
+def wait_for_tokens(target, count):
+    """Waits until a request in flight has that many tokens."""
+
+    def has_tokens():
+        return any(r["emitted"] >= count for r in requests_in_flight(target))
+
+    wait_until(has_tokens)
+    return requests_in_flight(target)[0]
+
+
+def decisions(target):
+    return [item.decision for item in target.journal.latest(10_000)]
+
+
 def expected_text(prompt, *, max_tokens=8):
     return layers.expected_text(prompt, layers=LAYERS, max_tokens=max_tokens)
 
@@ -292,6 +392,9 @@
 
     Helpers.expected_text = staticmethod(expected_text)
     Helpers.text_of = staticmethod(text_of)
+    Helpers.wait_for_tokens = staticmethod(wait_for_tokens)
+    Helpers.decisions = staticmethod(decisions)
     Helpers.wait_until = staticmethod(wait_until)
     Helpers.LAYERS = LAYERS
+    Helpers.FreezableShaper = FreezableShaper
     return Helpers
--- /dev/null
+++ b/packages/dotterelgrade-entry/tests/test_retry_budget.py
@@ -0,0 +1,25 @@
+from dotterelgrade_entry import retry_budget
+
+
+def test_retries_are_a_share_of_the_requests():
+    now = [0.0]
+    budget = retry_budget.RetryBudget(
+        share=0.5, rate_per_s=0.0, capacity=4, clock=lambda: now[0]
+    )
+    assert [budget.spend() for _ in range(5)] == [True] * 4 + [False]
+    for _ in range(4):
+        budget.note_request()
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+
+
+def test_a_quiet_entry_earns_a_steady_rate_up_to_the_capacity():
+    now = [0.0]
+    budget = retry_budget.RetryBudget(
+        share=0.0, rate_per_s=1.0, capacity=3, clock=lambda: now[0]
+    )
+    while budget.spend():
+        pass
+    now[0] += 2
+    assert (budget.spend(), budget.spend(), budget.spend()) == (1, 1, 0)
+    now[0] += 1_000
+    assert budget.left == 3
--- /dev/null
+++ b/packages/dotterelgrade-entry/tests/test_service_calls.py
@@ -0,0 +1,209 @@
+import uuid
+
+import gevent
+import pytest
+import uuid6
+
+from dotterelgrade import messages
+from dotterelgrade import rendezvous
+from dotterelgrade_standins import deposits
+
+DEPOSIT = {"account": "a1", "amount": 5}
+
+
+def _deposit(cell, *, key="", name="deposits", method="POST", **options):
+    headers = {"Idempotency-Key": key} if key else {}
+    return cell.call(
+        cell.entry,
+        f"/services/{name}/deposits",
+        DEPOSIT,
+        headers=headers,
+        method=method,
+        **options,
+    )
+
+
+@pytest.fixture
+def service():
+    return deposits.DepositService()
+
+
+@pytest.fixture
+def worker(cell, service):
+    cell.worker = cell.start_order_worker(service)
+    cell.entry = cell.start_entry(call_timeout_s=5.0)
+    cell.wait_for(cell.entry, services=1)
+    return cell
+
+
+def test_a_keyed_repeat_gets_the_recorded_outcome(worker, service):
+    key = str(uuid6.uuid7())
+    first = _deposit(worker, key=key)
+    second = _deposit(worker, key=key)
+    assert (first.status, second.status) == (200, 200)
+    assert first.body == second.body
+    headers = {name.lower(): value for name, value in second.headers.items()}
+    assert headers["idempotent-replayed"] == "true"
+    assert len(service.ledger) == 1
+
+
+def test_another_body_under_one_key_is_refused(worker, service):
+    key = str(uuid6.uuid7())
+    assert _deposit(worker, key=key).status == 200
+    other = worker.call(
+        worker.entry,
+        "/services/deposits/deposits",
+        {"account": "a2", "amount": 7},
+        headers={"Idempotency-Key": key},
+    )
+    assert (other.status, other.error["kind"]) == (422, "key_reused")
+    assert len(service.ledger) == 1
+
+
+@pytest.mark.parametrize(
+    ("key", "kind"),
+    [
+        ("not a key", "key_invalid"),
+        (str(uuid.uuid4()), "key_invalid"),
+        ("00000000-0000-7000-8000-000000000000", "key_too_old"),
+    ],
+)
+def test_a_key_that_tells_no_fresh_age_is_refused(worker, service, key, kind):
+    error = _deposit(worker, key=key).error
+    assert (error["kind"], error["run"]) == (kind, "not_run")
+    assert not service.ledger
+
+
+def test_an_unknown_service_is_refused(worker):
+    error = _deposit(worker, name="weather").error
+    assert (error["kind"], error["run"]) == ("unknown_service", "not_run")
+
+
+def _vanish(agent, connection, frame):
+    if isinstance(frame, messages.Call):
+        connection.close("the host is gone")
+
+
+def _key_asking(first, second):
+    """Returns a key whose first choice is the first of two agents."""
+    names = [f"{fake.process.host}:7400/order" for fake in (first, second)]
+    while True:
+        key = str(uuid6.uuid7())
+        if rendezvous.rank(key, names)[0] == names[0]:
+            return key
+
+
+def _start_fake_worker(cell, on_frame):
+    fake = cell.start_fake_agent(0, 2, on_frame)
+    fake.report = messages.BackendReport(
+        backend="order", kind="service", service="order", slots_free=16
+    )
+    return fake
+
+
+def test_an_unkeyed_call_is_sent_once_and_unknown_when_lost(cell):
+    fakes = [_start_fake_worker(cell, _vanish) for _ in range(2)]
+    cell.entry = cell.start_entry()
+    cell.wait_for(cell.entry, services=2)
+    answer = _deposit(cell)
+    assert (answer.status, answer.error["run"]) == (502, "unknown")
+    assert sum(len(fake.of(messages.Call)) for fake in fakes) == 1
+
+
+def test_a_keyed_call_is_retried_at_another_agent_under_the_same_key(cell):
+    def reply(agent, connection, frame):
+        if isinstance(frame, messages.Call):
+            connection.send(
+                messages.CallReply(
+                    request_id=frame.request_id,
+                    status=201,
+                    headers={"X-Run": "1", "Bad\r\nName": "x"},
+                    body=b"done",
+                )
+            )
+
+    lost = _start_fake_worker(cell, _vanish)
+    cell.entry = cell.start_entry()
+    cell.wait_for(cell.entry, services=1)
+    # With one agent there is nowhere to retry.
+    assert _deposit(cell, key=str(uuid6.uuid7())).error["run"] == "unknown"
+    healthy = _start_fake_worker(cell, reply)
+    cell.wait_for(cell.entry, services=2)
+    key = _key_asking(lost, healthy)
+    assert _deposit(cell, key=key).status == 201
+    for fake in (lost, healthy):
+        assert key in {frame.key for frame in fake.of(messages.Call)}
+
+
+def test_a_refusal_after_a_lost_try_is_not_told_as_not_run(cell):
+    def refuse(agent, connection, frame):
+        if isinstance(frame, messages.Call):
+            connection.send(
+                messages.CallFailed(
+                    request_id=frame.request_id,
+                    kind="log_unavailable",
+                    message="no log",
+                    run="not_run",
+                )
+            )
+
+    lost = _start_fake_worker(cell, _vanish)
+    refusing = _start_fake_worker(cell, refuse)
+    cell.entry = cell.start_entry()
+    cell.wait_for(cell.entry, services=2)
+    error = _deposit(cell, key=_key_asking(refusing, lost)).error
+    assert (error["kind"], error["run"]) == ("log_unavailable", "not_run")
+    error = _deposit(cell, key=_key_asking(lost, refusing)).error
+    assert (error["kind"], error["run"]) == ("outcome_unknown", "unknown")
+
+
+def test_an_answer_from_another_agent_or_to_another_call_is_ignored(cell):
+    calls = []
+
+    def collect(agent, connection, frame):
+        if isinstance(frame, messages.Call):
+            calls.append((connection, frame))
+
+    _start_fake_worker(cell, collect)
+    other = _start_fake_worker(cell, collect)
+    cell.entry = cell.start_entry()
+    cell.wait_for(cell.entry, services=2)
+    answers = [gevent.spawn(_deposit, cell) for _ in range(6)]
+    gevent.sleep(0.3)
+    assert len(calls) == 6
+    for connection, frame in calls:
+        wrong = messages.CallReply(
+            request_id=frame.request_id, status=200, headers={}, body=b"wrong"
+        )
+        for stranger in other.connections:
+            if stranger is not connection:
+                stranger.send(wrong)
+    gevent.sleep(0.2)
+    for connection, frame in reversed(calls):
+        connection.send(
+            messages.CallReply(
+                request_id=frame.request_id,
+                status=200,
+                headers={},
+                body=frame.request_id.encode(),
+            )
+        )
+    for answer in gevent.joinall(answers, timeout=10):
+        headers = {k.lower(): v for k, v in answer.value.headers.items()}
+        assert answer.value.body.decode() == headers["x-request-id"]
+
+
+def test_a_service_that_never_answers_ends_unknown(cell):
+    _start_fake_worker(cell, lambda *_: None)
+    cell.entry = cell.start_entry(call_timeout_s=0.3)
+    cell.wait_for(cell.entry, services=1)
+    error = _deposit(cell).error
+    assert (error["kind"], error["run"]) == ("deadline_exceeded", "unknown")
+    assert cell.entry.dump()["requests"] == []
+
+
+def test_without_an_agent_nothing_was_run(cell, helpers):
+    cell.entry = cell.start_entry()
+    helpers.wait_until(lambda: cell.entry.is_ready)
+    error = _deposit(cell).error
+    assert (error["kind"], error["run"]) == ("no_capacity", "not_run")
