Prove the contract's fold, its feed and the batched streams

Cause: nothing showed that the fold is the same from any start, nor that lost answers, late copies, retention and outages are harmless. The tests showed that an empty relay buffer was taken for none given, which is mended.

--- a/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -40,6 +40,7 @@
         *,
         journal: journal_lib.Journal | None = None,
         settings: snapshots.SnapshotSettings | None = None,
+        relay: relay_buffer.RelayBuffer | None = None,
         wait_ms: int = log_client.MAX_WAIT_MS,
         seed: int | None = None,
     ) -> None:
@@ -49,13 +50,14 @@
             log: The log service.
             journal: Where decisions are noted, or None.
             settings: How often snapshots are taken.
+            relay: Keeps records for peers; one of the usual size if None.
             wait_ms: How long a read waits for a new record, ms.
             seed: Seed of the waits.
         """
         self._log = log
         self._journal = journal or journal_lib.Journal(capacity=1)
         self._contract = contract_lib.Contract()
-        self._relay = relay_buffer.RelayBuffer()
+        self._relay = relay_buffer.RelayBuffer() if relay is None else relay
         self._schedule = snapshots.SnapshotSchedule(
             settings or snapshots.SnapshotSettings(),
             now=time.monotonic(),
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_charges.py
@@ -0,0 +1,125 @@
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from dotterelgrade import charges
+from dotterelgrade import errors
+from dotterelgrade import log_client
+from dotterelgrade_standins import log_service
+
+
+def _charge(number, workspace="bench"):
+    return charges.Charge(
+        workspace=workspace,
+        request_id=f"r{number}",
+        prompt_tokens=3,
+        generated_tokens=number,
+    )
+
+
+@pytest.fixture
+def service():
+    faults = log_service.LogFaults(appends_per_s=1e9)
+    return log_service.LogService(faults=faults)
+
+
+def _sender(service, **options):
+    log = log_service.LocalLog(service)
+    return charges.ChargeSender(log, incarnation="p1", **options)
+
+
+def _book(service):
+    book = charges.ChargeBook()
+    for record in service.records(log_client.CHARGES_STREAM):
+        book.apply(record)
+    return book
+
+
+def test_a_lost_answer_charges_once(service):
+    sender = _sender(service)
+    sender.charge(_charge(5))
+    service.set_faults(lose_answers_after=2)
+    assert [sender.send() for _ in range(4)] == [False, False, True, True]
+    book = _book(service)
+    assert book.doubled == 2
+    assert book.total("bench") == charges.Total(
+        requests=1, prompt_tokens=3, generated_tokens=5
+    )
+
+
+def test_an_outage_holds_charges_in_bounded_memory(service):
+    sender = _sender(service, max_held=10)
+    service.set_faults(down=True)
+    for number in range(25):
+        sender.charge(_charge(number))
+        assert not sender.send()
+    assert (sender.held, sender.dropped) == (10, 15)
+    assert sender.dropped_by_workspace == {"bench": 15}
+    service.set_faults(down=False)
+    while sender.held:
+        assert sender.send()
+    assert sender.flush(timeout_s=0)
+    assert _book(service).total("bench").requests == 10
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(
+    st.lists(
+        st.sampled_from(["charge", "send", "lose_before", "lose_after"]),
+        max_size=40,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_any_losses_and_late_copies_charge_once(orders, random):
+    faults = log_service.LogFaults(appends_per_s=1e9)
+    service = log_service.LogService(faults=faults)
+    sender = _sender(service, max_batch_items=2)
+    charged = 0
+    for order in orders:
+        if order == "charge":
+            charged += 1
+            sender.charge(_charge(charged))
+            continue
+        if order != "send":
+            service.set_faults(
+                **{f"{order.replace('lose', 'lose_answers')}": 1}
+            )
+        sender.send()
+    service.set_faults(lose_answers_before=0, lose_answers_after=0)
+    while sender.held:
+        sender.send()
+    records = service.records(log_client.CHARGES_STREAM)
+    book = charges.ChargeBook()
+    for place, record in enumerate(records):
+        book.apply(record)
+        book.apply(random.choice(records[: place + 1]))
+    assert book.total("bench").requests == charged
+    assert book.total("bench").generated_tokens == sum(range(charged + 1))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b'{"type":"batch","id":"p","items":[]}',
+        b'{"type":"batch","id":"p:x","items":[]}',
+        b'{"type":"batch","id":"p:1","items":[{"workspace":"w"}]}',
+        b'{"type":"batch","id":"p:1","items":{"a":1}}',
+        b'{"type":"batch","id":"p:1","items":7}',
+    ],
+)
+def test_a_broken_batch_charges_nothing(body):
+    book = charges.ChargeBook()
+    with pytest.raises(errors.DotterelgradeError):
+        book.apply(log_client.Record(offset=1, body=body))
+    assert book.totals == {}
+
+
+def test_producers_are_forgotten_by_age():
+    book = charges.ChargeBook(max_producers=2)
+    for offset, name in enumerate(["a", "b", "a", "c"], start=1):
+        body = f'{{"type":"batch","id":"{name}:{offset}","items":[]}}'
+        record = log_client.Record(offset=offset, body=body.encode())
+        assert book.apply(record)
+    body = b'{"type":"batch","id":"a:1","items":[]}'
+    assert not book.apply(log_client.Record(offset=5, body=body))
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_contract.py
@@ -0,0 +1,315 @@
+import collections
+import itertools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from dotterelgrade import contract as contract_lib
+from dotterelgrade import contract_records
+from dotterelgrade import log_client
+
+_Kind = contract_lib.OutcomeKind
+_KEYS = ("0a" * 32, "0b" * 32)
+_HOSTS = tuple(f"drain host=10.0.0.{n}" for n in range(4))
+
+
+def _line(identity, why="why"):
+    return f"{identity} # ops: {why}"
+
+
+def _edit(identity, *, seen=0, text="", why="why"):
+    if text == "":
+        text = _line(identity, why)
+    return contract_records.Edit(identity=identity, text=text, seen=seen)
+
+
+def _record(offset, *edits, author="ana", base=0):
+    body = contract_records.encode(
+        contract_records.EditRecord(
+            id=f"id-{offset}", author=author, edits=edits, base=base
+        )
+    )
+    return log_client.Record(offset=offset, body=body)
+
+
+def _snapshot(offset, contract):
+    body = contract_records.encode(contract.snapshot())
+    return log_client.Record(offset=offset, body=body)
+
+
+def _folded(*records):
+    contract = contract_lib.Contract()
+    for record in records:
+        contract.apply(record)
+    return contract
+
+
+def test_two_operators_editing_one_line():
+    contract = _folded(_record(1, _edit(_HOSTS[0])))
+    won = contract.apply(
+        _record(2, _edit(_HOSTS[0], seen=1, why="first"), author="ana")
+    )
+    lost = contract.apply(
+        _record(
+            3,
+            _edit(_HOSTS[0], seen=1, why="second"),
+            _edit(_HOSTS[1]),
+            author="rui",
+        )
+    )
+    assert (won.kind, lost.kind) == (_Kind.ACCEPTED, _Kind.CONFLICT)
+    (conflict,) = lost.conflicts
+    assert conflict.winner.author == "ana"
+    assert conflict.winner.text.endswith("first")
+    assert contract.line(_HOSTS[1]) is None
+    assert contract.offset == 3
+
+
+def test_edits_of_different_lines_both_pass():
+    contract = _folded(_record(1, _edit(_HOSTS[0]), _edit(_HOSTS[1])))
+    for offset, host in ((2, _HOSTS[0]), (3, _HOSTS[1])):
+        outcome = contract.apply(_record(offset, _edit(host, seen=1)))
+        assert outcome.kind is _Kind.ACCEPTED
+
+
+def test_a_late_copy_does_not_bring_a_removed_line_back():
+    first = _edit(_HOSTS[0])
+    contract = _folded(
+        _record(1, first), _record(2, _edit(_HOSTS[0], seen=1, text=None))
+    )
+    assert contract.apply(_record(3, first)).kind is _Kind.CONFLICT
+    again = contract.apply(_record(4, _edit(_HOSTS[0]), base=3))
+    assert again.kind is _Kind.ACCEPTED
+
+
+def test_removals_are_forgotten_only_safely(monkeypatch):
+    monkeypatch.setattr(contract_lib, "MAX_REMOVALS_KEPT", 2)
+    offsets = itertools.count(1)
+    contract = contract_lib.Contract()
+    for host in _HOSTS:
+        seen = next(offsets)
+        contract.apply(_record(seen, _edit(host)))
+        removal = _edit(host, seen=seen, text=None)
+        contract.apply(_record(next(offsets), removal))
+    assert len(contract.snapshot().removals) == 2
+    late = contract.apply(_record(next(offsets), _edit(_HOSTS[0])))
+    assert late.kind is _Kind.CONFLICT
+    fresh = _edit(_HOSTS[0])
+    outcome = contract.apply(_record(next(offsets), fresh, base=9))
+    assert outcome.kind is _Kind.ACCEPTED
+    other = contract_lib.Contract()
+    assert other.adopt(contract.snapshot()).kind is _Kind.ADOPTED
+    assert other.digest == contract.digest
+
+
+def test_broken_records_only_move_the_offset():
+    contract = _folded(_record(1, _edit(_HOSTS[0])))
+    for offset, body in enumerate((b"", b"\xff", b"{}", b"[[[["), start=2):
+        record = log_client.Record(offset=offset, body=body)
+        assert contract.apply(record).kind is _Kind.INVALID
+    assert contract.offset == 5
+    assert len(contract.lines) == 1
+
+
+def test_a_gap_and_an_old_record_change_nothing():
+    contract = _folded(_record(1, _edit(_HOSTS[0])))
+    gap = contract.apply(_record(3, _edit(_HOSTS[1])))
+    stale = contract.apply(_record(1, _edit(_HOSTS[2])))
+    assert (gap.kind, stale.kind) == (_Kind.GAP, _Kind.STALE)
+    assert (contract.offset, len(contract.lines)) == (1, 1)
+
+
+def test_snapshots_stale_corrupt_or_ahead_of_themselves():
+    contract = _folded(_record(1, _edit(_HOSTS[0])))
+    old = _snapshot(3, contract)
+    contract.apply(_record(2, _edit(_HOSTS[1])))
+    assert contract.apply(old).kind is _Kind.SNAPSHOT
+    assert len(contract.lines) == 2
+    corrupt = old.body.replace(b"10.0.0.0", b"10.0.0.9")
+    ahead = _snapshot(2, contract)
+    for body in (corrupt, ahead.body):
+        other = contract_lib.Contract()
+        record = log_client.Record(offset=1, body=body)
+        assert other.apply(record).kind is _Kind.INVALID
+        assert (other.offset, other.lines) == (1, ())
+
+
+def test_a_later_version_of_the_grammar_folds_alike():
+    identity = "quota name=x"
+    contract = _folded(
+        _record(1, _edit(identity)),
+        _record(2, _edit(identity, seen=1, why="again")),
+    )
+    assert contract.line(identity).offset == 2
+    (fault,) = contract.unreadable[identity]
+    assert "unknown kind" in fault.message
+
+
+def test_rules_are_found_by_what_they_are_about():
+    key = f"key=sha256:{_KEYS[0]}"
+    texts = {
+        "bound workspace=*": "first_token_p95=1s between_tokens_p95=1s",
+        "bound workspace=b": "first_token_p95=2s between_tokens_p95=1s",
+        "workspace name=b": key,
+        "workspace name=a": key,
+        "model name=m": "layers=24",
+        "place model=m layers=12-23": "failure_domain=a replicas=1",
+        "place model=m layers=0-11": "failure_domain=a replicas=1",
+        "service name=deposits": "to=order",
+        "drain host=10.0.0.7": "",
+    }
+    edits = [
+        _edit(identity, text=f"{identity} {rest} # ops: why")
+        for identity, rest in texts.items()
+    ]
+    contract = _folded(_record(1, *edits))
+    assert contract.bound_for("a").first_token_p95_s == 1.0
+    assert contract.bound_for("b").first_token_p95_s == 2.0
+    assert [p.first_layer for p in contract.places("m")] == [0, 12]
+    assert contract.model("m").layers == 24
+    assert [m.name for m in contract.models()] == ["m"]
+    assert contract.service("deposits").repeat == "never"
+    assert contract.is_draining("10.0.0.7")
+    assert not contract.is_draining("10.0.0.8")
+    # Two workspaces with one key: every process finds the same one.
+    assert contract.workspace_by_key(_KEYS[0]).name == "b"
+    assert contract.workspace_by_key(_KEYS[1]) is None
+    contract.apply(_record(2, _edit("drain host=10.0.0.7", seen=1, text=None)))
+    assert not contract.is_draining("10.0.0.7")
+
+
+_View = collections.namedtuple("_View", "offset lines")
+
+
+class ContractMachine(stateful.RuleBasedStateMachine):
+    """Operators race; processes start anywhere; the model only remembers.
+
+    The model accepts an edit when no accepted edit of the same lines came
+    between what its author read and its place in the log.
+    """
+
+    operators = st.integers(0, 1)
+    processes = st.integers(0, 2)
+
+    def __init__(self):
+        super().__init__()
+        self.log = []
+        self.states = [{}]
+        self.touched = []
+        self.views = [_View(0, {}), _View(0, {})]
+        self.processes_held = [contract_lib.Contract() for _ in range(3)]
+        self.old_bodies = []
+        self.verdicts = {}
+
+    def append(self, body, *, lines=None, touched=()):
+        self.log.append(log_client.Record(offset=len(self.log) + 1, body=body))
+        self.states.append(self.states[-1] if lines is None else lines)
+        self.touched.append(frozenset(touched))
+
+    @stateful.rule(operator=operators)
+    def read(self, operator):
+        self.views[operator] = _View(len(self.log), self.states[-1])
+
+    @stateful.rule(
+        operator=operators,
+        hosts=st.sets(st.sampled_from(_HOSTS), min_size=1, max_size=2),
+        remove=st.booleans(),
+        why=st.sampled_from(["a", "b"]),
+    )
+    def edit(self, operator, hosts, remove, why):
+        view = self.views[operator]
+        edits = []
+        for host in sorted(hosts):
+            seen = view.lines.get(host, (0, ""))[0]
+            text = None if remove and seen else _line(host, why)
+            edits.append(_edit(host, seen=seen, text=text))
+        number = len(self.old_bodies)
+        body = contract_records.encode(
+            contract_records.EditRecord(
+                id=str(number),
+                author=f"operator-{operator}",
+                edits=tuple(edits),
+                base=view.offset,
+            )
+        )
+        self.old_bodies.append((body, view, edits, str(number)))
+        self.append_copy(number)
+
+    @stateful.precondition(lambda self: self.old_bodies)
+    @stateful.rule(choice=st.integers(0, 10_000))
+    def late_copy(self, choice):
+        self.append_copy(choice % len(self.old_bodies))
+
+    def append_copy(self, number):
+        body, view, edits, record_id = self.old_bodies[number]
+        hosts = {edit.identity for edit in edits}
+        won = not any(hosts & t for t in self.touched[view.offset :])
+        lines = dict(self.states[-1])
+        for edit in edits if won else ():
+            lines.pop(edit.identity, None)
+            if edit.text is not None:
+                lines[edit.identity] = (len(self.log) + 1, edit.text)
+        self.verdicts.setdefault(record_id, []).append(won)
+        self.append(body, lines=lines, touched=hosts if won else ())
+
+    @stateful.rule(body=st.sampled_from([b"", b"{}", b"\x00", b'{"type":1}']))
+    def broken_record(self, body):
+        self.append(body)
+
+    @stateful.rule(process=processes, corrupt=st.booleans())
+    def snapshot(self, process, corrupt):
+        held = self.processes_held[process]
+        body = contract_records.encode(held.snapshot())
+        self.append(body.replace(b"ops", b"spo") if corrupt else body)
+
+    @stateful.rule(process=processes, count=st.integers(1, 8))
+    def follow(self, process, count):
+        held = self.processes_held[process]
+        for record in self.log[held.offset : held.offset + count]:
+            assert held.apply(record).kind is not _Kind.GAP
+
+    @stateful.rule(process=processes, first_kept=st.integers(1, 40))
+    def start_anew(self, process, first_kept):
+        first_kept = min(first_kept, len(self.log) + 1)
+        fresh = contract_lib.Contract()
+        position = first_kept
+        while position <= len(self.log):
+            outcome = fresh.apply(self.log[position - 1])
+            position += 1
+            if outcome.kind is _Kind.ADOPTED:
+                position = max(fresh.offset + 1, first_kept)
+        if first_kept == 1:
+            assert fresh.offset == len(self.log)
+        self.processes_held[process] = fresh
+
+    @stateful.rule(giver=processes, taker=processes)
+    def relay_snapshot(self, giver, taker):
+        held = self.processes_held[taker]
+        before = held.offset
+        held.adopt(self.processes_held[giver].snapshot())
+        assert held.offset >= before
+
+    @stateful.invariant()
+    def every_process_agrees_with_the_model(self):
+        digests = {}
+        for held in self.processes_held:
+            lines = {x.identity: (x.offset, x.text) for x in held.lines}
+            assert lines == self.states[held.offset]
+            assert digests.setdefault(held.offset, held.digest) == held.digest
+            for host in _HOSTS:
+                address = host.partition("=")[2]
+                assert held.is_draining(address) == (host in lines)
+
+    @stateful.invariant()
+    def a_record_takes_effect_at_most_once(self):
+        assert all(not any(v[1:]) for v in self.verdicts.values())
+
+
+ContractMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+)
+TestContract = ContractMachine.TestCase
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_snapshots.py
@@ -0,0 +1,42 @@
+from dotterelgrade import snapshots
+
+_SETTINGS = snapshots.SnapshotSettings(
+    max_records_uncovered=10, max_age_s=60.0, max_wait_s=5.0
+)
+
+
+def _schedule():
+    return snapshots.SnapshotSchedule(_SETTINGS, now=0.0, seed=1)
+
+
+def test_nothing_new_makes_no_snapshot_due():
+    schedule = _schedule()
+    assert not schedule.is_due(offset=0, first_kept=1, now=1_000.0)
+    schedule.saw(covers=7, now=0.0)
+    assert not schedule.is_due(offset=7, first_kept=1, now=1_000.0)
+
+
+def test_records_age_or_retention_make_one_due():
+    schedule = _schedule()
+    schedule.saw(covers=5, now=0.0)
+    assert not schedule.is_due(offset=14, first_kept=6, now=59.0)
+    assert schedule.is_due(offset=15, first_kept=6, now=59.0)
+    assert schedule.is_due(offset=6, first_kept=6, now=60.0)
+    assert schedule.is_due(offset=6, first_kept=7, now=0.0)
+
+
+def test_an_older_snapshot_changes_nothing():
+    schedule = _schedule()
+    schedule.saw(covers=5, now=0.0)
+    schedule.saw(covers=4, now=50.0)
+    assert schedule.covers == 5
+    assert schedule.is_due(offset=6, first_kept=6, now=60.0)
+
+
+def test_few_of_many_processes_wait_briefly():
+    schedule = _schedule()
+    waits = sorted(schedule.wait_s() for _ in range(13_000))
+    assert waits[0] >= 0.0
+    assert waits[-1] <= _SETTINGS.max_wait_s
+    # An append is heard of within about 100 ms; the rest stay silent.
+    assert sum(wait < waits[0] + 0.1 for wait in waits) < 50
