--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/caller.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/caller.py
@@ -256,26 +256,30 @@
 
 def get_json(host: str, port: int, path: str, *, timeout_s: float = 5.0) -> Any:
     """Returns the JSON answer of a GET, or None when there is none."""
-    client = geventhttpclient.HTTPClient(
-        host, port, connection_timeout=timeout_s, network_timeout=timeout_s
-    )
-    try:
-        return json.loads(bytes(client.get(path).read()))
-    except (OSError, http.client.HTTPException, ValueError):
-        return None
-    finally:
-        client.close()
+    return _call_json("GET", host, port, path, b"", timeout_s)
 
 
 def post_json(
     host: str, port: int, path: str, value: Any, *, timeout_s: float = 5.0
 ) -> Any:
     """Returns the JSON answer of a POST, or None when there is none."""
+    body = json.dumps(value).encode()
+    return _call_json("POST", host, port, path, body, timeout_s)
+
+
+def delete(host: str, port: int, path: str, *, timeout_s: float = 5.0) -> Any:
+    """Returns the JSON answer of a DELETE, or None when there is none."""
+    return _call_json("DELETE", host, port, path, b"", timeout_s)
+
+
+def _call_json(
+    method: str, host: str, port: int, path: str, body: bytes, timeout_s: float
+) -> Any:
     client = geventhttpclient.HTTPClient(
         host, port, connection_timeout=timeout_s, network_timeout=timeout_s
     )
     try:
-        response = client.post(path, json.dumps(value).encode())
+        response = client.request(method, path, body=body)
         return json.loads(bytes(response.read()) or b"null")
     except (OSError, http.client.HTTPException, ValueError):
         return None
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiment.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiment.py
@@ -8,15 +8,25 @@
 from cleo.ui import table as table_lib
 
 from dotterelgrade_standins import commands
+from dotterelgrade_standins import contract_spread
 from dotterelgrade_standins import experiments
+from dotterelgrade_standins import joining as joining_lib
+from dotterelgrade_standins import leaving as leaving_lib
 from dotterelgrade_standins import plots
+from dotterelgrade_standins import recovery as recovery_lib
 from dotterelgrade_standins import throughput as throughput_lib
 
 DEFAULT_FILE = "benchmarks/tabuleiro.json"
 DEFAULT_RESULTS = "results"
 
 # Importing the modules of the experiments registers them.
-_MODULES = (throughput_lib,)
+_MODULES = (
+    contract_spread,
+    joining_lib,
+    leaving_lib,
+    recovery_lib,
+    throughput_lib,
+)
 
 
 def run_one(
@@ -87,6 +97,9 @@
         helpers.option(
             "policies", None, "policies, separated by commas", flag=False
         ),
+        helpers.option(
+            "faults", None, "faults, separated by commas", flag=False
+        ),
     ]
 
     def handle(self) -> int:
@@ -116,4 +129,6 @@
             changes["seeds"] = tuple(int(seed) for seed in seeds)
         if self.option("policies"):
             changes["policies"] = tuple(self.option("policies").split(","))
+        if self.option("faults"):
+            changes["faults"] = tuple(self.option("faults").split(","))
         return changes
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiments.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiments.py
@@ -36,10 +36,12 @@
         minute_s: Length of the scaled minute, s.
         minutes: Scaled minutes measured at each load.
         warm_up_s: Load before the first measured one, s.
+        search_steps: Halvings of a search once both ends are known.
         first_rate_per_s: First load of a search, requests per second.
         steady_rate_per_s: Load while something is broken.
         seeds: Seeds of the streams.
         policies: Routing policies that are compared.
+        faults: Faults that are caused; all when empty.
         answers_at_least: A workspace with fewer whole answers in a scaled
             minute is judged only as a part of all workspaces together.
     """
@@ -52,6 +54,7 @@
     minute_s: float = 4.0
     minutes: int = 4
     warm_up_s: float = 3.0
+    search_steps: int = 3
     first_rate_per_s: float = 16.0
     steady_rate_per_s: float = 20.0
     seeds: tuple[int, ...] = (1,)
@@ -61,6 +64,7 @@
         "round_robin",
         "random",
     )
+    faults: tuple[str, ...] = ()
     answers_at_least: int = 20
 
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
@@ -201,6 +201,11 @@
         models = self.rules_of(rules.ModelRule)
         return {rule.name: rule.layers for rule in models}
 
+    @property
+    def workspaces(self) -> list[rules.WorkspaceRule]:
+        """Rules of the workspaces."""
+        return self.rules_of(rules.WorkspaceRule)
+
     def rules_of(self, kind: type) -> list:
         """Returns the contract's rules of one kind."""
         return [rule for rule in self._rules if isinstance(rule, kind)]
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/load.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/load.py
@@ -66,6 +66,11 @@
         """The balancer in front of the entries."""
         return self._balancer
 
+    @property
+    def killed(self) -> tuple[str, ...]:
+        """Entries that were killed."""
+        return tuple(self._killed)
+
     def note_killed(self, host: str) -> None:
         """Notes that an entry was killed, which excuses its open calls."""
         self._killed[host] = time.monotonic()
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
@@ -8,7 +8,6 @@
 from dotterelgrade_standins import windows
 
 SEARCH_FACTOR = 1.5
-SEARCH_STEPS = 3
 MOST_STEPS = 8
 OVERLOAD_FACTOR = 2.0
 LARGE_FACTOR = 10.0
@@ -80,7 +79,9 @@
     tried: list[experiments.Measurement] = []
     rate, low, high = context.settings.first_rate_per_s, 0.0, 0.0
     refinements = 0
-    while refinements < SEARCH_STEPS and len(tried) < MOST_STEPS:
+    while (
+        refinements < context.settings.search_steps and len(tried) < MOST_STEPS
+    ):
         measured = context.measure(fleet, rate_per_s=rate, seed=seed)
         tried.append(measured)
         context.say(describe(policy, measured))
