--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -216,6 +216,11 @@
         """The stream of claims as this process sees it."""
         return self._claims
 
+    @property
+    def placement(self) -> placement_log.PlacementLog:
+        """The stream of take-overs as this process sees it."""
+        return self._placement
+
     @property
     def departure(self) -> departure_lib.Departure:
         """Why and how the agent leaves."""
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/relay.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/relay.py
@@ -31,6 +31,7 @@
     ) -> None:
         """Asks a peer that is ahead while the log does not answer."""
         self._feed.note_peer_offset(report.contract_offset)
-        if report.contract_offset <= self._feed.offset or self._feed.log_is_up:
+        is_ahead = report.contract_offset > self._feed.offset
+        if not is_ahead or not self._feed.wants_records:
             return
         connection.send(messages.RecordsWanted(after_offset=self._feed.offset))
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/repair.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/repair.py
@@ -361,7 +361,7 @@
         order = engine_client.Order(
             order="load",
             model=place.model,
-            version=self._version(place) or "1",
+            version=self._version(place),
             first_layer=place.first_layer,
             last_layer=place.last_layer,
             fence=fence,
--- a/packages/dotterelgrade-agent/tests/conftest.py
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -1,11 +1,15 @@
 import contextlib
 import itertools
+import uuid
 
 import gevent
 from gevent import event
 import pytest
 from returns import result
 
+from dotterelgrade import contract
+from dotterelgrade import contract_records
+from dotterelgrade import grammar
 from dotterelgrade import messages
 from dotterelgrade import settings as settings_lib
 from dotterelgrade import wire
@@ -120,6 +124,7 @@
         self.log = log_service.LogService()
         self.hosts = hosts_service.HostsService(())
         self.engines = {}
+        self.weights_url = ""
         self._next = itertools.count(1)
         self.entry = FakeEntry(self.address(), ())
 
@@ -141,17 +146,21 @@
         self.stack.enter_context(engine.serving(made, host=host, port=17700))
         return made, f"http://{host}:17700"
 
-    def settings(self, backends, *, host=None, **options):
+    def settings(
+        self, backends, *, host=None, failure_domain="recife-a", **options
+    ):
         return agent_settings.AgentSettings(
             process=settings_lib.ProcessSettings(
                 host=host or self.address(),
                 peer_port=17400,
                 admin_port=17401,
-                failure_domain="recife-a",
+                failure_domain=failure_domain,
                 shared_key=KEY,
             ),
             platform=settings_lib.PlatformSettings(
-                log_url="http://127.30.0.1:1", hosts_url="http://127.30.0.1:1"
+                log_url="http://127.30.0.1:1",
+                hosts_url="http://127.30.0.1:1",
+                weights_url=self.weights_url,
             ),
             backends=tuple(backends),
             **options,
@@ -170,6 +179,31 @@
         started.stack = stack
         return started
 
+    def contract(self, *texts):
+        """Puts lines into the contract, whatever stands there."""
+        for text in texts:
+            (line,) = grammar.parse(text).unwrap()
+            self._edit(line.identity, text)
+
+    def remove_line(self, identity):
+        self._edit(identity, None)
+
+    def _edit(self, identity, text):
+        fold = contract.Contract()
+        for record in self.log.records("contract"):
+            fold.apply(record)
+        line = fold.line(identity)
+        edit = contract_records.Edit(
+            identity=identity, text=text, seen=line.offset if line else 0
+        )
+        record = contract_records.EditRecord(
+            id=uuid.uuid4().hex,
+            author="operations",
+            edits=(edit,),
+            base=fold.offset,
+        )
+        self.log.append("contract", contract_records.encode(record))
+
     def backend(self, stage, *, name="engine", **options):
         """Starts an engine and returns the settings that name it."""
         self.made, url = self.engine(stage, **options)
@@ -189,9 +223,14 @@
     def claim_settings(self):
         return agent_settings.ClaimSettings()
 
-    def engine_agent(self, stage, *, agent=None, **options):
+    def engine_agent(
+        self, stage, *, agent=None, failure_domain="recife-a", **options
+    ):
         backend = self.backend(stage, **options)
-        started = self.start(self.settings([backend], **(agent or {})))
+        settings = self.settings(
+            [backend], failure_domain=failure_domain, **(agent or {})
+        )
+        started = self.start(settings)
         self.engines[started] = self.made
         return started
 
--- a/packages/dotterelgrade-agent/tests/test_keyed_calls.py
+++ b/packages/dotterelgrade-agent/tests/test_keyed_calls.py
@@ -356,3 +356,26 @@
     for record in shop.log.records("claims"):
         ledger.apply(record, now_s=time.time())
     assert ledger.standing(("bench", key)).outcome.status == 200
+
+
+def test_a_drain_waits_for_calls_and_their_outcomes(shop):
+    target = shop.agent()
+    shop.service.set_faults(delay_s=0.5)
+    key = _uuid7(0)
+    call, unkeyed = shop.call(key), shop.call()
+    shop.send(target, call)
+    shop.send(target, unkeyed)
+    with gevent.Timeout(10):
+        while shop.runs < 2:
+            gevent.sleep(0.01)
+    target.departure.stop("test")
+    refused = shop.ask(target, _uuid7(0))
+    assert (refused.kind, refused.run) == (
+        errors.ErrorKind.LEAVING,
+        errors.Run.NOT_RUN,
+    )
+    assert target.departure.wait()
+    assert shop.answer(call).status == 200
+    assert shop.answer(unkeyed).status == 200
+    assert b"outcome" in shop.log.records("claims")[-1].body
+    assert shop.runs == 2
