Split the engine stand-in: sequences and the record of runs

The sequences with their export and import, and the bounded record of steps, are modules of their own.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/engine.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/engine.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import json
 import time
 from typing import Any
 
@@ -13,12 +12,13 @@
 from dotterelgrade_standins import accelerators
 from dotterelgrade_standins import layers
 from dotterelgrade_standins import prefix_cache
+from dotterelgrade_standins import run_record
+from dotterelgrade_standins import sequence_store
 from dotterelgrade_standins import web
 
 serving = web.serving
 
 _MAX_LOAD_SAMPLES = 2_000
-_MAX_RUNS = 50_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -87,45 +87,6 @@
     fail_steps: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StepRun:
-    """Inputs that ran through the held layers.
-
-    Attributes:
-        sequence: Identifier of the sequence.
-        position: Position of the first input.
-        count: Number of inputs.
-        first_layer: First layer that ran.
-        last_layer: Last layer that ran, inclusive.
-        at_s: Monotonic time, s.
-    """
-
-    sequence: str
-    position: int
-    count: int
-    first_layer: int
-    last_layer: int
-    at_s: float
-
-
-class _Sequence:
-    """The states of one sequence in the layers that the engine holds."""
-
-    def __init__(self, first_layer: int, last_layer: int) -> None:
-        self.layers = layers.LayerRange(first_layer, last_layer)
-        self.next_position = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Held:
-    """Which layers of which model the engine holds."""
-
-    model: str = ""
-    version: str = ""
-    first_layer: int = 0
-    last_layer: int = -1
-
-
 class Engine(web.JsonApp):
     """Runs batches of steps, one at a time, with the speed of its accelerator.
 
@@ -145,13 +106,15 @@
         self._settings = settings
         self._faults = faults or EngineFaults()
         self._accelerator = accelerators.ACCELERATORS[settings.accelerator]
-        self._held = _Held(
+        self._held = sequence_store.Held(
             model=settings.model,
             version=settings.version if settings.model else "",
             first_layer=settings.first_layer,
             last_layer=settings.last_layer,
         )
-        self._sequences: dict[str, _Sequence] = {}
+        self._sequences = sequence_store.SequenceStore(
+            capacity=self.max_sequences
+        )
         self._prefixes = prefix_cache.PrefixCache(
             capacity=settings.cached_prefixes,
             event_lag_s=settings.event_lag_s,
@@ -166,10 +129,7 @@
         self._waiting = 0
         self._busy_s = 0.0
         self._tokens_run = 0
-        self._runs_noted = 0
-        self._runs: collections.deque[StepRun] = collections.deque(
-            maxlen=_MAX_RUNS
-        )
+        self._runs = run_record.RunRecord()
         self._loads: collections.deque[tuple[float, int, int]] = (
             collections.deque([(0.0, 0, 0)], maxlen=_MAX_LOAD_SAMPLES)
         )
@@ -210,7 +170,7 @@
     @property
     def sequences(self) -> tuple[str, ...]:
         """Identifiers of the sequences held."""
-        return tuple(self._sequences)
+        return self._sequences.names
 
     @property
     def tokens_run(self) -> int:
@@ -218,9 +178,9 @@
         return self._tokens_run
 
     @property
-    def runs(self) -> list[StepRun]:
+    def runs(self) -> list[run_record.StepRun]:
         """The latest steps that ran, oldest first."""
-        return list(self._runs)
+        return self._runs.since(0)
 
     @property
     def busy_s(self) -> float:
@@ -321,9 +281,8 @@
         return {"results": results, "step_ms": step_ms}
 
     def _duration_ms(self, sequences: int, prompt_tokens: int) -> float:
-        held = self._held
         nominal_ms = self._accelerator.step_ms(
-            layers=held.last_layer - held.first_layer + 1,
+            layers=self._held.layers,
             sequences=sequences,
             prompt_tokens=prompt_tokens,
         )
@@ -332,39 +291,27 @@
     def _run_item(self, item: dict[str, Any]) -> tuple[dict[str, Any], int]:
         name, position = item["sequence"], item["position"]
         inputs = item["inputs"]
-        sequence, error = self._find(name, position)
-        answer = {
-            "sequence": name,
-            "position": position,
-            "outputs": [],
-            "error": error,
-        }
-        if sequence is None:
-            return answer, 0
+        answer = {"sequence": name, "position": position, "outputs": []}
+        try:
+            sequence = self._sequences.find(name, position, self._held)
+        except sequence_store.StoreError as error:
+            return {**answer, "error": str(error)}, 0
         cached = self._prefixes.use(inputs) if position == 0 else 0
-        outputs = [
-            sequence.layers.run(value, position + index)
-            for index, value in enumerate(inputs)
-        ]
-        sequence.next_position += len(inputs)
+        outputs = sequence.run(inputs)
         self._note_run(name, position, len(inputs))
         if self._is_last:
             outputs = [outputs[-1] % self._settings.vocabulary]
-        answer["outputs"] = outputs
-        return answer, max(0, len(inputs) - 1 - cached)
+        uncached = max(0, len(inputs) - 1 - cached)
+        return {**answer, "outputs": outputs, "error": None}, uncached
 
     def _note_run(self, name: str, position: int, count: int) -> None:
         self._tokens_run += count
-        self._runs_noted += 1
-        self._runs.append(
-            StepRun(
-                sequence=name,
-                position=position,
-                count=count,
-                first_layer=self._held.first_layer,
-                last_layer=self._held.last_layer,
-                at_s=time.monotonic(),
-            )
+        self._runs.note(
+            sequence=name,
+            position=position,
+            count=count,
+            first_layer=self._held.first_layer,
+            last_layer=self._held.last_layer,
         )
 
     @property
@@ -372,68 +319,36 @@
         held = self._held
         return held.last_layer == self._settings.models[held.model] - 1
 
-    def _find(
-        self, name: str, position: int
-    ) -> tuple[_Sequence | None, str | None]:
-        sequence = self._sequences.get(name)
-        if sequence is None:
-            if position != 0:
-                return None, "unknown_sequence"
-            if len(self._sequences) >= self.max_sequences:
-                return None, "full"
-            held = self._held
-            sequence = _Sequence(held.first_layer, held.last_layer)
-            self._sequences[name] = sequence
-        if sequence.next_position != position:
-            return None, "out_of_order"
-        return sequence, None
-
     def _handle_runs(self, call: web.Call) -> Any:
-        first_kept = self._runs_noted - len(self._runs)
-        skip = max(0, call.number("from", 0) - first_kept)
-        runs = list(self._runs)[skip:]
+        runs = self._runs.since(call.number("from", 0))
         return {
             "runs": [dataclasses.asdict(run) for run in runs],
-            "next": self._runs_noted,
+            "next": self._runs.count,
         }
 
     def _list_sequences(self) -> Any:
         self._play()
-        return {"sequences": list(self._sequences)}
+        return {"sequences": list(self._sequences.names)}
 
     def _handle_cancel(self, call: web.Call) -> Any:
         self._play()
-        self._sequences.pop(call.groups[0], None)
+        self._sequences.cancel(call.groups[0])
         self._note_load()
         return {}
 
     def _handle_export(self, call: web.Call) -> bytes:
         self._play()
-        sequence = self._sequences.get(call.groups[0])
-        if sequence is None:
-            raise web.HttpError(404, {"error": "unknown sequence"})
-        exported = {
-            **dataclasses.asdict(self._held),
-            "next_position": sequence.next_position,
-            "states": sequence.layers.states,
-        }
-        return json.dumps(exported).encode()
+        try:
+            return self._sequences.export(call.groups[0], self._held)
+        except sequence_store.StoreError as error:
+            raise web.HttpError(404, {"error": str(error)}) from error
 
     def _handle_import(self, call: web.Call) -> Any:
         self._play()
-        held = dataclasses.asdict(self._held)
-        if len(self._sequences) >= self.max_sequences:
-            raise web.HttpError(409, {"error": "full"})
         try:
-            exported = json.loads(call.body)
-            if {name: exported[name] for name in held} != held:
-                raise web.HttpError(409, {"error": "other layers are held"})
-            sequence = _Sequence(held["first_layer"], held["last_layer"])
-            sequence.layers.restore(exported["states"])
-            sequence.next_position = int(exported["next_position"])
-        except (ValueError, KeyError, TypeError) as error:
-            raise web.HttpError(400, {"error": repr(error)}) from error
-        self._sequences[call.groups[0]] = sequence
+            self._sequences.restore(call.groups[0], call.body, self._held)
+        except sequence_store.StoreError as error:
+            raise web.HttpError(409, {"error": str(error)}) from error
         self._note_load()
         return {}
 
@@ -450,7 +365,7 @@
         if kind == "load":
             self._load(order)
         elif kind == "unload":
-            self._hold(_Held())
+            self._hold(sequence_store.Held())
         elif kind == "role":
             self._role = str(order.get("role", ""))
         else:
@@ -459,7 +374,7 @@
 
     def _load(self, order: dict[str, Any]) -> None:
         try:
-            held = _Held(
+            held = sequence_store.Held(
                 model=str(order["model"]),
                 version=str(order["version"]),
                 first_layer=int(order["first_layer"]),
@@ -473,7 +388,7 @@
         self._hold(held)
         self._loading_until = time.monotonic() + self._settings.load_s
 
-    def _hold(self, held: _Held) -> None:
+    def _hold(self, held: sequence_store.Held) -> None:
         self._sequences.clear()
         self._prefixes.clear()
         self._held = held
