--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet_commands.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet_commands.py
@@ -106,9 +106,10 @@
 
 
 def _load(item: dict[str, Any]) -> str:
-    known = {"process", *_COLUMNS}
-    return " ".join(
-        f"{name}={value}"
-        for name, value in item.items()
-        if name not in known and not isinstance(value, dict | list)
-    )
+    load = item.get("load") or {}
+    words = [f"in_flight={load.get('in_flight', '?')}"]
+    for backend in load.get("backends", ()):
+        what = backend.get("model") or backend.get("service") or "idle"
+        slots = f"{backend.get('sequences')}+{backend.get('slots_free')}"
+        words.append(f"{backend.get('backend')}:{what}={slots}")
+    return " ".join(words)
--- a/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -114,6 +114,11 @@
         end = self._follower.end
         return end is not None and self._contract.offset + 1 >= end
 
+    @property
+    def wants_records(self) -> bool:
+        """Whether peers should be asked, since the log can't help."""
+        return not self.log_is_up or self.first_kept > self.offset + 1
+
     @property
     def is_caught_up(self) -> bool:
         """Whether a process with this contract may take work.
