--- a/packages/dotterelgrade/src/dotterelgrade/settings.py
+++ b/packages/dotterelgrade/src/dotterelgrade/settings.py
@@ -1,6 +1,7 @@
 """Settings files: JSON, checked as a whole into frozen data classes."""
 
 import dataclasses
+import enum
 import ipaddress
 import json
 import pathlib
@@ -84,7 +85,10 @@
 
 
 def _strict(kinds: tuple[type, ...], expected: str) -> Any:
-    def structure(value: Any, _: Any) -> Any:
+    def structure(value: Any, kind: Any) -> Any:
+        if issubclass(kind, enum.Enum):
+            # The converter finds this hook for enumerations of strings, too.
+            return kind(value)
         if isinstance(value, bool) and bool not in kinds:
             raise TypeError(f"expected {expected}, got a boolean")
         if not isinstance(value, kinds):
@@ -111,9 +115,7 @@
     converter = cattrs.Converter(forbid_extra_keys=True)
     converter.register_structure_hook(int, _strict((int,), "a whole number"))
     converter.register_structure_hook(float, _strict((int, float), "a number"))
-    converter.register_structure_hook_func(
-        lambda kind: kind is str, _strict((str,), "a string")
-    )
+    converter.register_structure_hook(str, _strict((str,), "a string"))
     converter.register_structure_hook(bool, _strict((bool,), "true or false"))
     converter.register_structure_hook_factory(
         dataclasses.is_dataclass, lambda cls: _object_hook(cls, converter)
