Admit against both bounds, with fair queueing and learned corrections

Change: a chain passes when both predicted latencies, corrected by the learned 95th percentile of measured over predicted, are inside the bound; otherwise the request waits in a start-time fair queue by deadline, if the expected wait fits, or is refused at once. The last fifth of the bound is kept for workspaces below their share. Slow start weighs cost instead of limiting slots. A repair goes on only when every survivor has run all positions before the current one. Unread bodies are drained for 0.3 s.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -6,7 +6,6 @@
 from dotterelgrade import messages
 
 SLOW_START_S = 2.0
-_SLOW_START_SLOTS = 2
 _BASE_EJECTION_S = 0.5
 _MAX_EJECTION_S = 30.0
 _FORGIVENESS_S = 10.0
@@ -69,8 +68,7 @@
     @property
     def slots_free(self) -> int:
         """Slots that are left after own work since the report."""
-        free = self._report.slots_free - len(self._pending) + self._released
-        return min(free, self._slow_start_limit())
+        return self._report.slots_free - len(self._pending) + self._released
 
     @property
     def sequences(self) -> int:
@@ -93,13 +91,11 @@
         """Whether it may get new work."""
         return self._report.healthy and not self.is_ejected
 
-    def _slow_start_limit(self) -> int:
+    @property
+    def warmth(self) -> float:
+        """How far a new or returned backend server is warmed up, 0 to 1."""
         age = self._clock() - self._since
-        if age >= SLOW_START_S:
-            return self._report.slots_free + self._released
-        size = self._report.slots_free + self._report.sequences
-        ramp = int(size * age / SLOW_START_S)
-        return _SLOW_START_SLOTS + ramp - len(self._pending)
+        return min(max(age / SLOW_START_S, 0.0), 1.0)
 
     def note_report(self, report: messages.BackendReport) -> None:
         """Takes a newer report, which contains the work known until then."""
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
@@ -9,6 +9,7 @@
 DEFAULT_RTT_S = 0.001
 # Share of a step at batch size one that each further sequence adds.
 BATCH_GROWTH = 0.05
+_COLD_BATCH = 4.0
 _MS_PER_S = 1000
 
 
@@ -46,6 +47,8 @@
     reported = report.step_ms / _MS_PER_S or DEFAULT_STEP_S
     batch = view.sequences + 1
     reported_batch = max(report.sequences, 1)
+    # A backend server that is new or came back is given work gradually.
+    batch += (1 - view.warmth) * _COLD_BATCH * view.sequences
     scale = (1 + BATCH_GROWTH * batch) / (1 + BATCH_GROWTH * reported_batch)
     return reported * scale
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -122,6 +122,10 @@
     def _make_models(self) -> model_requests.ModelRequests:
         settings = self._settings
         policy = policies.make(settings.policy)
+        admission = admission_lib.Admission(
+            predicts=policy.predicts, max_waiting=settings.max_waiting
+        )
+        self._fleet.add_change_listener(admission.wake)
         tools = pipeline_lib.Tools(
             settings=settings,
             fleet=self._fleet,
@@ -130,7 +134,7 @@
                 policy=policy,
                 candidates_per_range=settings.candidates_per_range,
             ),
-            admission=admission_lib.Admission(predicts=policy.predicts),
+            admission=admission,
             exchange=self._exchange,
             budget=self._budget,
             journal=self._journal,
@@ -204,6 +208,7 @@
                 participant.dump()
                 for participant in self._exchange.participants()
             ],
+            "admission": self._models.tools.admission.dump(),
             "workspaces": self._limits.dump(),
             "retry_budget": round(self._budget.left, 2),
             "charges": {
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_metrics.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_metrics.py
@@ -5,6 +5,8 @@
 
 from dotterelgrade import errors
 from dotterelgrade import metrics as metrics_lib
+from dotterelgrade_entry import admission as admission_lib
+from dotterelgrade_entry import cost_model
 from dotterelgrade_entry import request as request_lib
 
 _NOT_NAME = re.compile(r"[^a-zA-Z0-9_]")
@@ -20,6 +22,7 @@
         *,
         first: metrics_lib.Latency,
         between: metrics_lib.Latency,
+        admission: admission_lib.Admission,
     ) -> None:
         """Initializes a watch before the first token.
 
@@ -27,19 +30,43 @@
             request: The request.
             first: Takes the time from the arrival to the first token.
             between: Takes the times between tokens.
+            admission: Learns how good its predictions were.
         """
         self._request = request
         self._first = first
         self._between = between
+        self._admission = admission
         self._latest: float | None = None
+        self._begun_at = 0.0
+        self._expected: cost_model.Cost | None = None
+
+    def expect(self, cost: cost_model.Cost | None) -> None:
+        """Sets what was predicted, from now on.
+
+        Args:
+            cost: The prediction, or None while a stage is being replaced.
+        """
+        self._begun_at = time.monotonic()
+        self._expected = cost
 
     def note_token(self) -> None:
         """Notes that a token was accepted just now."""
         now = time.monotonic()
+        expected = self._expected
         if self._latest is None:
             self._first.record(now - self._request.arrived_at)
+            if expected is not None:
+                self._admission.first.note(
+                    measured_s=now - self._begun_at,
+                    predicted_s=expected.first_token_s,
+                )
         else:
             self._between.record(now - self._latest)
+            if expected is not None:
+                self._admission.between.note(
+                    measured_s=now - self._latest,
+                    predicted_s=expected.between_tokens_s,
+                )
         self._latest = now
 
 
@@ -87,14 +114,24 @@
         self._tokens.inc(len(request.emitted))
         self._duration.record(duration_s)
 
-    def watch(self, request: request_lib.Request) -> TokenWatch:
-        """Returns the watch for a new request."""
+    def watch(
+        self,
+        request: request_lib.Request,
+        admission: admission_lib.Admission,
+    ) -> TokenWatch:
+        """Returns the watch for a new request.
+
+        Args:
+            request: The request.
+            admission: Learns how good its predictions were.
+        """
         name = _NOT_NAME.sub("_", request.order.workspace)
         if len(self._workspaces) >= _MAX_WORKSPACES:
             name = "other" if name not in self._workspaces else name
         self._workspaces.add(name)
         return TokenWatch(
             request,
+            admission=admission,
             first=self._metrics.latency(
                 f"dotterelgrade_first_token_seconds_{name}",
                 "Time from arrival to the first token, s",
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -90,6 +90,7 @@
         self._index: dict[str, dict[LayerRange, list[Candidate]]] = {}
         self._index_is_valid = False
         self._changed = event.Event()
+        self._on_change: list[Callable[[], None]] = []
         self._own_delay_s = 0.0
 
     def __repr__(self) -> str:
@@ -122,6 +123,10 @@
         """How late this process's own timers are, s."""
         return self._own_delay_s
 
+    def add_change_listener(self, listener: Callable[[], None]) -> None:
+        """Adds a callable that hears when capacity may have become free."""
+        self._on_change.append(listener)
+
     def run_dialing(self) -> None:
         """Follows the host list until the greenlet is killed."""
         while True:
@@ -140,6 +145,7 @@
             self._own_delay_s = min(now - due, _MAX_OWN_DELAY_S)
             due = now + _MONITOR_PERIOD_S
             self._watch_busy()
+            self._tell_change()
             if now >= idle_ping_at:
                 idle_ping_at = now + _IDLE_PING_PERIOD_S
                 for peer in list(self._peers.values()):
@@ -223,8 +229,13 @@
     def note_change(self) -> None:
         """Wakes whoever waits for capacity."""
         self._index_is_valid = False
+        self._tell_change()
+
+    def _tell_change(self) -> None:
         self._changed.set()
         self._changed.clear()
+        for listener in self._on_change:
+            listener()
 
     def note_busy(self, address: str, change: int) -> None:
         """Counts the work in flight at an agent, which is then watched.
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_server.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_server.py
@@ -10,12 +10,16 @@
 from gevent import pool
 from gevent import pywsgi
 
+from dotterelgrade import no_delay
 from dotterelgrade_entry import entry_settings
 
 _LOG = logging.getLogger(__name__)
 
 HANDLER_KEY = "dotterelgrade.handler"
 _BACKLOG = 1_024
+_LINGER_S = 0.3
+_LINGER_BYTES = 4 * 1024 * 1024
+_READ_BYTES = 64 * 1024
 
 App = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -28,7 +32,7 @@
     """
 
 
-class _Handler(pywsgi.WSGIHandler):
+class _Handler(no_delay.NoDelayHandler):
     """One caller's connection."""
 
     def read_requestline(self) -> Any:
@@ -155,11 +159,32 @@
         return
 
 
+class _Leftover:
+    """The unread rest of a request body, read for a moment only.
+
+    Closing at once would reset the connection before the caller has read its
+    answer; reading on would let a caller hold it for as long as it sends.
+    """
+
+    def __init__(self, handler: _Handler) -> None:
+        self._handler = handler
+
+    def _discard(self) -> None:
+        left = _LINGER_BYTES
+        with gevent.Timeout(_LINGER_S, False):
+            while left > 0:
+                data = self._handler.socket.recv(_READ_BYTES)
+                if not data:
+                    return
+                left -= len(data)
+
+
 def close_after_answer(environ: dict[str, Any]) -> None:
-    """Closes the connection after the answer, without reading further."""
+    """Closes the connection after the answer, whatever was not read."""
     handler = environ.get(HANDLER_KEY)
     if handler is not None:
         handler.close_connection = True
+        handler.wsgi_input = _Leftover(handler)
 
 
 @contextlib.contextmanager
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/model_requests.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/model_requests.py
@@ -139,6 +139,11 @@
         self._metrics = metrics
         self._leaving = False
 
+    @property
+    def tools(self) -> pipeline_lib.Tools:
+        """What pipelines share."""
+        return self._tools
+
     @property
     def settings(self) -> entry_settings.EntrySettings:
         """The settings of the entry."""
@@ -225,6 +230,7 @@
             prompt=call.prompt,
             max_tokens=call.max_tokens,
             priority=workspace.priority,
+            weight=workspace.weight,
             first_token_s=first_token_s,
             between_tokens_s=between_tokens_s,
         )
@@ -256,7 +262,7 @@
             request,
             model=model,
             tools=self._tools,
-            watch=self._metrics.watch(request),
+            watch=self._metrics.watch(request, self._tools.admission),
         )
         try:
             started = pipeline.start()
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -206,7 +206,7 @@
             if number and not self._tools.budget.spend():
                 self._record("retry_denied", reason="retry budget is spent")
                 break
-            planned = self._plan()
+            planned = self._tools.admission.enter(self._request, self._plan)
             if isinstance(planned, result.Failure):
                 # A refusal says more than the lack of further chains.
                 return result.Failure(failure or planned.failure())
@@ -220,15 +220,12 @@
         return result.Failure(failure)
 
     def _plan(self) -> result.Result[planner_lib.Chain, errors.Error]:
-        planned = self._tools.planner.plan(
+        return self._tools.planner.plan(
             self._request.order,
             layers=self._model.layers,
             version=self._model.version,
             avoid=self._avoid,
         )
-        if isinstance(planned, result.Failure) or self._request.may_have_run:
-            return planned
-        return self._tools.admission.check(planned.unwrap(), self._request)
 
     def _admit(
         self, chain: planner_lib.Chain
@@ -264,7 +261,8 @@
             self._blame(self._link.stages[index], "no answer to an admission")
         for index, refused in replies.refused.items():
             stage = self._link.stages[index]
-            self._avoid.add(stage.key)
+            if not _tells_it_is_full(refused):
+                self._avoid.add(stage.key)
             self._record(
                 "admission_refused",
                 reason=refused.message,
@@ -286,6 +284,7 @@
 
     def _begin(self, chain: planner_lib.Chain) -> None:
         self._expected_first_s = chain.cost.first_token_s
+        self._watch.expect(chain.cost)
         self._link.note_progress()
         self._link.send_step(self._request.whole_step())
 
@@ -310,6 +309,7 @@
 
     def _repair(self, dead: set[int], *, reason: str) -> None:
         ends_at = time.monotonic() + self._tools.settings.give_up_s
+        self._watch.expect(None)
         self._record(
             "stage_lost",
             reason=reason,
@@ -418,15 +418,10 @@
 
     def _resume(self, dead: set[int], replies: chain_link.Replies) -> bool:
         sources = {index - 1 for index in dead if index} - dead
-        for index in sources:
-            answer = replies.accepted[index]
-            if not isinstance(answer, messages.Rewired) or (
-                not answer.replayable
-            ):
-                self._record(
-                    "replay_impossible", reason="outputs are not all buffered"
-                )
-                return False
+        reason = self._why_not_replayable(sources, replies)
+        if reason:
+            self._record("replay_impossible", reason=reason)
+            return False
         if sources and not self._link.replay(
             sources, timeout_s=self._tools.settings.admit_timeout_s
         ):
@@ -444,6 +439,20 @@
         )
         return True
 
+    def _why_not_replayable(
+        self, sources: set[int], replies: chain_link.Replies
+    ) -> str:
+        current = self._request.current_step().position
+        for index, answer in replies.accepted.items():
+            if not isinstance(answer, messages.Rewired):
+                continue
+            if answer.next_position < current:
+                # It was itself being rebuilt when the next stage was lost.
+                return "a surviving stage has not run all positions"
+            if index in sources and not answer.replayable:
+                return "outputs are not all buffered"
+        return ""
+
     def _record(self, decision: str, *, reason: str, **details: Any) -> None:
         self._tools.journal.record(
             decision,
@@ -453,6 +462,11 @@
         )
 
 
+def _tells_it_is_full(refused: messages.Refused) -> bool:
+    # The report in the refusal keeps the planner away until a slot is free.
+    return refused.report is not None and refused.report.slots_free <= 0
+
+
 def _refusal_error(refused: messages.Refused) -> errors.Error:
     error = errors.Error(
         kind=refused.kind,
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -112,11 +112,12 @@
         Returns:
             The chain, or NO_CAPACITY.
         """
-        ranges = _leading_to_end(
-            self._usable(order.model, version, avoid), layers
-        )
-        if not any(first == 0 for first, _ in ranges):
-            return _no_capacity(f"no free chain covers model {order.model}")
+        found = self._fleet.candidates(order.model, version)
+        ranges = _leading_to_end(_free(found, avoid), layers)
+        if not _starts_at_zero(ranges):
+            if _starts_at_zero(_leading_to_end(found, layers)):
+                return _no_free_slot(order.model)
+            return _no_capacity(f"no chain covers model {order.model}")
         if self._policy.predicts:
             return result.Success(self._shortest(ranges, order, layers))
         return result.Success(self._picked(ranges, order, layers))
@@ -145,7 +146,7 @@
         old = chain[index]
         layers = (old.first_layer, old.last_layer)
         used = {s.key for i, s in enumerate(chain) if i != index} | set(avoid)
-        ranges = self._usable(order.model, version, used)
+        ranges = _free(self._fleet.candidates(order.model, version), used)
         if layers not in ranges:
             return _no_capacity(f"no other backend server for layers {layers}")
         before = chain[index - 1] if index else None
@@ -158,21 +159,6 @@
         )
         return result.Success(best)
 
-    def _usable(
-        self, model: str, version: str, avoid: Collection[str]
-    ) -> Ranges:
-        found = self._fleet.candidates(model, version)
-        ranges = {}
-        for layers, members in found.items():
-            free = [
-                candidate
-                for candidate in members
-                if candidate[1].slots_free > 0 and candidate[1].key not in avoid
-            ]
-            if free:
-                ranges[layers] = free
-        return ranges
-
     def _sample(
         self, members: list[fleet_lib.Candidate]
     ) -> list[fleet_lib.Candidate]:
@@ -297,6 +283,23 @@
         return max(known, default=cost_model.DEFAULT_RTT_S) / 2
 
 
+def _free(found: Ranges, avoid: Collection[str]) -> Ranges:
+    ranges = {}
+    for layers, members in found.items():
+        free = [
+            candidate
+            for candidate in members
+            if candidate[1].slots_free > 0 and candidate[1].key not in avoid
+        ]
+        if free:
+            ranges[layers] = free
+    return ranges
+
+
+def _starts_at_zero(ranges: Ranges) -> bool:
+    return any(first == 0 for first, _ in ranges)
+
+
 def _stage(
     candidate: fleet_lib.Candidate, layers: fleet_lib.LayerRange
 ) -> Stage:
@@ -317,6 +320,16 @@
     return kept
 
 
+def _no_free_slot(model: str) -> result.Failure[errors.Error]:
+    return result.Failure(
+        errors.Error(
+            kind=errors.ErrorKind.OVER_BOUND,
+            message=f"every chain of model {model} is full",
+            retry_after_s=_RETRY_AFTER_S,
+        )
+    )
+
+
 def _no_capacity(message: str) -> result.Failure[errors.Error]:
     return result.Failure(
         errors.Error(
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/request.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/request.py
@@ -18,6 +18,7 @@
         prompt: Prompt tokens.
         max_tokens: The most tokens to generate.
         priority: Lower numbers run first.
+        weight: Share of the workspace, relative to the others.
         first_token_s: Bound on the first token, s from the arrival.
         between_tokens_s: Bound on the time between two tokens, s.
     """
@@ -28,6 +29,7 @@
     prompt: tuple[int, ...]
     max_tokens: int
     priority: int = 5
+    weight: float = 1.0
     first_token_s: float = 5.0
     between_tokens_s: float = 1.0
 
@@ -50,6 +52,7 @@
         self._arrived_at = time.monotonic()
         self._attempt = 0
         self._emitted: list[int] = []
+        self._chain_start = len(order.prompt)
         self._ended = False
         self._may_have_run = False
 
@@ -147,18 +150,23 @@
         return True
 
     def whole_step(self) -> messages.Step:
-        """Returns the step that starts a chain from nothing."""
+        """Returns the step that starts a new chain from nothing."""
+        self._chain_start = self.next_position
         return self._step(0, self._order.prompt + self.emitted)
 
     def current_step(self) -> messages.Step:
-        """Returns the step whose token is awaited."""
-        if not self._emitted:
-            return self._step(0, self._order.prompt)
+        """Returns the step whose token is awaited.
+
+        Until a chain has given its first token this is its whole step, as its
+        stages may not have run anything yet.
+        """
+        if self.next_position == self._chain_start:
+            return self._step(0, self._order.prompt + self.emitted)
         return self._step(self.next_position - 1, (self._emitted[-1],))
 
     def rebuild_steps(self) -> tuple[messages.Step, ...]:
         """Returns the steps before the current one, for a new first stage."""
-        if not self._emitted:
+        if self.next_position == self._chain_start:
             return ()
         inputs = self._order.prompt + tuple(self._emitted[:-1])
         return (self._step(0, inputs),)
--- a/packages/dotterelgrade-entry/tests/conftest.py
+++ b/packages/dotterelgrade-entry/tests/conftest.py
@@ -314,11 +314,14 @@
 
         wait_until(is_ready)
 
-    def call(self, target, path, body=None, *, method="POST", **options):
+    def call(self, target, path, body=None, **options):
+        host = target.settings.process.host
+        port = target.settings.http_port
+        return self.call_at(host, port, path, body, **options)
+
+    def call_at(self, host, port, path, body=None, *, method="POST", **options):
         client = geventhttpclient.HTTPClient(
-            target.settings.process.host,
-            target.settings.http_port,
-            network_timeout=options.pop("timeout_s", 30),
+            host, port, network_timeout=options.pop("timeout_s", 30)
         )
         headers = {"Authorization": "Bearer key-bench"}
         headers.update(options.pop("headers", {}))
--- a/packages/dotterelgrade/src/dotterelgrade/messages.py
+++ b/packages/dotterelgrade/src/dotterelgrade/messages.py
@@ -134,8 +134,10 @@
         sequences: Sequences admitted and not finished.
         queued_tokens: Tokens that wait for a step.
         slots_free: Sequences that may still be admitted.
-        step_ms: Smoothed duration of a step of the engine.
-        token_ms: Smoothed engine time for one prompt token.
+        step_ms: Smoothed duration of a step of the engine; 0 when not known.
+        sequence_ms: Part of it that each sequence in a step adds; 0 when not
+            known.
+        token_ms: Smoothed engine time for one prompt token; 0 when not known.
         service: Name of the plain service; empty for an engine.
         cached_prefixes: Digests of prompt prefixes in the engine's cache.
         healthy: Whether the backend server answers.
@@ -152,6 +154,7 @@
     queued_tokens: int = 0
     slots_free: int = 0
     step_ms: float = 0.0
+    sequence_ms: float = 0.0
     token_ms: float = 0.0
     service: str = ""
     cached_prefixes: tuple[int, ...] = ()
