Weigh what a request costs others when choosing its chain

Change: the score of a chain holds the delay it causes to the sequences held there; chains inside the bound go before cheaper ones outside; the growth per sequence comes from the agent's report when known; engines not yet measured are taken for average ones of their kind; prompts that were sent before count as cached. Not yet measured under load.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
@@ -15,6 +15,7 @@
 from dotterelgrade import messages
 from dotterelgrade import wire
 from dotterelgrade_entry import backend_view
+from dotterelgrade_entry import priors as priors_lib
 
 _LOG = logging.getLogger(__name__)
 
@@ -35,6 +36,7 @@
         identity: wire.Identity,
         on_frame: FrameHandler,
         on_lost: Callable[["AgentPeer", str], None],
+        priors: priors_lib.Priors | None = None,
         shaper: wire.Shaper | None = None,
     ) -> None:
         """Initializes the peer; `run` dials.
@@ -44,12 +46,14 @@
             identity: What this process says about itself.
             on_frame: Gets each frame that the peer does not handle itself.
             on_lost: Called once for each connection that ends.
+            priors: What engines of an accelerator kind cost.
             shaper: Emulated link, or None.
         """
         self._entry = entry
         self._identity = identity
         self._on_frame = on_frame
         self._on_lost = on_lost
+        self._priors = priors or priors_lib.Priors()
         self._shaper = shaper
         self._connection: wire.Connection | None = None
         self._state = messages.ProcessState.STARTING
@@ -262,7 +266,9 @@
         for backend in report.backends:
             view = known.get(backend.backend)
             if view is None:
-                view = backend_view.BackendView(self.address, backend)
+                view = backend_view.BackendView(
+                    self.address, backend, priors=self._priors
+                )
             else:
                 view.note_report(backend)
             self._backends[backend.backend] = view
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -4,6 +4,8 @@
 import time
 
 from dotterelgrade import messages
+from dotterelgrade_entry import prefixes
+from dotterelgrade_entry import priors as priors_lib
 
 SLOW_START_S = 2.0
 _BASE_EJECTION_S = 0.5
@@ -23,6 +25,7 @@
         agent: str,
         report: messages.BackendReport,
         *,
+        priors: priors_lib.Priors | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initializes the view of a newly reported backend server.
@@ -30,11 +33,15 @@
         Args:
             agent: Address of the agent, "host:port".
             report: Its first report.
+            priors: What others of its accelerator kind cost.
             clock: Monotonic time, s.
         """
         self._agent = agent
         self._clock = clock
         self._report = report
+        self._priors = priors or priors_lib.Priors()
+        self._priors.note(report)
+        self._prefixes = prefixes.PrefixMemory()
         self._since = clock()
         self._pending: set[str] = set()
         self._released = 0
@@ -65,6 +72,27 @@
         """The latest report."""
         return self._report
 
+    @property
+    def step_ms(self) -> float:
+        """Duration of a decode step, ms; 0 when nothing is known."""
+        if self._report.step_ms:
+            return self._report.step_ms
+        prior = self._priors.find(self._report)
+        return prior.step_ms if prior else 0.0
+
+    @property
+    def token_ms(self) -> float:
+        """Additional duration per prompt token, ms; 0 when not known."""
+        if self._report.token_ms:
+            return self._report.token_ms
+        prior = self._priors.find(self._report)
+        return prior.token_ms if prior else 0.0
+
+    @property
+    def prefixes(self) -> prefixes.PrefixMemory:
+        """The prompt prefixes that were sent to it lately."""
+        return self._prefixes
+
     @property
     def slots_free(self) -> int:
         """Slots that are left after own work since the report."""
@@ -103,6 +131,7 @@
         if returned or report.model != self._report.model:
             self._since = self._clock()
         self._report = report
+        self._priors.note(report)
         self._released = 0
         self._unreported_tokens = 0
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
@@ -5,52 +5,83 @@
 from dotterelgrade_entry import backend_view
 
 DEFAULT_STEP_S = 0.005
-DEFAULT_TOKEN_S = 0.0002
+DEFAULT_TOKEN_S = 0.0001
 DEFAULT_RTT_S = 0.001
-# Share of a step at batch size one that each further sequence adds.
-BATCH_GROWTH = 0.05
-_COLD_BATCH = 4.0
 _MS_PER_S = 1000
+# Part of an unloaded step that a further sequence adds, when not known.
+_DEFAULT_GROWTH = 0.12
+# Part of the sequences held that is in one step; the others are on their way
+# through the other stages.
+_IN_STEP = 0.5
+# Sequences that a backend server which is new or came back counts as more.
+_COLD_SEQUENCES = 2.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Cost:
     """Predicted latency, over one stage or a whole chain.
 
     Attributes:
         first_token_s: Until the first token, s.
         between_tokens_s: Between two tokens, s.
+        others_first_s: Delay that the prompt causes to other requests, s.
+        others_between_s: The same for each generated token, s.
     """
 
     first_token_s: float = 0.0
     between_tokens_s: float = 0.0
+    others_first_s: float = 0.0
+    others_between_s: float = 0.0
 
     def plus(self, other: "Cost") -> "Cost":
         """Returns the sum of two costs."""
         return Cost(
-            first_token_s=self.first_token_s + other.first_token_s,
-            between_tokens_s=self.between_tokens_s + other.between_tokens_s,
+            self.first_token_s + other.first_token_s,
+            self.between_tokens_s + other.between_tokens_s,
+            self.others_first_s + other.others_first_s,
+            self.others_between_s + other.others_between_s,
         )
 
     def total_s(self, tokens: int) -> float:
-        """Returns the predicted duration of a whole answer, s."""
-        return self.first_token_s + self.between_tokens_s * max(tokens - 1, 0)
+        """Returns what an answer costs its caller and all others, s.
+
+        A chain that is quickest for one request may be dear for the requests
+        that are already there, so their delays count as well.
+
+        Args:
+            tokens: Number of tokens to generate.
+        """
+        after_first = max(tokens - 1, 0)
+        first = self.first_token_s + self.others_first_s
+        between = self.between_tokens_s + self.others_between_s
+        return first + between * after_first
+
+
+def sequence_s(view: backend_view.BackendView) -> float:
+    """Returns what one more sequence adds to a step, s."""
+    known = view.report.sequence_ms / _MS_PER_S
+    return known or _unloaded_step_s(view) * _DEFAULT_GROWTH
+
+
+def _reported_step_s(view: backend_view.BackendView) -> float:
+    return view.step_ms / _MS_PER_S or DEFAULT_STEP_S
+
+
+def _unloaded_step_s(view: backend_view.BackendView) -> float:
+    held = view.report.sequences * _IN_STEP
+    return _reported_step_s(view) / (1 + _DEFAULT_GROWTH * held)
 
 
 def token_s(view: backend_view.BackendView) -> float:
     """Returns the predicted time of one decode step with one more sequence.
 
-    The reported step is scaled to the batch size that own work since the
-    report leads to.
+    The reported step is scaled to the batch that own work since the report
+    leads to.
     """
-    report = view.report
-    reported = report.step_ms / _MS_PER_S or DEFAULT_STEP_S
-    batch = view.sequences + 1
-    reported_batch = max(report.sequences, 1)
-    # A backend server that is new or came back is given work gradually.
-    batch += (1 - view.warmth) * _COLD_BATCH * view.sequences
-    scale = (1 + BATCH_GROWTH * batch) / (1 + BATCH_GROWTH * reported_batch)
-    return reported * scale
+    more = view.sequences + 1 - view.report.sequences
+    more += (1 - view.warmth) * _COLD_SEQUENCES * view.sequences
+    step = _reported_step_s(view) + more * _IN_STEP * sequence_s(view)
+    return max(step, sequence_s(view))
 
 
 def stage(
@@ -66,18 +97,20 @@
     Returns:
         The cost without links.
     """
-    report = view.report
-    per_token = report.token_ms / _MS_PER_S or DEFAULT_TOKEN_S
-    waiting = view.queued_tokens + max(prompt_tokens - cached_tokens, 1)
+    per_token = view.token_ms / _MS_PER_S or DEFAULT_TOKEN_S
+    own = max(prompt_tokens - cached_tokens, 1) * per_token
     decode = token_s(view)
+    others = view.sequences
     # A step that arrives during a batch waits for half of it on average.
-    wait = decode / 2 if view.sequences else 0.0
+    wait = decode / 2 if others else 0.0
     return Cost(
-        first_token_s=wait + decode + waiting * per_token,
-        between_tokens_s=wait + decode,
+        wait + decode + view.queued_tokens * per_token + own,
+        wait + decode,
+        others * own * _IN_STEP,
+        others * sequence_s(view) * _IN_STEP,
     )
 
 
 def link(one_way_s: float) -> Cost:
     """Returns the cost of one link, which every token crosses once."""
-    return Cost(first_token_s=one_way_s, between_tokens_s=one_way_s)
+    return Cost(one_way_s, one_way_s)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -71,7 +71,11 @@
         self._state = messages.ProcessState.STARTING
         log = log or log_client.LogClient(settings.platform)
         self._feed = contract_feed.ContractFeed(log, journal=self._journal)
-        self._sender = charges.ChargeSender(log, incarnation=self._process)
+        self._sender = charges.ChargeSender(
+            log,
+            incarnation=self._process,
+            senders=lambda: self._fleet.entries,
+        )
         self._relay = record_relay.RecordRelay(self._feed)
         self._exchange = exchange_lib.Exchange(on_other=self._relay.on_frame)
         self._fleet = fleet_lib.Fleet(
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -18,6 +18,7 @@
 from dotterelgrade_entry import agent_peer
 from dotterelgrade_entry import backend_view
 from dotterelgrade_entry import entry_settings
+from dotterelgrade_entry import priors as priors_lib
 
 _LOG = logging.getLogger(__name__)
 
@@ -92,6 +93,7 @@
         self._changed = event.Event()
         self._on_change: list[Callable[[], None]] = []
         self._own_delay_s = 0.0
+        self._priors = priors_lib.Priors()
 
     def __repr__(self) -> str:
         """Shows how many agents are connected."""
@@ -190,6 +192,7 @@
             identity=self._identity,
             on_frame=self._on_frame,
             on_lost=self._on_lost,
+            priors=self._priors,
             shaper=self._shaper,
         )
         self._peers[address] = peer
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -285,6 +285,7 @@
     def _begin(self, chain: planner_lib.Chain) -> None:
         self._expected_first_s = chain.cost.first_token_s
         self._watch.expect(chain.cost)
+        self._tools.planner.note_used(chain, self._request.order)
         self._link.note_progress()
         self._link.send_step(self._request.whole_step())
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -209,7 +209,7 @@
                 if path is not None:
                     paths.setdefault(key[1] + 1, []).append(path)
         ends = [self._closed(path, order) for path in paths[layers]]
-        best = min(ends, key=lambda path: path.score)
+        best = min(ends, key=lambda path: _preference(path, order))
         return Chain(stages=best.stages, cost=best.cost)
 
     def _extend(
@@ -244,10 +244,16 @@
     def _own_cost(
         self, stage: Stage, order: request_lib.RequestOrder
     ) -> cost_model.Cost:
+        cached = stage.view.prefixes.cached_tokens(order.prefixes)
         return cost_model.stage(
-            stage.view, prompt_tokens=len(order.prompt), cached_tokens=0
+            stage.view, prompt_tokens=len(order.prompt), cached_tokens=cached
         )
 
+    def note_used(self, chain: Chain, order: request_lib.RequestOrder) -> None:
+        """Remembers the prompt's prefixes at the stages that will run it."""
+        for stage in chain.stages:
+            stage.view.prefixes.note(order.prefixes)
+
     def _step(
         self,
         before: Stage | None,
@@ -283,6 +289,17 @@
         return max(known, default=cost_model.DEFAULT_RTT_S) / 2
 
 
+def _preference(
+    path: _Path, order: request_lib.RequestOrder
+) -> tuple[bool, float]:
+    """Ranks chains inside the bound before cheaper ones outside it."""
+    is_outside = (
+        path.cost.between_tokens_s > order.between_tokens_s
+        or path.cost.first_token_s > order.first_token_s
+    )
+    return is_outside, path.score
+
+
 def _free(found: Ranges, avoid: Collection[str]) -> Ranges:
     ranges = {}
     for layers, members in found.items():
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/request.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/request.py
@@ -1,9 +1,11 @@
 """The request aggregate: attempts, positions and emitted tokens."""
 
 import dataclasses
+import functools
 import time
 
 from dotterelgrade import messages
+from dotterelgrade_entry import prefixes
 from dotterelgrade_entry import tokenizer
 
 
@@ -33,6 +35,11 @@
     first_token_s: float = 5.0
     between_tokens_s: float = 1.0
 
+    @functools.cached_property
+    def prefixes(self) -> tuple[int, ...]:
+        """Digests of the prompt's prefixes, shortest first."""
+        return prefixes.digests(self.prompt)
+
 
 class Request:
     """Decides which tokens belong to the answer.
