--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/evidence.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/evidence.py
@@ -1,5 +1,7 @@
 """Tells the oracle what callers got and what the backend servers ran."""
 
+import collections
+
 from dotterelgrade_standins import caller as caller_lib
 from dotterelgrade_standins import fleet_plan
 from dotterelgrade_standins import oracle as oracle_lib
@@ -21,6 +23,7 @@
         self._oracle = oracle
         self._collected: dict[str, int] = {}
         self._incarnations: dict[str, int] = {}
+        self._steps: collections.Counter[str] = collections.Counter()
 
     @property
     def oracle(self) -> oracle_lib.Oracle:
@@ -30,6 +33,11 @@
     def replace_oracle(self, oracle: oracle_lib.Oracle) -> None:
         """Tells another oracle from now on."""
         self._oracle = oracle
+        self._steps.clear()
+
+    def steps_by_accelerator(self) -> dict[str, int]:
+        """Returns the inputs that ran on each accelerator kind."""
+        return dict(self._steps)
 
     def tell(
         self, call: str, answer: caller_lib.Answer, *, excused: bool = False
@@ -82,6 +90,7 @@
             return False
         incarnation = self._incarnations.get(worker.host, 0)
         for run in value["runs"]:
+            self._steps[worker.accelerator] += run["count"]
             self._oracle.ran_step(
                 engine=f"{worker.host}#{incarnation}",
                 host=worker.host,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiments.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiments.py
@@ -79,6 +79,8 @@
         windows: The scaled minutes.
         oracle: What the oracle counted.
         violations: The first promises that the oracle saw broken.
+        errors: Error answers by their kinds.
+        steps: Inputs that ran on each accelerator kind.
         usage: Processor time meanwhile.
     """
 
@@ -88,6 +90,8 @@
     windows: tuple[windows.Window, ...]
     oracle: oracle_lib.Counts
     violations: tuple[str, ...]
+    errors: dict[str, int]
+    steps: dict[str, int]
     usage: usage_lib.Usage
 
     @property
@@ -189,6 +193,8 @@
             windows=tuple(split),
             oracle=fleet.oracle.counts(),
             violations=tuple(fleet.oracle.violations()[:5]),
+            errors=load.error_kinds(samples),
+            steps=fleet.evidence.steps_by_accelerator(),
             usage=used,
         )
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/load.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/load.py
@@ -1,5 +1,6 @@
 """Open-loop load tool: calls leave when they are due, whatever comes back."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import time
@@ -42,6 +43,12 @@
         return self.answer.run == "not_run"
 
 
+def error_kinds(samples: Iterable[Sample]) -> dict[str, int]:
+    """Returns how many calls ended with each kind of error."""
+    kinds = (sample.answer.kind for sample in samples)
+    return dict(collections.Counter(kind for kind in kinds if kind))
+
+
 class LoadTool:
     """Sends streams of requests to a fleet and tells its oracle."""
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/recovery.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/recovery.py
@@ -33,6 +33,7 @@
         recovered_s: Time until the bound holds for good, s.
         longest_wait_s: Longest wait for a token after the fault, s.
         refused: Calls refused after the fault.
+        errors: Error answers by their kinds.
         calls: All calls.
         oracle: What the oracle counted.
         violations: The first promises that the oracle saw broken.
@@ -45,6 +46,7 @@
     recovered_s: float
     longest_wait_s: float
     refused: int
+    errors: dict[str, int]
     calls: int
     oracle: oracle_lib.Counts
     violations: tuple[str, ...]
@@ -115,6 +117,7 @@
         recovered_s=timeline.recovered_s(bins, length_s=BIN_S),
         longest_wait_s=max(item.longest_s for item in after),
         refused=sum(item.refused for item in after),
+        errors=load.error_kinds(samples),
         calls=len(samples),
         oracle=fleet.oracle.counts(),
         violations=tuple(fleet.oracle.violations()[:5]),
@@ -154,7 +157,7 @@
     return (
         f"{item.fault:<26} seed {item.seed}: bound holds again after "
         f"{item.recovered_s:4.1f} s, longest wait {item.longest_wait_s:4.1f} s,"
-        f" {item.refused} of {item.calls} refused, oracle "
+        f" {item.refused} of {item.calls} refused {item.errors}, oracle "
         f"{item.oracle.whole} whole {item.oracle.lost} lost "
         f"{item.oracle.doubled} doubled {item.oracle.wrong} wrong, "
         f"deposits {item.deposits} {item.violations[:2] or ''}"
