Share the log's append rate between the senders of charges

Cause: each entry appended its charges once a second. At the size to design for, 1,100 entries would make 1,100 appends a second, and the log takes several hundred from everybody. Change: the interval grows with the number of live entries, so that all of them together append at most 100 times a second: 1 s up to 100 entries, 11 s at 1,100. A leaving entry's flush wakes the sender at once. Conclusion: tested; an entry that is killed loses at most one interval of charges, to the good of the workspaces.

--- a/packages/dotterelgrade/src/dotterelgrade/charges.py
+++ b/packages/dotterelgrade/src/dotterelgrade/charges.py
@@ -1,6 +1,7 @@
 """Charges: sent in numbered batches, folded so that a double is harmless."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import Any
@@ -17,11 +18,24 @@
 MAX_HELD = 20_000
 MAX_BATCH_ITEMS = 500
 MAX_PRODUCERS = 100_000
-INTERVAL_S = 1.0
+MIN_INTERVAL_S = 1.0
+MAX_APPENDS_PER_S = 100.0
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 2.0
 
 
+def interval_s(senders: int) -> float:
+    """Returns how often each of so many senders may append, s.
+
+    The log takes several hundred appends a second from everybody, so that all
+    senders together keep to `MAX_APPENDS_PER_S`.
+
+    Args:
+        senders: Processes that send charges.
+    """
+    return max(MIN_INTERVAL_S, senders / MAX_APPENDS_PER_S)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Charge:
     """What one request is charged with.
@@ -75,6 +89,7 @@
         log: log_client.Log,
         *,
         incarnation: str,
+        senders: Callable[[], int] = lambda: 1,
         max_held: int = MAX_HELD,
         max_batch_items: int = MAX_BATCH_ITEMS,
     ) -> None:
@@ -83,11 +98,13 @@
         Args:
             log: The log service.
             incarnation: Identifier of the process, new at each start.
+            senders: Returns how many processes send charges.
             max_held: The most charges held in an outage of the log.
             max_batch_items: The most charges in one append.
         """
         self._log = log
         self._incarnation = incarnation
+        self._senders = senders
         self._max_held = max_held
         self._max_batch_items = max_batch_items
         self._held: collections.deque[Charge] = collections.deque()
@@ -97,6 +114,7 @@
         self._sent = 0
         self._is_empty = event.Event()
         self._is_empty.set()
+        self._hurry = event.Event()
 
     def __repr__(self) -> str:
         """Shows what is held and what was dropped."""
@@ -140,13 +158,21 @@
         while True:
             if self.send():
                 backoff_s = _FIRST_BACKOFF_S
-                gevent.sleep(INTERVAL_S if self._is_empty.is_set() else 0)
+                # What is left after a full batch does not wait.
+                pause_s = self._pause_s()
+                self._hurry.wait(pause_s)
+                self._hurry.clear()
                 continue
             gevent.sleep(backoff_s * random.uniform(0.5, 1.0))
             backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
 
+    def _pause_s(self) -> float:
+        if len(self._held) >= self._max_batch_items:
+            return 0.0
+        return interval_s(self._senders())
+
     def flush(self, *, timeout_s: float) -> bool:
-        """Waits until the running sender has nothing left.
+        """Makes the running sender hurry and waits until nothing is left.
 
         Args:
             timeout_s: How long to wait, s.
@@ -154,6 +180,7 @@
         Returns:
             Whether every charge was taken by the log.
         """
+        self._hurry.set()
         return self._is_empty.wait(timeout_s)
 
     def send(self) -> bool:
--- a/packages/dotterelgrade/src/dotterelgrade/host_list.py
+++ b/packages/dotterelgrade/src/dotterelgrade/host_list.py
@@ -65,7 +65,7 @@
             data = response.read()
             if response.status_code != _HTTP_OK:
                 return _unreachable(f"answered {response.status_code}")
-            return result.Success(_to_entries(json.loads(data)))
+            return result.Success(to_entries(json.loads(data)))
         except (
             OSError,
             ValueError,
@@ -77,7 +77,17 @@
             return _unreachable(repr(error))
 
 
-def _to_entries(value: Any) -> tuple[HostEntry, ...]:
+def to_entries(value: Any) -> tuple[HostEntry, ...]:
+    """Checks the decoded list.
+
+    Args:
+        value: The decoded JSON.
+
+    Raises:
+        KeyError: The list is missing.
+        TypeError: It is no list.
+        ValueError: An entry is not valid.
+    """
     return tuple(msgspec.convert(item, HostEntry) for item in value["hosts"])
 
 
--- a/packages/dotterelgrade/tests/test_charges.py
+++ b/packages/dotterelgrade/tests/test_charges.py
@@ -1,3 +1,4 @@
+import gevent
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -62,6 +63,26 @@
     assert _book(service).total("bench").requests == 10
 
 
+def test_many_senders_share_the_rate_of_the_log():
+    assert charges.interval_s(1) == 1.0
+    assert charges.interval_s(1_100) == 11.0
+
+
+def test_a_flush_does_not_wait_for_the_interval(service):
+    sender = _sender(service, senders=lambda: 1_000_000)
+    running = gevent.spawn(sender.run)
+    gevent.sleep(0.01)
+    sender.charge(_charge(1))
+    assert sender.flush(timeout_s=20)
+    assert _book(service).total("bench").requests == 1
+    sender.charge(_charge(2))
+    gevent.sleep(0.1)
+    assert sender.held == 1
+    service.set_faults(down=True)
+    assert not sender.flush(timeout_s=0.1)
+    running.kill()
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
 @hypothesis.given(
     st.lists(
