--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -0,0 +1,285 @@
+"""The subcommand that computes docs/CAPACITY.md from the measured slopes."""
+
+from collections.abc import Iterable, Iterator
+import dataclasses
+import pathlib
+from typing import ClassVar
+
+from cleo import helpers
+from cleo.commands import command as command_lib
+
+from dotterelgrade_standins import capacity_future
+from dotterelgrade_standins import capacity_model
+from dotterelgrade_standins import commands
+from dotterelgrade_standins import platform_load
+from dotterelgrade_standins import slope_fit
+
+SLOPES = pathlib.Path("benchmarks/slopes.json")
+PAGE = pathlib.Path("docs/CAPACITY.md")
+BUDGET_CORE_PERCENT = 4.8
+BUDGET_MB = 128.0
+BUDGET_KB_PER_S = 3.0
+
+_INTRO = """# Capacity
+
+What each role costs at the size to design for, next to what a node may spend
+on control: {core} % of a core, {memory:g} MB and {rate:g} KB a second. Every
+number below is computed from the slopes in `benchmarks/slopes.json` by `make
+capacity`; `python -m dotterelgrade_standins slopes` measures them anew. The
+defaults of the settings (subset, intervals) are read from the code. Written
+{note}
+
+KB and MB are powers of ten. Bytes are those of the frames and bodies, without
+TCP/IP headers. Processor time is of the machine that measured, under Python
+3.11, with other work running on it.
+"""
+_NOTE = (
+    "by the program: change the model in `capacity_model.py`, not this page."
+)
+_UNKNOWN = """## What is not measured
+
+- Growth beyond 63 agents per entry and 6 entries per agent: the lines are
+  extended 12 to 70 times.
+- Network stacks of real hosts, TCP/IP headers, and links between regions.
+- The log service, host list and weight store of the platform; their stand-ins
+  only show how often they are called.
+- Prompt lengths and the share of keyed calls, which the letter does not give.
+- Bursts: a day's changes are spread evenly, and failures of whole failure
+  domains make many reports and repairs at once.
+"""
+
+
+def _table(headers: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
+    headers = list(headers)
+    lines = [headers, ["---"] * len(headers), *[list(row) for row in rows]]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines) + "\n"
+
+
+def _number(value: float) -> str:
+    if value == 0:
+        return "-"
+    if value >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def _size_section(size: capacity_model.Size) -> Iterator[str]:
+    yield "## The size\n"
+    yield _table(
+        ("what", "value"),
+        [
+            (field.name.replace("_", " "), f"{getattr(size, field.name):,}")
+            for field in dataclasses.fields(size)
+        ],
+    )
+    yield (
+        "`stages`, `places per model`, `keyed calls per s` and"
+        " `service workers` are\nassumed. Requests in flight are arrivals times"
+        f" their duration at the bound:\n{size.in_flight:,.0f}. The contract has"
+        f" {size.lines:,} lines.\n"
+    )
+
+
+def _role_section(
+    model: capacity_model.Model, name: str, figures: list[capacity_model.Figure]
+) -> Iterator[str]:
+    yield f"## Control, for one {name}\n"
+    rows = [_figure_row(figure) for figure in figures]
+    rows.append(_total_row(figures))
+    rows.append(
+        (
+            "**budget**",
+            f"{BUDGET_CORE_PERCENT}",
+            f"{BUDGET_KB_PER_S:g}",
+            f"{BUDGET_MB:g}",
+            "",
+            "",
+        )
+    )
+    yield _table(
+        ("what", "% of a core", "KB/s", "MB", "formula", "mechanism"), rows
+    )
+    links = model.links_per_entry if name == "entry" else model.links_per_agent
+    yield f"Links: {links:,.0f}. {_verdict(figures)}\n"
+
+
+def _figure_row(figure: capacity_model.Figure) -> tuple[str, ...]:
+    return (
+        figure.what,
+        _number(figure.core_percent),
+        _number(figure.kb_per_s),
+        _number(figure.memory_mb),
+        figure.formula,
+        figure.mechanism,
+    )
+
+
+def _total_row(figures: list[capacity_model.Figure]) -> tuple[str, ...]:
+    return (
+        "**all**",
+        _number(sum(f.core_percent for f in figures)),
+        _number(sum(f.kb_per_s for f in figures)),
+        _number(sum(f.memory_mb for f in figures)),
+        "",
+        "",
+    )
+
+
+def _verdict(figures: list[capacity_model.Figure]) -> str:
+    totals = (
+        ("processor time", sum(f.core_percent for f in figures), 4.8),
+        ("bytes", sum(f.kb_per_s for f in figures), BUDGET_KB_PER_S),
+        ("memory", sum(f.memory_mb for f in figures), BUDGET_MB),
+    )
+    words = [
+        f"{name} fits ({total / budget:.0%} of the budget)"
+        if total <= budget
+        else f"{name} does **not** fit ({total / budget:,.1f} times the budget)"
+        for name, total, budget in totals
+    ]
+    return "; ".join(words).capitalize() + "."
+
+
+def _data_section(model: capacity_model.Model) -> Iterator[str]:
+    size = model.size
+    tokens = size.tokens_per_s / size.entries
+    hops = size.tokens_per_s * size.stages / size.workers
+    entry_us = model.last("load_by_concurrency", "entry_cpu_us_per_token")
+    agent_us = model.last("load_by_concurrency", "agent_cpu_us_per_token_hop")
+    step = model.last("step_frames", "bytes_per_step")
+    per_entry = size.in_flight / size.entries
+    per_agent = size.in_flight * size.stages / size.workers
+    entry_mb = per_entry * model.slope(
+        "memory_by_sequences", "entry_memory_kib"
+    )
+    agent_mb = per_agent * model.slope(
+        "memory_by_sequences", "agent_memory_kib"
+    )
+    yield "## Callers' work, for one process\n"
+    yield _table(
+        ("role", "rate", "cores", "KB/s in and out", "in flight", "MB"),
+        [
+            (
+                "entry",
+                f"{tokens:,.0f} tokens/s",
+                _number(tokens * entry_us / 1e6),
+                _number(2 * tokens * step / 1e3),
+                f"{per_entry:,.0f} requests",
+                _number(entry_mb * 1024 / 1e6),
+            ),
+            (
+                "agent",
+                f"{hops:,.0f} token hops/s",
+                _number(hops * agent_us / 1e6),
+                _number(2 * hops * step / 1e3),
+                f"{per_agent:,.0f} sequences",
+                _number(agent_mb * 1024 / 1e6),
+            ),
+        ],
+    )
+    yield (
+        "Processor time is that of the largest concurrency measured"
+        f" ({entry_us:,.0f} us a token at the\nentry, {agent_us:,.0f} us a"
+        " token hop at the agent); bytes are those of `step_frames`.\nThis"
+        " work is not control and has no budget; above one core a process"
+        " needs\nsiblings on its host.\n"
+    )
+
+
+def _platform_section(model: capacity_model.Model) -> Iterator[str]:
+    yield "## Load on the platform\n"
+    appends = platform_load.log_appends(model)
+    reads = platform_load.log_reads(model)
+    hosts = [platform_load.host_list_reads(model)]
+    rows = [
+        (service, rate.what, _number(rate.per_s), _number(rate.mb_per_s))
+        + (rate.formula,)
+        for service, rates in (
+            ("log, appends", appends),
+            ("log, reads", reads),
+            ("host list, reads", hosts),
+        )
+        for rate in rates
+    ]
+    yield _table(("service", "cause", "per s", "MB/s", "formula"), rows)
+    total = sum(rate.per_s for rate in appends)
+    yield (
+        f"Appends add up to {total:,.0f} a second; the log takes several"
+        " hundred. The letter gives no limit\nfor reads, but those of"
+        " `placement` and of the host list are out of proportion.\n"
+    )
+
+
+def _slopes_section(measured: capacity_model.Measured) -> Iterator[str]:
+    yield "## The slopes\n"
+    rows = []
+    for name, probe in measured.items():
+        for cost in probe.samples[0].values:
+            line = probe.line(cost)
+            seen = ", ".join(
+                f"{s.size:g}: {s.values[cost]:.4g}" for s in probe.samples
+            )
+            rows.append(
+                (
+                    f"`{name}.{cost}`",
+                    probe.varied,
+                    seen,
+                    f"{line.slope:.4g}",
+                    f"{line.intercept:.4g}",
+                )
+            )
+    yield _table(("cost", "size", "measured", "one more", "none"), rows)
+
+
+def page(measured: capacity_model.Measured) -> str:
+    """Returns the whole page.
+
+    Args:
+        measured: Results of the probes.
+    """
+    model = capacity_model.Model(measured, capacity_model.Size())
+    sections = [
+        _INTRO.format(
+            core=BUDGET_CORE_PERCENT,
+            memory=BUDGET_MB,
+            rate=BUDGET_KB_PER_S,
+            note=_NOTE,
+        ),
+        *_size_section(model.size),
+    ]
+    for name, role in capacity_model.roles().items():
+        sections += _role_section(model, name, list(role(model)))
+    sections += _data_section(model)
+    sections += _platform_section(model)
+    sections.append(capacity_future.section(model))
+    sections += _slopes_section(measured)
+    sections.append(_UNKNOWN)
+    return "\n".join(sections)
+
+
+@commands.register
+class CapacityCommand(command_lib.Command):
+    """Computes the page from the committed slopes."""
+
+    name = "capacity"
+    description = "compute docs/CAPACITY.md from the measured slopes"
+    options: ClassVar = [
+        helpers.option(
+            "slopes", None, "Results.", flag=False, default=str(SLOPES)
+        ),
+        helpers.option(
+            "output", None, "The page.", flag=False, default=str(PAGE)
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Writes the page."""
+        try:
+            measured = slope_fit.read(pathlib.Path(self.option("slopes")))
+        except (OSError, ValueError) as error:
+            self.line_error(f"cannot read the slopes: {error}")
+            return 1
+        output = pathlib.Path(self.option("output"))
+        output.write_text(page(measured), encoding="utf-8")
+        self.line(f"wrote {output}")
+        return 0
