Let an operator begin the contract anew when nobody holds it

Change: `contract restore FILE` appends a record that holds at every process whatever that process has. It is accepted only directly after the log's end that its author saw, so a late copy is refused by its own two numbers and no state is needed. The command refuses while the log or a process still holds the contract. The lookups of the contract move into `RuleIndex`, as the module had grown.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/cli.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/cli.py
@@ -17,6 +17,7 @@
     serve_command.ServeCommand,
     contract_commands.CheckCommand,
     contract_commands.ApplyCommand,
+    contract_commands.RestoreCommand,
     contract_commands.ShowCommand,
     contract_commands.LogCommand,
     fleet_commands.DumpCommand,
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_commands.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_commands.py
@@ -129,13 +129,9 @@
         )
 
 
-class ApplyCommand(_ContractCommand):
-    """Makes a file the contract."""
+class _PublishCommand(_ContractCommand):
+    """A command that makes a file the contract."""
 
-    name = "contract apply"
-    description = (
-        "Make a file the whole contract and wait until it is in force."
-    )
     arguments: ClassVar[list[Any]] = [_FILE]
     options: ClassVar[list[Any]] = [
         *console.OperatorCommand.options,
@@ -151,18 +147,21 @@
     ]
 
     def perform(self) -> result.Result[console.Report, errors.Error]:
-        """Applies the file whole or not at all."""
+        """Publishes the file whole or not at all."""
         lines = self._lines()
         if not pipeline.is_successful(lines):
             return self._report_failure(lines.failure())
         wait_s = _to_seconds(self.option("wait"))
         author = self.option("author") or getpass.getuser()
-        return (
-            self._session()
-            .bind(lambda s: s.apply(lines.unwrap(), author=author))
-            .bind(lambda done: self._wait(done, wait_s))
+        return self._publish(lines.unwrap(), author).bind(
+            lambda done: self._wait(done, wait_s)
         )
 
+    def _publish(
+        self, lines: tuple[grammar.Line, ...], author: str
+    ) -> result.Result[contract_session.Accepted, errors.Error]:
+        raise NotImplementedError
+
     def _wait(
         self, done: contract_session.Accepted, wait_s: float
     ) -> result.Result[console.Report, errors.Error]:
@@ -217,6 +216,63 @@
     )
 
 
+class ApplyCommand(_PublishCommand):
+    """Makes a file the contract, compared with the one in force."""
+
+    name = "contract apply"
+    description = (
+        "Make a file the whole contract and wait until it is in force."
+    )
+
+    def _publish(
+        self, lines: tuple[grammar.Line, ...], author: str
+    ) -> result.Result[contract_session.Accepted, errors.Error]:
+        return self._session().bind(lambda s: s.apply(lines, author=author))
+
+
+class RestoreCommand(_PublishCommand):
+    """Begins the contract anew after the log and every process lost it."""
+
+    name = "contract restore"
+    description = (
+        "Begin the contract anew when neither the log nor a process holds it."
+    )
+
+    def _publish(
+        self, lines: tuple[grammar.Line, ...], author: str
+    ) -> result.Result[contract_session.Accepted, errors.Error]:
+        return self._platform().bind(
+            lambda platform: _check_none_holds(platform).bind(
+                lambda _: contract_session.ContractSession(
+                    log_client.LogClient(platform)
+                ).restore(lines, author=author)
+            )
+        )
+
+
+def _check_none_holds(
+    platform: settings_lib.PlatformSettings,
+) -> result.Result[None, errors.Error]:
+    """Refuses when a running process can still append a snapshot."""
+    hosts = host_list.HostList(platform).read()
+    if not pipeline.is_successful(hosts):
+        return result.Failure(hosts.failure())
+    for process in in_force.ask(hosts.unwrap()):
+        if process.contract_offset > 0:
+            return result.Failure(
+                errors.Error(
+                    kind=errors.ErrorKind.CONTRACT_CONFLICT,
+                    message=(
+                        f"the {process.role} on {process.host} holds the"
+                        f" contract at offset {process.contract_offset};"
+                        " it appends a snapshot, after which `contract apply`"
+                        " works"
+                    ),
+                )
+            )
+    return result.Success(None)
+
+
 class ShowCommand(_ContractCommand):
     """Prints the contract in force."""
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_session.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_session.py
@@ -27,6 +27,7 @@
         contract_lib.OutcomeKind.INVALID,
         contract_lib.OutcomeKind.SNAPSHOT,
         contract_lib.OutcomeKind.ADOPTED,
+        contract_lib.OutcomeKind.RESTORED,
     }
 )
 
@@ -178,8 +179,45 @@
         )
         return self._append(record, deadline=time.monotonic() + timeout_s)
 
+    def restore(
+        self,
+        lines: Iterable[grammar.Line],
+        *,
+        author: str,
+        timeout_s: float = VERDICT_TIMEOUT_S,
+    ) -> result.Result[Accepted, errors.Error]:
+        """Begins the contract anew, when the log can't be caught up with.
+
+        Args:
+            lines: The checked lines of the file.
+            author: Who asks.
+            timeout_s: How long to try, s.
+
+        Returns:
+            What was accepted, CONTRACT_CONFLICT when the log still tells the
+            contract or moved on meanwhile, or LOG_UNAVAILABLE.
+        """
+        self._read_to_end()
+        if not self._feed.log_is_up or self._feed.log_end is None:
+            return _failure(*self._why_behind())
+        if self._feed.is_at_end:
+            return _failure(
+                errors.ErrorKind.CONTRACT_CONFLICT,
+                "the log still tells the contract; use `contract apply`",
+            )
+        record = contract_records.RestoreRecord(
+            id=uuid.uuid4().hex,
+            author=author,
+            base=self._feed.log_end - 1,
+            lines=tuple(
+                contract_records.NewLine(identity=line.identity, text=line.text)
+                for line in lines
+            ),
+        )
+        return self._append(record, deadline=time.monotonic() + timeout_s)
+
     def _append(
-        self, record: contract_records.EditRecord, *, deadline: float
+        self, record: contract_records.Body, *, deadline: float
     ) -> result.Result[Accepted, errors.Error]:
         body = contract_records.encode(record)
         if len(body) > contract_records.MAX_RECORD_BYTES:
@@ -211,13 +249,14 @@
 def _judge(
     outcome: contract_lib.Outcome,
 ) -> result.Result[Accepted, errors.Error]:
-    if outcome.kind is contract_lib.OutcomeKind.ACCEPTED:
+    if outcome.kind in contract_feed.CHANGES:
         return result.Success(
             Accepted(offset=outcome.offset, changed=outcome.changed)
         )
     return _failure(
         errors.ErrorKind.CONTRACT_CONFLICT,
         "; ".join(describe_conflict(c) for c in outcome.conflicts)
+        + outcome.reason
         + "; nothing of the file was applied",
     )
 
--- a/packages/dotterelgrade-entry/tests/test_cli.py
+++ b/packages/dotterelgrade-entry/tests/test_cli.py
@@ -36,7 +36,7 @@
         for command in cli.make_application().all().values()
         if isinstance(command, console.OperatorCommand)
     ]
-    assert len(commands) == 8
+    assert len(commands) == 9
     for command in commands:
         assert cli.run([*command.name.split(), "--help"]) == 0
         shown = capsys.readouterr().out
--- a/packages/dotterelgrade-entry/tests/test_contract_session.py
+++ b/packages/dotterelgrade-entry/tests/test_contract_session.py
@@ -122,6 +122,35 @@
     assert "before offset 2" in failure.message
 
 
+def test_a_restore_begins_anew_only_when_the_log_lost_the_contract(service):
+    _apply(service, *_FIRST)
+    session = contract_session.ContractSession(log_service.LocalLog(service))
+    refused = session.restore(_lines(_FIRST[0]), author="ana").failure()
+    assert refused.kind is errors.ErrorKind.CONTRACT_CONFLICT
+    service.set_faults(keep_records=0)
+    service.set_faults(keep_records=100)
+    service.set_faults(lose_answers_after=1)
+    session = contract_session.ContractSession(log_service.LocalLog(service))
+    done = session.restore(_lines(_FIRST[0]), author="ana").unwrap()
+    assert done.changed == ("drain host=10.0.0.1",)
+    assert _texts(service) == [_FIRST[0]]
+    assert len(_apply(service, *_FIRST).unwrap().changed) == 1
+
+
+def test_a_restore_that_comes_too_late_is_refused(service):
+    _apply(service, *_FIRST)
+    service.set_faults(keep_records=0)
+    service.set_faults(keep_records=100)
+    ana, rui = (
+        contract_session.ContractSession(log_service.LocalLog(service))
+        for _ in range(2)
+    )
+    ana.restore(_lines(_FIRST[0]), author="ana").unwrap()
+    lost = rui.restore(_lines(_FIRST[1]), author="rui").failure()
+    assert lost.kind is errors.ErrorKind.CONTRACT_CONFLICT
+    assert _texts(service) == [_FIRST[0]]
+
+
 def test_the_history_tells_each_verdict(service):
     _apply(service, *_FIRST)
     service.append(log_client.CONTRACT_STREAM, b"broken")
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -75,8 +75,8 @@
     yield (
         "`stages`, `places per model`, `keyed calls per s` and"
         " `service workers` are\nassumed. Requests in flight are arrivals times"
-        f" their duration at the bound:\n{size.in_flight:,.0f}. The contract has"
-        f" {size.lines:,} lines.\n"
+        f" their duration at the bound:\n{size.in_flight:,.0f}. The contract"
+        f" has {size.lines:,} lines.\n"
     )
 
 
--- a/packages/dotterelgrade/src/dotterelgrade/contract.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract.py
@@ -1,25 +1,22 @@
 """The contract: the deterministic fold of the log's contract stream."""
 
-from collections.abc import Mapping
 import dataclasses
 import enum
 import hashlib
 import json
 import re
-import types
-from typing import Any, TypeVar
+from typing import Any
 
 from dotterelgrade import contract_records
 from dotterelgrade import errors
-from dotterelgrade import grammar
 from dotterelgrade import log_client
+from dotterelgrade import rule_index
 from dotterelgrade import rules
 
 MAX_REMOVALS_KEPT = 1_000
 _DIGEST_BITS = 256
 _NUMBERS = re.compile(r"(\D*)(\d*)")
 
-_R = TypeVar("_R")
 _frozen = dataclasses.dataclass(frozen=True, kw_only=True)
 
 
@@ -30,6 +27,7 @@
     CONFLICT = "conflict"
     SNAPSHOT = "snapshot"
     ADOPTED = "adopted"
+    RESTORED = "restored"
     STALE = "stale"
     GAP = "gap"
     INVALID = "invalid"
@@ -61,7 +59,7 @@
         author: Author of an edit record, or empty.
         changed: Identities whose lines changed.
         conflicts: Every line that lost, for CONFLICT.
-        reason: Why, for INVALID.
+        reason: Why, for INVALID and a refused restore.
     """
 
     kind: OutcomeKind
@@ -78,7 +76,7 @@
     return int.from_bytes(hashlib.sha256(fields).digest(), "big")
 
 
-class Contract:
+class Contract(rule_index.RuleIndex):
     """Every line in force at one offset of the log, and nothing else.
 
     The fold depends on the records alone, so that all processes agree on
@@ -87,15 +85,12 @@
 
     def __init__(self) -> None:
         """Initializes the contract before the first record."""
+        super().__init__()
         self._offset = 0
         self._lines: dict[str, contract_records.HeldLine] = {}
         self._removals: dict[str, contract_records.Removal] = {}
         self._forgotten = 0
         self._hash_sum = 0
-        self._rules: dict[str, rules.Rule] = {}
-        self._unreadable: dict[str, tuple[grammar.Fault, ...]] = {}
-        self._by_kind: dict[type, dict[str, Any]] = {}
-        self._index: dict[str, rules.WorkspaceRule] | None = None
 
     def __repr__(self) -> str:
         """Shows the offset and the number of lines."""
@@ -121,11 +116,6 @@
 
         return tuple(sorted(self._lines.values(), key=place))
 
-    @property
-    def unreadable(self) -> Mapping[str, tuple[grammar.Fault, ...]]:
-        """Lines that this version of the grammar can't read, with why."""
-        return types.MappingProxyType(self._unreadable)
-
     @property
     def digest(self) -> str:
         """Hexadecimal digest of the fold, the same at every process."""
@@ -159,6 +149,8 @@
         else:
             if isinstance(body, contract_records.SnapshotRecord):
                 return self._apply_snapshot(record, body)
+            if isinstance(body, contract_records.RestoreRecord):
+                return self._apply_restore(record, body)
             outcome = self._apply_edit(record, body)
         return outcome
 
@@ -243,28 +235,14 @@
     def _hold(self, line: contract_records.HeldLine) -> None:
         self._lines[line.identity] = line
         self._add_hash(_held_hash(line))
-        parsed = grammar.parse_line(line.text)
-        faults = parsed.swap().value_or(())
-        if not faults and parsed.unwrap().identity != line.identity:
-            faults = (_misnamed(parsed.unwrap()),)
-        if faults:
-            self._unreadable[line.identity] = faults
-            return
-        rule = parsed.unwrap().rule
-        self._rules[line.identity] = rule
-        self._by_kind.setdefault(type(rule), {})[line.identity] = rule
-        self._index = None
+        self.add_rule(line.identity, line.text)
 
     def _drop(self, identity: str) -> None:
         line = self._lines.pop(identity, None)
         if line is None:
             return
         self._add_hash(-_held_hash(line))
-        self._unreadable.pop(identity, None)
-        rule = self._rules.pop(identity, None)
-        if rule is not None:
-            del self._by_kind[type(rule)][identity]
-            self._index = None
+        self.drop_rule(identity)
 
     def _hold_removal(self, removal: contract_records.Removal) -> None:
         self._removals[removal.identity] = removal
@@ -301,6 +279,37 @@
             return self._verdict(record, OutcomeKind.INVALID, reason=reason)
         return self._adopt(fold, record.offset)
 
+    def _apply_restore(
+        self, record: log_client.Record, body: contract_records.RestoreRecord
+    ) -> Outcome:
+        if record.offset != body.base + 1:
+            return self._verdict(
+                record,
+                OutcomeKind.CONFLICT,
+                id=body.id,
+                author=body.author,
+                reason=f"restores after {body.base}, not here",
+            )
+        fold = Contract()
+        fold._offset = record.offset
+        fold._forgotten = record.offset
+        for line in body.lines:
+            fold._hold(
+                contract_records.HeldLine(
+                    identity=line.identity,
+                    text=line.text,
+                    offset=record.offset,
+                    author=body.author,
+                )
+            )
+        adopted = self._adopt(fold, record.offset)
+        return dataclasses.replace(
+            adopted,
+            kind=OutcomeKind.RESTORED,
+            id=body.id,
+            author=body.author,
+        )
+
     def adopt(self, body: contract_records.SnapshotRecord) -> Outcome:
         """Takes over a snapshot handed over by a peer.
 
@@ -328,60 +337,10 @@
             for identity in {**before, **fold._lines}
             if before.get(identity) != fold._lines.get(identity)
         )
-        self.__dict__.update(fold.__dict__)
+        # Everything at once, so that no reader sees half of it.
+        vars(self).update(vars(fold))
         return Outcome(kind=OutcomeKind.ADOPTED, offset=offset, changed=changed)
 
-    def _of(self, cls: type[_R]) -> tuple[_R, ...]:
-        # Sorted, since the order of a dict depends on the way to this offset.
-        held = self._by_kind.get(cls, {})
-        return tuple(held[identity] for identity in sorted(held))
-
-    def bound_for(self, workspace: str) -> rules.BoundRule | None:
-        """Returns the bound of a workspace, or the one for all."""
-        own = self._rules.get(f"bound workspace={workspace}")
-        return own or self._rules.get(f"bound workspace={rules.ANY}")
-
-    def model(self, name: str) -> rules.ModelRule | None:
-        """Returns the model of that name, or None."""
-        return self._rules.get(f"model name={name}")
-
-    def models(self) -> tuple[rules.ModelRule, ...]:
-        """Returns every model."""
-        return self._of(rules.ModelRule)
-
-    def places(self, model: str) -> tuple[rules.PlaceRule, ...]:
-        """Returns where the layers of a model run, by first layer."""
-        places = [p for p in self._of(rules.PlaceRule) if p.model == model]
-        return tuple(
-            sorted(places, key=lambda p: (p.first_layer, p.last_layer))
-        )
-
-    def workspace_by_key(self, sha256_hex: str) -> rules.WorkspaceRule | None:
-        """Returns the workspace whose bearer key has that digest, or None."""
-        if self._index is None:
-            self._index = {w.key_sha256: w for w in self.workspaces()}
-        return self._index.get(sha256_hex)
-
-    def workspace(self, name: str) -> rules.WorkspaceRule | None:
-        """Returns the workspace of that name, or None."""
-        return self._rules.get(f"workspace name={name}")
-
-    def workspaces(self) -> tuple[rules.WorkspaceRule, ...]:
-        """Returns every workspace."""
-        return self._of(rules.WorkspaceRule)
-
-    def service(self, name: str) -> rules.ServiceRule | None:
-        """Returns the plain service of that name, or None."""
-        return self._rules.get(f"service name={name}")
-
-    def services(self) -> tuple[rules.ServiceRule, ...]:
-        """Returns every plain service."""
-        return self._of(rules.ServiceRule)
-
-    def is_draining(self, host: str) -> bool:
-        """Whether the backend servers of a host get no new work."""
-        return f"drain host={host}" in self._rules
-
 
 def _held_hash(line: contract_records.HeldLine) -> int:
     return _line_hash(line.identity, line.text, line.offset, line.author)
@@ -391,15 +350,6 @@
     return _line_hash(removal.identity, "", removal.offset, removal.author)
 
 
-def _misnamed(line: grammar.Line) -> grammar.Fault:
-    return grammar.Fault(
-        line=1,
-        column=1,
-        message="the record names another rule",
-        expected=repr(line.identity),
-    )
-
-
 def _from_snapshot(body: contract_records.SnapshotRecord) -> Contract | None:
     fold = Contract()
     fold._offset = body.covers
--- a/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -23,7 +23,11 @@
 
 _SNAPSHOT_CHECK_S = 1.0
 CHANGES = frozenset(
-    {contract_lib.OutcomeKind.ACCEPTED, contract_lib.OutcomeKind.ADOPTED}
+    {
+        contract_lib.OutcomeKind.ACCEPTED,
+        contract_lib.OutcomeKind.ADOPTED,
+        contract_lib.OutcomeKind.RESTORED,
+    }
 )
 
 
@@ -108,6 +112,11 @@
         """First offset that the log kept at the latest read."""
         return self._follower.first_kept
 
+    @property
+    def log_end(self) -> int | None:
+        """Offset of the next append; None before the first read."""
+        return self._follower.end
+
     @property
     def is_at_end(self) -> bool:
         """Whether the contract holds all that the log held when last read."""
--- a/packages/dotterelgrade/src/dotterelgrade/contract_records.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_records.py
@@ -100,12 +100,56 @@
     type: str = "snapshot"
 
 
-def encode(record: EditRecord | SnapshotRecord) -> bytes:
+@_frozen
+class NewLine:
+    """A line that an operator gives without having seen another.
+
+    Attributes:
+        identity: Kind and subject.
+        text: The line's text.
+    """
+
+    identity: str
+    text: str
+
+
+@_frozen
+class RestoreRecord:
+    """Begins the contract anew when the log lost what came before.
+
+    It holds at every process, whatever that process has, but only directly
+    after the offset that its author saw as the log's last; so a late copy is
+    refused without looking at any state.
+
+    Attributes:
+        id: Identifier by which the author finds the record again.
+        author: Who appended it.
+        base: Offset of the log's last record that the author saw.
+        lines: The whole contract.
+        type: Discriminates the records of the stream.
+    """
+
+    id: str
+    author: str
+    base: int
+    lines: tuple[NewLine, ...]
+    type: str = "restore"
+
+
+Body = EditRecord | SnapshotRecord | RestoreRecord
+_TYPES = {
+    "edit": EditRecord,
+    "snapshot": SnapshotRecord,
+    "restore": RestoreRecord,
+}
+
+
+def encode(record: Body) -> bytes:
     """Returns the JSON body of a record."""
     return msgspec.json.encode(record)
 
 
-def decode(body: bytes) -> EditRecord | SnapshotRecord:
+def decode(body: bytes) -> Body:
     """Checks the body of a record.
 
     Args:
@@ -121,8 +165,7 @@
         raise _invalid(f"{len(body)} bytes, at most {MAX_RECORD_BYTES}")
     try:
         value = json.loads(body)
-        cls = {"edit": EditRecord, "snapshot": SnapshotRecord}[value["type"]]
-        record = msgspec.convert(value, cls)
+        record = msgspec.convert(value, _TYPES[value["type"]])
     except (
         ValueError,
         KeyError,
@@ -133,6 +176,8 @@
         raise _invalid(repr(error)) from error
     if isinstance(record, EditRecord):
         _check_edit(record)
+    elif isinstance(record, RestoreRecord):
+        _check_restore(record)
     return record
 
 
@@ -152,3 +197,14 @@
                 raise _invalid(f"removes {edit.identity!r} unseen")
         elif not grammar.is_framed(edit.text, identity=edit.identity):
             raise _invalid(f"{edit.identity!r} is no line with a name")
+
+
+def _check_restore(record: RestoreRecord) -> None:
+    identities = {line.identity for line in record.lines}
+    if not record.id or not record.author:
+        raise _invalid("a restore needs an id and an author")
+    if len(identities) != len(record.lines):
+        raise _invalid("a restore names one line twice")
+    for line in record.lines:
+        if not grammar.is_framed(line.text, identity=line.identity):
+            raise _invalid(f"{line.identity!r} is no line with a name")
--- a/packages/dotterelgrade/tests/test_contract.py
+++ b/packages/dotterelgrade/tests/test_contract.py
@@ -10,7 +10,6 @@
 from dotterelgrade import log_client
 
 _Kind = contract_lib.OutcomeKind
-_KEYS = ("0a" * 32, "0b" * 32)
 _HOSTS = tuple(f"drain host=10.0.0.{n}" for n in range(4))
 
 
@@ -135,6 +134,43 @@
         assert (other.offset, other.lines) == (1, ())
 
 
+def _restore(offset, base, *hosts):
+    body = contract_records.encode(
+        contract_records.RestoreRecord(
+            id=f"id-{offset}",
+            author="ana",
+            base=base,
+            lines=tuple(
+                contract_records.NewLine(identity=host, text=_line(host))
+                for host in hosts
+            ),
+        )
+    )
+    return log_client.Record(offset=offset, body=body)
+
+
+def test_a_restore_holds_at_every_process_alike():
+    ahead = _folded(_record(1, _edit(_HOSTS[0])), _record(2, _edit(_HOSTS[1])))
+    behind = _folded(_record(1, _edit(_HOSTS[0])))
+    empty = contract_lib.Contract()
+    for contract in (ahead, behind, empty):
+        outcome = contract.apply(_restore(3, 2, _HOSTS[2]))
+        assert (outcome.kind, outcome.id) == (_Kind.RESTORED, "id-3")
+        late = contract.apply(_record(4, _edit(_HOSTS[0]), base=2))
+        assert late.kind is _Kind.CONFLICT
+        contract.apply(_record(5, _edit(_HOSTS[3]), base=4))
+        copy = contract.apply(_restore(6, 2, _HOSTS[2]))
+        assert copy.kind is _Kind.CONFLICT
+    assert ahead.digest == behind.digest == empty.digest
+    assert [line.offset for line in empty.lines] == [3, 5]
+
+
+def test_a_late_copy_of_a_restore_does_not_help_a_process_that_is_behind():
+    contract = contract_lib.Contract()
+    assert contract.apply(_restore(6, 2, _HOSTS[2])).kind is _Kind.GAP
+    assert (contract.offset, contract.lines) == (0, ())
+
+
 def test_a_later_version_of_the_grammar_folds_alike():
     identity = "quota name=x"
     contract = _folded(
@@ -146,39 +182,6 @@
     assert "unknown kind" in fault.message
 
 
-def test_rules_are_found_by_what_they_are_about():
-    key = f"key=sha256:{_KEYS[0]}"
-    texts = {
-        "bound workspace=*": "first_token_p95=1s between_tokens_p95=1s",
-        "bound workspace=b": "first_token_p95=2s between_tokens_p95=1s",
-        "workspace name=b": key,
-        "workspace name=a": key,
-        "model name=m": "layers=24",
-        "place model=m layers=12-23": "failure_domain=a replicas=1",
-        "place model=m layers=0-11": "failure_domain=a replicas=1",
-        "service name=deposits": "to=order",
-        "drain host=10.0.0.7": "",
-    }
-    edits = [
-        _edit(identity, text=f"{identity} {rest} # ops: why")
-        for identity, rest in texts.items()
-    ]
-    contract = _folded(_record(1, *edits))
-    assert contract.bound_for("a").first_token_p95_s == 1.0
-    assert contract.bound_for("b").first_token_p95_s == 2.0
-    assert [p.first_layer for p in contract.places("m")] == [0, 12]
-    assert contract.model("m").layers == 24
-    assert [m.name for m in contract.models()] == ["m"]
-    assert contract.service("deposits").repeat == "never"
-    assert contract.is_draining("10.0.0.7")
-    assert not contract.is_draining("10.0.0.8")
-    # Two workspaces with one key: every process finds the same one.
-    assert contract.workspace_by_key(_KEYS[0]).name == "b"
-    assert contract.workspace_by_key(_KEYS[1]) is None
-    contract.apply(_record(2, _edit("drain host=10.0.0.7", seen=1, text=None)))
-    assert not contract.is_draining("10.0.0.7")
-
-
 _View = collections.namedtuple("_View", "offset lines")
 
 
@@ -257,6 +260,16 @@
     def broken_record(self, body):
         self.append(body)
 
+    @stateful.rule(late=st.booleans(), host=st.sampled_from(_HOSTS))
+    def restore(self, late, host):
+        offset = len(self.log) + 1
+        record = _restore(offset, offset - 1 - late, host)
+        lines = {host: (offset, _line(host))}
+        if late:
+            self.append(record.body)
+        else:
+            self.append(record.body, lines=lines, touched=_HOSTS)
+
     @stateful.rule(process=processes, corrupt=st.booleans())
     def snapshot(self, process, corrupt):
         held = self.processes_held[process]
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_rule_index.py
@@ -0,0 +1,65 @@
+import pytest
+
+from dotterelgrade import rule_index
+from dotterelgrade import rules
+
+_KEYS = ("0a" * 32, "0b" * 32)
+_TEXTS = {
+    "bound workspace=*": "first_token_p95=1s between_tokens_p95=1s",
+    "bound workspace=b": "first_token_p95=2s between_tokens_p95=1s",
+    "workspace name=b": f"key=sha256:{_KEYS[0]}",
+    "workspace name=a": f"key=sha256:{_KEYS[0]}",
+    "model name=m": "layers=24",
+    "place model=m layers=12-23": "failure_domain=a replicas=1",
+    "place model=m layers=0-11": "failure_domain=a replicas=1",
+    "service name=deposits": "to=order",
+    "drain host=10.0.0.7": "",
+}
+
+
+@pytest.fixture
+def index():
+    index = rule_index.RuleIndex()
+    for identity, rest in _TEXTS.items():
+        index.add_rule(identity, f"{identity} {rest} # ops: why")
+    return index
+
+
+def test_rules_are_found_by_what_they_are_about(index):
+    assert index.bound_for("a").first_token_p95_s == 1.0
+    assert index.bound_for("b").first_token_p95_s == 2.0
+    assert [p.first_layer for p in index.places("m")] == [0, 12]
+    assert index.places("other") == ()
+    assert index.model("m").layers == 24
+    assert [m.name for m in index.models()] == ["m"]
+    assert index.workspace("a").weight == 1.0
+    assert index.service("deposits").repeat == rules.REPEAT_NEVER
+    assert [s.name for s in index.services()] == ["deposits"]
+    assert index.is_draining("10.0.0.7")
+    assert not index.is_draining("10.0.0.8")
+
+
+def test_of_two_workspaces_with_one_key_all_find_the_same(index):
+    assert index.workspace_by_key(_KEYS[0]).name == "b"
+    assert index.workspace_by_key(_KEYS[1]) is None
+    index.drop_rule("workspace name=b")
+    assert index.workspace_by_key(_KEYS[0]).name == "a"
+
+
+def test_a_dropped_rule_is_gone(index):
+    for identity in _TEXTS:
+        index.drop_rule(identity)
+    assert index.bound_for("a") is None
+    assert index.models() == index.workspaces() == index.services() == ()
+    assert not index.is_draining("10.0.0.7")
+
+
+def test_what_cannot_be_read_is_kept_apart(index):
+    index.add_rule("quota name=x", "quota name=x # ops: why")
+    index.add_rule("drain host=10.0.0.8", "drain host=10.0.0.9 # ops: why")
+    unknown, misnamed = index.unreadable.values()
+    assert "unknown kind" in unknown[0].message
+    assert "another rule" in misnamed[0].message
+    assert not index.is_draining("10.0.0.9")
+    index.drop_rule("quota name=x")
+    assert list(index.unreadable) == ["drain host=10.0.0.8"]
