Keep an agent's own outcomes until they are read back

Cause: an outcome appended just before the log went down was neither in the fold nor among the unrecorded ones, so that a repeat was told `unknown`. Change: outcomes of this agent are kept, at most 100, until the fold has them.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/claim_log.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/claim_log.py
@@ -26,6 +26,7 @@
 _APPEND_TIMEOUT_S = 5.0
 _RECORD_RETRY_S = 0.5
 _MAX_UNRECORDED = 1_000
+_MAX_OWN_OUTCOMES = 100
 _MAX_ABANDONED = 10_000
 
 
@@ -65,6 +66,9 @@
             collections.OrderedDict()
         )
         self._unrecorded: dict[str, claim_items.Item] = {}
+        self._own_outcomes: collections.OrderedDict[
+            str, claim_items.Outcome
+        ] = collections.OrderedDict()
         self._writers = gevent.pool.Group()
 
     def __repr__(self) -> str:
@@ -91,7 +95,7 @@
     ) -> claim_ledger.Standing | None:
         """Returns the claim that holds a key, or None.
 
-        An outcome of this process counts before the log has it.
+        An outcome of this process counts before it is read back.
 
         Args:
             subject: The key within its workspace.
@@ -99,10 +103,8 @@
         standing = self._ledger.standing(subject)
         if standing is None or standing.outcome is not None:
             return standing
-        item = self._unrecorded.get(standing.claim)
-        if isinstance(item, claim_items.Outcome):
-            return dataclasses.replace(standing, outcome=item)
-        return standing
+        outcome = self._own_outcomes.get(standing.claim)
+        return dataclasses.replace(standing, outcome=outcome)
 
     def run(self) -> None:
         """Follows the stream until killed."""
@@ -137,6 +139,7 @@
             elif change.claim in self._abandoned:
                 self._settle_abandoned(change)
             return
+        self._own_outcomes.pop(change.claim, None)
         for waiting in self._by_key.get(change.subject, ()):
             waiting.set()
 
@@ -204,6 +207,8 @@
             item: The item; with too many unrecorded ones it is dropped, and
                 repeats of its key are answered `unknown`.
         """
+        if isinstance(item, claim_items.Outcome):
+            self._keep(item)
         if len(self._unrecorded) >= _MAX_UNRECORDED:
             self._journal.record(
                 "claim_item_dropped",
@@ -214,6 +219,11 @@
         self._unrecorded[item.claim] = item
         self._writers.spawn(self._write, item)
 
+    def _keep(self, outcome: claim_items.Outcome) -> None:
+        self._own_outcomes[outcome.claim] = outcome
+        if len(self._own_outcomes) > _MAX_OWN_OUTCOMES:
+            self._own_outcomes.popitem(last=False)
+
     def _write(self, item: claim_items.Item) -> None:
         give_up_at = time.monotonic() + self._settings.window_s
         try:
