Fuzz the contract, the chain and keyed calls; mutate what holds each promise

Cause: the promises need a proof by stateful fuzzing against the oracle, and the fuzzing needs a proof that it would find a broken promise. Ruled out: the attempt checks of agent and entry are not what keeps token order; positions alone do, as every token of any attempt continues the same prefix.

--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
@@ -0,0 +1,274 @@
+"""The places that hold the promises, and what breaks each of them."""
+
+import dataclasses
+
+_SEQUENCE = "dotterelgrade_agent.sequence"
+_REQUEST = "dotterelgrade_entry.request"
+_CONTRACT = "dotterelgrade.contract"
+_LEDGER = "dotterelgrade_agent.claim_ledger"
+_KEYED = "dotterelgrade_agent.keyed_calls"
+
+_SEQUENCE_TEST = "packages/dotterelgrade-agent/tests/test_sequence.py"
+_LEDGER_TEST = "packages/dotterelgrade-agent/tests/test_claim_ledger.py"
+_KEYED_TEST = "packages/dotterelgrade-agent/tests/test_keyed_calls.py"
+_REQUEST_TEST = "packages/dotterelgrade-entry/tests/test_request.py"
+
+_LAYERS_ONCE = "each layer once, in order"
+_OWN_ANSWER = "the whole answer to its own caller"
+_ONCE = "a non-idempotent call runs at most once"
+_NOT_RUN = "`not_run` means not run"
+_IN_FORCE = "accepted lines stay in force"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Mutant:
+    """A text replaced in one module.
+
+    Attributes:
+        name: Name on the command line.
+        promise: The promise that the place holds.
+        module: Dotted name of the module.
+        old: The text, which stands there once.
+        new: What replaces it.
+        check: The fuzzing target, or the test file, that must fail.
+        also: Further replaced texts, where two checks hold the promise.
+    """
+
+    name: str
+    promise: str
+    module: str
+    old: str
+    new: str
+    check: str
+    also: tuple[tuple[str, str], ...] = ()
+
+
+MUTANTS = (
+    Mutant(
+        name="agent-attempt-check",
+        promise=_LAYERS_ONCE,
+        module=_SEQUENCE,
+        old="if self._released or step.attempt != self._attempt:",
+        new="if self._released:",
+        check=_SEQUENCE_TEST,
+    ),
+    Mutant(
+        name="agent-repeats-positions",
+        promise=_LAYERS_ONCE,
+        module=_SEQUENCE,
+        old="fresh = step.inputs[self._accepted - step.position :]",
+        new="fresh = step.inputs",
+        check="chain",
+    ),
+    Mutant(
+        name="agent-gap-check",
+        promise=_LAYERS_ONCE,
+        module=_SEQUENCE,
+        old="if step.position > self._accepted:",
+        new="if step.position > self._accepted + 10**6:",
+        check="chain",
+    ),
+    Mutant(
+        name="agent-mute",
+        promise=_LAYERS_ONCE,
+        module=_SEQUENCE,
+        old="start = max(work.position, self._mute_before)",
+        new="start = work.position",
+        check=_SEQUENCE_TEST,
+    ),
+    Mutant(
+        name="agent-replay-whole",
+        promise=_OWN_ANSWER,
+        module=_SEQUENCE,
+        old="return result.Success(self._as_outputs(0, self._next_position))",
+        new="return result.Success(\n"
+        "            self._as_outputs(min(1, self._next_position - 1),"
+        " self._next_position)\n        )",
+        check="chain",
+    ),
+    Mutant(
+        name="agent-replayable-check",
+        promise=_OWN_ANSWER,
+        module=_SEQUENCE,
+        old="return self._outputs_start == 0",
+        new="return True",
+        check=_SEQUENCE_TEST,
+    ),
+    Mutant(
+        name="agent-resends-outputs",
+        promise=_OWN_ANSWER,
+        module=_SEQUENCE,
+        old="return result.Success(self._as_outputs(start, end))",
+        new="return result.Success(())",
+        check="chain",
+    ),
+    Mutant(
+        name="entry-attempt-check",
+        promise=_OWN_ANSWER,
+        module=_REQUEST,
+        old="if self.is_finished or token.attempt != self._attempt:",
+        new="if self.is_finished:",
+        check=_REQUEST_TEST,
+    ),
+    Mutant(
+        name="entry-token-order",
+        promise=_OWN_ANSWER,
+        module=_REQUEST,
+        old="if token.position != self.next_position:",
+        new="if token.position < len(self._order.prompt):",
+        check="chain",
+    ),
+    Mutant(
+        name="entry-restart-keeps-tokens",
+        promise=_OWN_ANSWER,
+        module=_REQUEST,
+        old="next_position\n        return self._step(0, self._order.prompt "
+        "+ self.emitted)",
+        new="next_position\n        return self._step(0, self._order.prompt)",
+        check="chain",
+    ),
+    Mutant(
+        name="contract-compare-and-set",
+        promise=_IN_FORCE,
+        module=_CONTRACT,
+        old="if line is not None and line.offset == edit.seen:",
+        new="if line is not None:",
+        check="contract",
+    ),
+    Mutant(
+        name="contract-whole-edit",
+        promise=_IN_FORCE,
+        module=_CONTRACT,
+        old="        if conflicts:\n",
+        new="        if len(conflicts) == len(body.edits):\n",
+        check="contract",
+    ),
+    Mutant(
+        name="contract-never-back",
+        promise=_IN_FORCE,
+        module=_CONTRACT,
+        old="        if body.covers <= self._offset:\n"
+        "            return self._verdict(record",
+        new="        if body.covers < 0:\n"
+        "            return self._verdict(record",
+        check="contract",
+    ),
+    Mutant(
+        name="contract-gap-check",
+        promise=_IN_FORCE,
+        module=_CONTRACT,
+        old="        if record.offset != self._offset + 1:\n"
+        "            return Outcome(kind=OutcomeKind.GAP, offset=record.offset)"
+        "\n        conflicts",
+        new="        conflicts",
+        check="contract",
+    ),
+    Mutant(
+        name="contract-removal-remembered",
+        promise=_IN_FORCE,
+        module=_CONTRACT,
+        old="if line is None and base >= removed_at:",
+        new="if line is None:",
+        check="contract",
+    ),
+    Mutant(
+        name="contract-ready-when-caught-up",
+        promise=_IN_FORCE,
+        module="dotterelgrade.contract_feed",
+        old="return end is not None and self._contract.offset + 1 >= end",
+        new="return end is not None",
+        check="contract",
+    ),
+    Mutant(
+        name="claim-order",
+        promise=_ONCE,
+        module=_LEDGER,
+        old="if entry.standing is None:\n            entry.standing = S",
+        new="if True:\n            entry.standing = S",
+        check="claims",
+    ),
+    Mutant(
+        name="claim-read-back",
+        promise=_ONCE,
+        module=_KEYED,
+        old="        if change is None:\n",
+        new="        if False:\n",
+        also=(
+            (
+                "refusal = self._check_still_first(keyed, claim)",
+                "refusal = None",
+            ),
+        ),
+        check="claims",
+    ),
+    Mutant(
+        name="claim-beaten",
+        promise=_ONCE,
+        module=_KEYED,
+        old="if change == claim_ledger.ChangeKind.BEATEN:",
+        new="if False:",
+        also=(
+            (
+                "refusal = self._check_still_first(keyed, claim)",
+                "refusal = None",
+            ),
+        ),
+        check="claims",
+    ),
+    Mutant(
+        name="claim-still-first",
+        promise=_ONCE,
+        module=_KEYED,
+        old="refusal = self._check_still_first(keyed, claim)",
+        new="refusal = None",
+        check="claims",
+    ),
+    Mutant(
+        name="claim-proof-of-absence",
+        promise=_ONCE,
+        module=_LEDGER,
+        old="return key_time_s > self._complete_from_s + skew_s",
+        new="return True",
+        check="claims",
+    ),
+    Mutant(
+        name="claim-released-for-good",
+        promise=_ONCE,
+        module=_LEDGER,
+        old="if claim.claim in entry.released:",
+        new="if False:",
+        check=_LEDGER_TEST,
+    ),
+    Mutant(
+        name="claim-outcome-unknown",
+        promise=_ONCE,
+        module=_KEYED,
+        old="if answer.failure().run_state == errors.Run.NOT_RUN:",
+        new="if True:",
+        check="claims",
+    ),
+    Mutant(
+        name="claim-digest",
+        promise=_OWN_ANSWER,
+        module=_KEYED,
+        old="if standing.digest != keyed.call.digest:",
+        new="if False:",
+        check="claims",
+    ),
+    Mutant(
+        name="claim-late-answer-is-unknown",
+        promise=_NOT_RUN,
+        module=_KEYED,
+        old="                    run=errors.Run.UNKNOWN,\n",
+        new="                    run=errors.Run.NOT_RUN,\n",
+        check="claims",
+    ),
+    Mutant(
+        name="key-age",
+        promise=_ONCE,
+        module="dotterelgrade_agent.idempotency_key",
+        old="if time_s < now_s - settings.window_s:",
+        new="if False:",
+        check=_KEYED_TEST,
+    ),
+)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/oracle.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/oracle.py
@@ -125,6 +125,7 @@
         prompt: str = "",
         max_tokens: int = 0,
         account: str = "",
+        at_s: float | None = None,
     ) -> None:
         """Notes a call before it is sent.
 
@@ -135,13 +136,14 @@
             max_tokens: The most tokens to generate.
             account: Account of a deposit, unique for each intended deposit; a
                 repeat under the same key names the same account.
+            at_s: Monotonic time, s; now when None.
         """
         self._calls[call] = _Call(
             model=model,
             prompt=prompt,
             max_tokens=max_tokens,
             account=account or call,
-            sent_at_s=time.monotonic(),
+            sent_at_s=time.monotonic() if at_s is None else at_s,
         )
 
     def answered(
