Report what the entry's predictions need, and nothing before it is measured

Cause: the planner took the agent's first guesses for measurements, knew the growth of a step with its sequences only as a fixed share, and got 256 prefix digests with each report that it doesn't use. Change: step, sequence and prompt-token times are 0 until a batch was timed; the share of each sequence is a least-squares slope with decay, kept while the batch size is steady; reports carry no prefix digests.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
@@ -126,6 +126,7 @@
             "slots_free": self.slots_free,
             "step_ms": round(self._times.step_ms, 3),
             "token_ms": round(self._times.token_ms, 5),
+            "sequence_ms": round(self._times.sequence_ms, 4),
             "healthy": self._watch.is_usable and not self._withheld,
         }
         if status is None:
@@ -136,7 +137,6 @@
             version=status.version,
             first_layer=status.first_layer,
             last_layer=status.last_layer,
-            cached_prefixes=status.cached_prefixes,
             **common,
         )
 
@@ -307,6 +307,7 @@
         duration_s = time.monotonic() - started
         self._times.record(
             duration_ms=duration_s * _MS_PER_S,
+            sequences=len(batch.entries),
             prefill_tokens=batch.prefill_tokens,
         )
         self._count(batch, duration_s)
--- a/packages/dotterelgrade-agent/tests/test_engine_backend.py
+++ b/packages/dotterelgrade-agent/tests/test_engine_backend.py
@@ -61,13 +61,28 @@
 def test_the_prompt_budget_keeps_a_batch_near_its_target():
     times = step_times.StepTimes()
     for _ in range(50):
-        times.record(duration_ms=10.0, prefill_tokens=0)
-        times.record(duration_ms=60.0, prefill_tokens=100)
+        times.record(duration_ms=10.0, sequences=1, prefill_tokens=0)
+        times.record(duration_ms=60.0, sequences=1, prefill_tokens=100)
     assert times.prefill_budget(target_ms=20.0, most=512) == 20
     assert times.prefill_budget(target_ms=5.0, most=512) > 0
     assert times.time_limit_s(prefill_tokens=0, most_s=10.0) == 1.0
 
 
+def test_what_a_sequence_adds_is_learned_from_batches_of_many_sizes():
+    times = step_times.StepTimes()
+    assert (times.step_ms, times.sequence_ms, times.token_ms) == (0, 0, 0)
+    for number in range(200):
+        size = 1 + number % 16
+        times.record(
+            duration_ms=6.0 + 0.75 * size, sequences=size, prefill_tokens=0
+        )
+    assert abs(times.sequence_ms - 0.75) < 0.01
+    for _ in range(2_000):
+        times.record(duration_ms=12.0, sequences=8, prefill_tokens=0)
+    assert abs(times.sequence_ms - 0.75) < 0.01
+    assert abs(times.step_ms - 12.0) < 0.01
+
+
 ODD_ANSWERS = [
     b"",
     b"\xff\xfe",
