Suspect an agent only for unanswered pings; one timer for all requests

Cause: profiling the token path with an agent that reports rarely showed runs in which nothing was served: an agent idle for longer than the silence limit was suspected the moment it got work, and a suspected agent was never asked anything again, so it stayed suspected until its next report (up to 2 s with real agents). Ruled out: the HTTP side and the fake agent (both idle, no bytes unsent).

Change: silence counts from the oldest unanswered ping; suspected agents are pinged; prompts count as queued only until the first token. Each token wait started a timer of its own and the correction took a logarithm; now one tick looks at all time limits and the factor moves by multiplication.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
@@ -22,6 +22,7 @@
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 2.0
 _RTT_WEIGHT = 0.2
+_MAX_PINGS = 64
 
 FrameHandler = Callable[["AgentPeer", Any], None]
 
@@ -66,6 +67,7 @@
         self._pong_waiters: dict[int, event.AsyncResult] = {}
         self._rtt_s: float | None = None
         self._is_suspect = False
+        self._probed_at: float | None = None
 
     def __repr__(self) -> str:
         """Shows the address and the state."""
@@ -132,6 +134,13 @@
             return 0.0
         return time.monotonic() - self._connection.last_heard
 
+    @property
+    def unanswered_s(self) -> float:
+        """Time since the oldest ping after which nothing came, s."""
+        if self._probed_at is None:
+            return 0.0
+        return time.monotonic() - self._probed_at
+
     @property
     def takes_work(self) -> bool:
         """Whether new work may be given to the agent."""
@@ -165,7 +174,12 @@
         """Sends a ping and returns its sequence number."""
         number = next(self._pings)
         if self.send(messages.Ping(sequence=number)):
-            self._pings_sent[number] = time.monotonic()
+            now = time.monotonic()
+            self._pings_sent[number] = now
+            if len(self._pings_sent) > _MAX_PINGS:
+                del self._pings_sent[next(iter(self._pings_sent))]
+            if self._probed_at is None:
+                self._probed_at = now
         return number
 
     def barrier(self, timeout_s: float) -> bool:
@@ -215,10 +229,12 @@
         )
         self._connection = connection
         self._is_suspect = False
+        self._probed_at = None
         try:
             self.ping()
             for message in connection:
                 self._is_suspect = False
+                self._probed_at = None
                 self._handle(connection, message)
         finally:
             connection.close("entry stopped reading")
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -107,7 +107,8 @@
     @property
     def queued_tokens(self) -> int:
         """Tokens that wait for a step, with own work since the report."""
-        return self._report.queued_tokens + self._unreported_tokens
+        queued = self._report.queued_tokens + self._unreported_tokens
+        return max(queued, 0)
 
     @property
     def is_ejected(self) -> bool:
@@ -151,6 +152,10 @@
             # The report is from before the prompts arrive.
             self._unreported_tokens = tokens
 
+    def note_prefilled(self, *, tokens: int) -> None:
+        """Takes out the prompt of a request that has its first token."""
+        self._unreported_tokens -= tokens
+
     def note_released(self) -> None:
         """Counts a sequence that the entry has ended."""
         self._released += 1
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/calibration.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/calibration.py
@@ -6,6 +6,8 @@
 
 _QUANTILE = 0.95
 _GAIN = 0.05
+_UP = math.exp(_GAIN * _QUANTILE)
+_DOWN = math.exp(-_GAIN * (1 - _QUANTILE))
 _MAX_FACTOR = 8.0
 _MIN_FACTOR = 0.5
 _FORGET_S = 10.0
@@ -14,7 +16,7 @@
 class Calibration:
     """Tracks the 95th percentile of measured over predicted latency.
 
-    The estimate moves by a fixed small step in the logarithm for each sample,
+    The estimate moves by a fixed small part of itself with each sample,
     so it needs no memory and follows a change within some hundred samples.
     Without samples it returns to one.
     """
@@ -26,7 +28,7 @@
             clock: Monotonic time, s.
         """
         self._clock = clock
-        self._log_factor = 0.0
+        self._factor = 1.0
         self._sampled_at = clock()
 
     def __repr__(self) -> str:
@@ -37,7 +39,7 @@
     def factor(self) -> float:
         """The factor by which predictions are multiplied."""
         idle_s = self._clock() - self._sampled_at
-        return math.exp(self._log_factor * math.exp(-idle_s / _FORGET_S))
+        return self._factor ** math.exp(-idle_s / _FORGET_S)
 
     def note(self, *, measured_s: float, predicted_s: float) -> None:
         """Takes one sample.
@@ -47,10 +49,7 @@
             predicted_s: What was predicted, s.
         """
         self._sampled_at = self._clock()
-        if measured_s > predicted_s * math.exp(self._log_factor):
-            moved = self._log_factor + _GAIN * _QUANTILE
+        if measured_s > predicted_s * self._factor:
+            self._factor = min(self._factor * _UP, _MAX_FACTOR)
         else:
-            moved = self._log_factor - _GAIN * (1 - _QUANTILE)
-        self._log_factor = min(
-            max(moved, math.log(_MIN_FACTOR)), math.log(_MAX_FACTOR)
-        )
+            self._factor = max(self._factor * _DOWN, _MIN_FACTOR)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_link.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_link.py
@@ -70,6 +70,7 @@
         self._admitted: set[str] = set()
         self._wakeup = event.Event()
         self._progress_at = time.monotonic()
+        self._prefill_tokens = 0
 
     def __repr__(self) -> str:
         """Shows the stages."""
@@ -114,11 +115,18 @@
             return False
         self._tokens.append(token.token)
         self._progress_at = time.monotonic()
+        if self._prefill_tokens:
+            self._note_prefilled()
         if not self._request.is_finished:
             self.send_step(self._request.current_step())
         self._wakeup.set()
         return True
 
+    def _note_prefilled(self) -> None:
+        for stage in self._stages:
+            stage.view.note_prefilled(tokens=self._prefill_tokens)
+        self._prefill_tokens = 0
+
     def put_reply(self, peer: agent_peer.AgentPeer, message: Any) -> None:
         """Takes a frame about a stage, if the agent runs that stage."""
         if message.stage in self.indexes_of(peer):
@@ -130,23 +138,24 @@
         self._control.append(Lost(peer=peer, reason=reason))
         self._wakeup.set()
 
-    def wait(self, timeout_s: float) -> Any | None:
-        """Waits for tokens or something else.
-
-        Args:
-            timeout_s: Time limit, s.
+    def wait(self) -> Any | None:
+        """Waits for tokens, something else or a call of `wake`.
 
         Returns:
             The oldest item that is no token, or None when there are tokens or
-            the time is up.
+            it was woken.
         """
         if not self._control and not self._tokens:
             self._wakeup.clear()
-            self._wakeup.wait(max(timeout_s, 0.0))
+            self._wakeup.wait()
         if self._tokens or not self._control:
             return None
         return self._control.popleft()
 
+    def wake(self) -> None:
+        """Ends the current wait."""
+        self._wakeup.set()
+
     def send_step(self, step: messages.Step) -> None:
         """Sends a step to the first stage."""
         self._request.note_sent()
@@ -180,6 +189,8 @@
             The answers of all stages.
         """
         tokens = self._request.next_position
+        if len(indexes) == len(self._stages):
+            self._prefill_tokens = tokens
         for index, stage in enumerate(self._stages):
             if index in indexes:
                 stage.view.note_asked(self._request.request_id, tokens=tokens)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/exchange.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/exchange.py
@@ -27,6 +27,9 @@
     def on_lost(self, peer: agent_peer.AgentPeer, reason: str) -> None:
         """Hears that an agent is lost or silent."""
 
+    def on_tick(self) -> None:
+        """Looks at its time limits."""
+
 
 _REPLIES = (
     messages.Admitted,
@@ -87,6 +90,11 @@
         """Stops delivering the frames of an identifier."""
         self._participants.pop(request_id, None)
 
+    def tick(self) -> None:
+        """Lets everyone in flight look at its time limits."""
+        for participant in self.participants():
+            participant.on_tick()
+
     def on_frame(self, peer: agent_peer.AgentPeer, message: Any) -> None:
         """Delivers one frame."""
         if isinstance(message, messages.Tokens):
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -50,6 +50,9 @@
     def on_lost(self, peer: agent_peer.AgentPeer, reason: str) -> None:
         """Hears that an agent is lost or silent."""
 
+    def tick(self) -> None:
+        """Is called at short intervals."""
+
 
 class Fleet:
     """Dials agents of the host list and knows which of them take work."""
@@ -148,6 +151,7 @@
             due = now + _MONITOR_PERIOD_S
             self._watch_busy()
             self._tell_change()
+            self._listener.tick()
             if now >= idle_ping_at:
                 idle_ping_at = now + _IDLE_PING_PERIOD_S
                 for peer in list(self._peers.values()):
@@ -262,13 +266,21 @@
         limit = self._settings.silence_limit_s + self._own_delay_s
         for address in list(self._busy):
             peer = self._peers.get(address)
-            if peer is None or not peer.is_connected:
-                continue
-            if peer.silence_s > limit and not peer.is_suspect:
-                self.suspect(peer, f"silent for {peer.silence_s:.2f} s")
-            elif peer.silence_s > _PING_AFTER_S:
+            if peer is not None and peer.is_connected:
+                self._watch(peer, limit)
+        for peer in list(self._peers.values()):
+            if peer.is_suspect:
+                # Nothing else makes it speak.
                 peer.ping()
 
+    def _watch(self, peer: agent_peer.AgentPeer, limit_s: float) -> None:
+        # An idle agent may be silent; only unanswered pings count against it.
+        silent_s = peer.unanswered_s + _PING_AFTER_S
+        if peer.unanswered_s and silent_s > limit_s and not peer.is_suspect:
+            self.suspect(peer, f"no answer for {peer.unanswered_s:.2f} s")
+        elif peer.silence_s > _PING_AFTER_S:
+            peer.ping()
+
     def suspect(self, peer: agent_peer.AgentPeer, reason: str) -> None:
         """Gives an agent no work until it is heard from again.
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+import gevent
 from returns import result
 
 from dotterelgrade import errors
@@ -163,21 +164,33 @@
         finally:
             self.close()
 
+    def on_tick(self) -> None:
+        """Wakes the request's greenlet when a time limit has passed."""
+        if time.monotonic() >= min(self._ends_at(), self._stalls_at()):
+            self._link.wake()
+
+    def _ends_at(self) -> float:
+        limit = self._tools.settings.request_timeout_s
+        return self._request.arrived_at + limit
+
+    def _stalls_at(self) -> float:
+        return self._link.progress_at + self._stall_limit_s()
+
     def _wait_once(self) -> None:
+        # One timer for all requests ticks, instead of one for each token.
+        item = self._link.wait()
+        if item is not None:
+            self._handle(item)
+            return
+        if self._link.tokens:
+            return
         now = time.monotonic()
-        ends_at = self._request.arrived_at + (
-            self._tools.settings.request_timeout_s
-        )
-        if now >= ends_at:
+        if now >= self._ends_at():
             raise errors.fail(
                 errors.ErrorKind.DEADLINE_EXCEEDED,
                 "the answer took longer than the time limit",
             )
-        stalls_at = self._link.progress_at + self._stall_limit_s()
-        item = self._link.wait(min(ends_at, stalls_at) - now)
-        if item is not None:
-            self._handle(item)
-        elif not self._link.tokens and time.monotonic() >= stalls_at:
+        if now >= self._stalls_at():
             self._examine_stall()
 
     def _stall_limit_s(self) -> float:
@@ -295,7 +308,7 @@
         timeout = self._tools.settings.admit_timeout_s
         first = self._link.probe(timeout_s=timeout)
         if not first.missing and not first.refused:
-            self._link.wait(_PROBE_PAUSE_S)
+            gevent.sleep(_PROBE_PAUSE_S)
             second = self._link.probe(timeout_s=timeout)
             if self._link.tokens or _positions(first) != _positions(second):
                 self._link.note_progress()
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
@@ -97,6 +97,9 @@
         if not self._outcome.ready():
             self._outcome.set(failed)
 
+    def on_tick(self) -> None:
+        pass
+
     def wait(
         self, timeout_s: float
     ) -> messages.CallReply | messages.CallFailed | None:
--- a/packages/dotterelgrade-entry/tests/test_fleet.py
+++ b/packages/dotterelgrade-entry/tests/test_fleet.py
@@ -152,3 +152,40 @@
     helpers.wait_until(lambda: len(entry.fleet.peers) == 4)
     domains = [p.entry.failure_domain for p in entry.fleet.peers.values()]
     assert sorted(domains) == ["recife-a"] * 2 + ["recife-b"] * 2
+
+
+def _answer_steps(agent, connection, frame):
+    if isinstance(frame, messages.Admit):
+        connection.send(agent.admitted(frame))
+    for step in getattr(frame, "steps", ()):
+        token = messages.Token(
+            request_id=step.request_id,
+            attempt=step.attempt,
+            position=step.position + len(step.inputs),
+            token=7,
+        )
+        connection.send(messages.Tokens(tokens=(token,)))
+
+
+def test_an_agent_that_was_idle_is_not_suspected_when_work_begins(
+    cell, helpers
+):
+    cell.start_fake_agent(0, 8, _answer_steps)
+    entry = cell.start_entry()
+    cell.wait_for(entry, engines=1)
+    # Longer than the silence that counts against an agent with work.
+    gevent.sleep(entry.settings.silence_limit_s + 0.3)
+    for _ in range(20):
+        answer = cell.complete(entry, PROMPT, max_tokens=2)
+        assert helpers.text_of(answer) == " t7 t7"
+    assert "agent_suspected" not in helpers.decisions(entry)
+
+
+def test_a_suspected_agent_takes_work_again_once_it_answers(cell, helpers):
+    cell.start_fake_agent(0, 8, _answer_steps)
+    entry = cell.start_entry()
+    cell.wait_for(entry, engines=1)
+    (peer,) = entry.fleet.peers.values()
+    entry.fleet.suspect(peer, "test")
+    assert not entry.fleet.takes_work(peer)
+    helpers.wait_until(lambda: entry.fleet.takes_work(peer))
