Bound what reports cost a host, and what a step may hold

Cause: every released sequence asked for a report, at most 50 a second, to each entry, and busy reports went out five times a second whatever the number of entries; a report of one engine with eight links has 466 bytes. Change: a freed slot is news only when it is the first one; the busy interval stretches so that reports to all entries together stay near 2 KB/s, up to the idle interval; changes make at most 10 reports a second. A step that reaches beyond the admitted prompt and tokens is refused, so that nothing a peer sends grows a sequence without bound.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
@@ -108,7 +108,9 @@
         platform: Addresses of the platform's services.
         backends: The backend servers of the host.
         claims: Limits for keyed calls.
-        report_busy_s: Interval of reports while sequences run, s.
+        report_busy_s: Shortest interval of reports while sequences run, s.
+        report_bytes_per_s: Bytes of reports to all entries that stretch that
+            interval, 1/s.
         report_idle_s: Longest interval of reports while idle, s.
         hosts_poll_s: Interval between two looks at the host list, s.
         orphan_grace_s: Time that an entry has to come back before its
@@ -130,6 +132,7 @@
     backends: tuple[BackendSettings, ...]
     claims: ClaimSettings = dataclasses.field(default_factory=ClaimSettings)
     report_busy_s: float = 0.2
+    report_bytes_per_s: float = 2_048.0
     report_idle_s: float = 2.0
     hosts_poll_s: float = 1.0
     orphan_grace_s: float = 3.0
@@ -152,6 +155,7 @@
         _check_positive(
             self,
             "report_busy_s",
+            "report_bytes_per_s",
             "report_idle_s",
             "hosts_poll_s",
             "orphan_grace_s",
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
@@ -53,7 +53,7 @@
             settings, on_change=observers.listener.changed
         )
         self._cancellations = cancellations.Cancellations(
-            self._client, on_freed=observers.listener.changed
+            self._client, on_freed=self._slot_freed
         )
         self._sequences: dict[str, sequence_lib.Sequence] = {}
         self._admitted_at: dict[str, float] = {}
@@ -269,6 +269,11 @@
         if sequence.next_position:
             self._cancellations.add(name)
         else:
+            self._slot_freed()
+
+    def _slot_freed(self) -> None:
+        # Only the first free slot is news; the others show in time.
+        if self.slots_free == 1:
             self._observers.listener.changed()
 
     def _batch_loop(self) -> None:
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/reports.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/reports.py
@@ -1,17 +1,18 @@
-"""Reports to the entries: at once on a change, else rarer while idle."""
+"""Reports to the entries: soon after a change, else rarer while idle."""
 
 from collections.abc import Callable
 import time
 
 import gevent
 from gevent import event
+import msgpack
 
 from dotterelgrade import messages
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_agent import entry_links
 
 _STRETCH = 2.0
-_MIN_INTERVAL_S = 0.02
+_MIN_INTERVAL_S = 0.1
 
 
 class Reporter:
@@ -43,7 +44,7 @@
         return f"<Reporter every {self._interval_s:.2f} s, made {self._sent}>"
 
     def changed(self) -> None:
-        """Asks for a report at once."""
+        """Asks for a report soon."""
         self._changed.set()
 
     def greet(self, link: entry_links.EntryLink) -> None:
@@ -65,12 +66,21 @@
         self._sent += 1
         self._links.broadcast(report)
         if any(item.sequences for item in report.backends):
-            self._interval_s = self._settings.report_busy_s
+            self._interval_s = self._busy_interval_s(report)
         else:
             self._interval_s = min(
                 self._interval_s * _STRETCH, self._settings.report_idle_s
             )
 
+    def _busy_interval_s(self, report: messages.Report) -> float:
+        # Many entries share the bytes that control may cost a host.
+        size = len(msgpack.packb(messages.to_wire(report)))
+        paced_s = len(self._links) * size / self._settings.report_bytes_per_s
+        return min(
+            max(self._settings.report_busy_s, paced_s),
+            self._settings.report_idle_s,
+        )
+
     def _pause_since(self, started: float) -> None:
         # Many changes within a moment make one report.
         spare_s = started + _MIN_INTERVAL_S - time.monotonic()
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/sequence.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/sequence.py
@@ -166,13 +166,16 @@
 
         Returns:
             What came of it, or INTERRUPTED when the sequence can't go on: a
-            position is missing, or a repeated one is no longer buffered.
+            position is missing, was not admitted, or is repeated and no
+            longer buffered.
         """
         if self._released or step.attempt != self._attempt:
             return result.Success(Offer(ignored="attempt is not current"))
         end = step.position + len(step.inputs)
         if step.position < 0 or not step.inputs:
             return _interrupted(f"step {step.position} has no valid inputs")
+        if end > self._admit.prompt_tokens + self._admit.max_tokens:
+            return _interrupted(f"step reaches position {end}, not admitted")
         if step.position > self._accepted:
             return self._gap(step.position)
         resend = self._resend(step.position, min(end, self._next_position))
