Fuzz bytes from every side, and bound the size of HTTP answers

Cause: the fuzzing of answers without an end showed that the clients of the log, the host list, the engines and the weight store kept a body of any size in memory (300 MB sent, 300 MB kept). Change: one reader of bodies with a bound (16 MiB, 64 MiB for a page of the log) that gives the connection up; fuzzing of contract text, settings, records, frames, HTTP requests and bodies, peer ports, and answers of engines, services, log and host list. Conclusion: an answer of any bytes is an error, and costs bounded memory.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_client.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_client.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import http_bodies
 from dotterelgrade_agent import agent_settings
 
 _T = TypeVar("_T")
@@ -215,7 +216,7 @@
             response = self._http.request(
                 method, self._prefix + path, body=body, headers=headers
             )
-            data = bytes(response.read())
+            data = http_bodies.read(response)
         except _FAILURES as error:
             return _failed(f"{method} {path}: {error!r}")
         if response.status_code == _HTTP_CONFLICT:
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/weight_store_client.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/weight_store_client.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import http_bodies
 from dotterelgrade import settings as settings_lib
 from dotterelgrade_agent import engine_client
 
@@ -63,7 +64,7 @@
         )
         try:
             response = client.post("/loads", body=json.dumps(body))
-            value = json.loads(response.read())
+            value = json.loads(http_bodies.read(response))
             return _to_wait(response.status_code, value)
         except _FAILURES as error:
             return _failure(
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz.py
@@ -21,7 +21,7 @@
 
 from dotterelgrade_standins import commands
 
-_MODULES = ("fuzz_contract", "fuzz_chain", "fuzz_claims")
+_MODULES = ("fuzz_contract", "fuzz_chain", "fuzz_claims", "fuzz_fleet")
 _T = TypeVar("_T", bound=type[stateful.RuleBasedStateMachine])
 
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/oracle.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/oracle.py
@@ -395,7 +395,8 @@
                     f"{step.sequence}, the next one was {expected}"
                 )
             next_position[key] = step.position + step.count
-            run = (step.sequence, step.first_layer, step.position)
+            request = _SEPARATOR.split(step.sequence)[0]
+            run = (request, step.first_layer, step.position)
             if run in layers_run and not self._has_faults:
                 yield f"{step.sequence}: layers of {run} ran twice"
             layers_run.add(run)
--- a/packages/dotterelgrade/src/dotterelgrade/host_list.py
+++ b/packages/dotterelgrade/src/dotterelgrade/host_list.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import http_bodies
 from dotterelgrade import messages
 from dotterelgrade import settings as settings_lib
 
@@ -62,7 +63,7 @@
         """Returns the listed hosts, or PEER_UNREACHABLE."""
         try:
             response = self._http.get(self._url.request_uri)
-            data = response.read()
+            data = http_bodies.read(response)
             if response.status_code != _HTTP_OK:
                 return _unreachable(f"answered {response.status_code}")
             return result.Success(to_entries(json.loads(data)))
--- a/packages/dotterelgrade/src/dotterelgrade/log_client.py
+++ b/packages/dotterelgrade/src/dotterelgrade/log_client.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import http_bodies
 from dotterelgrade import settings as settings_lib
 
 _LOG = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
 CHARGES_STREAM = "charges"
 PLACEMENT_STREAM = "placement"
 MAX_WAIT_MS = 5_000
+MAX_PAGE_BYTES = 64 * 1024 * 1024
 _HTTP_OK = 200
 _HTTP_GONE = 410
 _FAILURES = (
@@ -134,7 +136,7 @@
         """Appends a record; see `Log.append`."""
         try:
             response = self._http.post(f"/streams/{stream}", body=body)
-            data = response.read()
+            data = http_bodies.read(response, max_bytes=MAX_PAGE_BYTES)
             if response.status_code != _HTTP_OK:
                 return _unavailable(f"append answered {response.status_code}")
             return result.Success(int(json.loads(data)["offset"]))
@@ -148,7 +150,7 @@
         path = f"/streams/{stream}?from={start}&wait_ms={wait_ms}"
         try:
             response = self._http.get(path)
-            data = response.read()
+            data = http_bodies.read(response, max_bytes=MAX_PAGE_BYTES)
             if response.status_code == _HTTP_GONE:
                 return result.Failure(
                     ExpiredError(
