Show the contract of each process among its metrics

Cause: a process that falls behind the contract, or skips its records, showed only in its state dump. Change: offset, lines, unreadable lines, caught up, log up, and records by what they did, collected when they are asked for, at entries and agents. Conclusion: tested through the Prometheus text.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -11,6 +11,7 @@
 from dotterelgrade import admin
 from dotterelgrade import contract as contract_lib
 from dotterelgrade import contract_feed
+from dotterelgrade import contract_metrics
 from dotterelgrade import host_list
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import log_client
@@ -70,6 +71,7 @@
         self._feed = contract_feed.ContractFeed(
             self._log, journal=self._journal
         )
+        contract_metrics.register(self._feed, self._metrics)
         self._make_backends()
         self._make_parts()
         self._hosts = host_view.HostView(
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -13,6 +13,7 @@
 from dotterelgrade import admin
 from dotterelgrade import charges
 from dotterelgrade import contract_feed
+from dotterelgrade import contract_metrics
 from dotterelgrade import host_list
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import log_client
@@ -71,6 +72,7 @@
         self._state = messages.ProcessState.STARTING
         log = log or log_client.LogClient(settings.platform)
         self._feed = contract_feed.ContractFeed(log, journal=self._journal)
+        contract_metrics.register(self._feed, self._metrics)
         self._sender = charges.ChargeSender(
             log,
             incarnation=self._process,
--- a/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -102,6 +102,11 @@
         """Whether the log answered the latest read."""
         return self._follower.is_connected
 
+    @property
+    def outcomes(self) -> dict[contract_lib.OutcomeKind, int]:
+        """How many records did what."""
+        return dict(self._counts)
+
     @property
     def position(self) -> int:
         """Offset of the next record to read."""
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_metrics.py
@@ -0,0 +1,63 @@
+"""Shows the contract of a process among its metrics."""
+
+from collections.abc import Iterator
+
+from prometheus_client import core
+
+from dotterelgrade import contract_feed
+from dotterelgrade import metrics as metrics_lib
+
+
+class ContractMetrics:
+    """Collects the figures of a contract feed when they are asked for."""
+
+    def __init__(self, feed: contract_feed.ContractFeed) -> None:
+        """Initializes the collector.
+
+        Args:
+            feed: The feed to show.
+        """
+        self._feed = feed
+
+    def __repr__(self) -> str:
+        """Shows the feed."""
+        return f"<ContractMetrics of {self._feed!r}>"
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yields the metrics, for the registry."""
+        feed = self._feed
+        gauges = (
+            ("offset", "Offset up to which it is in force", feed.offset),
+            ("lines", "Lines in force", len(feed.contract.lines)),
+            (
+                "unreadable_lines",
+                "Lines of a grammar newer than this process",
+                len(feed.contract.unreadable),
+            ),
+            ("caught_up", "1 when work may be taken", feed.is_caught_up),
+            ("log_up", "1 when the log answered last", feed.log_is_up),
+        )
+        for name, help_text, value in gauges:
+            yield core.GaugeMetricFamily(
+                f"dotterelgrade_contract_{name}", help_text, value=float(value)
+            )
+        records = core.CounterMetricFamily(
+            "dotterelgrade_contract_records",
+            "Records read, by what they did",
+            labels=("outcome",),
+        )
+        for kind, count in feed.outcomes.items():
+            records.add_metric((kind.value,), count)
+        yield records
+
+
+def register(
+    feed: contract_feed.ContractFeed, metrics: metrics_lib.Metrics
+) -> None:
+    """Adds the figures of a feed to the metrics of its process.
+
+    Args:
+        feed: The feed to show.
+        metrics: The metrics of the process.
+    """
+    metrics.registry.register(ContractMetrics(feed))
