--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/serve_command.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/serve_command.py
@@ -1,5 +1,6 @@
 """The command that runs an entry process."""
 
+import contextlib
 import pathlib
 import signal
 from typing import Any, ClassVar
@@ -49,12 +50,13 @@
     stop = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
-    try:
-        with entry_lib.running(settings) as entry:
-            stop.wait()
-            entry.drain()
-    except OSError as error:
-        return _refuse(f"cannot serve: {error}")
+    with contextlib.ExitStack() as stack:
+        try:
+            entry = stack.enter_context(entry_lib.running(settings))
+        except (OSError, ValueError) as error:
+            return _refuse(f"cannot serve: {error}")
+        stop.wait()
+        entry.drain()
     return result.Success(
         console.Report(text="stopped", data={"stopped": True})
     )
