--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiment.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiment.py
@@ -1,5 +1,6 @@
 """The subcommand that runs one experiment and writes its results."""
 
+import json
 import pathlib
 from typing import Any, ClassVar
 
@@ -100,6 +101,13 @@
         helpers.option(
             "faults", None, "faults, separated by commas", flag=False
         ),
+        helpers.option(
+            "set",
+            None,
+            "replace a number of the experiment file, as in minutes=2",
+            flag=False,
+            multiple=True,
+        ),
     ]
 
     def handle(self) -> int:
@@ -117,7 +125,7 @@
                 command=self,
                 changes=self._changes(),
             )
-        except ValueError as error:
+        except (ValueError, TypeError) as error:
             self.line_error(str(error))
             return 2
         return 0
@@ -131,4 +139,7 @@
             changes["policies"] = tuple(self.option("policies").split(","))
         if self.option("faults"):
             changes["faults"] = tuple(self.option("faults").split(","))
+        for item in self.option("set"):
+            name, _, value = item.partition("=")
+            changes[name] = json.loads(value)
         return changes
