--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/calibration.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/calibration.py
@@ -8,9 +8,9 @@
 _GAIN = 0.05
 _UP = math.exp(_GAIN * _QUANTILE)
 _DOWN = math.exp(-_GAIN * (1 - _QUANTILE))
-_MAX_FACTOR = 8.0
+_MAX_FACTOR = 2.5
 _MIN_FACTOR = 0.5
-_FORGET_S = 10.0
+_FORGET_S = 5.0
 
 
 class Calibration:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_metrics.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_metrics.py
@@ -6,7 +6,6 @@
 from dotterelgrade import errors
 from dotterelgrade import metrics as metrics_lib
 from dotterelgrade_entry import admission as admission_lib
-from dotterelgrade_entry import cost_model
 from dotterelgrade_entry import request as request_lib
 
 _NOT_NAME = re.compile(r"[^a-zA-Z0-9_]")
@@ -38,37 +37,48 @@
         self._admission = admission
         self._latest: float | None = None
         self._begun_at = 0.0
-        self._expected: cost_model.Cost | None = None
+        self._expected_first_s: float | None = None
+        self._expected_gap_s: float | None = None
 
-    def expect(self, cost: cost_model.Cost | None) -> None:
-        """Sets what was predicted, from now on.
+    def expect_first(self, predicted_s: float | None) -> None:
+        """Sets what was predicted for the first token, from now on.
 
         Args:
-            cost: The prediction, or None while a stage is being replaced.
+            predicted_s: The prediction, s; None after a stage was lost.
         """
         self._begun_at = time.monotonic()
-        self._expected = cost
+        self._expected_first_s = predicted_s
+        self._expected_gap_s = None
+
+    def expect_gap(self, predicted_s: float) -> None:
+        """Sets what is predicted for the next token, s."""
+        self._expected_gap_s = predicted_s
 
     def note_token(self) -> None:
         """Notes that a token was accepted just now."""
         now = time.monotonic()
-        expected = self._expected
         if self._latest is None:
             self._first.record(now - self._request.arrived_at)
-            if expected is not None:
-                self._admission.first.note(
-                    measured_s=now - self._begun_at,
-                    predicted_s=expected.first_token_s,
-                )
+            self._learn_first(now - self._begun_at)
         else:
-            self._between.record(now - self._latest)
-            if expected is not None:
-                self._admission.between.note(
-                    measured_s=now - self._latest,
-                    predicted_s=expected.between_tokens_s,
-                )
+            gap_s = now - self._latest
+            self._between.record(gap_s)
+            if self._expected_gap_s is not None:
+                self._learn_gap(gap_s, self._expected_gap_s)
         self._latest = now
 
+    def _learn_first(self, measured_s: float) -> None:
+        if self._expected_first_s is not None:
+            self._admission.first.note(
+                measured_s=measured_s, predicted_s=self._expected_first_s
+            )
+
+    def _learn_gap(self, measured_s: float, predicted_s: float) -> None:
+        self._expected_gap_s = None
+        self._admission.between.note(
+            measured_s=measured_s, predicted_s=predicted_s
+        )
+
 
 class EntryMetrics:
     """Keeps the metrics of an entry."""
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -27,6 +27,7 @@
 _MAX_REPAIRS = 20
 _SEARCH_PAUSE_S = 0.1
 _PROBE_PAUSE_S = 0.15
+_LEARN_EVERY = 8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -110,8 +111,16 @@
         self, peer: agent_peer.AgentPeer, token: messages.Token
     ) -> None:
         """Takes a token; the next step leaves at once."""
-        if self._link.accept(peer, token):
-            self._watch.note_token()
+        if not self._link.accept(peer, token):
+            return
+        self._watch.note_token()
+        # The load changes while an answer is generated, so the prediction to
+        # learn from is made anew, and only now and then.
+        if self._request.emitted_count % _LEARN_EVERY == 1:
+            cost = self._tools.planner.cost(
+                self._link.stages, self._request.order
+            )
+            self._watch.expect_gap(cost.between_tokens_s)
 
     def on_reply(self, peer: agent_peer.AgentPeer, message: Any) -> None:
         """Takes any other frame about the request."""
@@ -297,7 +306,7 @@
 
     def _begin(self, chain: planner_lib.Chain) -> None:
         self._expected_first_s = chain.cost.first_token_s
-        self._watch.expect(chain.cost)
+        self._watch.expect_first(chain.cost.first_token_s)
         self._tools.planner.note_used(chain, self._request.order)
         self._link.note_progress()
         self._link.send_step(self._request.whole_step())
@@ -323,7 +332,7 @@
 
     def _repair(self, dead: set[int], *, reason: str) -> None:
         ends_at = time.monotonic() + self._tools.settings.give_up_s
-        self._watch.expect(None)
+        self._watch.expect_first(None)
         self._record(
             "stage_lost",
             reason=reason,
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/request.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/request.py
@@ -95,6 +95,11 @@
         """The tokens of the answer so far."""
         return tuple(self._emitted)
 
+    @property
+    def emitted_count(self) -> int:
+        """How many tokens the answer has so far."""
+        return len(self._emitted)
+
     @property
     def next_position(self) -> int:
         """The only position at which a token is accepted."""
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/shares.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/shares.py
@@ -28,6 +28,10 @@
         self._clock = clock
         self._work: dict[str, _Work] = {}
 
+    def __len__(self) -> int:
+        """Returns how many workspaces are known."""
+        return len(self._work)
+
     def _decayed(self, work: _Work, now: float) -> float:
         return work.amount * math.exp((work.at - now) / _MEMORY_S)
 
