Refuse and learn only from measured speeds, and never on an idle chain

Cause: at a cold start the prediction came from default speeds (21 ms between tokens against 60 to 80 ms in truth), the correction learned from it rose to its limit, and the bound between tokens then refused everything while the fleet was idle; nothing let in, nothing to correct it.

Change: predictions with an unmeasured stage neither refuse nor teach; a chain without any sequence is always taken; the correction stays between 0.7 and 1.6; the rate of admissions is averaged over 2 s. 215 tests of the entry pass; the effect under load is measured next.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
@@ -122,6 +122,9 @@
     def _excess(
         self, chain: planner_lib.Chain, request: request_lib.Request
     ) -> _Excess | None:
+        if not chain.is_measured or chain.is_idle:
+            # A guess is no reason to refuse, and an idle chain gets no better.
+            return None
         order = request.order
         part = 1.0
         if self._shares.is_over(order.workspace):
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -80,6 +80,11 @@
         prior = self._priors.find(self._report)
         return prior.step_ms if prior else 0.0
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether its speed is known, if only from others of its kind."""
+        return self.step_ms > 0 and self.token_ms > 0
+
     @property
     def token_ms(self) -> float:
         """Additional duration per prompt token, ms; 0 when not known."""
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/calibration.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/calibration.py
@@ -8,8 +8,8 @@
 _GAIN = 0.05
 _UP = math.exp(_GAIN * _QUANTILE)
 _DOWN = math.exp(-_GAIN * (1 - _QUANTILE))
-_MAX_FACTOR = 2.5
-_MIN_FACTOR = 0.5
+_MAX_FACTOR = 1.6
+_MIN_FACTOR = 0.7
 _FORGET_S = 5.0
 
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fair_queue.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fair_queue.py
@@ -9,7 +9,7 @@
 
 from gevent import event
 
-_RATE_WINDOW_S = 1.0
+_RATE_WINDOW_S = 2.0
 _MAX_IDLE_FLOWS = 1_000
 
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -117,9 +117,12 @@
         # The load changes while an answer is generated, so the prediction to
         # learn from is made anew, and only now and then.
         if self._request.emitted_count % _LEARN_EVERY == 1:
-            cost = self._tools.planner.cost(
-                self._link.stages, self._request.order
-            )
+            self._expect_gap()
+
+    def _expect_gap(self) -> None:
+        stages = self._link.stages
+        if stages and all(stage.view.is_measured for stage in stages):
+            cost = self._tools.planner.cost(stages, self._request.order)
             self._watch.expect_gap(cost.between_tokens_s)
 
     def on_reply(self, peer: agent_peer.AgentPeer, message: Any) -> None:
@@ -306,7 +309,8 @@
 
     def _begin(self, chain: planner_lib.Chain) -> None:
         self._expected_first_s = chain.cost.first_token_s
-        self._watch.expect_first(chain.cost.first_token_s)
+        predicted_s = chain.cost.first_token_s if chain.is_measured else None
+        self._watch.expect_first(predicted_s)
         self._tools.planner.note_used(chain, self._request.order)
         self._link.note_progress()
         self._link.send_step(self._request.whole_step())
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -50,6 +50,16 @@
     stages: tuple[Stage, ...]
     cost: cost_model.Cost
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether the cost comes from measured speeds only."""
+        return all(stage.view.is_measured for stage in self.stages)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no stage has any sequence."""
+        return not any(stage.view.sequences for stage in self.stages)
+
     def __str__(self) -> str:
         """Lists the backend servers."""
         return " > ".join(stage.key for stage in self.stages)
--- a/packages/dotterelgrade-entry/tests/test_admission.py
+++ b/packages/dotterelgrade-entry/tests/test_admission.py
@@ -1,3 +1,5 @@
+import types
+
 import gevent
 import pytest
 from returns import result
@@ -23,9 +25,13 @@
     )
 
 
-def _chain(first_s=0.1, between_s=0.01):
+def _chain(first_s=0.1, between_s=0.01, *, sequences=1, step_ms=5.0):
+    view = types.SimpleNamespace(
+        key="a", sequences=sequences, is_measured=step_ms > 0
+    )
+    stage = planner.Stage(peer=None, view=view, first_layer=0, last_layer=8)
     cost = cost_model.Cost(first_s, between_s)
-    return result.Success(planner.Chain(stages=(), cost=cost))
+    return result.Success(planner.Chain(stages=(stage,), cost=cost))
 
 
 FULL = result.Failure(
@@ -141,6 +147,15 @@
     )
 
 
+@pytest.mark.parametrize("state", [{"sequences": 0}, {"step_ms": 0.0}])
+def test_an_idle_or_unmeasured_chain_is_never_refused(state):
+    gate = _admission()
+    for _ in range(1_000):
+        gate.between.note(measured_s=1.0, predicted_s=0.001)
+    late = _chain(first_s=9.0, between_s=9.0, **state)
+    assert gate.enter(_request(), lambda: late) is late
+
+
 def test_without_predictions_all_pass():
     gate = _admission(predicts=False)
     late = _chain(first_s=9.0, between_s=9.0)
