Give both programs one command line

Cause: the argument handling, the printing of reports and the reading of settings stood twice, once in each program. Change: `console` moves to the shared package; `program.Program` holds the commands of a binary, its usage errors and exit codes; `console.ServingCommand` reads the settings file of a serving process. Conclusion: both programs answer a wrong command line the same way by construction.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_commands.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_commands.py
@@ -1,92 +1,35 @@
 """The commands of the agent's program."""
 
 import json
-import pathlib
-import signal
 from typing import Any, ClassVar
 
 from cleo import exceptions
 from cleo import helpers
-from cleo.commands import command
-from cleo.io.outputs import output
-import gevent
-from gevent import event
 import geventhttpclient
 import geventhttpclient.response
 from returns import result
 
+from dotterelgrade import console
 from dotterelgrade import errors
 from dotterelgrade import logs
-from dotterelgrade import settings as settings_lib
 from dotterelgrade_agent import agent as agent_lib
 from dotterelgrade_agent import agent_settings
 
-EXIT_DONE = 0
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-
 _DEFAULT_ADMIN_PORT = 7401
 _HTTP_ACCEPTED = 202
 _TIMEOUT_S = 5.0
 _FAILURES = (OSError, ValueError, geventhttpclient.response.HTTPParseError)
 
-_JSON_OPTION = helpers.option("json", None, "Print the result as JSON.")
-
-
-class AgentCommand(command.Command):
-    """A command that prints what it did, as text or as JSON."""
-
-    def perform(self) -> result.Result[str, errors.Error]:
-        """Carries out the command.
-
-        Returns:
-            One sentence for a person, or why nothing was done.
-        """
-        raise NotImplementedError
 
-    def handle(self) -> int:
-        """Carries out the command and prints the result."""
-        answer = self.perform()
-        if isinstance(answer, result.Failure):
-            error = answer.failure()
-            self._print(
-                f"{error.kind}: {error.message}",
-                {"error": {"kind": error.kind, "message": error.message}},
-                refused=True,
-            )
-            return EXIT_REFUSED
-        self._print(answer.unwrap(), {"message": answer.unwrap()})
-        return EXIT_DONE
-
-    def _print(
-        self, text: str, data: dict[str, Any], *, refused: bool = False
-    ) -> None:
-        if self.option("json"):
-            self.io.write_line(json.dumps(data), type=output.Type.RAW)
-        elif refused:
-            self.io.write_error_line(text, type=output.Type.RAW)
-        else:
-            self.io.write_line(text, type=output.Type.RAW)
-
-
-class ServeCommand(AgentCommand):
+class ServeCommand(console.ServingCommand):
     """Runs the agent until it is told to stop."""
 
     name = "serve"
     description = "Run the agent until SIGTERM, which stops it gracefully."
-    options: ClassVar[list[Any]] = [
-        _JSON_OPTION,
-        helpers.option("settings", "s", "Settings in JSON.", flag=False),
-    ]
 
-    def perform(self) -> result.Result[str, errors.Error]:
+    def perform(self) -> result.Result[console.Report, errors.Error]:
         """Serves entries, then finishes what is in flight."""
-        path = self.option("settings")
-        if not path:
-            raise exceptions.CleoUserError("expected --settings FILE")
-        loaded = settings_lib.load(
-            pathlib.Path(path), agent_settings.AgentSettings
-        )
+        loaded = self.load_settings(agent_settings.AgentSettings)
         if isinstance(loaded, result.Failure):
             return loaded
         return _serve(loaded.unwrap())
@@ -94,17 +37,15 @@
 
 def _serve(
     settings: agent_settings.AgentSettings,
-) -> result.Result[str, errors.Error]:
+) -> result.Result[console.Report, errors.Error]:
     logs.configure(process=settings.process.host, role="agent")
-    asked = event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, asked.set)
+    asked = console.stop_requested()
     try:
         with agent_lib.running(settings) as agent:
             agent.departure.stopping.rawlink(lambda _: asked.set())
             asked.wait()
             if agent.drain():
-                return result.Success("stopped, nothing was cut")
+                return _report("stopped, nothing was cut")
             return _refuse(
                 errors.ErrorKind.DEADLINE_EXCEEDED,
                 "stopped with work in flight, since draining took too long",
@@ -117,7 +58,7 @@
         )
 
 
-class DrainCommand(AgentCommand):
+class DrainCommand(console.OperatorCommand):
     """Asks a running agent to finish its work and end."""
 
     name = "drain"
@@ -125,9 +66,8 @@
     arguments: ClassVar[list[Any]] = [
         helpers.argument("address", "HOST or HOST:PORT of its admin address.")
     ]
-    options: ClassVar[list[Any]] = [_JSON_OPTION]
 
-    def perform(self) -> result.Result[str, errors.Error]:
+    def perform(self) -> result.Result[console.Report, errors.Error]:
         """Posts the order to the agent's admin address."""
         host, _, port = self.argument("address").partition(":")
         if not host or (port and not port.isdecimal()):
@@ -135,7 +75,9 @@
         return _post_drain(host, int(port or _DEFAULT_ADMIN_PORT))
 
 
-def _post_drain(host: str, port: int) -> result.Result[str, errors.Error]:
+def _post_drain(
+    host: str, port: int
+) -> result.Result[console.Report, errors.Error]:
     client = geventhttpclient.HTTPClient(
         host, port, connection_timeout=_TIMEOUT_S, network_timeout=_TIMEOUT_S
     )
@@ -148,7 +90,7 @@
                 f"{host}:{port} answered {response.status_code}",
             )
         count = data["in_flight"]
-        return result.Success(f"{host} is leaving, {count} in flight")
+        return _report(f"{host} is leaving, {count} in flight")
     except (*_FAILURES, KeyError, TypeError) as error:
         return _refuse(
             errors.ErrorKind.PEER_UNREACHABLE, f"{host}:{port}: {error!r}"
@@ -157,6 +99,10 @@
         client.close()
 
 
+def _report(text: str) -> result.Success[console.Report]:
+    return result.Success(console.Report(text=text, data={"message": text}))
+
+
 def _refuse(
     kind: errors.ErrorKind, message: str
 ) -> result.Failure[errors.Error]:
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/cli.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/cli.py
@@ -1,58 +1,31 @@
 """The program `dotterelgrade-agent`: the process beside backend servers."""
 
-import logging
 import sys
 
-from cleo import application
-from cleo import exceptions
-from cleo.io.inputs import argv_input
 from gevent import monkey
 
+from dotterelgrade import program
 from dotterelgrade_agent import agent_commands
 
-_COMMANDS = (agent_commands.ServeCommand, agent_commands.DrainCommand)
-
-
-def make_application() -> application.Application:
-    """Returns the command line with every command."""
-    app = application.Application("dotterelgrade-agent", "0.1.0")
-    for command in _COMMANDS:
-        app.add(command())
-    app.auto_exits(False)
-    app.catch_exceptions(False)
-    return app
+PROGRAM = program.Program(
+    "dotterelgrade-agent",
+    commands=(agent_commands.ServeCommand, agent_commands.DrainCommand),
+)
 
 
 def run(arguments: list[str]) -> int:
-    """Runs one command.
-
-    Args:
-        arguments: The words after the program's name.
-
-    Returns:
-        0 when the order was carried out, 1 when it was refused with a reason,
-        2 when the command line was wrong.
-    """
-    if arguments in ([], ["--help"], ["-h"]):
-        arguments = ["list"]
-    try:
-        words = argv_input.ArgvInput(["dotterelgrade-agent", *arguments])
-        return make_application().run(words)
-    except exceptions.CleoError as error:
-        print(f"dotterelgrade-agent: {error}", file=sys.stderr)
-        return agent_commands.EXIT_USAGE
+    """Runs one command; see `program.Program.run`."""
+    return PROGRAM.run(arguments)
 
 
 def main() -> int:
-    """Runs the program with the arguments of its process.
+    """Runs the command that the arguments of the process name.
 
     Returns:
-        The exit code, see `run`.
+        The exit code.
     """
     monkey.patch_all()
-    # Only `serve` writes a log; the other commands print their answer.
-    logging.getLogger().addHandler(logging.NullHandler())
-    return run(sys.argv[1:])
+    return PROGRAM.main()
 
 
 if __name__ == "__main__":
--- a/packages/dotterelgrade-agent/tests/test_agent_commands.py
+++ b/packages/dotterelgrade-agent/tests/test_agent_commands.py
@@ -6,8 +6,8 @@
 import pytest
 from returns import result
 
+from dotterelgrade import console
 from dotterelgrade import settings as settings_lib
-from dotterelgrade_agent import agent_commands
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_agent import cli
 
@@ -28,13 +28,13 @@
 @pytest.mark.parametrize(
     ("arguments", "code"),
     [
-        (["--help"], agent_commands.EXIT_DONE),
-        (["bogus"], agent_commands.EXIT_USAGE),
-        (["serve"], agent_commands.EXIT_USAGE),
-        (["drain"], agent_commands.EXIT_USAGE),
-        (["drain", "host:port"], agent_commands.EXIT_USAGE),
-        (["drain", "127.30.251.9:17499"], agent_commands.EXIT_REFUSED),
-        (["serve", "--settings", "/nowhere"], agent_commands.EXIT_REFUSED),
+        (["--help"], console.EXIT_DONE),
+        (["bogus"], console.EXIT_USAGE),
+        (["serve"], console.EXIT_USAGE),
+        (["drain"], console.EXIT_USAGE),
+        (["drain", "host:port"], console.EXIT_USAGE),
+        (["drain", "127.30.251.9:17499"], console.EXIT_REFUSED),
+        (["serve", "--settings", "/nowhere"], console.EXIT_REFUSED),
     ],
 )
 def test_exit_codes(arguments, code):
@@ -45,7 +45,7 @@
     target = fleet.engine_agent(0)
     process = target.settings.process
     address = f"{process.host}:{process.admin_port}"
-    assert cli.run(["drain", address, "--json"]) == agent_commands.EXIT_DONE
+    assert cli.run(["drain", address, "--json"]) == console.EXIT_DONE
     assert "leaving" in json.loads(capsys.readouterr().out)["message"]
     assert target.departure.reason
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/serve_command.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/serve_command.py
@@ -1,43 +1,26 @@
 """The command that runs an entry process."""
 
 import contextlib
-import pathlib
-import signal
-from typing import Any, ClassVar
 
-from cleo import exceptions
-from cleo import helpers
-import gevent
-from gevent import event
 from returns import pipeline
 from returns import result
 
 from dotterelgrade import console
 from dotterelgrade import errors
 from dotterelgrade import logs
-from dotterelgrade import settings as settings_lib
 from dotterelgrade_entry import entry as entry_lib
 from dotterelgrade_entry import entry_settings
 
 
-class ServeCommand(console.OperatorCommand):
+class ServeCommand(console.ServingCommand):
     """Runs an entry until it is told to stop."""
 
     name = "serve"
     description = "Run an entry until SIGTERM, which stops it gracefully."
-    options: ClassVar[list[Any]] = [
-        *console.OperatorCommand.options,
-        helpers.option("settings", "s", "Settings in JSON.", flag=False),
-    ]
 
     def perform(self) -> result.Result[console.Report, errors.Error]:
         """Serves callers, then finishes what is in flight."""
-        path = self.option("settings")
-        if not path:
-            raise exceptions.CleoUserError("expected --settings FILE")
-        loaded = settings_lib.load(
-            pathlib.Path(path), entry_settings.EntrySettings
-        )
+        loaded = self.load_settings(entry_settings.EntrySettings)
         if not pipeline.is_successful(loaded):
             return result.Failure(loaded.failure())
         return _serve(loaded.unwrap())
@@ -47,9 +30,7 @@
     settings: entry_settings.EntrySettings,
 ) -> result.Result[console.Report, errors.Error]:
     logs.configure(process=settings.process.host, role="entry")
-    stop = event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stop.set)
+    stop = console.stop_requested()
     with contextlib.ExitStack() as stack:
         try:
             entry = stack.enter_context(entry_lib.running(settings))
--- a/packages/dotterelgrade-entry/tests/test_cli.py
+++ b/packages/dotterelgrade-entry/tests/test_cli.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from dotterelgrade import console
 from dotterelgrade_entry import cli
-from dotterelgrade_entry import console
 
 _EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 
@@ -33,7 +33,7 @@
 def test_every_command_has_help_and_json(capsys):
     commands = [
         command
-        for command in cli.make_application().all().values()
+        for command in cli.PROGRAM.make_application().all().values()
         if isinstance(command, console.OperatorCommand)
     ]
     assert len(commands) == 9
