--- a/packages/dotterelgrade/src/dotterelgrade/contract.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract.py
@@ -116,6 +116,11 @@
 
         return tuple(sorted(self._lines.values(), key=place))
 
+    @property
+    def line_count(self) -> int:
+        """How many lines are in force."""
+        return len(self._lines)
+
     @property
     def digest(self) -> str:
         """Hexadecimal digest of the fold, the same at every process."""
--- a/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -307,7 +307,7 @@
         """Returns the state as JSON values."""
         return {
             "offset": self._contract.offset,
-            "lines": len(self._contract.lines),
+            "lines": self._contract.line_count,
             "unreadable": sorted(self._contract.unreadable),
             "digest": self._contract.digest,
             "caught_up": self.is_caught_up,
--- a/packages/dotterelgrade/src/dotterelgrade/contract_metrics.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_metrics.py
@@ -28,7 +28,7 @@
         feed = self._feed
         gauges = (
             ("offset", "Offset up to which it is in force", feed.offset),
-            ("lines", "Lines in force", len(feed.contract.lines)),
+            ("lines", "Lines in force", feed.contract.line_count),
             (
                 "unreadable_lines",
                 "Lines of a grammar newer than this process",
