--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -30,7 +30,7 @@
 from dotterelgrade_entry import http_server
 from dotterelgrade_entry import limits as limits_lib
 from dotterelgrade_entry import model_requests
-from dotterelgrade_entry import pipeline as pipeline_lib
+from dotterelgrade_entry import pipeline_tools
 from dotterelgrade_entry import planner as planner_lib
 from dotterelgrade_entry import policies
 from dotterelgrade_entry import record_relay
@@ -132,7 +132,7 @@
             predicts=policy.predicts, max_waiting=settings.max_waiting
         )
         self._fleet.add_change_listener(admission.wake)
-        tools = pipeline_lib.Tools(
+        tools = pipeline_tools.Tools(
             settings=settings,
             fleet=self._fleet,
             planner=planner_lib.Planner(
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/model_requests.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/model_requests.py
@@ -16,6 +16,7 @@
 from dotterelgrade_entry import limits as limits_lib
 from dotterelgrade_entry import openai_shape
 from dotterelgrade_entry import pipeline as pipeline_lib
+from dotterelgrade_entry import pipeline_tools
 from dotterelgrade_entry import request as request_lib
 from dotterelgrade_entry import tokenizer
 
@@ -116,7 +117,7 @@
 
     def __init__(
         self,
-        tools: pipeline_lib.Tools,
+        tools: pipeline_tools.Tools,
         *,
         feed: contract_feed.ContractFeed,
         limits: limits_lib.Limits,
@@ -143,7 +144,7 @@
         self._leaving = False
 
     @property
-    def tools(self) -> pipeline_lib.Tools:
+    def tools(self) -> pipeline_tools.Tools:
         """What pipelines share."""
         return self._tools
 
