Fuzz real entries and agents over loopback; write the page of errors

Cause: the aggregates are proved one by one; what lies between them (frames, connections, drains, service calls) needs the same proof. Change: a fleet in one process (two entries, three stages and one service in two failure domains) with callers, operators and every fault; mutants that only it finds. A fault of the first version was its own: a run's callers outlived it and reached the next run's fleet, so that deposits ran that nobody had sent; each run now ends its greenlets and reserves its block of addresses. docs/ERRORS.md is written from the table of errors, and a test compares them.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_fleet.py
@@ -12,7 +12,9 @@
 from typing import Any
 
 import gevent
+from gevent import event
 from gevent import socket
+import gevent.pool
 from hypothesis import stateful
 from hypothesis import strategies
 import uuid6
@@ -31,6 +33,8 @@
 _MODEL_SHARE = 0.65
 _DEPOSIT_SHARE = 0.85
 _TRAFFIC_PAUSE_S = 0.08
+_LONG_TOKENS = 60
+_ACCEPT_S = 0.05
 _SLOW = shaper.LinkSettings(
     between=local_fleet.DOMAINS, delay_ms=30, jitter_ms=30
 )
@@ -51,6 +55,7 @@
     entry: local_fleet.Member
     incarnation: str
     is_excused: bool = False
+    is_protected: bool = False
     is_ended: bool = False
 
 
@@ -67,6 +72,9 @@
             layers_of={local_fleet.MODEL: local_fleet.LAYERS}
         )
         self._calls: dict[str, _Call] = {}
+        self._greenlets = gevent.pool.Group()
+        self._traffic_ended = event.Event()
+        self._traffic_ended.set()
         self._collected: dict[str, int] = {}
         self._keys: list[str] = []
         self._confirmed: dict[str, int] = {}
@@ -110,7 +118,7 @@
                 prompt=prompt,
                 max_tokens=max_tokens,
             )
-            gevent.spawn(
+            self._greenlets.spawn(
                 self._complete, name, call, prompt, max_tokens, is_streamed
             )
 
@@ -119,7 +127,8 @@
     )
     def start_traffic(self, seed: int, acts: int) -> None:
         """Calls of every kind begin, and go on during what follows."""
-        gevent.spawn(self._traffic, random.Random(seed), acts)
+        self._traffic_ended.clear()
+        self._greenlets.spawn(self._traffic, random.Random(seed), acts)
 
     def _traffic(self, source: random.Random, acts: int) -> None:
         for _ in range(acts):
@@ -138,6 +147,7 @@
             else:
                 self._deposit(entry, source.choice(self._keys))
             gevent.sleep(source.uniform(0.0, _TRAFFIC_PAUSE_S))
+        self._traffic_ended.set()
 
     def _complete(
         self,
@@ -169,6 +179,8 @@
             self._judge.broken(call=name, excused=self._is_excused(call))
 
     def _is_excused(self, call: _Call) -> bool:
+        if call.is_protected:
+            return False
         entry = call.entry
         same = entry.is_running and entry.incarnation == call.incarnation
         return call.is_excused or not same
@@ -184,18 +196,18 @@
         self._deposit(entry, key)
         gevent.sleep(pause_s)
 
-    @stateful.precondition(lambda self: self._keys)
     @stateful.rule(entry=_entries, pause_s=_pauses_s)
     def repeat_deposit(self, entry: int, pause_s: float) -> None:
         """A caller repeats its latest keyed deposit, at any entry."""
-        self._deposit(entry, self._keys[-1])
+        if self._keys:
+            self._deposit(entry, self._keys[-1])
         gevent.sleep(pause_s)
 
     def _deposit(self, entry: int, key: str) -> None:
         name, call = self._begin(entry)
         account = key or name
         self._judge.sent(call=name, account=account)
-        gevent.spawn(self._send_deposit, name, call, account, key)
+        self._greenlets.spawn(self._send_deposit, name, call, account, key)
 
     def _send_deposit(
         self, name: str, call: _Call, account: str, key: str
@@ -289,10 +301,40 @@
         member = self._fleet.entries[entry]
         self._judge.fault()
         if member.is_running:
+            for call in self._in_flight(member):
+                call.is_protected = False
             member.kill()
         else:
             self._fleet.start(member)
 
+    def _in_flight(self, entry: local_fleet.Member) -> list[_Call]:
+        return [
+            call
+            for call in self._calls.values()
+            if call.entry is entry and not call.is_ended
+        ]
+
+    @stateful.rule(entry=_entries)
+    def drain_entry(self, entry: int) -> None:
+        """An entry is ordered to leave; it must end what it has begun."""
+        member = self._fleet.entries[entry]
+        if not member.is_running or _is_leaving(member):
+            return
+        self.complete(entry, 5, _LONG_TOKENS, True, 2)
+        gevent.sleep(_ACCEPT_S)
+        for call in self._in_flight(member):
+            call.is_protected = True
+        self._greenlets.spawn(
+            self._leave_entry, member, member.process, member.incarnation
+        )
+
+    def _leave_entry(
+        self, member: local_fleet.Member, process: Any, incarnation: str
+    ) -> None:
+        process.drain()
+        if member.is_running and member.incarnation == incarnation:
+            member.kill()
+
     @stateful.rule(agent=_agents, pause_s=_pauses_s)
     def drain_agent(self, agent: int, pause_s: float) -> None:
         """An agent is ordered to leave and ends when it has finished."""
@@ -301,7 +343,9 @@
             return
         self._judge.leaving(host=member.incarnation)
         self._fleet.list_host(member, state="leaving")
-        gevent.spawn(self._leave, member, member.process, member.incarnation)
+        self._greenlets.spawn(
+            self._leave, member, member.process, member.incarnation
+        )
         gevent.sleep(pause_s)
 
     def _leave(
@@ -368,10 +412,13 @@
         after=strategies.integers(0, 1),
     )
     def lose_deposit_answers(self, order: int, before: int, after: int) -> None:
-        """A plain service drops a call before or after it ran."""
+        """A plain service drops calls before or after they ran."""
         self._judge.fault()
         service = self._fleet.services[self._fleet.orders[order].name]
         service.set_faults(drop_before=before, drop_after=after)
+        for entry in range(local_fleet.ENTRIES):
+            self._deposit(entry, "")
+            self.deposit(entry, True, 0.0)
 
     # Faults of links and the log.
 
@@ -441,6 +488,7 @@
             self._judge_all()
             self._serve_again()
         finally:
+            self._greenlets.kill()
             self._stack.close()
 
     def _heal(self) -> None:
@@ -456,6 +504,7 @@
             self._mend(engine)
         for service in fleet.services.values():
             service.set_faults(drop_before=0, drop_after=0)
+        self._traffic_ended.wait()
         ended = local_fleet.wait_until(
             lambda: all(call.is_ended for call in self._calls.values()),
             timeout_s=_ANSWER_LIMIT_S,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/local_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/local_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import hashlib
 import itertools
+import socket
 import time
 from typing import Any
 import uuid
@@ -36,8 +37,8 @@
 DOMAINS = ("recife-a", "olinda-c")
 ENTRIES = len(DOMAINS)
 _SHARED_KEY = "k" * 16
-_BLOCKS = itertools.count(1)
-_MAX_BLOCK = 250
+_BLOCKS = range(1, 250)
+_RESERVATION = (254, 17_999)
 _ENGINE_PORT = 17_700
 _SERVICE_PORT = 17_800
 _POLL_S = 0.02
@@ -66,6 +67,21 @@
         return result.Success(self._service.entries())
 
 
+@contextlib.contextmanager
+def _free_block() -> Iterator[int]:
+    """Reserves a block of addresses that no other fleet of this host uses."""
+    host, port = _RESERVATION
+    for block in _BLOCKS:
+        try:
+            held = socket.create_server((f"127.50.{block}.{host}", port))
+        except OSError:
+            continue
+        with held:
+            yield block
+        return
+    raise OSError("every block of addresses is in use")
+
+
 class Member:
     """One process slot: an entry or an agent, running or not."""
 
@@ -121,7 +137,7 @@
             stack: Owns everything that listens.
         """
         self._stack = stack
-        self._block = next(_BLOCKS) % _MAX_BLOCK + 1
+        self._block = stack.enter_context(_free_block())
         self._numbers = itertools.count(1)
         self.log = log_service.LogService()
         self.log.set_faults(appends_per_s=1e9)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
@@ -111,10 +111,11 @@
 
 
 def _reason(output: str) -> str:
-    lines = [line.strip().removeprefix("E ") for line in output.splitlines()]
-    found = [line.strip() for line in lines if _FAILURE.search(line)]
-    text = (found or [line for line in lines if line] or ["no output"])[-1]
-    return text.replace("|", "/")[:90]
+    lines = [line.strip(" |E") for line in output.splitlines()]
+    told = [line for line in lines if line.startswith("AssertionError: ")]
+    found = [line for line in lines if _FAILURE.search(line)]
+    text = (told or found or [line for line in lines if line] or [""])[0]
+    return text.removeprefix("AssertionError: ").replace("|", "/")[:90]
 
 
 @commands.register
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
@@ -9,12 +9,16 @@
 _KEYED = "dotterelgrade_agent.keyed_calls"
 
 _SEQUENCE_TEST = "packages/dotterelgrade-agent/tests/test_sequence.py"
+_AGENT_TEST = "packages/dotterelgrade-agent/tests/test_agent.py"
 _LEDGER_TEST = "packages/dotterelgrade-agent/tests/test_claim_ledger.py"
 _KEYED_TEST = "packages/dotterelgrade-agent/tests/test_keyed_calls.py"
+_PIPELINE_TEST = "packages/dotterelgrade-entry/tests/test_pipeline.py"
 _REQUEST_TEST = "packages/dotterelgrade-entry/tests/test_request.py"
 
 _LAYERS_ONCE = "each layer once, in order"
 _OWN_ANSWER = "the whole answer to its own caller"
+_LEAVING = "a leaving backend server gets no new work"
+_STOP = "a planned stop cuts nothing"
 _ONCE = "a non-idempotent call runs at most once"
 _NOT_RUN = "`not_run` means not run"
 _IN_FORCE = "accepted lines stay in force"
@@ -271,4 +275,53 @@
         new="if False:",
         check=_KEYED_TEST,
     ),
+    Mutant(
+        name="entry-drain-waits",
+        promise=_STOP,
+        module="dotterelgrade_entry.entry",
+        old="while self.in_flight and time.monotonic() < ends_at:",
+        new="while False:",
+        check="fleet",
+    ),
+    Mutant(
+        name="agent-drain-refuses",
+        promise=_LEAVING,
+        module="dotterelgrade_agent.stages",
+        old="if self._leaving:",
+        new="if False:",
+        check=_AGENT_TEST,
+    ),
+    Mutant(
+        name="service-may-have-run",
+        promise=_NOT_RUN,
+        module="dotterelgrade_agent.service_client",
+        old="return _failed(error, may_have_run=client.is_connected)",
+        new="return _failed(error, may_have_run=False)",
+        check="fleet",
+    ),
+    Mutant(
+        name="entry-sends-unkeyed-once",
+        promise=_ONCE,
+        module="dotterelgrade_entry.service_calls",
+        old='return bool(self.key) or self.rule.repeat == "safe"',
+        new="return True",
+        check="fleet",
+    ),
+    Mutant(
+        name="agent-own-result",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade_agent.engine_backend",
+        old="zip(batch.entries, answer.results, strict=True)",
+        new="zip(\n            batch.entries, answer.results[::-1], "
+        "strict=True\n        )",
+        check="fleet",
+    ),
+    Mutant(
+        name="entry-replays-first-stage",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade_entry.pipeline",
+        old="for step in self._request.rebuild_steps():",
+        new="for step in ():",
+        check=_PIPELINE_TEST,
+    ),
 )
--- /dev/null
+++ b/packages/dotterelgrade/tests/test_error_page.py
@@ -0,0 +1,15 @@
+import pathlib
+
+from dotterelgrade import error_page
+from dotterelgrade import errors
+
+_PAGE = pathlib.Path(__file__).parents[3] / "docs" / "ERRORS.md"
+
+
+def test_page_is_current():
+    assert _PAGE.read_text(encoding="utf-8") == error_page.as_markdown()
+
+
+def test_every_kind_has_an_answer_and_a_meaning():
+    assert set(errors.ANSWERS) == set(errors.ErrorKind)
+    assert set(error_page.MEANINGS) == set(errors.ErrorKind)
