Say what a refused keyed call says about earlier ones

Cause: not_run for a keyed call in a log outage speaks of that request, while a caller may read it as of the key; a key whose claims are no longer kept may well have run. Change: the message says that an earlier request may have run; a key that the bounded ledger has dropped is answered with run=unknown.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/keyed_calls.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/keyed_calls.py
@@ -146,10 +146,7 @@
                 errors.ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed"
             )
         if not self._claims.is_current:
-            return _not_run(
-                errors.ErrorKind.LOG_UNAVAILABLE,
-                "claims can't be checked: the log does not answer",
-            )
+            return _no_proof("the log does not answer")
         return self._check_proof(keyed)
 
     def _check_proof(self, keyed: _Keyed) -> Answer | None:
@@ -157,13 +154,12 @@
         if ledger.proves(keyed.key.time_s):
             return None
         if ledger.has_forgotten(keyed.key.time_s):
-            return _not_run(
-                errors.ErrorKind.KEY_TOO_OLD, "claims of that age are not kept"
+            return _refuse(
+                errors.ErrorKind.KEY_TOO_OLD,
+                "claims of that age are not kept",
+                run=errors.Run.UNKNOWN,
             )
-        return _not_run(
-            errors.ErrorKind.LOG_UNAVAILABLE,
-            "this process has not seen the whole claim window",
-        )
+        return _no_proof("this process has not seen the whole claim window")
 
     def _claim_and_run(self, keyed: _Keyed) -> Answer | None:
         claim = self._make_claim(keyed)
@@ -173,9 +169,7 @@
         )
         if change is None:
             self._note(keyed, "claim_given_up", "it was not read back in time")
-            return _not_run(
-                errors.ErrorKind.LOG_UNAVAILABLE, "the claim was not read back"
-            )
+            return _no_proof("the claim was not read back")
         if change == claim_ledger.ChangeKind.BEATEN:
             return None
         refusal = self._check_still_first(keyed, claim)
@@ -207,9 +201,7 @@
         # The process may have been paused since the claim was read back.
         standing = self._claims.standing(keyed.subject)
         if standing is None or standing.claim != claim.claim:
-            return _not_run(
-                errors.ErrorKind.LOG_UNAVAILABLE, "the claim no longer holds"
-            )
+            return _no_proof("the claim no longer holds")
         checked = idempotency_key.parse(
             keyed.call.key, now_s=time.time(), settings=self._settings
         )
@@ -323,13 +315,25 @@
 
 def _not_run(
     kind: errors.ErrorKind, message: str
+) -> result.Failure[errors.Error]:
+    return _refuse(kind, message, run=errors.Run.NOT_RUN)
+
+
+def _no_proof(reason: str) -> result.Failure[errors.Error]:
+    # `not_run` speaks of this request only.
+    return _not_run(
+        errors.ErrorKind.LOG_UNAVAILABLE,
+        f"claims can't be checked: {reason}; this request was not run, an "
+        "earlier one with the same key may have been",
+    )
+
+
+def _refuse(
+    kind: errors.ErrorKind, message: str, *, run: errors.Run
 ) -> result.Failure[errors.Error]:
     return result.Failure(
         errors.Error(
-            kind=kind,
-            message=message,
-            retry_after_s=_RETRY_AFTER_S,
-            run=errors.Run.NOT_RUN,
+            kind=kind, message=message, retry_after_s=_RETRY_AFTER_S, run=run
         )
     )
 
