Judge the other workspaces together when one sends ten times its rate

Cause: at ten times its rate the large workspace leaves the others fewer than 20 answers each in a scaled minute, so none of them was judged. They are now judged together as well. A variant of the deployment has one failure domain behind links a hundred times slower.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiments.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/experiments.py
@@ -153,6 +153,7 @@
         rate_per_s: float,
         seed: int,
         shape: workload.WorkloadSettings | None = None,
+        apart: str = "",
     ) -> Measurement:
         """Sends one load and judges it.
 
@@ -161,6 +162,7 @@
             rate_per_s: Requests per second.
             seed: Seed of the stream.
             shape: Shape of the load; the settings' own when None.
+            apart: A workspace without which the others are also judged.
 
         Returns:
             The measurement, without the warm-up.
@@ -185,6 +187,7 @@
             plan=fleet.plan,
             length_s=settings.minute_s,
             least_answers=settings.answers_at_least,
+            apart=apart,
         )
         return Measurement(
             rate_per_s=rate_per_s,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
@@ -50,6 +50,7 @@
         mix: Accelerator kinds of the workers of a place rule, in turn.
         time_scale: Factor on the engines' durations.
         domain_delay_ms: One-way delay between failure domains, ms.
+        far_delay_ms: The same to the last failure domain; 0 for no other.
         load_s: Time that an engine takes to load layers, s.
         hosts_lag_s: Lag of the host list, s.
         workers_per_process: Workers in a row whose agents share one
@@ -70,6 +71,7 @@
     mix: tuple[str, ...] = DEFAULT_MIX
     time_scale: float = 1.0
     domain_delay_ms: float = 0.5
+    far_delay_ms: float = 0.0
     load_s: float = 1.0
     hosts_lag_s: float = 0.5
     workers_per_process: int = 1
@@ -318,9 +320,11 @@
         domains = self._failure_domains
         for index, one in enumerate(domains):
             for other in domains[index + 1 :]:
+                delay_ms = self._settings.domain_delay_ms
+                if other == domains[-1]:
+                    delay_ms = self._settings.far_delay_ms or delay_ms
                 yield shaper_lib.LinkSettings(
-                    between=(one, other),
-                    delay_ms=self._settings.domain_delay_ms,
+                    between=(one, other), delay_ms=delay_ms
                 )
 
     def _process_settings(
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
@@ -120,17 +120,18 @@
     base = max(search.best_rate_per_s, 1.0) * LARGE_BASE_SHARE
     rate = base * shape.total_share / settings.workload.total_share
     measured = context.measure(
-        fleet, rate_per_s=rate, seed=search.seed, shape=shape
+        fleet, rate_per_s=rate, seed=search.seed, shape=shape, apart=large
     )
     context.say(describe(f"{large} at 10x", measured))
     others = [
         window
         for window in measured.windows
-        if window.workspace not in (large, windows.ALL)
+        if window.workspace == windows.OTHERS
     ]
     worst = max((window.bound_ratio for window in others), default=0.0)
     refused = sum(window.refused for window in others)
     calls = sum(window.calls for window in others)
+    context.say(f"  the others: worst {worst:.2f}, {refused}/{calls} refused")
     return {
         "measurement": measured,
         "workspace": large,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/windows.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/windows.py
@@ -9,6 +9,7 @@
 
 _P95 = 95.0
 ALL = "*"
+OTHERS = "others"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -50,6 +51,7 @@
     plan: fleet_plan.FleetPlan,
     length_s: float,
     least_answers: int = 20,
+    apart: str = "",
 ) -> list[Window]:
     """Returns the windows of all workspaces together and of each one.
 
@@ -59,6 +61,7 @@
         length_s: Length of the windows, s.
         least_answers: A workspace with fewer whole answers in a window is
             judged only as a part of all.
+        apart: A workspace without which the others are also judged together.
 
     Returns:
         The windows in the order of time.
@@ -69,12 +72,15 @@
     grouped: dict[tuple[int, str], list[load.Sample]] = {}
     for sample in samples:
         index = int((sample.intended_s - origin_s) / length_s)
-        for workspace in (ALL, sample.request.workspace):
+        groups = [ALL, sample.request.workspace]
+        if apart and sample.request.workspace != apart:
+            groups.append(OTHERS)
+        for workspace in groups:
             grouped.setdefault((index, workspace), []).append(sample)
     windows = []
     for (index, workspace), group in sorted(grouped.items()):
         window = _judge(group, plan, index * length_s, workspace)
-        if workspace == ALL or window.whole >= least_answers:
+        if workspace in (ALL, OTHERS) or window.whole >= least_answers:
             windows.append(window)
     return windows
 
--- a/packages/dotterelgrade-standins/tests/test_windows.py
+++ b/packages/dotterelgrade-standins/tests/test_windows.py
@@ -49,3 +49,12 @@
     assert counts == (1, 1, 1)
     assert not summary.is_inside
     assert summary.tokens_per_s == 2.0
+
+
+def test_the_others_are_judged_together_without_one(small_plan, make_sample):
+    samples = [make_sample(0.0, workspace="loud", first_s=9.0)]
+    samples += [make_sample(0.1, workspace=f"quiet-{n}") for n in range(5)]
+    found = windows.split(samples, plan=small_plan, length_s=1.0, apart="loud")
+    others = [w for w in found if w.workspace == windows.OTHERS]
+    assert [w.whole for w in others] == [5]
+    assert others[0].bound_ratio < 1
