Keep an agent going after faults of its engine and of its own

Cause, found by reading: a batch out of time taught nothing, so an engine that had become slow would have failed its sequences for ever; the first 20 batches of a frozen engine waited for the longest limit; a sequence that failed in its first batch was not cancelled, so its slot at the engine stayed taken until the next clean-up; one cancellation that fails held up the others; an unforeseen error ended the batch loop, or another part, for good. The seats that an engine could take have a module of their own. Tests cause the slow engine, the strangers, the fault in a batch and in a part.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -28,7 +28,6 @@
 from dotterelgrade_agent import hops as hops_lib
 from dotterelgrade_agent import host_view
 from dotterelgrade_agent import keyed_calls
-from dotterelgrade_agent import orders as orders_lib
 from dotterelgrade_agent import placement_log
 from dotterelgrade_agent import relay as relay_lib
 from dotterelgrade_agent import repair as repair_lib
@@ -36,7 +35,8 @@
 from dotterelgrade_agent import server as server_lib
 from dotterelgrade_agent import service_backend
 from dotterelgrade_agent import stages as stages_lib
-from dotterelgrade_agent import weight_store_client
+from dotterelgrade_agent import supervision
+from dotterelgrade_agent import vacancies
 
 _FAREWELL_S = 0.2
 
@@ -158,26 +158,15 @@
         self._placement = placement_log.PlacementLog(
             self._log, journal=self._journal
         )
-        sources = repair_lib.Sources(
+        sources = vacancies.Sources(
             feed=self._feed,
             hosts=self._hosts,
             placement=self._placement,
             departure=self._departure,
             journal=self._journal,
         )
-        store = weight_store_client.WeightStoreClient(self._settings.platform)
         self._repairs = [
-            repair_lib.Repair(
-                self._settings,
-                backend=engine,
-                orders=orders_lib.Orders(
-                    engine,
-                    host=self._identity.host,
-                    store=store,
-                    journal=self._journal,
-                ),
-                sources=sources,
-            )
+            repair_lib.make(self._settings, backend=engine, sources=sources)
             for engine in self._engines.values()
         ]
 
@@ -317,7 +306,9 @@
             self._stages.sweep,
             *(item.run for item in self._repairs),
         ):
-            self._greenlets.spawn(body)
+            self._greenlets.spawn(
+                supervision.keep_running, body, journal=self._journal
+            )
 
     def _stop(self) -> None:
         self._greenlets.kill()
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/batch.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/batch.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 
+from dotterelgrade import errors
 from dotterelgrade_agent import engine_client
 from dotterelgrade_agent import sequence as sequence_lib
 
@@ -23,6 +24,23 @@
             priority=self.sequence.priority,
         )
 
+    def problem(self, answer: engine_client.StepResult) -> errors.Error | None:
+        """Returns why the engine's answer is of no use, or None.
+
+        Args:
+            answer: What the engine answered for this part.
+        """
+        if answer.error is not None:
+            return failure(f"the engine answered {answer.error}")
+        if not self.sequence.expects(answer.outputs):
+            return failure("the outputs have the wrong number or range")
+        return None
+
+
+def failure(message: str) -> errors.Error:
+    """Returns the error of a sequence whose part of a batch has failed."""
+    return errors.Error(kind=errors.ErrorKind.ENGINE_FAILED, message=message)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Batch:
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/cancellations.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/cancellations.py
@@ -56,8 +56,10 @@
         while self._names:
             name = next(iter(self._names))
             answer: result.Result[Any, Any] = self._client.cancel(name)
+            del self._names[name]
             if isinstance(answer, result.Failure):
+                # To the end, so that one sequence can't hold up the others.
+                self._names[name] = None
                 gevent.sleep(_RETRY_S)
                 continue
-            del self._names[name]
             self._on_freed()
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
@@ -1,5 +1,6 @@
 """A model engine: admission, queue and the continuous batching loop."""
 
+import logging
 import time
 from typing import Any
 
@@ -19,7 +20,10 @@
 from dotterelgrade_agent import sequence as sequence_lib
 from dotterelgrade_agent import step_times
 
+_LOG = logging.getLogger(__name__)
+
 _MS_PER_S = 1000
+_FULL = "full"
 _CLEAN_UP_INTERVAL_S = 10.0
 _RETRY_AFTER_UNHEALTHY_S = 1.0
 _MIN_RETRY_AFTER_S = 0.05
@@ -266,7 +270,7 @@
         )
         if sequence.is_at_engine:
             return
-        if sequence.next_position:
+        if sequence.has_begun:
             self._cancellations.add(name)
         else:
             self._slot_freed()
@@ -283,7 +287,12 @@
             if not batch.entries:
                 self._wakeup.clear()
                 continue
-            self._run_batch(batch)
+            try:
+                self._run_batch(batch)
+            except Exception as error:
+                # A fault here must not stop the batches of other sequences.
+                _LOG.exception("batch failed")
+                self._batch_failed(batch, batch_lib.failure(repr(error)))
 
     def _form_batch(self) -> batch_lib.Batch:
         settings = self._settings
@@ -306,15 +315,19 @@
         )
         items = [entry.as_item() for entry in batch.entries]
         answer = self._client.steps(items, limit_s=limit_s)
-        if isinstance(answer, result.Failure):
+        duration_s = time.monotonic() - started
+        failed = isinstance(answer, result.Failure)
+        if not failed or duration_s >= limit_s:
+            # A batch out of time counts, too, or the limit could never rise
+            # with an engine that has become slow.
+            self._times.record(
+                duration_ms=duration_s * _MS_PER_S,
+                sequences=len(batch.entries),
+                prefill_tokens=batch.prefill_tokens,
+            )
+        if failed:
             self._batch_failed(batch, answer.failure())
             return
-        duration_s = time.monotonic() - started
-        self._times.record(
-            duration_ms=duration_s * _MS_PER_S,
-            sequences=len(batch.entries),
-            prefill_tokens=batch.prefill_tokens,
-        )
         self._count(batch, duration_s)
         self._deliver(batch, answer.unwrap())
 
@@ -331,15 +344,21 @@
         outputs = []
         for entry, item in zip(batch.entries, answer.results, strict=True):
             sequence = entry.sequence
-            problem = _problem(sequence, item)
+            problem = entry.problem(item)
             if problem is not None:
                 self._sequence_failed(sequence, problem)
+                self._clean_up_if_full(item)
                 continue
             outputs.append((sequence, sequence.complete(item.outputs)))
             if sequence.is_released:
                 self._cancellations.add(sequence.engine_id)
         self._observers.listener.ran(outputs)
 
+    def _clean_up_if_full(self, item: engine_client.StepResult) -> None:
+        # The slots are counted here, so the engine holds strangers.
+        if item.error == _FULL:
+            self._greenlets.spawn(self._clean_up)
+
     def _batch_failed(
         self, batch: batch_lib.Batch, error: errors.Error
     ) -> None:
@@ -371,19 +390,3 @@
             "residence_s": round(self._residence_s, 3),
             "sequences": [repr(s) for s in self._sequences.values()],
         }
-
-
-def _problem(
-    sequence: sequence_lib.Sequence, item: engine_client.StepResult
-) -> errors.Error | None:
-    if item.error is not None:
-        return errors.Error(
-            kind=errors.ErrorKind.ENGINE_FAILED,
-            message=f"the engine answered {item.error}",
-        )
-    if not sequence.expects(item.outputs):
-        return errors.Error(
-            kind=errors.ErrorKind.ENGINE_FAILED,
-            message="the engine's outputs have the wrong number or range",
-        )
-    return None
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/hops.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/hops.py
@@ -113,6 +113,8 @@
             self._write_until_idle()
         except errors.DotterelgradeError as error:
             self._failure = error.error.message
+        except OSError as error:
+            self._failure = repr(error)
         finally:
             if self._connection is not None:
                 self._connection.close(self._failure or "idle")
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/repair.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/repair.py
@@ -1,6 +1,5 @@
 """Takes vacant layer ranges of `place` rules with the engines of this host."""
 
-import dataclasses
 import random
 import time
 from typing import Any
@@ -9,18 +8,14 @@
 import gevent
 from returns import result
 
-from dotterelgrade import contract_feed
-from dotterelgrade import journal as journal_lib
-from dotterelgrade import rendezvous
 from dotterelgrade import rules
 from dotterelgrade_agent import agent_settings
-from dotterelgrade_agent import departure as departure_lib
 from dotterelgrade_agent import engine_backend
 from dotterelgrade_agent import engine_client
-from dotterelgrade_agent import host_view
 from dotterelgrade_agent import orders as orders_lib
 from dotterelgrade_agent import placement as placement_lib
-from dotterelgrade_agent import placement_log
+from dotterelgrade_agent import vacancies as vacancies_lib
+from dotterelgrade_agent import weight_store_client
 
 _POLL_S = 0.25
 _JITTER_S = 0.2
@@ -28,42 +23,6 @@
 _IN_FLIGHT_POLL_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Sources:
-    """What a repair decides on.
-
-    Attributes:
-        feed: The contract, with its `place` rules.
-        hosts: The hosts as the platform lists them.
-        placement: The seats and their holders.
-        departure: Whether this agent leaves.
-        journal: Takes decisions.
-    """
-
-    feed: contract_feed.ContractFeed
-    hosts: host_view.HostView
-    placement: placement_log.PlacementLog
-    departure: departure_lib.Departure
-    journal: journal_lib.Journal
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Vacancy:
-    """A seat that this engine could take.
-
-    Attributes:
-        place: The rule that asks for it.
-        seat: The seat.
-        rank: How many other engines come first.
-        seats: How many seats of the rule are vacant.
-    """
-
-    place: rules.PlaceRule
-    seat: placement_lib.Seat
-    rank: int
-    seats: int
-
-
 class Repair:
     """Decides for one engine whether it takes a seat."""
 
@@ -73,7 +32,7 @@
         *,
         backend: engine_backend.EngineBackend,
         orders: orders_lib.Orders,
-        sources: Sources,
+        sources: vacancies_lib.Sources,
     ) -> None:
         """Initializes a repair that has decided nothing.
 
@@ -87,7 +46,6 @@
         self._backend = backend
         self._orders = orders
         self._sources = sources
-        self._vacant_since: dict[str, float] = {}
         self._said_spare = False
         self._renewed_at = time.monotonic()
         self._unusable_since: float | None = None
@@ -97,6 +55,9 @@
             process.peer_port,
             backend.settings.name,
         )
+        self._vacancies = vacancies_lib.Vacancies(
+            settings, backend=backend, sources=sources, address=self._address
+        )
 
     def __repr__(self) -> str:
         """Shows the seat held."""
@@ -137,7 +98,7 @@
         if seat is not None:
             self._keep(seat)
             return
-        vacancy = self._find_own_seat() or self._find_vacancy()
+        vacancy = self._vacancies.find_own_seat() or self._find_due()
         if vacancy is not None:
             self._take(vacancy)
 
@@ -166,13 +127,13 @@
 
     def _keep(self, seat: placement_lib.Seat) -> None:
         self._said_spare = False
-        place = self._place_of(seat)
+        place = self._vacancies.place_of(seat)
         if place is None:
             # The rule is gone; the engine keeps its layers until another
             # rule needs it.
             self._vacate(seat)
             return
-        if not self._holds(place) and not self._is_loading:
+        if not self._vacancies.holds(place) and not self._is_loading:
             self._load(place, seat)
             return
         if time.monotonic() - self._renewed_at > self._renew_after_s:
@@ -192,81 +153,11 @@
         status = self._backend.watch.status
         return status is not None and status.loading
 
-    def _place_of(self, seat: placement_lib.Seat) -> rules.PlaceRule | None:
-        for place in self._places():
-            if seat.name in placement_lib.seat_names(place):
-                return place
-        return None
-
-    def _places(self) -> list[rules.PlaceRule]:
-        """Returns the rules that allow this engine."""
-        contract = self._sources.feed.contract
-        return [
-            place
-            for model in contract.models()
-            for place in contract.places(model.name)
-            if self._is_allowed(
-                place,
-                failure_domain=self._settings.process.failure_domain,
-                accelerator=self._backend.report.accelerator,
-            )
-        ]
-
-    def _is_allowed(
-        self, place: rules.PlaceRule, *, failure_domain: str, accelerator: str
-    ) -> bool:
-        return failure_domain in place.failure_domains and (
-            not place.accelerators or accelerator in place.accelerators
-        )
-
-    def _version(self, place: rules.PlaceRule) -> str:
-        model = self._sources.feed.contract.model(place.model)
-        return "" if model is None else model.version
-
-    def _holds(self, place: rules.PlaceRule) -> bool:
-        status = self._backend.watch.status
-        return status is not None and status.holds(
-            model=place.model,
-            version=self._version(place),
-            first_layer=place.first_layer,
-            last_layer=place.last_layer,
-        )
-
-    def _vacant(self, place: rules.PlaceRule) -> tuple[placement_lib.Seat, ...]:
-        names = placement_lib.seat_names(place)
-        seats = [self._placement.seat(name) for name in names]
-        hosts = {seat.holder[0] for seat in seats if seat.holder is not None}
-        contract = self._sources.feed.contract
-        live = {
-            host
-            for host in self._sources.hosts.live(hosts)
-            if not contract.is_draining(host)
-        }
-        return self._placement.vacant(place, live=live)
-
-    def _find_own_seat(self) -> Vacancy | None:
-        """Finds a seat for the layers that the engine already holds."""
-        for place in self._places():
-            vacant = self._vacant(place) if self._holds(place) else ()
-            if vacant:
-                seat = random.choice(vacant)
-                return Vacancy(
-                    place=place, seat=seat, rank=0, seats=len(vacant)
-                )
-        return None
-
-    def _find_vacancy(self) -> Vacancy | None:
-        """Finds a seat that has been vacant long enough for this rank."""
+    def _find_due(self) -> vacancies_lib.Vacancy | None:
         if not self._settings.repairs or not self._has_seen_all_holders():
             return None
         self._say_spare()
-        found = None
-        for place in self._places():
-            vacant = self._vacant(place)
-            self._note_vacant(place, vacant)
-            if found is None and vacant and not self._holds(place):
-                found = self._due(place, vacant)
-        return found
+        return self._vacancies.find_due()
 
     def _has_seen_all_holders(self) -> bool:
         """Whether holders in dropped records have said so again."""
@@ -287,46 +178,7 @@
         )
         self._said_spare = self._sources.placement.append(item)
 
-    def _note_vacant(
-        self, place: rules.PlaceRule, vacant: tuple[placement_lib.Seat, ...]
-    ) -> None:
-        names = {seat.name for seat in vacant}
-        for name in placement_lib.seat_names(place):
-            if name in names:
-                self._vacant_since.setdefault(name, time.monotonic())
-            else:
-                self._vacant_since.pop(name, None)
-
-    def _due(
-        self, place: rules.PlaceRule, vacant: tuple[placement_lib.Seat, ...]
-    ) -> Vacancy | None:
-        rank = self._rank(place)
-        # The first ranks go for different seats, so that they don't collide.
-        seat = vacant[rank % len(vacant)]
-        wait_s = (
-            self._settings.takeover_settle_s
-            + rank * self._settings.takeover_rank_s
-        )
-        if time.monotonic() - self._vacant_since[seat.name] < wait_s:
-            return None
-        return Vacancy(place=place, seat=seat, rank=rank, seats=len(vacant))
-
-    def _rank(self, place: rules.PlaceRule) -> int:
-        spares = [
-            spare
-            for spare in self._placement.spares.values()
-            if self._is_allowed(
-                place,
-                failure_domain=spare.failure_domain,
-                accelerator=spare.accelerator,
-            )
-        ]
-        live = self._sources.hosts.live({spare.host for spare in spares})
-        nodes = {_node(spare.address) for spare in spares if spare.host in live}
-        own = _node(self._address)
-        return rendezvous.rank(place.identity, nodes | {own}).index(own)
-
-    def _take(self, vacancy: Vacancy) -> None:
+    def _take(self, vacancy: vacancies_lib.Vacancy) -> None:
         item = placement_lib.TakeOver(
             **self._fields(),
             id=uuid.uuid4().hex,
@@ -345,10 +197,12 @@
         if verdict is None:
             self._take_without_log(vacancy)
 
-    def _take_without_log(self, vacancy: Vacancy) -> None:
+    def _take_without_log(self, vacancy: vacancies_lib.Vacancy) -> None:
         # With the log down the ranked wait alone decides, so only as many
         # engines act as there are seats; one replica too many is the worst.
-        if self._sources.placement.log_is_up or self._holds(vacancy.place):
+        if self._sources.placement.log_is_up or self._vacancies.holds(
+            vacancy.place
+        ):
             return
         if vacancy.rank < vacancy.seats:
             self._load(vacancy.place, None)
@@ -361,7 +215,7 @@
         order = engine_client.Order(
             order="load",
             model=place.model,
-            version=self._version(place),
+            version=self._vacancies.version(place),
             first_layer=place.first_layer,
             last_layer=place.last_layer,
             fence=fence,
@@ -404,9 +258,27 @@
         return {
             "seat": repr(self._seat),
             "spare": self._said_spare,
-            "vacant": sorted(self._vacant_since),
+            "vacancies": repr(self._vacancies),
         }
 
 
-def _node(address: placement_lib.Address) -> str:
-    return "{}:{}/{}".format(*address)
+def make(
+    settings: agent_settings.AgentSettings,
+    *,
+    backend: engine_backend.EngineBackend,
+    sources: vacancies_lib.Sources,
+) -> Repair:
+    """Returns the repair of one engine.
+
+    Args:
+        settings: Where the agent runs and its waits.
+        backend: The engine.
+        sources: What is decided on.
+    """
+    orders = orders_lib.Orders(
+        backend,
+        host=settings.process.host,
+        store=weight_store_client.WeightStoreClient(settings.platform),
+        journal=sources.journal,
+    )
+    return Repair(settings, backend=backend, orders=orders, sources=sources)
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/sequence.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/sequence.py
@@ -76,6 +76,7 @@
         self._outputs = array.array("q")
         self._outputs_start = 0
         self._running: Work | None = None
+        self._begun = False
         self._released = False
 
     def __repr__(self) -> str:
@@ -146,6 +147,11 @@
         """Whether the request ended here."""
         return self._released
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the engine may hold the sequence."""
+        return self._begun
+
     @property
     def is_at_engine(self) -> bool:
         """Whether work is at the engine."""
@@ -216,6 +222,7 @@
         Returns:
             The work; `complete` must follow before the next call.
         """
+        self._begun = True
         inputs = tuple(self._pending[:limit])
         del self._pending[:limit]
         self._running = Work(position=self._next_position, inputs=inputs)
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/step_times.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/step_times.py
@@ -8,7 +8,6 @@
 _MIN_CHUNK_TOKENS = 16
 _MIN_TIME_LIMIT_S = 1.0
 _TIME_LIMIT_FACTOR = 8.0
-_TIMED_BATCHES = 20
 _MIN_VARIANCE = 0.05
 
 
@@ -54,7 +53,6 @@
         self._step_ms: float | None = None
         self._token_ms: float | None = None
         self._by_sequences = _Line()
-        self._batches = 0
 
     def __repr__(self) -> str:
         """Shows the durations."""
@@ -88,7 +86,6 @@
             sequences: How many sequences it held.
             prefill_tokens: How many prompt tokens it held.
         """
-        self._batches += 1
         if prefill_tokens == 0:
             self._step_ms = _smooth(self._step_ms, duration_ms)
             self._by_sequences.add(sequences, duration_ms)
@@ -123,7 +120,9 @@
             prefill_tokens: How many prompt tokens it holds.
             most_s: Upper limit of the answer, s.
         """
-        if self._batches < _TIMED_BATCHES:
+        if self._step_ms is None:
+            return most_s
+        if prefill_tokens and self._token_ms is None:
             return most_s
         expected_s = self.expected_ms(prefill_tokens=prefill_tokens) / 1000
         limit_s = max(expected_s * _TIME_LIMIT_FACTOR, _MIN_TIME_LIMIT_S)
--- a/packages/dotterelgrade-agent/tests/conftest.py
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -268,6 +268,11 @@
             source=target,
         )
 
+    def wait_slot(self, target):
+        with gevent.Timeout(10):
+            while not target._engines["engine"].slots_free:
+                gevent.sleep(0.01)
+
     def admit_chain(self, request_id, agents, **changes):
         hops = [_hop(item) for item in agents[1:]] + [None]
         for stage, (target, next_hop) in enumerate(
--- a/packages/dotterelgrade-agent/tests/test_engine_backend.py
+++ b/packages/dotterelgrade-agent/tests/test_engine_backend.py
@@ -6,12 +6,14 @@
 import pytest
 
 from dotterelgrade import errors
+from dotterelgrade import journal as journal_lib
 from dotterelgrade import messages
 from dotterelgrade_agent import batch
 from dotterelgrade_agent import engine_client
 from dotterelgrade_agent import orders
 from dotterelgrade_agent import sequence as sequence_lib
 from dotterelgrade_agent import step_times
+from dotterelgrade_agent import supervision
 from dotterelgrade_agent import weight_store_client
 
 PROMPT = (5, 6, 7)
@@ -83,6 +85,64 @@
     assert abs(times.step_ms - 12.0) < 0.01
 
 
+def test_the_time_limit_rises_with_an_engine_that_has_become_slow():
+    times = step_times.StepTimes()
+    assert times.time_limit_s(prefill_tokens=0, most_s=10.0) == 10.0
+    times.record(duration_ms=100.0, sequences=1, prefill_tokens=0)
+    assert times.time_limit_s(prefill_tokens=500, most_s=10.0) == 10.0
+    assert times.time_limit_s(prefill_tokens=0, most_s=10.0) == 1.0
+    times.record(duration_ms=1_000.0, sequences=1, prefill_tokens=0)
+    assert times.time_limit_s(prefill_tokens=0, most_s=10.0) > 2.0
+
+
+def test_a_fault_in_a_batch_does_not_stop_the_next_one(
+    fleet, admit, monkeypatch
+):
+    target = fleet.engine_agent(2)
+    fleet.wait_usable(target)
+    backend = target._engines["engine"]
+    monkeypatch.setattr(backend, "_deliver", lambda *_: 1 / 0)
+    fleet.entry.send(target, admit("r1", stage=2, next_hop=None))
+    fleet.entry.wait(messages.Admitted)
+    fleet.step(target, "r1", 0, PROMPT, stage=2)
+    failed = fleet.entry.wait(messages.StageFailed)
+    assert failed.kind == errors.ErrorKind.ENGINE_FAILED
+    monkeypatch.undo()
+    fleet.wait_slot(target)
+    fleet.entry.send(target, admit("r2", stage=2, next_hop=None))
+    fleet.entry.wait(messages.Admitted)
+    fleet.step(target, "r2", 0, PROMPT, stage=2)
+    assert fleet.token("r2", 3) >= 0
+
+
+def test_an_engine_full_of_strangers_is_cleaned_up(fleet, admit):
+    target = fleet.engine_agent(0, max_sequences=2)
+    fleet.wait_usable(target)
+    engine = fleet.engines[target]
+    item = {"position": 0, "inputs": [1], "priority": 1}
+    engine._run_batch([{"sequence": f"s{n}", **item} for n in range(2)])
+    fleet.entry.send(target, admit("r1", stage=0, next_hop=None))
+    fleet.entry.wait(messages.Admitted)
+    fleet.step(target, "r1", 0, PROMPT)
+    fleet.entry.wait(messages.StageFailed)
+    with gevent.Timeout(5):
+        while engine.sequences:
+            gevent.sleep(0.01)
+
+
+def test_a_part_that_fails_starts_again(monkeypatch):
+    monkeypatch.setattr(supervision, "RESTART_S", 0.01)
+    faults = [ValueError("first"), OSError("second")]
+
+    def body():
+        if faults:
+            raise faults.pop()
+
+    journal = journal_lib.Journal()
+    supervision.keep_running(body, journal=journal)
+    assert len(journal.latest()) == 2
+
+
 ODD_ANSWERS = [
     b"",
     b"\xff\xfe",
@@ -115,9 +175,7 @@
     failed = fleet.entry.wait(messages.StageFailed)
     assert failed.kind == errors.ErrorKind.ENGINE_FAILED
     monkeypatch.undo()
-    with gevent.Timeout(10):
-        while not target._engines["engine"].slots_free:
-            gevent.sleep(0.01)
+    fleet.wait_slot(target)
     fleet.entry.send(target, admit("r2", stage=0, next_hop=None))
     fleet.entry.wait(messages.Admitted)
 
