Encode a report once for all entries

Cause: an agent encoded the same report once for each connected entry, which grows with the 70 links of the size to design for. Change: `wire.encode` and `Connection.send_encoded`; a broadcast encodes once.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/entry_links.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/entry_links.py
@@ -67,6 +67,11 @@
         connection = self._connection
         return connection is not None and connection.send(message)
 
+    def send_encoded(self, data: bytes) -> bool:
+        """Sends an encoded frame, or returns False when the entry is away."""
+        connection = self._connection
+        return connection is not None and connection.send_encoded(data)
+
 
 class EntryLinks:
     """Every entry by its incarnation; lost ones get a grace period."""
@@ -114,9 +119,10 @@
             self._on_orphaned(link)
 
     def broadcast(self, message: Any) -> None:
-        """Sends a frame to every connected entry."""
+        """Sends a frame to every connected entry, encoded once."""
+        data = wire.encode(message)
         for link in self:
-            link.send(message)
+            link.send_encoded(data)
 
     def close(self) -> None:
         """Ends the grace periods."""
--- a/packages/dotterelgrade/src/dotterelgrade/wire.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wire.py
@@ -61,6 +61,18 @@
         """Returns the delay of a write in seconds, or None to drop the link."""
 
 
+_PACKER = msgpack.Packer()
+
+
+def encode(message: Any) -> bytes:
+    """Returns the bytes of a frame.
+
+    Args:
+        message: An instance of a registered frame.
+    """
+    return _PACKER.pack(messages.to_wire(message))
+
+
 class Connection:
     """One authenticated stream to a peer.
 
@@ -95,7 +107,6 @@
         self._last_heard = time.monotonic()
         self._bytes_sent = 0
         self._bytes_received = 0
-        self._packer = msgpack.Packer()
         self._writer = gevent.spawn(self._write_loop)
 
     def __repr__(self) -> str:
@@ -139,12 +150,22 @@
         Args:
             message: An instance of a registered frame.
 
+        Returns:
+            False when the connection is closed, so that the frame is lost.
+        """
+        return not self._closed and self.send_encoded(encode(message))
+
+    def send_encoded(self, data: bytes) -> bool:
+        """Queues a frame that `encode` returned; see `send`.
+
+        Args:
+            data: One frame, which many connections may share.
+
         Returns:
             False when the connection is closed, so that the frame is lost.
         """
         if self._closed:
             return False
-        data = self._packer.pack(messages.to_wire(message))
         self._outbox.append(data)
         self._unsent_bytes += len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
@@ -287,7 +308,7 @@
 
 
 def _send_now(sock: gevent.socket.socket, message: Any) -> None:
-    sock.sendall(msgpack.packb(messages.to_wire(message)))
+    sock.sendall(encode(message))
 
 
 def _read_one(
