Answer every request whatever agents send

Cause: an agent's retry time went into the answer unchecked; an endless one broke the Retry-After header and the caller got no answer from the entry.

Change: only times up to a minute are passed on.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
@@ -12,12 +12,11 @@
 from dotterelgrade_entry import pipeline_tools
 from dotterelgrade_entry import planner as planner_lib
 from dotterelgrade_entry import request as request_lib
+from dotterelgrade_entry import retry_after
 
 _MAX_TRIES = 4
 _ADMIT_PART = 0.4
 _MIN_ADMIT_TIMEOUT_S = 0.15
-_RETRY_AFTER_S = 1.0
-_MS_PER_S = 1000
 
 
 class ChainAdmission:
@@ -153,7 +152,7 @@
         error = errors.Error(
             kind=errors.ErrorKind.NO_CAPACITY,
             message="an agent did not answer the admission",
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=retry_after.DEFAULT_S,
         )
         for index in replies.missing:
             self.blame(self._link.stages[index], "no answer to an admission")
@@ -202,11 +201,10 @@
 
 
 def _refusal_error(refused: messages.Refused) -> errors.Error:
-    retry_after_s = refused.retry_after_ms / _MS_PER_S or _RETRY_AFTER_S
     error = errors.Error(
         kind=refused.kind,
         message=refused.message,
-        retry_after_s=retry_after_s,
+        retry_after_s=retry_after.checked_s(refused.retry_after_ms),
         run=errors.Run.NOT_RUN,
     )
     if error.answer.retryable:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
@@ -18,11 +18,11 @@
 from dotterelgrade_entry import exchange as exchange_lib
 from dotterelgrade_entry import fleet as fleet_lib
 from dotterelgrade_entry import idempotency
+from dotterelgrade_entry import retry_after
 from dotterelgrade_entry import retry_budget
 
 _MS_PER_S = 1000
 _MAX_TRIES = 4
-_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -252,7 +252,7 @@
     return errors.Error(
         kind=errors.ErrorKind.NO_CAPACITY,
         message=f"no backend server for service {order.rule.name}",
-        retry_after_s=_RETRY_AFTER_S,
+        retry_after_s=retry_after.DEFAULT_S,
     )
 
 
@@ -265,9 +265,9 @@
 
 
 def _to_error(failed: messages.CallFailed) -> errors.Error:
-    retry_after_s = failed.retry_after_ms / _MS_PER_S or None
-    if retry_after_s is None and errors.ANSWERS[failed.kind].retryable:
-        retry_after_s = _RETRY_AFTER_S
+    retry_after_s = None
+    if failed.retry_after_ms or errors.ANSWERS[failed.kind].retryable:
+        retry_after_s = retry_after.checked_s(failed.retry_after_ms)
     return errors.Error(
         kind=failed.kind,
         message=failed.message,
