Load a new version seat by seat, and stop repeating a load that fails

Cause, found by reading: a new version in the contract made every holder of a range refuse new work and load at the same moment; an engine that can't load a rule's layers took the same seat again after each failure, before others. Change: holders say which version they hold; each waits for the seats before its own. A failed load leaves the rule's seats to others for 60 s. A leaving agent does not begin a load. Tests now hold a free block of addresses, so that two runs at the same time don't meet (seen once: address already in use).

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/placement.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/placement.py
@@ -47,10 +47,12 @@
     Attributes:
         seat: Name of the seat.
         fence: Fencing number under which it is held.
+        version: Version of the model that the holder has loaded.
     """
 
     seat: str
     fence: int
+    version: str = ""
 
 
 class Vacation(_Item, frozen=True, kw_only=True, tag="vacation"):
@@ -97,11 +99,13 @@
         name: Identity of the rule and the number of the seat.
         holder: The backend server that holds it, or None when it is vacant.
         fence: Offset of the record that made it so; 0 when nothing has.
+        version: Version of the model that the holder has said it has loaded.
     """
 
     name: str
     holder: Address | None = None
     fence: int = 0
+    version: str = ""
 
 
 def seat_names(place: rules.PlaceRule) -> tuple[str, ...]:
@@ -227,9 +231,16 @@
             self._spares.pop(seat.holder, None)
 
     def _renew(self, item: Renewal) -> None:
-        if item.fence > self.seat(item.seat).fence:
+        seat = self.seat(item.seat)
+        is_holder = item.fence == seat.fence and item.address == seat.holder
+        if is_holder or item.fence > seat.fence:
             self._hold(
-                Seat(name=item.seat, holder=item.address, fence=item.fence)
+                Seat(
+                    name=item.seat,
+                    holder=item.address,
+                    fence=item.fence,
+                    version=item.version,
+                )
             )
 
     def _vacate(self, item: Vacation) -> None:
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/repair.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/repair.py
@@ -133,16 +133,29 @@
             # rule needs it.
             self._vacate(seat)
             return
-        if not self._vacancies.holds(place) and not self._is_loading:
+        if self._is_loading:
+            return
+        if self._vacancies.holds(place):
+            self._renew(seat)
+        elif self._vacancies.is_turn(place, seat):
             self._load(place, seat)
+
+    def _renew(self, seat: placement_lib.Seat) -> None:
+        version = self._backend.watch.status.version
+        age_s = time.monotonic() - self._renewed_at
+        if seat.version == version and age_s < self._renew_after_s:
             return
-        if time.monotonic() - self._renewed_at > self._renew_after_s:
-            self._renewed_at = time.monotonic()
-            self._sources.placement.append(
-                placement_lib.Renewal(
-                    **self._fields(), seat=seat.name, fence=seat.fence
-                )
+        self._renewed_at = time.monotonic()
+        self._sources.placement.append(
+            placement_lib.Renewal(
+                **self._fields(),
+                seat=seat.name,
+                fence=seat.fence,
+                version=version,
             )
+        )
+        # What was appended shows a moment later.
+        gevent.sleep(_POLL_S)
 
     @property
     def _renew_after_s(self) -> float:
@@ -225,7 +238,7 @@
             while self._backend.in_flight:
                 gevent.sleep(_IN_FLIGHT_POLL_S)
             # A paused process may have lost the seat meanwhile.
-            if seat is not None and self._seat != seat:
+            if self._is_taken(seat) or self._sources.departure.reason:
                 return
             answer = self._orders.load(
                 order, timeout_s=self._settings.load_timeout_s
@@ -234,9 +247,17 @@
             self._backend.withhold("")
         if isinstance(answer, result.Failure):
             self._note("load_failed", answer.failure().message, seat)
+            self._vacancies.avoid(place)
             if seat is not None:
                 self._vacate(seat)
 
+    def _is_taken(self, seat: placement_lib.Seat | None) -> bool:
+        """Whether another engine has taken the seat meanwhile."""
+        if seat is None:
+            return False
+        now = self._seat
+        return now is None or now.fence != seat.fence
+
     def _note(
         self,
         decision: str,
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/vacancies.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/vacancies.py
@@ -15,6 +15,8 @@
 from dotterelgrade_agent import placement as placement_lib
 from dotterelgrade_agent import placement_log
 
+AVOID_S = 60.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Sources:
@@ -76,6 +78,7 @@
         self._sources = sources
         self._address = address
         self._vacant_since: dict[str, float] = {}
+        self._avoided_until: dict[str, float] = {}
 
     def __repr__(self) -> str:
         """Shows the vacant seats."""
@@ -120,10 +123,45 @@
 
     def holds(self, place: rules.PlaceRule) -> bool:
         """Whether the engine holds what a rule asks for."""
+        return self._holds_version(place, self.version(place))
+
+    def is_turn(self, place: rules.PlaceRule, seat: placement_lib.Seat) -> bool:
+        """Whether the engine may load what its seat asks for now.
+
+        Another version of the same layers goes on serving until the holders
+        of the seats before have loaded theirs, so that a new version never
+        takes all replicas away at once.
+
+        Args:
+            place: The rule.
+            seat: The seat of the engine.
+        """
+        if not self._holds_version(place, ""):
+            return True
+        version = self.version(place)
+        vacant = {vacant.name for vacant in self._vacant(place)}
+        for name in placement_lib.seat_names(place):
+            if name == seat.name:
+                return True
+            if name in vacant:
+                continue
+            if self._placement.seat(name).version != version:
+                return False
+        return True
+
+    def avoid(self, place: rules.PlaceRule) -> None:
+        """Leaves the seats of a rule to others for a while."""
+        self._avoided_until[place.identity] = time.monotonic() + AVOID_S
+
+    def _is_avoided(self, place: rules.PlaceRule) -> bool:
+        until = self._avoided_until.get(place.identity, 0.0)
+        return time.monotonic() < until
+
+    def _holds_version(self, place: rules.PlaceRule, version: str) -> bool:
         status = self._backend.watch.status
         return status is not None and status.holds(
             model=place.model,
-            version=self.version(place),
+            version=version,
             first_layer=place.first_layer,
             last_layer=place.last_layer,
         )
@@ -157,7 +195,9 @@
         for place in self.places():
             vacant = self._vacant(place)
             self._note_vacant(place, vacant)
-            if found is None and vacant and not self.holds(place):
+            if self.holds(place) or self._is_avoided(place):
+                continue
+            if found is None and vacant:
                 found = self._due(place, vacant)
         return found
 
--- a/packages/dotterelgrade-agent/tests/conftest.py
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -1,5 +1,6 @@
 import contextlib
 import itertools
+import socket
 import uuid
 
 import gevent
@@ -21,7 +22,8 @@
 
 KEY = "k" * 16
 LAYERS = 9
-_HOST_NUMBERS = itertools.count(1)
+_GUARD_PORT = 17999
+_BLOCKS = 200
 
 
 class LocalHosts:
@@ -331,7 +333,18 @@
     return _admit
 
 
+def _take_block(stack):
+    """Returns the number of a free block of addresses, and holds it."""
+    for number in range(1, _BLOCKS):
+        guard = stack.enter_context(socket.socket())
+        with contextlib.suppress(OSError):
+            guard.bind((f"127.30.{number}.254", _GUARD_PORT))
+            return number
+    raise OSError("no free block of loopback addresses")
+
+
 @pytest.fixture
 def fleet():
+    # Runs of the tests at the same time must not meet on one address.
     with contextlib.ExitStack() as stack:
-        yield Fleet(stack, next(_HOST_NUMBERS))
+        yield Fleet(stack, _take_block(stack))
--- a/packages/dotterelgrade-agent/tests/test_repair.py
+++ b/packages/dotterelgrade-agent/tests/test_repair.py
@@ -175,3 +175,37 @@
     )
     working = _agent(fleet, model="")
     _wait(lambda: _holds(fleet, working))
+
+
+def test_a_new_version_is_loaded_by_one_replica_after_the_other(fleet):
+    fleet.contract(PLACE.format(3))
+    agents = [_agent(fleet, model="inlay") for _ in range(3)]
+    for target in agents:
+        _wait(
+            lambda target=target: target.placement.placement.held_by(
+                (target.settings.process.host, 17400, "engine")
+            )
+        )
+    fleet.contract("model name=inlay layers=9 version=2 # studio: drafts")
+    engines = [fleet.engines[target] for target in agents]
+
+    def loading():
+        return sum(engine.status()["loading"] for engine in engines)
+
+    def is_done():
+        assert loading() <= 1
+        return all(engine.status()["version"] == "2" for engine in engines)
+
+    _wait(is_done)
+
+
+def test_an_engine_that_can_not_load_does_not_try_again_at_once(fleet):
+    broken = _agent(fleet, model="", models={"other": 9})
+
+    def failures():
+        entries = broken.journal.latest()
+        return sum(entry.decision == "load_failed" for entry in entries)
+
+    _wait(failures)
+    gevent.sleep(2.0)
+    assert failures() == 1
