Warm the fleet before a search, and scale the entries' stall limit

Cause: at a cold start the planner does not know the engines yet; the first load of a search measured that and not the policy. At an eighth of the speed the entries' stall limit of 1 s was shorter than the scaled bound on the first token (2.72 s), so that stages which only were slow were replaced and steps ran twice: the oracle counted 12 doubled at 24 requests/s without any fault.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
@@ -26,6 +26,7 @@
 ENGINE_PORT = 9000
 SERVICE_PORT = 9001
 DEFAULT_MIX = ("h100", "a100", "l40", "a10", "h100", "a100", "l40", "t4")
+_STALL_LIMIT_S = 1.0
 _FIRST_ENTRY = 2
 _FIRST_WORKER = 10
 _FIRST_ORDER_WORKER = 200
@@ -230,6 +231,9 @@
             platform=self.platform(),
             http_port=HTTP_PORT,
             policy=self._settings.policy,
+            stall_limit_s=max(
+                _STALL_LIMIT_S, _STALL_LIMIT_S * self._settings.time_scale / 2
+            ),
         )
 
     def platform(self) -> settings_lib.PlatformSettings:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
@@ -51,6 +51,10 @@
     searches, overloads, larges = [], [], []
     for policy in settings.policies:
         with context.fleet(policy=policy) as fleet:
+            # A fleet in use has measured its engines; a cold one has not.
+            context.measure(
+                fleet, rate_per_s=settings.first_rate_per_s / 2, seed=0
+            )
             for seed in settings.seeds:
                 search = _search(context, fleet, policy=policy, seed=seed)
                 searches.append(search)
