Halve the processor time of choosing a chain

Cause: the search built cost objects for every pair of a path and a stage.

Change: pairs are compared by numbers, and only the cheapest and the quickest path to each stage are built.

Measured offline, three layer ranges, candidates drawn from 8, 32 and 128 replicas: 1793, 1716 and 1544 us a plan before; 807 to 1184, 816 and 874 us after (one run each, the machine shared).

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
@@ -122,3 +122,8 @@
 def link(one_way_s: float) -> Cost:
     """Returns the cost of one link, which every token crosses once."""
     return Cost(one_way_s, one_way_s)
+
+
+def link_score(one_way_s: float, tokens: int) -> float:
+    """Returns `link(one_way_s).total_s(tokens)` without the objects."""
+    return _OWN_WEIGHT * one_way_s * max(tokens, 1)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -73,6 +73,10 @@
     score: float
     stages: tuple[Stage, ...]
 
+    @property
+    def last(self) -> Stage | None:
+        return self.stages[-1] if self.stages else None
+
 
 class Planner:
     """Finds chains over layer boundaries with one registered policy.
@@ -237,25 +241,32 @@
         """Returns the cheapest and the quickest path that ends in a stage."""
         if not paths:
             return []
+        links = [self._one_way_s(path.last, stage) for path in paths]
+        tokens = _tokens_of(order)
+        scores = [
+            path.score + cost_model.link_score(one_way_s, tokens)
+            for path, one_way_s in zip(paths, links, strict=True)
+        ]
+        gaps = [
+            path.cost.between_tokens_s + one_way_s
+            for path, one_way_s in zip(paths, links, strict=True)
+        ]
+        # Only the best ones are built, since this is the innermost loop.
+        kept = {scores.index(min(scores)), gaps.index(min(gaps))}
         own = self._own_cost(stage, order)
-        extended = []
-        for path in paths:
-            before = path.stages[-1] if path.stages else None
-            step = own.plus(cost_model.link(self._one_way_s(before, stage)))
-            extended.append(
-                _Path(
-                    path.cost.plus(step),
-                    path.score + self._score(step, order),
-                    (*path.stages, stage),
-                )
+        own_score = own.total_s(tokens)
+        return [
+            _Path(
+                paths[i].cost.plus(own).plus(cost_model.link(links[i])),
+                scores[i] + own_score,
+                (*paths[i].stages, stage),
             )
-        cheapest = min(extended, key=lambda path: path.score)
-        quickest = min(extended, key=lambda path: path.cost.between_tokens_s)
-        return [cheapest] if cheapest is quickest else [cheapest, quickest]
+            for i in kept
+        ]
 
     def _closed(self, path: _Path, order: request_lib.RequestOrder) -> _Path:
         back = self._way_back(path.stages[-1])
-        score = path.score + self._score(back, order)
+        score = path.score + back.total_s(_tokens_of(order))
         return _Path(path.cost.plus(back), score, path.stages)
 
     def _preference(
@@ -269,11 +280,6 @@
         )
         return max(excess - _INSIDE_PART, 0.0), path.score
 
-    def _score(
-        self, cost: cost_model.Cost, order: request_lib.RequestOrder
-    ) -> float:
-        return cost.total_s(min(order.max_tokens, _TYPICAL_TOKENS))
-
     def _own_cost(
         self, stage: Stage, order: request_lib.RequestOrder
     ) -> cost_model.Cost:
@@ -322,6 +328,10 @@
         return max(known, default=cost_model.DEFAULT_RTT_S) / 2
 
 
+def _tokens_of(order: request_lib.RequestOrder) -> int:
+    return min(order.max_tokens, _TYPICAL_TOKENS)
+
+
 def _free(found: Ranges, avoid: Collection[str]) -> Ranges:
     ranges = {}
     for layers, members in found.items():
