Answer a call and close a connection after an unforeseen error

Cause, found by reading: an unforeseen error in a call left the caller without an answer until its deadline, one in a frame's handler went to standard error as plain text, and a deadline that is no number or infinite was taken as it is. Change: such a call is answered as internal with run=unknown, such a frame is logged and ends its connection only, deadlines are bounded to an hour.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/calls.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/calls.py
@@ -1,5 +1,6 @@
 """Calls to plain services: each is run at most once per frame."""
 
+import logging
 import time
 
 import gevent.pool
@@ -13,6 +14,9 @@
 from dotterelgrade_agent import keyed_calls
 from dotterelgrade_agent import service_backend
 
+_LOG = logging.getLogger(__name__)
+
+MAX_CALL_S = 3_600.0
 _MS_PER_S = 1000
 _RETRY_AFTER_LEAVING_S = 1.0
 
@@ -87,7 +91,7 @@
                 kind=errors.ErrorKind.UNKNOWN_SERVICE,
                 message=f"no service {call.backend!r} here",
             )
-        if call.deadline_ms <= 0:
+        if not call.deadline_ms > 0:
             return errors.Error(
                 kind=errors.ErrorKind.DEADLINE_EXCEEDED,
                 message="the deadline has passed",
@@ -96,20 +100,38 @@
         return backend.check(call)
 
     def _run(self, link: entry_links.EntryLink, call: messages.Call) -> None:
-        deadline = time.monotonic() + call.deadline_ms / _MS_PER_S
         backend = self._services[call.backend]
-        with self._latency.timing():
-            if call.key:
-                answer = self._keyed.run(call, backend, deadline=deadline)
-            else:
-                answer = backend.run(
-                    call, limit_s=call.deadline_ms / _MS_PER_S
-                ).map(lambda reply: keyed_calls.Answered(reply=reply))
+        limit_s = min(call.deadline_ms / _MS_PER_S, MAX_CALL_S)
+        try:
+            with self._latency.timing():
+                answer = self._answer_of(call, backend, limit_s=limit_s)
+        except Exception as error:
+            # The entry must hear of it; whether the call ran is not known.
+            _LOG.exception("call failed", extra={"request": call.request_id})
+            answer = result.Failure(
+                errors.Error(
+                    kind=errors.ErrorKind.INTERNAL, message=repr(error)
+                )
+            )
         if isinstance(answer, result.Failure):
             self._answer_failure(link, call, answer.failure())
             return
         self._answer(link, call, answer.unwrap())
 
+    def _answer_of(
+        self,
+        call: messages.Call,
+        backend: service_backend.ServiceBackend,
+        *,
+        limit_s: float,
+    ) -> keyed_calls.Answer:
+        if call.key:
+            deadline = time.monotonic() + limit_s
+            return self._keyed.run(call, backend, deadline=deadline)
+        return backend.run(call, limit_s=limit_s).map(
+            lambda reply: keyed_calls.Answered(reply=reply)
+        )
+
     def _answer(
         self,
         link: entry_links.EntryLink,
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/server.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/server.py
@@ -180,7 +180,12 @@
                 )
                 peer.connection.close(f"unexpected frame {frame.__name__}")
                 return
-            handler(self._parts, peer, message)
+            try:
+                handler(self._parts, peer, message)
+            except Exception:
+                _LOG.exception("frame failed", extra={"frame": frame.__name__})
+                peer.connection.close(f"frame {frame.__name__} failed")
+                return
 
     def close(self) -> None:
         """Closes every connection."""
--- a/packages/dotterelgrade-agent/tests/test_keyed_calls.py
+++ b/packages/dotterelgrade-agent/tests/test_keyed_calls.py
@@ -395,3 +395,28 @@
     assert shop.answer(unkeyed).status == 200
     assert b"outcome" in shop.log.records("claims")[-1].body
     assert shop.runs == 2
+
+
+@pytest.mark.parametrize("deadline_ms", [0.0, -1.0, float("nan")])
+def test_a_call_without_time_left_is_not_run(shop, deadline_ms):
+    failed = shop.ask(shop.agent(), deadline_ms=deadline_ms)
+    assert failed.kind == errors.ErrorKind.DEADLINE_EXCEEDED
+    assert failed.run == errors.Run.NOT_RUN
+    assert shop.runs == 0
+
+
+def test_a_call_without_a_deadline_is_bounded(shop):
+    target = shop.agent()
+    for key in ("", _uuid7(0)):
+        assert shop.ask(target, key, deadline_ms=float("inf")).status == 200
+
+
+def test_an_unforeseen_error_is_answered_as_unknown(shop, monkeypatch):
+    target = shop.agent()
+    backend = target._services["order"]
+    monkeypatch.setattr(backend, "run", lambda *_, **__: 1 / 0)
+    failed = shop.ask(target)
+    assert (failed.kind, failed.run) == (
+        errors.ErrorKind.INTERNAL,
+        errors.Run.UNKNOWN,
+    )
--- a/packages/dotterelgrade-agent/tests/test_stages.py
+++ b/packages/dotterelgrade-agent/tests/test_stages.py
@@ -250,3 +250,17 @@
     with gevent.Timeout(10):
         assert list(connection) == []
     assert target.in_flight == 0
+
+
+def test_a_fault_in_a_frame_ends_only_its_connection(fleet, admit, monkeypatch):
+    target = fleet.engine_agent(0)
+    fleet.wait_usable(target)
+    first = fleet.entry.connections[target]
+    monkeypatch.setattr(target._stages, "release", lambda _: 1 / 0)
+    fleet.entry.send(target, messages.Release(request_id="r1", attempt=1))
+    with gevent.Timeout(10):
+        while first.is_open:
+            gevent.sleep(0.01)
+    fleet.entry.dial(target)
+    fleet.entry.send(target, admit("r2", stage=0, next_hop=None))
+    fleet.entry.wait(messages.Admitted)
