Probe unmeasured engines, judge stalls by the bounds, never mix versions

Change: an engine of a kind that was never measured holds two sequences until its first steps are; before the first token a stall is what exceeds the limit after the bound or the prediction, later eight bounds between tokens if that is longer; the expected wait comes from what was admitted while there was a backlog; a chain and its replacements keep one version, the one named in the contract once it covers the model.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -11,6 +11,7 @@
 _BASE_EJECTION_S = 0.5
 _MAX_EJECTION_S = 30.0
 _FORGIVENESS_S = 10.0
+_PROBE_SEQUENCES = 2
 
 
 class BackendView:
@@ -83,7 +84,7 @@
     @property
     def is_measured(self) -> bool:
         """Whether its speed is known, if only from others of its kind."""
-        return self.step_ms > 0 and self.token_ms > 0
+        return self.step_ms > 0
 
     @property
     def token_ms(self) -> float:
@@ -101,7 +102,11 @@
     @property
     def slots_free(self) -> int:
         """Slots that are left after own work since the report."""
-        return self._report.slots_free - len(self._pending) + self._released
+        free = self._report.slots_free - len(self._pending) + self._released
+        if self.step_ms:
+            return free
+        # Its speed shows with the first steps; until then it is only probed.
+        return min(free, _PROBE_SEQUENCES - self.sequences)
 
     @property
     def sequences(self) -> int:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
@@ -102,7 +102,6 @@
                 self._request.order,
                 chain=stages,
                 index=index,
-                version=self._model.version,
                 avoid=self._avoid,
             )
             if isinstance(chosen, result.Failure):
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_settings.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_settings.py
@@ -58,7 +58,7 @@
         silence_limit_s: Silence after which an agent with work counts as
             lost, s.
         stall_limit_s: Time without a token after which a pipeline is
-            examined, s.
+            examined, s; longer when the bounds are wide.
         give_up_s: Longest search for a replacement of lost stages, s.
         hosts_poll_s: Pause between two reads of the host list, s.
         first_token_s: Bound on the first token without a contract rule, s.
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fair_queue.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fair_queue.py
@@ -9,7 +9,9 @@
 
 from gevent import event
 
-_RATE_WINDOW_S = 2.0
+_RATE_MEMORY_S = 2.0
+_CREDIBLE_BACKLOG_S = 0.3
+_LOWEST_RATE_PER_S = 0.1
 _MAX_IDLE_FLOWS = 1_000
 
 
@@ -62,8 +64,9 @@
         self._virtual = 0.0
         self._numbers = itertools.count()
         self._waiting = 0
-        self._rate_per_s = 0.0
-        self._served_at = clock()
+        self._backlog_s = 0.0
+        self._backlog_served = 0.0
+        self._advanced_at = clock()
 
     def __repr__(self) -> str:
         """Shows how many requests wait."""
@@ -119,6 +122,7 @@
             workspace=workspace,
             cost=cost,
         )
+        self._advance()
         flow = self._flow(workspace, weight)
         heapq.heappush(flow.waiters, waiter)
         flow.waiting_cost += cost
@@ -132,12 +136,14 @@
             waiter: The request's place.
             served: Whether it was admitted.
         """
+        self._advance()
         flow = self._flows[waiter.workspace]
         flow.waiters.remove(waiter)
         heapq.heapify(flow.waiters)
         flow.waiting_cost -= waiter.cost
         self._waiting -= 1
         if served:
+            self._backlog_served += 1
             self._note_served(flow, waiter.cost)
         self.wake()
 
@@ -149,11 +155,17 @@
         start = self._start_tag(flow)
         self._virtual = max(self._virtual, start)
         flow.finish = start + cost / flow.weight
+
+    def _advance(self) -> None:
+        """Counts the time with a backlog; only then the rate is a capacity."""
         now = self._clock()
-        elapsed = now - self._served_at
-        self._served_at = now
-        kept = max(0.0, 1 - elapsed / _RATE_WINDOW_S)
-        self._rate_per_s = self._rate_per_s * kept + 1 / _RATE_WINDOW_S
+        elapsed = now - self._advanced_at
+        self._advanced_at = now
+        kept = math.exp(-elapsed / _RATE_MEMORY_S)
+        self._backlog_served *= kept
+        self._backlog_s *= kept
+        if self._waiting:
+            self._backlog_s += elapsed
 
     def head(self) -> Waiter | None:
         """Returns the request that is next, or None."""
@@ -177,19 +189,20 @@
             weight: Share of the workspace.
 
         Returns:
-            The requests before it over the recent rate of admissions.
+            The requests before it over the recent rate of admissions from
+            the queue; 0 as long as that is not known.
         """
+        self._advance()
+        if self._backlog_s < _CREDIBLE_BACKLOG_S:
+            return 0.0
         own = self._flows.get(workspace) or _Flow(weight)
         before = len(own.waiters)
         tag = self._start_tag(own) + own.waiting_cost / weight
         for flow in self._flows.values():
             if flow is not own:
                 before += _before(flow, tag - self._start_tag(flow))
-        return before / max(self._recent_rate_per_s(), 1.0)
-
-    def _recent_rate_per_s(self) -> float:
-        elapsed = self._clock() - self._served_at
-        return self._rate_per_s * max(0.0, 1 - elapsed / _RATE_WINDOW_S)
+        rate_per_s = self._backlog_served / self._backlog_s
+        return before / max(rate_per_s, _LOWEST_RATE_PER_S)
 
 
 def _before(flow: _Flow, tag_distance: float) -> int:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -315,23 +315,19 @@
         """Returns whether new work may be given to an agent."""
         return peer.takes_work and not self._is_draining(peer.entry.host)
 
-    def candidates(
-        self, model: str, version: str = ""
-    ) -> dict[LayerRange, list[Candidate]]:
+    def candidates(self, model: str) -> dict[LayerRange, list[Candidate]]:
         """Returns the usable engines of a model by their layer range."""
         self._refresh_index()
         found = self._index.get(model, {})
         ranges = {}
         for layers, members in found.items():
-            usable = [c for c in members if self._is_usable(c, version)]
+            usable = [c for c in members if self._is_usable(c)]
             if usable:
                 ranges[layers] = usable
         return ranges
 
-    def _is_usable(self, candidate: Candidate, version: str = "") -> bool:
+    def _is_usable(self, candidate: Candidate) -> bool:
         peer, view = candidate
-        if version and view.report.version != version:
-            return False
         return view.is_usable and self.takes_work(peer)
 
     def _refresh_index(self) -> None:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -19,6 +19,8 @@
 from dotterelgrade_entry import request as request_lib
 
 _LEARN_EVERY = 8
+# Bounds on the time between tokens after which a pipeline is examined.
+_STALL_GAPS = 8.0
 
 
 class Pipeline:
@@ -183,11 +185,13 @@
             self._repair.examine_stall()
 
     def _stall_limit_s(self) -> float:
-        limit = self._tools.settings.stall_limit_s
-        limit += self._tools.fleet.own_delay_s
+        order = self._request.order
+        delay_s = self._tools.fleet.own_delay_s
+        limit_s = self._tools.settings.stall_limit_s
         if not self._request.emitted:
-            limit += 2 * self._expected_first_s
-        return limit
+            late_s = max(self._expected_first_s, order.first_token_s)
+            return limit_s + late_s + delay_s
+        return max(limit_s, _STALL_GAPS * order.between_tokens_s) + delay_s
 
     def _handle(self, item: Any) -> None:
         if isinstance(item, chain_link.Lost):
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -1,5 +1,6 @@
 """Chooses the chain of backend servers that covers a model's layers."""
 
+import collections
 from collections.abc import Callable, Collection, Sequence
 import dataclasses
 import random
@@ -32,12 +33,14 @@
         view: What is known of it.
         first_layer: First layer it runs.
         last_layer: Last layer it runs, inclusive.
+        version: Version of the model that it held when it was chosen.
     """
 
     peer: agent_peer.AgentPeer
     view: backend_view.BackendView
     first_layer: int
     last_layer: int
+    version: str = ""
 
     @property
     def key(self) -> str:
@@ -126,16 +129,25 @@
         Args:
             order: What the caller asked for.
             layers: Number of layers of the model.
-            version: Version of the model to use; empty for any.
+            version: Version of the model to use; empty for any. Another one
+                serves while it does not cover the model; a chain never mixes
+                versions.
             avoid: Keys of backend servers that are not to be used.
 
         Returns:
-            The chain, or NO_CAPACITY.
+            The chain, OVER_BOUND when all chains are full, or NO_CAPACITY.
         """
-        found = self._fleet.candidates(order.model, version)
-        ranges = _leading_to_end(_free(found, avoid), layers)
-        if not _starts_at_zero(ranges):
-            if _starts_at_zero(_leading_to_end(found, layers)):
+        found = self._fleet.candidates(order.model)
+        is_covered = False
+        ranges: Ranges = {}
+        for held in _versions(found, wanted=version):
+            of_version = _of_version(found, held)
+            ranges = _leading_to_end(_free(of_version, avoid), layers)
+            if _starts_at_zero(ranges):
+                break
+            is_covered |= _starts_at_zero(_leading_to_end(of_version, layers))
+        else:
+            if is_covered:
                 return _no_free_slot(order.model)
             return _no_capacity(f"no chain covers model {order.model}")
         if self._policy.predicts:
@@ -148,7 +160,6 @@
         *,
         chain: Sequence[Stage],
         index: int,
-        version: str = "",
         avoid: Collection[str] = (),
     ) -> result.Result[Stage, errors.Error]:
         """Chooses a replacement for one stage of a chain.
@@ -157,16 +168,16 @@
             order: What the caller asked for.
             chain: The stages as they are.
             index: Index of the stage to replace.
-            version: Version of the model to use; empty for any.
             avoid: Keys of backend servers that are not to be used.
 
         Returns:
-            A stage with the same layers, or NO_CAPACITY.
+            A stage with the same layers and version, or NO_CAPACITY.
         """
         old = chain[index]
         layers = (old.first_layer, old.last_layer)
         used = {s.key for i, s in enumerate(chain) if i != index} | set(avoid)
-        ranges = _free(self._fleet.candidates(order.model, version), used)
+        found = self._fleet.candidates(order.model)
+        ranges = _free(_of_version(found, old.version), used)
         if layers not in ranges:
             return _no_capacity(f"no other backend server for layers {layers}")
         before = chain[index - 1] if index else None
@@ -332,6 +343,23 @@
     return min(order.max_tokens, _TYPICAL_TOKENS)
 
 
+def _versions(found: Ranges, *, wanted: str) -> list[str]:
+    """Returns the versions held, the wanted one first, then the most held."""
+    counts = collections.Counter(
+        view.report.version for members in found.values() for _, view in members
+    )
+    return sorted(counts, key=lambda v: (v != wanted, -counts[v], v))
+
+
+def _of_version(found: Ranges, version: str) -> Ranges:
+    ranges = {}
+    for layers, members in found.items():
+        same = [c for c in members if c[1].report.version == version]
+        if same:
+            ranges[layers] = same
+    return ranges
+
+
 def _free(found: Ranges, avoid: Collection[str]) -> Ranges:
     ranges = {}
     for layers, members in found.items():
@@ -354,7 +382,11 @@
 ) -> Stage:
     peer, view = candidate
     return Stage(
-        peer=peer, view=view, first_layer=layers[0], last_layer=layers[1]
+        peer=peer,
+        view=view,
+        first_layer=layers[0],
+        last_layer=layers[1],
+        version=view.report.version,
     )
 
 
--- a/packages/dotterelgrade-entry/tests/conftest.py
+++ b/packages/dotterelgrade-entry/tests/conftest.py
@@ -90,6 +90,7 @@
             backend="engine",
             kind="engine",
             model="inlay",
+            version="1",
             first_layer=first,
             last_layer=last,
             slots_free=16,
--- a/packages/dotterelgrade-entry/tests/test_backend_view.py
+++ b/packages/dotterelgrade-entry/tests/test_backend_view.py
@@ -92,7 +92,11 @@
     fresh = dataclasses.replace(REPORT, last_layer=5, step_ms=0.0, token_ms=0.0)
     view = backend_view.BackendView("b", fresh, priors=known, clock=clock)
     assert (view.step_ms, view.token_ms) == (0.0, 0.0)
+    # Three sequences are more than a probe.
+    assert not view.is_measured
+    assert view.slots_free <= 0
     backend_view.BackendView("a", REPORT, priors=known, clock=clock)
     # Twice as many layers.
     assert view.step_ms == pytest.approx(8.0)
     assert view.token_ms == pytest.approx(0.4)
+    assert view.slots_free == 5
