--- a/packages/dotterelgrade-standins/tests/test_operator_pages.py
+++ b/packages/dotterelgrade-standins/tests/test_operator_pages.py
@@ -79,3 +79,18 @@
 def test_links_between_pages_lead_somewhere(page):
     for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
         assert (page.parent / target).exists(), target
+
+
+def test_every_design_note_is_in_the_index():
+    index = (_ROOT / "docs/design/README.md").read_text()
+    notes = {path.name for path in _ROOT.glob("docs/design/*.md")}
+    missing = {name for name in notes if f"({name})" not in index}
+    assert missing == {"README.md"}
+
+
+def test_files_of_the_newcomers_map_exist():
+    page = (_ROOT / "docs/ARCHITECTURE.md").read_text()
+    known = {path.name for path in _ROOT.glob("packages/*/src/*/*.py")}
+    named = set(re.findall(r"([a-z_]+\.py)", page))
+    assert len(named) > 30
+    assert named <= known
