Read a long host list more rarely

Change: the interval grows with the list, at about 6 KB/s, up to 60 s: 1 s as today up to 46 entries, 60 s from 2,770 on. A new host's grace covers two intervals, so that its seat isn't taken before the list can show it. The agent uses it; the function is in the shared package for the entry. Computed, not measured, at 13,100 entries: 28 KB/s in place of 1.7 MB/s a process, 218 reads a second in place of 13,100.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
@@ -112,7 +112,7 @@
         report_bytes_per_s: Bytes of reports to all entries that stretch that
             interval, 1/s.
         report_idle_s: Longest interval of reports while idle, s.
-        hosts_poll_s: Interval between two looks at the host list, s.
+        hosts_poll_s: Shortest interval between two looks at the host list, s.
         orphan_grace_s: Time that an entry has to come back before its
             sequences are cancelled, s.
         takeover_rank_s: Wait per rank before a vacant layer range is taken, s.
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/host_view.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/host_view.py
@@ -1,6 +1,8 @@
 """The hosts as the platform's lagging list shows them."""
 
 from collections.abc import Callable, Iterable
+import math
+import random
 import time
 from typing import Protocol
 
@@ -11,6 +13,7 @@
 from dotterelgrade import host_list
 from dotterelgrade import settings as settings_lib
 
+_GRACE_INTERVALS = 2
 _MAX_NEW_HOSTS = 10_000
 
 
@@ -38,8 +41,8 @@
 
         Args:
             source: Where the list comes from.
-            poll_s: Interval between two looks, s.
-            grace_s: Time that a new host has to show, s.
+            poll_s: Shortest interval between two looks, s.
+            grace_s: Shortest time that a new host has to show, s.
             on_change: Called after each change of the list.
         """
         self._source = source
@@ -64,6 +67,13 @@
         """The latest list."""
         return self._entries
 
+    @property
+    def interval_s(self) -> float:
+        """Interval between two looks at a list of this length, s."""
+        return host_list.poll_interval_s(
+            len(self._entries), shortest_s=self._poll_s
+        )
+
     def is_leaving(self, process: settings_lib.ProcessSettings) -> bool:
         """Whether the list says that a process's host leaves."""
         return any(
@@ -85,14 +95,16 @@
         listed = {entry.host for entry in self._entries}
         leaving = {entry.host for entry in self._entries if entry.is_leaving}
         now = time.monotonic()
+        # A list that is read rarely shows a new host late.
+        grace_s = max(self._grace_s, _GRACE_INTERVALS * self.interval_s)
         live = set()
         for host in hosts:
             if host in listed:
                 # Once listed, it has used its grace up: gone means gone.
-                self._note_asked(host, now - self._grace_s)
+                self._note_asked(host, -math.inf)
                 if host not in leaving:
                     live.add(host)
-            elif now - self._note_asked(host, now) < self._grace_s:
+            elif now - self._note_asked(host, now) < grace_s:
                 live.add(host)
         return live
 
@@ -107,7 +119,7 @@
         """Looks at the list until killed."""
         while True:
             self.look()
-            gevent.sleep(self._poll_s)
+            gevent.sleep(self.interval_s * random.uniform(0.9, 1.0))
 
     def look(self) -> None:
         """Reads the list once."""
--- a/packages/dotterelgrade-agent/tests/test_hops.py
+++ b/packages/dotterelgrade-agent/tests/test_hops.py
@@ -2,6 +2,7 @@
 from gevent import queue
 import pytest
 
+from dotterelgrade import host_list
 from dotterelgrade import messages
 from dotterelgrade import wire
 from dotterelgrade_agent import hops as hops_lib
@@ -82,7 +83,7 @@
     service = hosts_service.HostsService(())
     view = host_view.HostView(
         fleet.local_hosts(service),
-        poll_s=1.0,
+        poll_s=0.01,
         grace_s=0.1,
         on_change=lambda: None,
     )
@@ -90,3 +91,34 @@
     assert view.live({"a"}) == {"a"}
     gevent.sleep(0.15)
     assert view.live({"a"}) == set()
+
+
+@pytest.mark.parametrize(
+    ("count", "interval_s"), [(0, 1.0), (45, 1.0), (1_000, 21.7), (13_100, 60)]
+)
+def test_a_long_host_list_is_read_more_rarely(fleet, count, interval_s):
+    entries = [
+        host_list.HostEntry(
+            host=f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}",
+            role=messages.Role.AGENT,
+            peer_port=7400,
+            admin_port=7401,
+            failure_domain="recife-a",
+        )
+        for n in range(count)
+    ]
+    service = hosts_service.HostsService(entries)
+    view = host_view.HostView(
+        fleet.local_hosts(service),
+        poll_s=1.0,
+        grace_s=1.0,
+        on_change=lambda: None,
+    )
+    view.look()
+    assert round(view.interval_s, 1) == interval_s
+    gone = {entry.host for entry in entries[:1]}
+    assert view.live(gone) == gone
+    for host in gone:
+        service.remove(host)
+    view.look()
+    assert view.live(gone) == set()
--- a/packages/dotterelgrade/src/dotterelgrade/host_list.py
+++ b/packages/dotterelgrade/src/dotterelgrade/host_list.py
@@ -16,6 +16,10 @@
 
 _HTTP_OK = 200
 
+LONGEST_POLL_S = 60.0
+_ENTRY_BYTES = 130
+_POLL_BYTES_PER_S = 6_000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HostEntry:
@@ -43,6 +47,23 @@
         return self.state == "leaving"
 
 
+def poll_interval_s(count: int, *, shortest_s: float) -> float:
+    """Returns how long to wait between two reads of a list of that length.
+
+    The whole list comes with each read, so its length sets what reads cost.
+    Changes show earlier through connections than through a long list.
+
+    Args:
+        count: How many entries the list has.
+        shortest_s: Interval for a short list, s.
+
+    Returns:
+        The interval, s; at most `LONGEST_POLL_S`, unless `shortest_s` is more.
+    """
+    paced_s = count * _ENTRY_BYTES / _POLL_BYTES_PER_S
+    return max(shortest_s, min(paced_s, LONGEST_POLL_S))
+
+
 class HostList:
     """Reads `GET hosts_url`, which answers `{"hosts": [HostEntry, ...]}`."""
 
