Try an engine that is new or was slow when it was last used

An engine that was slow once would likewise never be tried again.

Change: an idle engine that was never measured counts half its step until one request has shown it; a measurement older than 5 s without work counts at most what its kind costs.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -12,6 +12,7 @@
 _MAX_EJECTION_S = 30.0
 _FORGIVENESS_S = 10.0
 _PROBE_SEQUENCES = 2
+_STALE_S = 5.0
 
 
 class BackendView:
@@ -50,6 +51,7 @@
         self._failures = 0
         self._failed_at = 0.0
         self._ejected_until = 0.0
+        self._used_at = clock()
 
     def __repr__(self) -> str:
         """Shows the backend server and its load."""
@@ -76,10 +78,25 @@
     @property
     def step_ms(self) -> float:
         """Duration of a decode step, ms; 0 when nothing is known."""
-        if self._report.step_ms:
-            return self._report.step_ms
+        own = self._report.step_ms
+        if own and not self._is_stale:
+            return own
         prior = self._priors.find(self._report)
-        return prior.step_ms if prior else 0.0
+        if prior is None:
+            return own
+        if own:
+            # A slow spell may be over; nobody would know without a try.
+            return min(own, prior.step_ms)
+        return prior.step_ms
+
+    @property
+    def is_untried(self) -> bool:
+        """Whether it is idle and was never measured itself."""
+        return not self._report.step_ms and not self.sequences
+
+    @property
+    def _is_stale(self) -> bool:
+        return self._clock() - self._used_at > _STALE_S
 
     @property
     def is_measured(self) -> bool:
@@ -143,12 +160,15 @@
             self._since = self._clock()
         self._report = report
         self._priors.note(report)
+        if report.sequences:
+            self._used_at = self._clock()
         self._released = 0
         self._unreported_tokens = 0
 
     def note_asked(self, request_id: str, *, tokens: int) -> None:
         """Counts an admission whose answer is not known yet."""
         self._pending.add(request_id)
+        self._used_at = self._clock()
         self._unreported_tokens += tokens
 
     def note_answered(
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
@@ -16,6 +16,7 @@
 # Sequences that a backend server which is new or came back counts as more.
 _COLD_SEQUENCES = 2.0
 _OWN_WEIGHT = 0.1
+_UNTRIED_PART = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +90,9 @@
     more = view.sequences + 1 - view.report.sequences
     more += (1 - view.warmth) * _COLD_SEQUENCES * view.sequences
     step = _reported_step_s(view) + more * _IN_STEP * sequence_s(view)
+    if view.is_untried:
+        # One request is worth knowing how quick it is.
+        step *= _UNTRIED_PART
     return max(step, sequence_s(view))
 
 
--- a/packages/dotterelgrade-entry/tests/conftest.py
+++ b/packages/dotterelgrade-entry/tests/conftest.py
@@ -40,7 +40,7 @@
 
 CONTRACT = "\n".join(
     (
-        "bound workspace=* first_token_p95=5s between_tokens_p95=2s"
+        "bound workspace=* first_token_p95=5s between_tokens_p95=500ms"
         "  # bench: tests",
         f"model name=inlay layers={LAYERS}  # studio: drafts",
         f"workspace name=bench key=sha256:{key_digest('key-bench')}"
--- a/packages/dotterelgrade-entry/tests/test_backend_view.py
+++ b/packages/dotterelgrade-entry/tests/test_backend_view.py
@@ -100,3 +100,15 @@
     assert view.step_ms == pytest.approx(8.0)
     assert view.token_ms == pytest.approx(0.4)
     assert view.slots_free == 5
+
+
+def test_a_slow_spell_is_forgotten_once_an_engine_is_idle(clock):
+    known = priors.Priors()
+    backend_view.BackendView("a", REPORT, priors=known, clock=clock)
+    slow = dataclasses.replace(REPORT, step_ms=80.0, sequences=0)
+    view = backend_view.BackendView("b", slow, priors=known, clock=clock)
+    assert view.step_ms == 80.0
+    clock.now += 6
+    assert view.step_ms < 20.0
+    view.note_report(dataclasses.replace(slow, sequences=1))
+    assert view.step_ms == 80.0
--- a/packages/dotterelgrade-entry/tests/test_planner.py
+++ b/packages/dotterelgrade-entry/tests/test_planner.py
@@ -130,6 +130,17 @@
     assert _names(_planner(fleet).plan(order, layers=LAYERS)) == ["inside"]
 
 
+def test_an_untried_engine_gets_one_request_to_show_its_speed(fleet):
+    for number in range(3):
+        fleet.add(f"known{number}", 0, 5, step_ms=5.0)
+    untried = fleet.add("untried", 0, 5, step_ms=0.0, token_ms=0.0)
+    untried._priors.note(fleet.members[0][1].report)
+    plan = _planner(fleet)
+    assert _names(plan.plan(_order(), layers=LAYERS)) == ["untried"]
+    untried.note_asked("r1", tokens=1)
+    assert _names(plan.plan(_order(), layers=LAYERS)) != ["untried"]
+
+
 def test_a_slow_link_is_avoided(fleet):
     links = {"near:7400": 0.2, "far:7400": 50.0}
     fleet.add("first", 0, 2, links=links)
