--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -148,7 +148,10 @@
             listed = self._hosts.read()
             if isinstance(listed, result.Success):
                 self._adopt(listed.unwrap())
-            gevent.sleep(self._settings.hosts_poll_s)
+            pause_s = host_list.poll_interval_s(
+                len(self._listed), shortest_s=self._settings.hosts_poll_s
+            )
+            gevent.sleep(pause_s)
 
     def run_monitor(self) -> None:
         """Pings and suspects agents until the greenlet is killed."""
