Compute the capacity page with the paced host list

Cause: the reads of the host list are paced by its length now. Change: the model takes the interval from the same function.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -224,7 +224,7 @@
     yield (
         f"Appends add up to {total:,.0f} a second; the log takes several"
         " hundred. The letter gives no\nlimit for reads, but those of"
-        " `placement` and of the host list are out of\nproportion.\n"
+        " `placement` are out of proportion.\n"
     )
 
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_future.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_future.py
@@ -34,11 +34,12 @@
   that exist (`RecordsWanted` and `Records` do it today in a log outage), the
   log serves {future_reads:,.0f} reads a second and a process gets
   {relay_kb:.2g} KB/s.
-- **Host list.** The whole list has {list_mb:.2g} MB. Read once in {poll_s:g} s
-  by the same {readers} processes, and for their own failure domain only, it is
-  {list_kb:.2g} KB/s for each; that needs a question by failure domain, or for
-  the changes alone, from the platform. Changes are {changes:.2g} a second, and
-  are handed on like contract records.
+- **Host list.** The whole list has {list_mb:.2g} MB, and everybody reads it all
+  {poll_now_s:.0f} s. Read once in {poll_s:g} s by the same {readers} processes,
+  and for their own failure domain only, it is {list_kb:.2g} KB/s for each; that
+  needs a question by failure domain, or for the changes alone, from the
+  platform. Changes are {changes:.2g} a second, and are handed on like contract
+  records.
 - **Placement.** Every worker renews what it holds, so that the records outlive
   the log's retention, and every agent reads every record: {placement:,.1f}
   records a second to {workers:,} agents. Snapshots of the placement, as the
@@ -128,6 +129,7 @@
         future_reads=future.log_reads_per_s,
         relay_kb=size.changes_per_s * record / _KB,
         list_mb=list_bytes / _MB,
+        poll_now_s=1 / model.entry_hosts_polls_per_s,
         poll_s=_HOSTS_POLL_S,
         list_kb=future.host_list_kb_per_s,
         changes=_HOST_CHANGES_PER_DAY / _SECONDS_PER_DAY,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_model.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_model.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from dotterelgrade import charges
+from dotterelgrade import host_list
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_entry import entry_settings
 from dotterelgrade_standins import slope_fit
@@ -193,12 +194,16 @@
     @property
     def entry_hosts_polls_per_s(self) -> float:
         """Reads of the host list by an entry."""
-        return 1 / self._entry_hosts_poll_s
+        return 1 / host_list.poll_interval_s(
+            self._size.processes, shortest_s=self._entry_hosts_poll_s
+        )
 
     @property
     def agent_hosts_polls_per_s(self) -> float:
         """Reads of the host list by an agent."""
-        return 1 / self._agent_hosts_poll_s
+        return 1 / host_list.poll_interval_s(
+            self._size.processes, shortest_s=self._agent_hosts_poll_s
+        )
 
     @property
     def placements_per_s(self) -> float:
@@ -237,7 +242,7 @@
                 "polls/s x hosts x (host_list.read_cpu, .bytes); "
                 "hosts x .memory"
             ),
-            mechanism="whole list at each poll",
+            mechanism="the longer the list, the rarer the polls",
             core_percent=polls_per_s * cpu_us / _US_PER_S * 100,
             kb_per_s=polls_per_s * size / _KB,
             memory_mb=memory / _MB,
