--- a/packages/dotterelgrade-agent/tests/conftest.py
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -36,6 +36,13 @@
         return result.Success(self._service.entries())
 
 
+class ImpatientLog(log_service.LocalLog):
+    """Shows an outage sooner, since reads wait less for new records."""
+
+    def read(self, stream, *, start, wait_ms=0):
+        return super().read(stream, start=start, wait_ms=min(wait_ms, 300))
+
+
 class FakeEntry:
     """Speaks the entry's side of the protocol, frame by frame."""
 
@@ -174,7 +181,7 @@
         started = stack.enter_context(
             agent.running(
                 settings,
-                log=log_service.LocalLog(self.log),
+                log=ImpatientLog(self.log),
                 hosts=LocalHosts(self.hosts),
             )
         )
