Say unknown, not not_run, for an idempotency key that is too old

Cause: a key older than the claim window is most likely a repeat, whose first request may have run; told not_run, its caller would make a new key and pay twice. The claims' fuzzing, made stricter (a refusal of a repeat whose call has run must not say not_run, unless it speaks of this HTTP request only), finds it. Change: the row of the kind, and the agent's check, which set not_run by hand. Ruled out: the same for log_unavailable. During an outage nobody can tell a repeat from a first request; its message says that an earlier one may have run. Conclusion: two mutants more keep it so.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/idempotency_key.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/idempotency_key.py
@@ -68,6 +68,5 @@
         errors.Error(
             kind=kind,
             message=f"idempotency key: {message}",
-            run=errors.Run.NOT_RUN,
         )
     )
--- a/packages/dotterelgrade-entry/tests/test_idempotency.py
+++ b/packages/dotterelgrade-entry/tests/test_idempotency.py
@@ -31,6 +31,13 @@
     assert checked.failure().kind is kind
 
 
+def test_a_key_too_old_may_be_a_repeat_and_says_unknown():
+    checked = idempotency.check_key(
+        str(uuid6.uuid7()), max_age_s=60, now_s=time.time() + 61
+    )
+    assert checked.failure().run_state is errors.Run.UNKNOWN
+
+
 def test_the_digest_tells_apart_where_one_part_ends():
     parts = {"workspace": "w", "service": "s", "method": "POST"}
     one = idempotency.digest(**parts, path="/a", body=b"b")
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_claims.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_claims.py
@@ -41,6 +41,12 @@
 _REPEATS = 0.15
 _LONG_S = 60.0
 _SHORT_S = 2.5
+# Refusals that say nothing about an earlier request under the same key.
+_ABOUT_THIS_REQUEST = (
+    errors.ErrorKind.LOG_UNAVAILABLE,
+    errors.ErrorKind.DEADLINE_EXCEEDED,
+    errors.ErrorKind.KEY_REUSED,
+)
 _CLOCKED = (appender, claim_log, keyed_calls)
 _seeds = strategies.integers(min_value=0, max_value=2**16)
 
@@ -95,6 +101,7 @@
         self._clock = clock
         self.settings = types.SimpleNamespace(timeout_s=_LONG_S)
         self.held: list[_HeldRun] = []
+        self.keys_run: set[str] = set()
         self.is_reachable = True
         self._judge = judge
 
@@ -107,6 +114,7 @@
         self._judge.ran_deposit(
             account=call.key, host="127.50.0.1", at_s=self._clock.now
         )
+        self.keys_run.add(call.key)
         held = _HeldRun(call=call)
         self.held.append(held)
         return held.answer.get()
@@ -160,6 +168,7 @@
         self._service = _Service(self._judge, self._clock)
         self._number = 0
         self._calls = 0
+        self._denials: list[str] = []
         self._keys = [self._new_key() for _ in range(_KEYS)]
 
     @stateful.initialize(
@@ -238,8 +247,13 @@
         answer = process.calls.run(call, self._service, deadline=deadline)
         name = call.request_id
         if isinstance(answer, result.Failure):
-            state = answer.failure().run_state
-            self._judge.failed(call=name, run=state.value)
+            error = answer.failure()
+            self._judge.failed(call=name, run=error.run_state.value)
+            has_run = call.key in self._service.keys_run
+            is_denied = error.run_state is errors.Run.NOT_RUN
+            is_meant = error.kind not in _ABOUT_THIS_REQUEST
+            if has_run and is_denied and is_meant:
+                self._denials.append(f"{name}: {error.kind} denies a run")
         else:
             body = answer.unwrap().reply.body
             is_own = body == call.body
@@ -346,6 +360,7 @@
             for sentence in self._judge.violations()
             if "no final answer" not in sentence
         ]
+        violations += self._denials
         assert not violations, violations
 
     def teardown(self) -> None:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
@@ -267,6 +267,22 @@
         new="                    run=errors.Run.NOT_RUN,\n",
         check="claims",
     ),
+    Mutant(
+        name="key-too-old-may-have-run",
+        promise=_NOT_RUN,
+        module="dotterelgrade.errors",
+        old="ErrorKind.KEY_TOO_OLD: _unknown(409)",
+        new="ErrorKind.KEY_TOO_OLD: _not_run(409)",
+        check="claims",
+    ),
+    Mutant(
+        name="claim-unresolved-is-unknown",
+        promise=_NOT_RUN,
+        module=_KEYED,
+        old='return _unresolved(errors.Run.UNKNOWN, "its outcome is unknown")',
+        new='return _unresolved(errors.Run.NOT_RUN, "its outcome is unknown")',
+        check="claims",
+    ),
     Mutant(
         name="key-age",
         promise=_ONCE,
--- a/packages/dotterelgrade/src/dotterelgrade/errors.py
+++ b/packages/dotterelgrade/src/dotterelgrade/errors.py
@@ -96,7 +96,8 @@
     ErrorKind.NOT_READY: _not_run(503, retryable=True),
     ErrorKind.LOG_UNAVAILABLE: _not_run(503, retryable=True),
     ErrorKind.KEY_INVALID: _not_run(400),
-    ErrorKind.KEY_TOO_OLD: _not_run(409),
+    # A key that old is most likely a repeat, whose first call may have run.
+    ErrorKind.KEY_TOO_OLD: _unknown(409),
     ErrorKind.KEY_REUSED: _not_run(422),
     ErrorKind.CLAIM_UNRESOLVED: _unknown(409),
     ErrorKind.OUTCOME_UNKNOWN: _unknown(502),
