--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_future.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_future.py
@@ -20,8 +20,8 @@
 Figures of this section are computed from the same slopes for designs that are
 not built.
 
-- **Reports.** {links:,} links with whole reports five times a second are what
-  breaks the budget for bytes. An entry that dials only its region needs
+- **Reports.** {links:,} links with whole reports {reports:.2g} times a second
+  break the budget for bytes. An entry that dials only its region needs
   {candidates} candidates for each layer range in it ({ranges} ranges of all
   models): {future_links:,} links. With the load carried on `Admitted` and
   `Tokens`, and a heartbeat of {heartbeat} bytes only after {heartbeat_s:g} s of
@@ -114,6 +114,7 @@
     per_process = size.changes_per_s + 1 / capacity_model.LONG_POLL_S
     return _TEXT.format(
         links=model.links_per_entry,
+        reports=model.busy_reports_per_s,
         candidates=_CANDIDATES,
         ranges=size.models * size.stages,
         future_links=future.links,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_model.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_model.py
@@ -146,9 +146,15 @@
         self._agent_hosts_poll_s = _default(
             agent_settings.AgentSettings, "hosts_poll_s"
         )
-        self._busy_reports_per_s = 1 / _default(
+        self._report_busy_s = _default(
             agent_settings.AgentSettings, "report_busy_s"
         )
+        self._report_idle_s = _default(
+            agent_settings.AgentSettings, "report_idle_s"
+        )
+        self._report_bytes_per_s = _default(
+            agent_settings.AgentSettings, "report_bytes_per_s"
+        )
         self._placement_renew_s = 0.9 * _default(
             agent_settings.AgentSettings, "placement_renew_s"
         )
@@ -188,8 +194,11 @@
 
     @property
     def busy_reports_per_s(self) -> float:
-        """Reports on a link whose agent has work."""
-        return self._busy_reports_per_s
+        """Reports on a link whose agent has work, as `Reporter` paces them."""
+        size = self.first("report_frames", "bytes_per_report")
+        paced_s = self.links_per_agent * size / self._report_bytes_per_s
+        busy_s = max(self._report_busy_s, paced_s)
+        return 1 / min(busy_s, self._report_idle_s)
 
     @property
     def entry_hosts_polls_per_s(self) -> float:
@@ -311,7 +320,7 @@
             "links x reports/s x (idle_by_agents.entry_cpu per link / idle "
             "reports/s, report_frames.bytes); links x .entry_memory"
         ),
-        mechanism="subset per failure domain; rarer reports while idle",
+        mechanism="subset per failure domain; many entries make rarer reports",
         core_percent=links
         * model.busy_reports_per_s
         * report_us
@@ -365,7 +374,7 @@
             "links x reports/s x (idle_by_entries.agent_cpu per link / idle "
             "reports/s, report_frames.bytes)"
         ),
-        mechanism="subset per failure domain; rarer reports while idle",
+        mechanism="paced by bytes; the report is encoded once",
         core_percent=links
         * model.busy_reports_per_s
         * report_us
