Let `explain` take the identifier that a caller sees

Cause: a run against real processes showed that `explain` did not find a request by the id of its answer, `chatcmpl-...`, and that `contract restore` told of a process holding the contract while the log itself still told it. Change: the prefix of an answer's id is left out; `restore` looks at the log first. Tests for both refusals of `restore` and for its success as a command.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_commands.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_commands.py
@@ -242,14 +242,23 @@
         self, lines: tuple[grammar.Line, ...], author: str
     ) -> result.Result[contract_session.Accepted, errors.Error]:
         return self._platform().bind(
-            lambda platform: _check_none_holds(platform).bind(
-                lambda _: contract_session.ContractSession(
-                    log_client.LogClient(platform)
-                ).restore(lines, author=author)
-            )
+            lambda platform: _restore(platform, lines, author)
         )
 
 
+def _restore(
+    platform: settings_lib.PlatformSettings,
+    lines: tuple[grammar.Line, ...],
+    author: str,
+) -> result.Result[contract_session.Accepted, errors.Error]:
+    session = contract_session.ContractSession(log_client.LogClient(platform))
+    if not pipeline.is_successful(session.catch_up(timeout_s=0)):
+        free = _check_none_holds(platform)
+        if not pipeline.is_successful(free):
+            return result.Failure(free.failure())
+    return session.restore(lines, author=author)
+
+
 def _check_none_holds(
     platform: settings_lib.PlatformSettings,
 ) -> result.Result[None, errors.Error]:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet_commands.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet_commands.py
@@ -1,6 +1,7 @@
 """The operators' commands that look at running processes."""
 
 import json
+import re
 import time
 from typing import Any, ClassVar
 import urllib.parse
@@ -16,6 +17,7 @@
 _ADDRESS = helpers.argument(
     "address", f"HOST or HOST:PORT, port {admin_client.DEFAULT_PORT} if none."
 )
+_PREFIX = re.compile(r"^(chat)?cmpl-")
 _COLUMNS = ("role", "host", "failure_domain", "state", "contract_offset")
 
 
@@ -59,7 +61,9 @@
 
     def perform(self) -> result.Result[console.Report, errors.Error]:
         """Reads the decisions from the journal of the process."""
-        request_id = urllib.parse.quote(self.argument("request_id"), safe="")
+        # Callers of the model see the identifier behind a prefix.
+        plain = _PREFIX.sub("", self.argument("request_id"))
+        request_id = urllib.parse.quote(plain, safe="")
         return self._fetch(f"/explain/{request_id}").map(_explain)
 
 
--- a/packages/dotterelgrade-entry/tests/test_contract_commands.py
+++ b/packages/dotterelgrade-entry/tests/test_contract_commands.py
@@ -46,6 +46,16 @@
     return path
 
 
+def _entry(admin_port):
+    return host_list.HostEntry(
+        host=_HOST,
+        role=messages.Role.ENTRY,
+        peer_port=7400,
+        admin_port=admin_port,
+        failure_domain="recife-a",
+    )
+
+
 def _run(command, arguments):
     tester = command_tester.CommandTester(command())
     code = tester.execute(arguments)
@@ -115,15 +125,7 @@
     service, hosts, settings, contract
 ):
     service.append("contract", b"broken")
-    hosts.put(
-        host_list.HostEntry(
-            host=_HOST,
-            role=messages.Role.ENTRY,
-            peer_port=7400,
-            admin_port=17_499,
-            failure_domain="recife-a",
-        )
-    )
+    hosts.put(_entry(17_499))
     code, out, _ = _run(
         contract_commands.ApplyCommand,
         f"{contract} -s {settings} --wait 0 --json",
@@ -146,3 +148,52 @@
     code, _, err = _run(contract_commands.ShowCommand, f"-s {settings}")
     assert code == 1
     assert err.startswith("settings_invalid")
+
+
+def _lose_everything(service):
+    service.set_faults(keep_records=0)
+    service.set_faults(keep_records=100)
+
+
+def test_restore_is_refused_while_the_log_tells_the_contract(
+    service, settings, contract
+):
+    service.append("contract", b"broken")
+    code, _, err = _run(
+        contract_commands.RestoreCommand, f"{contract} -s {settings}"
+    )
+    assert code == 1
+    assert "the log still tells the contract" in err
+    assert service.appends == 1
+
+
+def test_restore_is_refused_while_a_process_holds_the_contract(
+    service, hosts, settings, contract
+):
+    service.append("contract", b"broken")
+    _lose_everything(service)
+    hosts.put(_entry(17_403))
+    row = {"process": "p", "role": "entry", "host": _HOST, "state": "ready"}
+    app = web.JsonApp()
+    processes = [{**row, "contract_offset": 1}]
+    app.route("GET", "/fleet", lambda _: {"processes": processes})
+    with web.serving(app, host=_HOST, port=17_403):
+        code, _, err = _run(
+            contract_commands.RestoreCommand, f"{contract} -s {settings}"
+        )
+    assert code == 1
+    assert f"the entry on {_HOST} holds the contract at offset 1" in err
+    assert service.appends == 1
+
+
+def test_restore_begins_anew_when_nobody_holds_the_contract(
+    service, settings, contract
+):
+    service.append("contract", b"broken")
+    _lose_everything(service)
+    code, out, _ = _run(
+        contract_commands.RestoreCommand, f"{contract} -s {settings}"
+    )
+    assert (code, out.splitlines()[0]) == (0, "accepted at offset 2: 1 lines")
+    code, out, _ = _run(contract_commands.ShowCommand, f"-s {settings}")
+    assert (code, out) == (0, _GOOD)
--- a/packages/dotterelgrade-entry/tests/test_fleet_commands.py
+++ b/packages/dotterelgrade-entry/tests/test_fleet_commands.py
@@ -78,10 +78,13 @@
         "chain_chosen", request_id="r/1", reason="fastest", hops=3
     )
     process.journal.record("refused", request_id="r2", reason="full")
-    code, out, _ = _run(fleet_commands.ExplainCommand, f"{_HOST}:17401 r/1")
-    assert code == 0
-    (row,) = out.splitlines()[1:]
-    assert row.split()[1:] == ["chain_chosen", "fastest", "hops=3"]
+    for request_id in ("r/1", "chatcmpl-r/1", "cmpl-r/1"):
+        code, out, _ = _run(
+            fleet_commands.ExplainCommand, f"{_HOST}:17401 {request_id}"
+        )
+        assert code == 0
+        (row,) = out.splitlines()[1:]
+        assert row.split()[1:] == ["chain_chosen", "fastest", "hops=3"]
 
 
 def test_an_unknown_request_and_a_dead_process_are_told(process):
--- a/packages/dotterelgrade/tests/test_contract_feed.py
+++ b/packages/dotterelgrade/tests/test_contract_feed.py
@@ -127,6 +127,8 @@
     new = _feed(service)
     _catch_up(new)
     assert not new.is_caught_up
+    assert new.wants_records
+    assert not old.wants_records
     _catch_up(old)
     assert old.snapshot_is_due()
     old.append_snapshot()
