Choose by price up to the same part of the bounds that admission allows

Change: admission hands the planner the part of the bounds it allows this request, and chains inside that part are chosen by price.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
@@ -23,7 +23,8 @@
 # Part of those that a workspace over its share may use.
 _OVER_SHARE_PART = 0.93
 
-Plan = Callable[[], result.Result[planner_lib.Chain, errors.Error]]
+# Gets the part of the bounds inside which a chain may be chosen.
+Plan = Callable[[float], result.Result[planner_lib.Chain, errors.Error]]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -92,13 +93,14 @@
 
         Args:
             request: The request.
-            plan: Returns the best chain at the moment.
+            plan: Returns the best chain inside a part of the bounds at the
+                moment, or else the quickest one.
 
         Returns:
             The chain, or why and until when the request is refused.
         """
         if not self._predicts:
-            return plan()
+            return plan(1.0)
         order = request.order
         if not len(self._queue):
             outcome, may_wait = self._try(request, plan)
@@ -115,29 +117,31 @@
         self, request: request_lib.Request, plan: Plan
     ) -> tuple[result.Result[planner_lib.Chain, errors.Error], bool]:
         """Returns the outcome, and whether waiting may change it."""
-        planned = plan()
+        order = request.order
+        is_over = self._shares.is_over(order.workspace)
+        part = _OVER_SHARE_PART if is_over else 1.0
+        planned = plan(part * _BETWEEN_PART)
         if isinstance(planned, result.Failure):
             kind = planned.failure().kind
             return planned, kind is errors.ErrorKind.OVER_BOUND
-        excess = self._excess(planned.unwrap(), request)
+        excess = self._excess(planned.unwrap(), request, part)
         if excess is not None:
             return result.Failure(_over_bound(excess)), excess.may_wait
-        order = request.order
         self._shares.note(
             order.workspace, weight=order.weight, amount=_work_of(order)
         )
         return planned, False
 
     def _excess(
-        self, chain: planner_lib.Chain, request: request_lib.Request
+        self,
+        chain: planner_lib.Chain,
+        request: request_lib.Request,
+        part: float,
     ) -> _Excess | None:
         if not chain.is_measured or chain.is_idle:
             # A guess is no reason to refuse, and an idle chain gets no better.
             return None
         order = request.order
-        part = 1.0
-        if self._shares.is_over(order.workspace):
-            part = _OVER_SHARE_PART
         first = chain.cost.first_token_s * self._first.factor
         kept_s = (1 - part * _FIRST_PART) * order.first_token_s
         limit = request.time_to_bound_s - kept_s
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
@@ -83,12 +83,19 @@
         assert failure is not None
         return result.Failure(failure)
 
-    def plan(self) -> result.Result[planner_lib.Chain, errors.Error]:
-        """Returns the best chain at the moment."""
+    def plan(
+        self, inside_part: float = planner_lib.INSIDE_PART
+    ) -> result.Result[planner_lib.Chain, errors.Error]:
+        """Returns the best chain at the moment.
+
+        Args:
+            inside_part: Part of the bounds inside which it is chosen.
+        """
         return self._tools.planner.plan(
             self._request.order,
             layers=self._model.layers,
             version=self._model.version,
+            inside_part=inside_part,
             avoid=self._avoid,
         )
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/planner.py
@@ -17,8 +17,7 @@
 
 _RETRY_AFTER_S = 1.0
 _TYPICAL_TOKENS = 32
-# Chains up to this part of the bound count as inside it.
-_INSIDE_PART = 0.85
+INSIDE_PART = 0.92
 _MS_PER_S = 1000
 
 Ranges = dict[fleet_lib.LayerRange, list[fleet_lib.Candidate]]
@@ -122,6 +121,7 @@
         *,
         layers: int,
         version: str = "",
+        inside_part: float = INSIDE_PART,
         avoid: Collection[str] = (),
     ) -> result.Result[Chain, errors.Error]:
         """Chooses a chain.
@@ -132,6 +132,8 @@
             version: Version of the model to use; empty for any. Another one
                 serves while it does not cover the model; a chain never mixes
                 versions.
+            inside_part: Part of the bounds inside which a chain is chosen by
+                its price; if there is none, the quickest one is taken.
             avoid: Keys of backend servers that are not to be used.
 
         Returns:
@@ -151,7 +153,9 @@
                 return _no_free_slot(order.model)
             return _no_capacity(f"no chain covers model {order.model}")
         if self._policy.predicts:
-            return result.Success(self._shortest(ranges, order, layers))
+            return result.Success(
+                self._shortest(ranges, order, layers, inside_part)
+            )
         return result.Success(self._picked(ranges, order, layers))
 
     def plan_stage(
@@ -227,7 +231,11 @@
         return cost.plus(self._way_back(stages[-1]))
 
     def _shortest(
-        self, ranges: Ranges, order: request_lib.RequestOrder, layers: int
+        self,
+        ranges: Ranges,
+        order: request_lib.RequestOrder,
+        layers: int,
+        inside_part: float,
     ) -> Chain:
         sampled = {
             key: [_stage(c, key) for c in self._sample(members)]
@@ -240,7 +248,9 @@
             for stage in sampled[(first, last)]:
                 after += self._extend(before, stage, order)
         ends = [self._closed(path, order) for path in paths[layers]]
-        best = min(ends, key=lambda path: self._preference(path, order))
+        best = min(
+            ends, key=lambda path: self._preference(path, order, inside_part)
+        )
         return Chain(stages=best.stages, cost=best.cost)
 
     def _extend(
@@ -281,7 +291,10 @@
         return _Path(path.cost.plus(back), score, path.stages)
 
     def _preference(
-        self, path: _Path, order: request_lib.RequestOrder
+        self,
+        path: _Path,
+        order: request_lib.RequestOrder,
+        inside_part: float,
     ) -> tuple[float, float]:
         """Ranks chains inside the bound before cheaper ones outside it."""
         first, between = self._corrections()
@@ -289,7 +302,7 @@
             path.cost.between_tokens_s * between / order.between_tokens_s,
             path.cost.first_token_s * first / order.first_token_s,
         )
-        return max(excess - _INSIDE_PART, 0.0), path.score
+        return max(excess - inside_part, 0.0), path.score
 
     def _own_cost(
         self, stage: Stage, order: request_lib.RequestOrder
