Split the callers from the fleet's fuzzing machine

Change: FleetCallers sends the calls and tells the oracle; the machine keeps the faults, the operators and the judgement. Conclusion: each module has one job again.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_fleet.py
@@ -6,33 +6,23 @@
 """
 
 import contextlib
-import dataclasses
-import json
-import random
 from typing import Any
 
 import gevent
-from gevent import event
-from gevent import socket
 import gevent.pool
 from hypothesis import stateful
 from hypothesis import strategies
-import uuid6
 
 from dotterelgrade import contract as contract_lib
 from dotterelgrade import grammar
 from dotterelgrade_standins import caller as caller_lib
+from dotterelgrade_standins import fleet_callers
 from dotterelgrade_standins import fuzz
 from dotterelgrade_standins import local_fleet
 from dotterelgrade_standins import oracle
 from dotterelgrade_standins import shaper
 
-_HTTP_PORT = 8080
-_ANSWER_LIMIT_S = 40.0
 _HEAL_LIMIT_S = 20.0
-_MODEL_SHARE = 0.65
-_DEPOSIT_SHARE = 0.85
-_TRAFFIC_PAUSE_S = 0.08
 _LONG_TOKENS = 300
 _ACCEPT_S = 0.05
 _SLOW = shaper.LinkSettings(
@@ -46,17 +36,6 @@
 _pauses_s = strategies.sampled_from((0.0, 0.02, 0.1))
 
 
-@dataclasses.dataclass(eq=False, kw_only=True)
-class _Call:
-    """A caller that waits for its answer."""
-
-    entry: local_fleet.Member
-    incarnation: str
-    is_excused: bool = False
-    is_protected: bool = False
-    is_ended: bool = False
-
-
 @fuzz.target("fleet", examples=8, steps=14)
 class FleetMachine(stateful.RuleBasedStateMachine):
     """Callers, operators and faults around one fleet."""
@@ -69,182 +48,56 @@
         self._judge = oracle.Oracle(
             layers_of={local_fleet.MODEL: local_fleet.LAYERS}
         )
-        self._calls: dict[str, _Call] = {}
+        self._callers = fleet_callers.FleetCallers(self._judge)
         self._greenlets = gevent.pool.Group()
-        self._traffic_ended = event.Event()
-        self._traffic_ended.set()
         self._collected: dict[str, int] = {}
-        self._keys: list[str] = []
-        self._confirmed: dict[str, int] = {}
 
     # Callers.
 
-    def _begin(self, entry: int) -> tuple[str, _Call]:
-        member = self._fleet.entries[entry]
-        name = f"c{len(self._calls)}"
-        call = _Call(entry=member, incarnation=member.incarnation)
-        self._calls[name] = call
-        return name, call
-
-    def _caller(self, call: _Call) -> caller_lib.Caller:
-        return caller_lib.Caller(
-            call.entry.host, key=local_fleet.KEY, timeout_s=_ANSWER_LIMIT_S
-        )
+    @stateful.initialize(
+        seed=strategies.integers(0, 2**16), calls=strategies.integers(10, 40)
+    )
+    def start_traffic(self, seed: int, calls: int) -> None:
+        """Calls of every kind begin, and go on during what follows."""
+        entries = self._fleet.entries
+        self._callers.start_traffic(entries, seed=seed, calls=calls)
 
     @stateful.rule(
         entry=_entries,
         words=strategies.integers(1, 40),
         max_tokens=strategies.integers(1, 24),
         is_streamed=strategies.booleans(),
-        count=strategies.integers(1, 3),
     )
     def complete(
-        self,
-        entry: int,
-        words: int,
-        max_tokens: int,
-        is_streamed: bool,
-        count: int,
-    ) -> None:
-        """Callers send model requests."""
-        for _ in range(count):
-            name, call = self._begin(entry)
-            prompt = " ".join(f"{name}-{number}" for number in range(words))
-            self._judge.sent(
-                call=name,
-                model=local_fleet.MODEL,
-                prompt=prompt,
-                max_tokens=max_tokens,
-            )
-            self._greenlets.spawn(
-                self._complete, name, call, prompt, max_tokens, is_streamed
-            )
-
-    @stateful.initialize(
-        seed=strategies.integers(0, 2**16), acts=strategies.integers(10, 40)
-    )
-    def start_traffic(self, seed: int, acts: int) -> None:
-        """Calls of every kind begin, and go on during what follows."""
-        self._traffic_ended.clear()
-        self._greenlets.spawn(self._traffic, random.Random(seed), acts)
-
-    def _traffic(self, source: random.Random, acts: int) -> None:
-        for _ in range(acts):
-            entry = source.randrange(local_fleet.ENTRIES)
-            kind = source.random()
-            if kind < _MODEL_SHARE:
-                self.complete(
-                    entry,
-                    source.randint(1, 40),
-                    source.randint(1, 24),
-                    source.random() < 0.5,
-                    1,
-                )
-            elif kind < _DEPOSIT_SHARE or not self._keys:
-                self.deposit(entry, source.random() < 0.8, 0.0)
-            else:
-                self._deposit(entry, source.choice(self._keys))
-            gevent.sleep(source.uniform(0.0, _TRAFFIC_PAUSE_S))
-        self._traffic_ended.set()
-
-    def _complete(
-        self,
-        name: str,
-        call: _Call,
-        prompt: str,
-        max_tokens: int,
-        is_streamed: bool,
+        self, entry: int, words: int, max_tokens: int, is_streamed: bool
     ) -> None:
-        answer = self._caller(call).complete(
-            prompt,
-            model=local_fleet.MODEL,
+        """A caller sends a model request."""
+        self._callers.complete(
+            self._fleet.entries[entry],
+            words=words,
             max_tokens=max_tokens,
-            stream=is_streamed,
+            is_streamed=is_streamed,
         )
-        if answer.is_complete or answer.text:
-            self._judge.answered(
-                call=name, text=answer.text, complete=answer.is_complete
-            )
-        self._end(name, call, answer)
-
-    def _end(self, name: str, call: _Call, answer: caller_lib.Answer) -> None:
-        call.is_ended = True
-        if answer.kind:
-            self._judge.failed(
-                call=name, run=answer.run, request_id=answer.request_id
-            )
-        elif answer.is_broken:
-            self._judge.broken(call=name, excused=self._is_excused(call))
-
-    def _is_excused(self, call: _Call) -> bool:
-        if call.is_protected:
-            return False
-        entry = call.entry
-        same = entry.is_running and entry.incarnation == call.incarnation
-        return call.is_excused or not same
 
     @stateful.rule(
         entry=_entries, is_keyed=strategies.booleans(), pause_s=_pauses_s
     )
     def deposit(self, entry: int, is_keyed: bool, pause_s: float) -> None:
         """A caller makes a deposit."""
-        key = str(uuid6.uuid7()) if is_keyed else ""
-        if key:
-            self._keys.append(key)
-        self._deposit(entry, key)
+        member = self._fleet.entries[entry]
+        self._callers.deposit(member, is_keyed=is_keyed)
         gevent.sleep(pause_s)
 
     @stateful.rule(entry=_entries, pause_s=_pauses_s)
     def repeat_deposit(self, entry: int, pause_s: float) -> None:
         """A caller repeats its latest keyed deposit, at any entry."""
-        if self._keys:
-            self._deposit(entry, self._keys[-1])
+        self._callers.repeat_deposit(self._fleet.entries[entry])
         gevent.sleep(pause_s)
 
-    def _deposit(self, entry: int, key: str) -> None:
-        name, call = self._begin(entry)
-        account = key or name
-        self._judge.sent(call=name, account=account)
-        self._greenlets.spawn(self._send_deposit, name, call, account, key)
-
-    def _send_deposit(
-        self, name: str, call: _Call, account: str, key: str
-    ) -> None:
-        answer = self._caller(call).call_service(
-            "deposits", "deposits", {"account": account}, key=key
-        )
-        if answer.is_complete:
-            self._judge.answered(call=name, account=answer.body["account"])
-        self._end(name, call, answer)
-
     @stateful.rule(entry=_entries, pause_s=_pauses_s)
     def hang_up(self, entry: int, pause_s: float) -> None:
         """A caller closes its connection in the middle of an answer."""
-        name, call = self._begin(entry)
-        call.is_excused = call.is_ended = True
-        self._judge.sent(
-            call=name, model=local_fleet.MODEL, prompt=name, max_tokens=50
-        )
-        self._judge.broken(call=name, excused=True)
-        body = json.dumps(
-            {
-                "model": local_fleet.MODEL,
-                "messages": [{"role": "user", "content": name}],
-                "max_tokens": 50,
-                "stream": True,
-            }
-        )
-        head = (
-            "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
-            f"Authorization: Bearer {local_fleet.KEY}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        with contextlib.suppress(OSError):
-            address = (call.entry.host, _HTTP_PORT)
-            sock = socket.create_connection(address, timeout=1)
-            sock.sendall((head + body).encode())
-            gevent.sleep(pause_s)
-            sock.close()
+        self._callers.hang_up(self._fleet.entries[entry], after_s=pause_s)
 
     # Faults of backend servers and processes.
 
@@ -300,28 +153,22 @@
         member = self._fleet.entries[entry]
         self._judge.fault()
         if member.is_running:
-            for call in self._in_flight(member):
+            for call in self._callers.in_flight(member):
                 call.is_protected = False
             member.kill()
         else:
             self._fleet.start(member)
 
-    def _in_flight(self, entry: local_fleet.Member) -> list[_Call]:
-        return [
-            call
-            for call in self._calls.values()
-            if call.entry is entry and not call.is_ended
-        ]
-
     @stateful.rule(entry=_entries)
     def drain_entry(self, entry: int) -> None:
         """An entry is ordered to leave; it must end what it has begun."""
         member = self._fleet.entries[entry]
         if not member.is_running or _is_leaving(member):
             return
-        self.complete(entry, 5, _LONG_TOKENS, True, 2)
+        for _ in range(2):
+            self.complete(entry, 5, _LONG_TOKENS, is_streamed=True)
         gevent.sleep(_ACCEPT_S)
-        for call in self._in_flight(member):
+        for call in self._callers.in_flight(member):
             call.is_protected = True
         self._greenlets.spawn(
             self._leave_entry, member, member.process, member.incarnation
@@ -413,9 +260,9 @@
         self._judge.fault()
         for service in self._fleet.services.values():
             service.set_faults(drop_before=before, drop_after=after)
-        for entry in range(local_fleet.ENTRIES):
-            self._deposit(entry, "")
-            self.deposit(entry, True, 0.0)
+        for member in self._fleet.entries:
+            self._callers.deposit(member, is_keyed=False)
+            self._callers.deposit(member, is_keyed=True)
 
     # Faults of links and the log.
 
@@ -485,6 +332,7 @@
             self._judge_all()
             self._serve_again()
         finally:
+            self._callers.close()
             self._greenlets.kill()
             self._stack.close()
 
@@ -501,12 +349,7 @@
             self._mend(engine)
         for service in fleet.services.values():
             service.set_faults(drop_before=0, drop_after=0)
-        self._traffic_ended.wait()
-        ended = local_fleet.wait_until(
-            lambda: all(call.is_ended for call in self._calls.values()),
-            timeout_s=_ANSWER_LIMIT_S,
-        )
-        assert ended, "a call was never answered"
+        assert self._callers.wait(), "a call was never answered"
         for member in (*fleet.agents, *fleet.orders):
             self._collect(member)
 
