--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_commands.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/contract_commands.py
@@ -12,6 +12,7 @@
 from dotterelgrade import console
 from dotterelgrade import contract as contract_lib
 from dotterelgrade import contract_checks
+from dotterelgrade import contract_records
 from dotterelgrade import errors
 from dotterelgrade import grammar
 from dotterelgrade import host_list
@@ -153,6 +154,8 @@
             return self._report_failure(lines.failure())
         wait_s = _to_seconds(self.option("wait"))
         author = self.option("author") or getpass.getuser()
+        if len(author) > contract_records.MAX_AUTHOR_LENGTH:
+            raise exceptions.CleoUserError("--author: expected a shorter name")
         return self._publish(lines.unwrap(), author).bind(
             lambda done: self._wait(done, wait_s)
         )
--- a/packages/dotterelgrade/src/dotterelgrade/contract.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract.py
@@ -9,10 +9,13 @@
 
 from dotterelgrade import contract_records
 from dotterelgrade import errors
+from dotterelgrade import grammar
 from dotterelgrade import log_client
 from dotterelgrade import rule_index
 from dotterelgrade import rules
 
+MAX_LINES = grammar.MAX_LINES
+MAX_TEXT_BYTES = 2 * 1024 * 1024
 MAX_REMOVALS_KEPT = 1_000
 _DIGEST_BITS = 256
 _NUMBERS = re.compile(r"(\D*)(\d*)")
@@ -59,7 +62,7 @@
         author: Author of an edit record, or empty.
         changed: Identities whose lines changed.
         conflicts: Every line that lost, for CONFLICT.
-        reason: Why, for INVALID and a refused restore.
+        reason: Why, for INVALID and what is refused without a conflict.
     """
 
     kind: OutcomeKind
@@ -91,6 +94,7 @@
         self._removals: dict[str, contract_records.Removal] = {}
         self._forgotten = 0
         self._hash_sum = 0
+        self._text_bytes = 0
 
     def __repr__(self) -> str:
         """Shows the offset and the number of lines."""
@@ -185,6 +189,17 @@
                 author=body.author,
                 conflicts=conflicts,
             )
+        if not self._has_room(body):
+            return self._verdict(
+                record,
+                OutcomeKind.CONFLICT,
+                id=body.id,
+                author=body.author,
+                reason=(
+                    f"a contract has at most {MAX_LINES} lines and"
+                    f" {MAX_TEXT_BYTES} bytes"
+                ),
+            )
         for edit in body.edits:
             self._put(edit, offset=record.offset, author=body.author)
         self._trim_removals()
@@ -196,6 +211,19 @@
             changed=tuple(edit.identity for edit in body.edits),
         )
 
+    def _has_room(self, body: contract_records.EditRecord) -> bool:
+        """Whether a snapshot could still hold the lines after an edit."""
+        lines, size = len(self._lines), self._text_bytes
+        for edit in body.edits:
+            old = self._lines.get(edit.identity)
+            if old is not None:
+                lines -= 1
+                size -= _size(old.text)
+            if edit.text is not None:
+                lines += 1
+                size += _size(edit.text)
+        return lines <= MAX_LINES and size <= MAX_TEXT_BYTES
+
     def _conflict(
         self, edit: contract_records.Edit, base: int
     ) -> Conflict | None:
@@ -239,6 +267,7 @@
 
     def _hold(self, line: contract_records.HeldLine) -> None:
         self._lines[line.identity] = line
+        self._text_bytes += _size(line.text)
         self._add_hash(_held_hash(line))
         self.add_rule(line.identity, line.text)
 
@@ -246,6 +275,7 @@
         line = self._lines.pop(identity, None)
         if line is None:
             return
+        self._text_bytes -= _size(line.text)
         self._add_hash(-_held_hash(line))
         self.drop_rule(identity)
 
@@ -347,6 +377,10 @@
         return Outcome(kind=OutcomeKind.ADOPTED, offset=offset, changed=changed)
 
 
+def _size(text: str) -> int:
+    return len(text.encode())
+
+
 def _held_hash(line: contract_records.HeldLine) -> int:
     return _line_hash(line.identity, line.text, line.offset, line.author)
 
--- a/packages/dotterelgrade/src/dotterelgrade/contract_records.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_records.py
@@ -8,7 +8,9 @@
 from dotterelgrade import errors
 from dotterelgrade import grammar
 
-MAX_RECORD_BYTES = 8 * 1024 * 1024
+MAX_RECORD_BYTES = 16 * 1024 * 1024
+MAX_ID_LENGTH = 100
+MAX_AUTHOR_LENGTH = 200
 
 _frozen = dataclasses.dataclass(frozen=True, kw_only=True)
 
@@ -187,8 +189,9 @@
 
 def _check_edit(record: EditRecord) -> None:
     identities = {edit.identity for edit in record.edits}
-    if not record.id or not record.author or not record.edits:
-        raise _invalid("an edit needs an id, an author and a line")
+    _check_origin(record)
+    if not record.edits:
+        raise _invalid("an edit needs a line")
     if len(identities) != len(record.edits):
         raise _invalid("an edit names one line twice")
     for edit in record.edits:
@@ -199,12 +202,22 @@
             raise _invalid(f"{edit.identity!r} is no line with a name")
 
 
+def _check_origin(record: EditRecord | RestoreRecord) -> None:
+    if not 0 < len(record.id) <= MAX_ID_LENGTH:
+        raise _invalid(f"expected an id of 1 to {MAX_ID_LENGTH} characters")
+    if not 0 < len(record.author) <= MAX_AUTHOR_LENGTH:
+        raise _invalid(
+            f"expected an author of 1 to {MAX_AUTHOR_LENGTH} characters"
+        )
+
+
 def _check_restore(record: RestoreRecord) -> None:
     identities = {line.identity for line in record.lines}
-    if not record.id or not record.author:
-        raise _invalid("a restore needs an id and an author")
+    _check_origin(record)
     if len(identities) != len(record.lines):
         raise _invalid("a restore names one line twice")
+    if len(record.lines) > grammar.MAX_LINES:
+        raise _invalid(f"a restore has more than {grammar.MAX_LINES} lines")
     for line in record.lines:
         if not grammar.is_framed(line.text, identity=line.identity):
             raise _invalid(f"{line.identity!r} is no line with a name")
--- a/packages/dotterelgrade/tests/test_contract.py
+++ b/packages/dotterelgrade/tests/test_contract.py
@@ -111,6 +111,28 @@
     assert len(contract.lines) == 1
 
 
+def test_a_contract_does_not_grow_without_bound(monkeypatch):
+    monkeypatch.setattr(contract_lib, "MAX_LINES", 2)
+    contract = _folded(_record(1, _edit(_HOSTS[0]), _edit(_HOSTS[1])))
+    full = contract.apply(_record(2, _edit(_HOSTS[2])))
+    assert (full.kind, "at most 2" in full.reason) == (_Kind.CONFLICT, True)
+    swapped = contract.apply(
+        _record(
+            3,
+            _edit(_HOSTS[0], seen=1, text=None),
+            _edit(_HOSTS[1], seen=1, why="new"),
+            _edit(_HOSTS[2]),
+        )
+    )
+    assert swapped.kind is _Kind.ACCEPTED
+    assert contract.line_count == 2
+    monkeypatch.setattr(contract_lib, "MAX_TEXT_BYTES", 100)
+    wordy = _edit(_HOSTS[2], seen=3, why="w" * 100)
+    assert contract.apply(_record(4, wordy)).kind is _Kind.CONFLICT
+    brief = _edit(_HOSTS[2], seen=3, why="w")
+    assert contract.apply(_record(5, brief)).kind is _Kind.ACCEPTED
+
+
 def test_a_gap_and_an_old_record_change_nothing():
     contract = _folded(_record(1, _edit(_HOSTS[0])))
     gap = contract.apply(_record(3, _edit(_HOSTS[1])))
--- a/packages/dotterelgrade/tests/test_contract_records.py
+++ b/packages/dotterelgrade/tests/test_contract_records.py
@@ -36,6 +36,8 @@
         _edit(type="later"),
         _edit(id=""),
         _edit(author=""),
+        _edit(id="x" * 101),
+        _edit(author="x" * 201),
         _edit(edits=[]),
         _edit(edits=[json.loads(_edit())["edits"][0]] * 2),
         _edit(edit={"text": None}),
@@ -46,7 +48,7 @@
         b'{"type":"snapshot","covers":1,"lines":7,"digest":""}',
         b" " * (contract_records.MAX_RECORD_BYTES + 1),
     ],
-    ids=range(18),
+    ids=range(20),
 )
 def test_a_broken_record_is_refused(body):
     with pytest.raises(errors.DotterelgradeError) as caught:
