Take agents of the first host list for warmed up

Cause: an entry that had just started weighed every engine as new for 2 s, and so refused callers of a fleet that had been serving all along.

Change: only agents that appear after the first host list, or come back, are warmed up.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
@@ -39,6 +39,7 @@
         on_frame: FrameHandler,
         on_lost: Callable[["AgentPeer", str], None],
         priors: priors_lib.Priors | None = None,
+        is_known: bool = False,
         shaper: wire.Shaper | None = None,
     ) -> None:
         """Initializes the peer; `run` dials.
@@ -49,6 +50,7 @@
             on_frame: Gets each frame that the peer does not handle itself.
             on_lost: Called once for each connection that ends.
             priors: What engines of an accelerator kind cost.
+            is_known: Whether the agent was there before this process.
             shaper: Emulated link, or None.
         """
         self._entry = entry
@@ -56,6 +58,7 @@
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._priors = priors or priors_lib.Priors()
+        self._is_known = is_known
         self._shaper = shaper
         self._connection: wire.Connection | None = None
         self._state = messages.ProcessState.STARTING
@@ -250,6 +253,7 @@
 
     def _forget(self, reason: str) -> None:
         self._connection = None
+        self._is_known = False
         self._state = messages.ProcessState.STARTING
         self._backends = {}
         self._steps.clear()
@@ -294,7 +298,10 @@
             view = known.get(backend.backend)
             if view is None:
                 view = backend_view.BackendView(
-                    self.address, backend, priors=self._priors
+                    self.address,
+                    backend,
+                    priors=self._priors,
+                    is_warm=self._is_known,
                 )
             else:
                 view.note_report(backend)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/backend_view.py
@@ -28,6 +28,7 @@
         report: messages.BackendReport,
         *,
         priors: priors_lib.Priors | None = None,
+        is_warm: bool = False,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initializes the view of a newly reported backend server.
@@ -36,6 +37,7 @@
             agent: Address of the agent, "host:port".
             report: Its first report.
             priors: What others of its accelerator kind cost.
+            is_warm: Whether it has worked before this process knew it.
             clock: Monotonic time, s.
         """
         self._agent = agent
@@ -44,7 +46,7 @@
         self._priors = priors or priors_lib.Priors()
         self._priors.note(report)
         self._prefixes = prefixes.PrefixMemory()
-        self._since = clock()
+        self._since = clock() - (SLOW_START_S if is_warm else 0.0)
         self._pending: set[str] = set()
         self._released = 0
         self._unreported_tokens = 0
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -212,6 +212,7 @@
             on_frame=self._on_frame,
             on_lost=self._on_lost,
             priors=self._priors,
+            is_known=not self._was_read,
             shaper=self._shaper,
         )
         self._peers[address] = peer
--- a/packages/dotterelgrade-entry/tests/test_backend_view.py
+++ b/packages/dotterelgrade-entry/tests/test_backend_view.py
@@ -87,6 +87,11 @@
     assert (view.warmth, view.is_usable) == (0.0, True)
 
 
+def test_what_was_there_before_the_entry_is_not_warmed_up(clock):
+    view = backend_view.BackendView("a", REPORT, is_warm=True, clock=clock)
+    assert view.warmth == 1.0
+
+
 def test_an_engine_not_yet_measured_is_taken_for_one_of_its_kind(clock):
     known = priors.Priors()
     fresh = dataclasses.replace(REPORT, last_layer=5, step_ms=0.0, token_ms=0.0)
