Let prompts stretch a batch by a share, not to a number of milliseconds

Cause: the target of 20 ms a batch was below a plain step of engines played several times slower, so that experiments at such a time scale always ran the smallest pieces of a prompt, while at full speed a fast engine's batch could grow fourfold, three stages together past the bound between tokens. Change: prompts may make a batch longer by a quarter of its duration.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
@@ -27,8 +27,9 @@
             holds fewer lowers it.
         max_calls: The most calls that a plain service runs at once.
         prefill_tokens: The most prompt tokens in one batch.
-        step_target_ms: Duration that prompt tokens may stretch a batch to
-            while other sequences wait for their next token, ms.
+        prefill_stretch: How much longer prompt tokens may make a batch in
+            which other sequences wait for their next token, as a share of its
+            duration without them.
         timeout_s: Time limit of one batch or order, s.
         status_poll_s: Interval between two looks at it, s.
         buffer_values: Outputs kept per sequence for a replay.
@@ -42,7 +43,7 @@
     max_sequences: int = 64
     max_calls: int = 64
     prefill_tokens: int = 512
-    step_target_ms: float = 20.0
+    prefill_stretch: float = 0.25
     timeout_s: float = 10.0
     status_poll_s: float = 0.5
     buffer_values: int = 32_768
@@ -61,7 +62,7 @@
             "max_sequences",
             "max_calls",
             "prefill_tokens",
-            "step_target_ms",
+            "prefill_stretch",
             "timeout_s",
             "status_poll_s",
             "buffer_values",
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
@@ -299,7 +299,7 @@
         budget = settings.prefill_tokens
         if any(sequence.pending == 1 for sequence in self._ready.values()):
             budget = self._times.prefill_budget(
-                target_ms=settings.step_target_ms, most=settings.prefill_tokens
+                stretch=settings.prefill_stretch, most=settings.prefill_tokens
             )
         batch = batch_lib.form(self._ready.values(), prefill_budget=budget)
         for entry in batch.entries:
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/step_times.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/step_times.py
@@ -99,17 +99,18 @@
         token_ms = self._token_ms or _GUESSED_TOKEN_MS
         return step_ms + token_ms * prefill_tokens
 
-    def prefill_budget(self, *, target_ms: float, most: int) -> int:
+    def prefill_budget(self, *, stretch: float, most: int) -> int:
         """Returns how many prompt tokens fit into a batch.
 
         Args:
-            target_ms: Duration that the batch shall not exceed, ms.
+            stretch: How much longer they may make the batch, as a share of
+                its duration without them.
             most: Upper limit of the answer.
 
         Returns:
             At least a few tokens, so that no prompt waits for ever.
         """
-        spare_ms = target_ms - self.expected_ms(prefill_tokens=0)
+        spare_ms = stretch * self.expected_ms(prefill_tokens=0)
         token_ms = self._token_ms or _GUESSED_TOKEN_MS
         return min(max(int(spare_ms / token_ms), _MIN_CHUNK_TOKENS), most)
 
--- a/packages/dotterelgrade-agent/tests/test_engine_backend.py
+++ b/packages/dotterelgrade-agent/tests/test_engine_backend.py
@@ -60,13 +60,15 @@
     assert sizes == {f"r{n}": 1 for n in range(5)}
 
 
-def test_the_prompt_budget_keeps_a_batch_near_its_target():
+def test_the_prompt_budget_is_a_share_of_a_step():
     times = step_times.StepTimes()
     for _ in range(50):
         times.record(duration_ms=10.0, sequences=1, prefill_tokens=0)
         times.record(duration_ms=60.0, sequences=1, prefill_tokens=100)
-    assert times.prefill_budget(target_ms=20.0, most=512) == 20
-    assert times.prefill_budget(target_ms=5.0, most=512) > 0
+    # A step takes 10 ms and a prompt token 0.5 ms.
+    assert times.prefill_budget(stretch=2.0, most=512) == 40
+    assert times.prefill_budget(stretch=2.0, most=30) == 30
+    assert times.prefill_budget(stretch=0.01, most=512) > 0
     assert times.time_limit_s(prefill_tokens=0, most_s=10.0) == 1.0
 
 
