Price all engines alike while only some have a fit

Change: the fit is believed between 0.03 and 0.1 of an unloaded step, 0.05 without one; steps count a fifth longer while prompts wait.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
@@ -8,8 +8,14 @@
 DEFAULT_TOKEN_S = 0.0001
 DEFAULT_RTT_S = 0.001
 _MS_PER_S = 1000
-# Part of an unloaded step that a further sequence adds, when not known.
-_DEFAULT_GROWTH = 0.12
+# Part of an unloaded step that a further sequence adds: when not known, and
+# the limits of what is believed, so that engines stay comparable while only
+# some of them have a fit.
+_DEFAULT_GROWTH = 0.05
+_LEAST_GROWTH = 0.03
+_MOST_GROWTH = 0.1
+# Steps are longer by this part while prompts wait.
+_PROMPT_STRETCH = 0.2
 # Part of the sequences held that is in one step; the others are on their way
 # through the other stages.
 _IN_STEP = 0.5
@@ -68,8 +74,12 @@
 
 def sequence_s(view: backend_view.BackendView) -> float:
     """Returns what one more sequence adds to a step, s."""
-    known = view.report.sequence_ms / _MS_PER_S
-    return known or _unloaded_step_s(view) * _DEFAULT_GROWTH
+    unloaded_s = _unloaded_step_s(view)
+    known_s = view.report.sequence_ms / _MS_PER_S
+    if not known_s:
+        return unloaded_s * _DEFAULT_GROWTH
+    least_s, most_s = unloaded_s * _LEAST_GROWTH, unloaded_s * _MOST_GROWTH
+    return min(max(known_s, least_s), most_s)
 
 
 def _reported_step_s(view: backend_view.BackendView) -> float:
@@ -90,6 +100,8 @@
     more = view.sequences + 1 - view.report.sequences
     more += (1 - view.warmth) * _COLD_SEQUENCES * view.sequences
     step = _reported_step_s(view) + more * _IN_STEP * sequence_s(view)
+    if view.queued_tokens:
+        step *= 1 + _PROMPT_STRETCH
     if view.is_untried:
         # One request is worth knowing how quick it is.
         step *= _UNTRIED_PART
