--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
@@ -22,7 +22,7 @@
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 2.0
 _SHORTER_WEIGHT = 0.5
-_LONGER_WEIGHT = 0.1
+_LONGER_WEIGHT = 0.3
 _MAX_PINGS = 64
 
 FrameHandler = Callable[["AgentPeer", Any], None]
@@ -73,6 +73,7 @@
         self._is_suspect = False
         self._probed_at: float | None = None
         self._was_dialed = False
+        self._pinged_at = 0.0
 
     def __repr__(self) -> str:
         """Shows the address and the state."""
@@ -151,6 +152,11 @@
             return 0.0
         return time.monotonic() - self._probed_at
 
+    @property
+    def ping_age_s(self) -> float:
+        """Time since the latest ping, s."""
+        return time.monotonic() - self._pinged_at
+
     @property
     def takes_work(self) -> bool:
         """Whether new work may be given to the agent."""
@@ -186,6 +192,7 @@
         if self.send(messages.Ping(sequence=number)):
             now = time.monotonic()
             self._pings_sent[number] = now
+            self._pinged_at = now
             if len(self._pings_sent) > _MAX_PINGS:
                 del self._pings_sent[next(iter(self._pings_sent))]
             if self._probed_at is None:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -24,6 +24,7 @@
 
 _MONITOR_PERIOD_S = 0.1
 _PING_AFTER_S = 0.2
+_BUSY_PING_S = 1.0
 _IDLE_PING_PERIOD_S = 10.0
 _UNLISTED_GRACE_S = 10.0
 _MAX_OWN_DELAY_S = 5.0
@@ -294,7 +295,7 @@
         silent_s = peer.unanswered_s + _PING_AFTER_S
         if peer.unanswered_s and silent_s > limit_s and not peer.is_suspect:
             self.suspect(peer, f"no answer for {peer.unanswered_s:.2f} s")
-        elif peer.silence_s > _PING_AFTER_S:
+        elif peer.silence_s > _PING_AFTER_S or peer.ping_age_s > _BUSY_PING_S:
             peer.ping()
 
     def suspect(self, peer: agent_peer.AgentPeer, reason: str) -> None:
