Split the handshake from the streams

Change: `handshake` says who the peer is and proves the key; `wire` dials, listens and carries frames; `messages.encode` gives a frame's bytes. Behaviour is unchanged. Conclusion: each module has one job.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -12,6 +12,7 @@
 from dotterelgrade import contract as contract_lib
 from dotterelgrade import contract_feed
 from dotterelgrade import contract_metrics
+from dotterelgrade import handshake
 from dotterelgrade import host_list
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import log_client
@@ -366,9 +367,9 @@
 
 def _identity(
     settings: agent_settings.AgentSettings, incarnation: str
-) -> wire.Identity:
+) -> handshake.Identity:
     process = settings.process
-    return wire.Identity(
+    return handshake.Identity(
         process=incarnation,
         role=messages.Role.AGENT,
         host=process.host,
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/entry_links.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/entry_links.py
@@ -7,6 +7,7 @@
 import gevent
 import gevent.pool
 
+from dotterelgrade import messages
 from dotterelgrade import wire
 
 
@@ -120,7 +121,7 @@
 
     def broadcast(self, message: Any) -> None:
         """Sends a frame to every connected entry, encoded once."""
-        data = wire.encode(message)
+        data = messages.encode(message)
         for link in self:
             link.send_encoded(data)
 
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/hops.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/hops.py
@@ -11,6 +11,7 @@
 import gevent.pool
 
 from dotterelgrade import errors
+from dotterelgrade import handshake
 from dotterelgrade import messages
 from dotterelgrade import wire
 
@@ -37,7 +38,7 @@
         shaper: Emulated links, or None.
     """
 
-    identity: wire.Identity
+    identity: handshake.Identity
     shaper: wire.Shaper | None = None
 
 
--- a/packages/dotterelgrade-agent/tests/conftest.py
+++ b/packages/dotterelgrade-agent/tests/conftest.py
@@ -11,6 +11,7 @@
 from dotterelgrade import contract
 from dotterelgrade import contract_records
 from dotterelgrade import grammar
+from dotterelgrade import handshake
 from dotterelgrade import messages
 from dotterelgrade import settings as settings_lib
 from dotterelgrade import wire
@@ -55,7 +56,7 @@
         self._arrived = event.Event()
 
     def dial(self, target):
-        identity = wire.Identity(
+        identity = handshake.Identity(
             process=self.process,
             role=messages.Role.ENTRY,
             host=self.host,
@@ -249,7 +250,7 @@
         return started
 
     def dial_as_agent(self, target):
-        identity = wire.Identity(
+        identity = handshake.Identity(
             process="stranger",
             role=messages.Role.AGENT,
             host=self.address(),
--- a/packages/dotterelgrade-agent/tests/test_hops.py
+++ b/packages/dotterelgrade-agent/tests/test_hops.py
@@ -2,6 +2,7 @@
 from gevent import queue
 import pytest
 
+from dotterelgrade import handshake
 from dotterelgrade import host_list
 from dotterelgrade import messages
 from dotterelgrade import wire
@@ -11,7 +12,7 @@
 
 
 def _identity(host, port):
-    return wire.Identity(
+    return handshake.Identity(
         process=host,
         role=messages.Role.AGENT,
         host=host,
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/agent_peer.py
@@ -11,6 +11,7 @@
 from gevent import event
 
 from dotterelgrade import errors
+from dotterelgrade import handshake
 from dotterelgrade import host_list
 from dotterelgrade import messages
 from dotterelgrade import wire
@@ -35,7 +36,7 @@
         self,
         entry: host_list.HostEntry,
         *,
-        identity: wire.Identity,
+        identity: handshake.Identity,
         on_frame: FrameHandler,
         on_lost: Callable[["AgentPeer", str], None],
         priors: priors_lib.Priors | None = None,
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -14,6 +14,7 @@
 from dotterelgrade import charges
 from dotterelgrade import contract_feed
 from dotterelgrade import contract_metrics
+from dotterelgrade import handshake
 from dotterelgrade import host_list
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import log_client
@@ -114,9 +115,9 @@
         """Shows the address and the state."""
         return f"<Entry {self._settings.process.host} {self._state}>"
 
-    def _identity(self) -> wire.Identity:
+    def _identity(self) -> handshake.Identity:
         own = self._settings.process
-        return wire.Identity(
+        return handshake.Identity(
             process=self._process,
             role=messages.Role.ENTRY,
             host=own.host,
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import handshake
 from dotterelgrade import host_list
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import messages
@@ -62,7 +63,7 @@
         self,
         settings: entry_settings.EntrySettings,
         *,
-        identity: wire.Identity,
+        identity: handshake.Identity,
         hosts: Hosts,
         listener: Listener,
         journal: journal_lib.Journal,
--- a/packages/dotterelgrade-entry/tests/conftest.py
+++ b/packages/dotterelgrade-entry/tests/conftest.py
@@ -13,6 +13,7 @@
 
 from dotterelgrade import contract_records
 from dotterelgrade import grammar
+from dotterelgrade import handshake
 from dotterelgrade import host_list
 from dotterelgrade import messages
 from dotterelgrade import settings as settings_lib
@@ -237,7 +238,7 @@
     def start_fake_agent(self, first, last, on_frame):
         process = self.process()
         fake = FakeAgent(process, first, last, on_frame)
-        identity = wire.Identity(
+        identity = handshake.Identity(
             process=f"fake-{process.host}",
             role=messages.Role.AGENT,
             host=process.host,
--- a/packages/dotterelgrade-standins/tests/test_fuzz_bytes.py
+++ b/packages/dotterelgrade-standins/tests/test_fuzz_bytes.py
@@ -16,6 +16,7 @@
 from dotterelgrade import contract as contract_lib
 from dotterelgrade import errors
 from dotterelgrade import grammar
+from dotterelgrade import handshake
 from dotterelgrade import host_list
 from dotterelgrade import log_client
 from dotterelgrade import messages
@@ -445,7 +446,7 @@
 def test_authenticated_peer_with_any_bytes_harms_only_its_connection(fleet):
     agent = fleet.agents[0]
     settings = agent.process.settings.process
-    identity = wire.Identity(
+    identity = handshake.Identity(
         process="stranger",
         role=messages.Role.ENTRY,
         host="127.50.255.2",
--- a/packages/dotterelgrade/src/dotterelgrade/messages.py
+++ b/packages/dotterelgrade/src/dotterelgrade/messages.py
@@ -10,6 +10,7 @@
 import enum
 from typing import Any, TypeVar
 
+import msgpack
 import msgspec
 
 from dotterelgrade import errors
@@ -18,6 +19,7 @@
 
 _T = TypeVar("_T")
 _FRAMES: dict[str, type] = {}
+_PACKER = msgpack.Packer()
 
 
 def frame(cls: type[_T]) -> type[_T]:
@@ -37,6 +39,15 @@
     return [type(message).__name__, fields]
 
 
+def encode(message: Any) -> bytes:
+    """Returns the bytes of a frame.
+
+    Args:
+        message: An instance of a registered frame.
+    """
+    return _PACKER.pack(to_wire(message))
+
+
 def from_wire(value: Any) -> Any:
     """Checks a decoded array and returns the frame.
 
--- a/packages/dotterelgrade/src/dotterelgrade/wire.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wire.py
@@ -6,10 +6,7 @@
 
 from collections.abc import Callable, Iterator
 import contextlib
-import dataclasses
-import hmac
 import logging
-import os
 import socket
 import time
 from typing import Any, Protocol
@@ -21,37 +18,15 @@
 import msgpack
 
 from dotterelgrade import errors
+from dotterelgrade import handshake
 from dotterelgrade import messages
 
 _LOG = logging.getLogger(__name__)
 
-MAX_FRAME_BYTES = 16 * 1024 * 1024
 MAX_UNSENT_BYTES = 64 * 1024 * 1024
 HANDSHAKE_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
 _READ_BYTES = 256 * 1024
-_NONCE_BYTES = 16
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Identity:
-    """What a process says about itself in the hello.
-
-    Attributes:
-        process: Identifier of the incarnation.
-        role: Role of the process.
-        host: Own IP number.
-        port: Own port for peers; 0 when it accepts none.
-        failure_domain: Own failure domain.
-        shared_key: Key that every process of the fleet knows.
-    """
-
-    process: str
-    role: messages.Role
-    host: str
-    port: int
-    failure_domain: str
-    shared_key: bytes = dataclasses.field(repr=False)
 
 
 class Shaper(Protocol):
@@ -61,18 +36,6 @@
         """Returns the delay of a write in seconds, or None to drop the link."""
 
 
-_PACKER = msgpack.Packer()
-
-
-def encode(message: Any) -> bytes:
-    """Returns the bytes of a frame.
-
-    Args:
-        message: An instance of a registered frame.
-    """
-    return _PACKER.pack(messages.to_wire(message))
-
-
 class Connection:
     """One authenticated stream to a peer.
 
@@ -153,10 +116,10 @@
         Returns:
             False when the connection is closed, so that the frame is lost.
         """
-        return not self._closed and self.send_encoded(encode(message))
+        return not self._closed and self.send_encoded(messages.encode(message))
 
     def send_encoded(self, data: bytes) -> bool:
-        """Queues a frame that `encode` returned; see `send`.
+        """Queues a frame that `messages.encode` returned; see `send`.
 
         Args:
             data: One frame, which many connections may share.
@@ -259,92 +222,18 @@
     sock.close()
 
 
-def _prove(key: bytes, label: bytes, mine: bytes, theirs: bytes) -> bytes:
-    return hmac.digest(key, label + mine + theirs, "sha256")
-
-
-def _handshake(
-    sock: gevent.socket.socket,
-    *,
-    identity: Identity,
-    dialing: bool,
-    shaper: Shaper | None,
-) -> Connection:
-    unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES, raw=False)
-    nonce = os.urandom(_NONCE_BYTES)
-    mine = messages.Hello(
-        version=messages.PROTOCOL_VERSION,
-        process=identity.process,
-        role=identity.role,
-        host=identity.host,
-        port=identity.port,
-        failure_domain=identity.failure_domain,
-        nonce=nonce,
-    )
-    _send_now(sock, mine)
-    theirs = _read_one(sock, unpacker, messages.Hello)
-    if theirs.version != messages.PROTOCOL_VERSION:
-        raise errors.fail(
-            errors.ErrorKind.PEER_UNAUTHENTICATED,
-            f"peer speaks version {theirs.version}, expected "
-            f"{messages.PROTOCOL_VERSION}",
-        )
-    own_label, peer_label = (b"dial", b"listen")
-    if not dialing:
-        own_label, peer_label = peer_label, own_label
-    key = identity.shared_key
-    _send_now(
-        sock,
-        messages.Proof(digest=_prove(key, own_label, nonce, theirs.nonce)),
-    )
-    proof = _read_one(sock, unpacker, messages.Proof)
-    expected = _prove(key, peer_label, theirs.nonce, nonce)
-    if not hmac.compare_digest(proof.digest, expected):
-        raise errors.fail(
-            errors.ErrorKind.PEER_UNAUTHENTICATED,
-            "peer does not know the shared key",
-        )
-    return Connection(sock, peer=theirs, unpacker=unpacker, shaper=shaper)
-
-
-def _send_now(sock: gevent.socket.socket, message: Any) -> None:
-    sock.sendall(encode(message))
-
-
-def _read_one(
-    sock: gevent.socket.socket, unpacker: msgpack.Unpacker, expected: type
-) -> Any:
-    while True:
-        for value in unpacker:
-            message = messages.from_wire(value)
-            if not isinstance(message, expected):
-                raise errors.fail(
-                    errors.ErrorKind.FRAME_INVALID,
-                    f"expected {expected.__name__}, got "
-                    f"{type(message).__name__}",
-                )
-            return message
-        data = sock.recv(_READ_BYTES)
-        if not data:
-            raise errors.fail(
-                errors.ErrorKind.PEER_UNREACHABLE,
-                "peer closed during the handshake",
-            )
-        unpacker.feed(data)
-
-
 def _open(
     sock: gevent.socket.socket,
     *,
-    identity: Identity,
+    identity: handshake.Identity,
     dialing: bool,
     shaper: Shaper | None,
 ) -> Connection:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
         with gevent.Timeout(HANDSHAKE_TIMEOUT_S, TimeoutError("handshake")):
-            return _handshake(
-                sock, identity=identity, dialing=dialing, shaper=shaper
+            peer, unpacker = handshake.perform(
+                sock, identity=identity, dialing=dialing
             )
     except errors.DotterelgradeError:
         _shut(sock)
@@ -354,13 +243,14 @@
         raise errors.fail(
             errors.ErrorKind.PEER_UNREACHABLE, f"handshake failed: {error!r}"
         ) from error
+    return Connection(sock, peer=peer, unpacker=unpacker, shaper=shaper)
 
 
 def dial(
     host: str,
     port: int,
     *,
-    identity: Identity,
+    identity: handshake.Identity,
     shaper: Shaper | None = None,
 ) -> Connection:
     """Connects to a peer and proves the shared key.
@@ -397,7 +287,7 @@
 def listening(
     handler: Callable[[Connection], None],
     *,
-    identity: Identity,
+    identity: handshake.Identity,
     shaper: Shaper | None = None,
 ) -> Iterator[gevent_server.StreamServer]:
     """Accepts peers on the identity's address while the context is open.
--- a/packages/dotterelgrade/tests/test_wire.py
+++ b/packages/dotterelgrade/tests/test_wire.py
@@ -4,12 +4,13 @@
 import pytest
 
 from dotterelgrade import errors
+from dotterelgrade import handshake
 from dotterelgrade import messages
 from dotterelgrade import wire
 
 
 def _identity(host, *, port=0, key=b"k" * 16):
-    return wire.Identity(
+    return handshake.Identity(
         process=f"process-{host}",
         role=messages.Role.AGENT,
         host=host,
