Let requests in up to smaller parts of the bounds

Change: 0.8 and 0.88 of the bounds; the own latency of a request counts 3 % instead of 10 % in the price of a chain. The test of shares near the bound names a first token between the two new limits.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
@@ -17,8 +17,8 @@
 _MAX_RETRY_AFTER_S = 30.0
 # Parts of the bounds up to which requests are let in. What is let in later
 # makes the others slower, and a wait leaves less time for surprises.
-_FIRST_PART = 0.9
-_BETWEEN_PART = 0.92
+_FIRST_PART = 0.8
+_BETWEEN_PART = 0.88
 _WAIT_PART = 0.5
 # Part of those that a workspace over its share may use.
 _OVER_SHARE_PART = 0.93
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/cost_model.py
@@ -21,7 +21,7 @@
 _IN_STEP = 0.5
 # Sequences that a backend server which is new or came back counts as more.
 _COLD_SEQUENCES = 2.0
-_OWN_WEIGHT = 0.1
+_OWN_WEIGHT = 0.03
 _UNTRIED_PART = 0.5
 
 
--- a/packages/dotterelgrade-entry/tests/test_admission.py
+++ b/packages/dotterelgrade-entry/tests/test_admission.py
@@ -144,7 +144,7 @@
     for number in range(10):
         gate.enter(_request("studio", number=number), lambda _: _chain())
     gate.enter(_request("bench"), lambda _: _chain())
-    near = _chain(first_s=0.43)
+    near = _chain(first_s=0.385)
     assert isinstance(
         gate.enter(_request("bench"), lambda _: near), result.Success
     )
