Serve every WSGI application in one way

Cause: the admin address and the stand-ins each had a copy of the server's set-up and end, and five parts of the stand-ins repeated their address and their run. Change: `wsgi.serving` serves both, with the handler and the time for open connections as options; `no_delay` becomes part of it. A stand-in part only makes its application. Behaviour is unchanged.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -19,6 +19,7 @@
 from dotterelgrade import messages
 from dotterelgrade import metrics as metrics_lib
 from dotterelgrade import wire
+from dotterelgrade import wsgi
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_agent import backend as backend_lib
 from dotterelgrade_agent import calls as calls_lib
@@ -283,7 +284,7 @@
         # process the only agent of the host.
         with (
             listening,
-            admin.serving(app, host=process.host, port=process.admin_port),
+            wsgi.serving(app, host=process.host, port=process.admin_port),
         ):
             self._start()
             try:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -21,6 +21,7 @@
 from dotterelgrade import messages
 from dotterelgrade import metrics as metrics_lib
 from dotterelgrade import wire
+from dotterelgrade import wsgi
 from dotterelgrade_entry import admission as admission_lib
 from dotterelgrade_entry import entry_metrics
 from dotterelgrade_entry import entry_settings
@@ -292,7 +293,7 @@
         greenlets = []
         try:
             with (
-                admin.serving(self._admin, host=own.host, port=own.admin_port),
+                wsgi.serving(self._admin, host=own.host, port=own.admin_port),
                 http_server.serving(self._api, self._settings) as server,
             ):
                 self._server = server
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_server.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_server.py
@@ -10,7 +10,7 @@
 from gevent import pool
 from gevent import pywsgi
 
-from dotterelgrade import no_delay
+from dotterelgrade import wsgi
 from dotterelgrade_entry import entry_settings
 
 _LOG = logging.getLogger(__name__)
@@ -32,7 +32,7 @@
     """
 
 
-class _Handler(no_delay.NoDelayHandler):
+class _Handler(wsgi.NoDelayHandler):
     """One caller's connection."""
 
     def read_requestline(self) -> Any:
--- a/packages/dotterelgrade-entry/tests/test_fleet_commands.py
+++ b/packages/dotterelgrade-entry/tests/test_fleet_commands.py
@@ -7,6 +7,7 @@
 from dotterelgrade import admin
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import metrics as metrics_lib
+from dotterelgrade import wsgi
 from dotterelgrade_entry import fleet_commands
 
 _HOST = "127.10.3.1"
@@ -45,7 +46,7 @@
         },
     }
     app.route("GET", "fleet", lambda _, __: (200, {"processes": [row]}))
-    with admin.serving(app, host=_HOST, port=17_401):
+    with wsgi.serving(app, host=_HOST, port=17_401):
         yield shown
 
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/parts.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/parts.py
@@ -58,152 +58,113 @@
     return dict(_KINDS)
 
 
-@kind("log")
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class LogPart:
-    """The log service.
+class _WebPart:
+    """A stand-in that serves HTTP.
 
     Attributes:
         host: IP number.
         port: TCP port.
-        faults: What it plays from the beginning.
     """
 
     host: str
     port: int
-    faults: log_service.LogFaults = dataclasses.field(
-        default_factory=log_service.LogFaults
-    )
 
     @property
     def addresses(self) -> tuple[tuple[str, int], ...]:
         """Addresses that the part listens on."""
         return ((self.host, self.port),)
 
+    def make(self) -> web.JsonApp:
+        """Returns a new stand-in."""
+        raise NotImplementedError
+
     @contextlib.contextmanager
-    def running(self, _: shaper_lib.Links) -> Iterator[log_service.LogService]:
+    def running(self, _: shaper_lib.Links) -> Iterator[web.JsonApp]:
         """Runs the part while the context is open."""
-        service = log_service.LogService(faults=self.faults)
-        with web.serving(service, host=self.host, port=self.port):
-            yield service
+        application = self.make()
+        with web.serving(application, host=self.host, port=self.port):
+            yield application
+
+
+@kind("log")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LogPart(_WebPart):
+    """The log service.
+
+    Attributes:
+        faults: What it plays from the beginning.
+    """
+
+    faults: log_service.LogFaults = dataclasses.field(
+        default_factory=log_service.LogFaults
+    )
+
+    def make(self) -> log_service.LogService:
+        """Returns a new stand-in."""
+        return log_service.LogService(faults=self.faults)
 
 
 @kind("hosts")
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class HostsPart:
+class HostsPart(_WebPart):
     """The list of hosts.
 
     Attributes:
-        host: IP number.
-        port: TCP port.
         entries: Hosts that show from the beginning.
         lag_s: Time until a change shows, s.
     """
 
-    host: str
-    port: int
     entries: tuple[host_list.HostEntry, ...] = ()
     lag_s: float = 0.0
 
-    @property
-    def addresses(self) -> tuple[tuple[str, int], ...]:
-        """Addresses that the part listens on."""
-        return ((self.host, self.port),)
-
-    @contextlib.contextmanager
-    def running(
-        self, _: shaper_lib.Links
-    ) -> Iterator[hosts_service.HostsService]:
-        """Runs the part while the context is open."""
-        service = hosts_service.HostsService(
+    def make(self) -> hosts_service.HostsService:
+        """Returns a new stand-in."""
+        return hosts_service.HostsService(
             self.entries, faults=hosts_service.HostsFaults(lag_s=self.lag_s)
         )
-        with web.serving(service, host=self.host, port=self.port):
-            yield service
 
 
 @kind("weights")
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class WeightsPart:
+class WeightsPart(_WebPart):
     """The weight store.
 
     Attributes:
-        host: IP number.
-        port: TCP port.
         loads_per_s: Loads that may begin per second.
     """
 
-    host: str
-    port: int
     loads_per_s: float = 2.0
 
-    @property
-    def addresses(self) -> tuple[tuple[str, int], ...]:
-        """Addresses that the part listens on."""
-        return ((self.host, self.port),)
-
-    @contextlib.contextmanager
-    def running(
-        self, _: shaper_lib.Links
-    ) -> Iterator[weight_store.WeightStore]:
-        """Runs the part while the context is open."""
-        store = weight_store.WeightStore(loads_per_s=self.loads_per_s)
-        with web.serving(store, host=self.host, port=self.port):
-            yield store
+    def make(self) -> weight_store.WeightStore:
+        """Returns a new stand-in."""
+        return weight_store.WeightStore(loads_per_s=self.loads_per_s)
 
 
 @kind("deposits")
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class DepositsPart:
-    """A plain service that takes deposits.
+class DepositsPart(_WebPart):
+    """A plain service that takes deposits."""
 
-    Attributes:
-        host: IP number.
-        port: TCP port.
-    """
-
-    host: str
-    port: int
-
-    @property
-    def addresses(self) -> tuple[tuple[str, int], ...]:
-        """Addresses that the part listens on."""
-        return ((self.host, self.port),)
-
-    @contextlib.contextmanager
-    def running(self, _: shaper_lib.Links) -> Iterator[deposits.DepositService]:
-        """Runs the part while the context is open."""
-        service = deposits.DepositService()
-        with web.serving(service, host=self.host, port=self.port):
-            yield service
+    def make(self) -> deposits.DepositService:
+        """Returns a new stand-in."""
+        return deposits.DepositService()
 
 
 @kind("engine")
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class EnginePart:
+class EnginePart(_WebPart):
     """A model engine.
 
     Attributes:
-        host: IP number.
-        port: TCP port.
         settings: What the engine is and holds.
     """
 
-    host: str
-    port: int
     settings: engine_lib.EngineSettings
 
-    @property
-    def addresses(self) -> tuple[tuple[str, int], ...]:
-        """Addresses that the part listens on."""
-        return ((self.host, self.port),)
-
-    @contextlib.contextmanager
-    def running(self, _: shaper_lib.Links) -> Iterator[engine_lib.Engine]:
-        """Runs the part while the context is open."""
-        engine = engine_lib.Engine(self.settings)
-        with web.serving(engine, host=self.host, port=self.port):
-            yield engine
+    def make(self) -> engine_lib.Engine:
+        """Returns a new stand-in."""
+        return engine_lib.Engine(self.settings)
 
 
 @kind("entry")
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import json
-import logging
 import re
 import socket
 from typing import Any
@@ -12,9 +11,7 @@
 
 from gevent import pywsgi
 
-from dotterelgrade import no_delay
-
-_LOG = logging.getLogger(__name__)
+from dotterelgrade import wsgi
 
 _SOCKET_KEY = "dotterelgrade.socket"
 _STOP_TIMEOUT_S = 0.05
@@ -147,7 +144,7 @@
     )
 
 
-class _Handler(no_delay.NoDelayHandler):
+class _Handler(wsgi.NoDelayHandler):
     """Gives applications their socket, and stays quiet about dropped calls."""
 
     def get_environ(self) -> dict[str, Any]:
@@ -179,18 +176,14 @@
     Raises:
         OSError: The address can't be bound.
     """
-    server = pywsgi.WSGIServer(
-        (host, port),
+    with wsgi.serving(
         app,
-        log=None,
-        error_log=_LOG,
+        host=host,
+        port=port,
         handler_class=_Handler,
-    )
-    server.start()
-    try:
+        stop_timeout_s=_STOP_TIMEOUT_S,
+    ) as server:
         yield server
-    finally:
-        server.stop(timeout=_STOP_TIMEOUT_S)
 
 
 def apply_changes(current: Any, changes: Any) -> Any:
--- a/packages/dotterelgrade/src/dotterelgrade/admin.py
+++ b/packages/dotterelgrade/src/dotterelgrade/admin.py
@@ -1,20 +1,13 @@
 """The admin address of a process: state, metrics, health and decisions."""
 
-from collections.abc import Callable, Iterable, Iterator
-import contextlib
+from collections.abc import Callable, Iterable
 import dataclasses
 import json
-import logging
 from typing import Any, Protocol
 import urllib.parse
 
-from gevent import pywsgi
-
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import metrics as metrics_lib
-from dotterelgrade import no_delay
-
-_LOG = logging.getLogger(__name__)
 
 Handler = Callable[[str, dict[str, str]], tuple[int, Any]]
 
@@ -111,34 +104,3 @@
     headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
     start_response(f"{status} {'OK' if status < 400 else 'Error'}", headers)
     return [body]
-
-
-@contextlib.contextmanager
-def serving(
-    app: Callable[..., Iterable[bytes]], *, host: str, port: int
-) -> Iterator[pywsgi.WSGIServer]:
-    """Serves a WSGI application while the context is open.
-
-    Args:
-        app: The application.
-        host: IP number to bind.
-        port: TCP port to bind.
-
-    Yields:
-        The listening server.
-
-    Raises:
-        OSError: The address can't be bound.
-    """
-    wsgi_server = pywsgi.WSGIServer(
-        (host, port),
-        app,
-        log=None,
-        error_log=_LOG,
-        handler_class=no_delay.NoDelayHandler,
-    )
-    wsgi_server.start()
-    try:
-        yield wsgi_server
-    finally:
-        wsgi_server.stop(timeout=1)
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/wsgi.py
@@ -0,0 +1,63 @@
+"""WSGI servers whose answers are not held back by Nagle's algorithm."""
+
+from collections.abc import Callable, Iterable, Iterator
+import contextlib
+import logging
+import socket
+
+from gevent import pywsgi
+
+_LOG = logging.getLogger(__name__)
+
+STOP_TIMEOUT_S = 1.0
+
+
+class NoDelayHandler(pywsgi.WSGIHandler):
+    """Handles a connection with TCP_NODELAY set.
+
+    An answer leaves in two writes, the headers and the body. Nagle's algorithm
+    would hold the second back until the delayed acknowledgement of the first.
+    """
+
+    def handle(self) -> None:
+        """Handles the connection until it ends."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
+
+@contextlib.contextmanager
+def serving(
+    app: Callable[..., Iterable[bytes]],
+    *,
+    host: str,
+    port: int,
+    handler_class: type[NoDelayHandler] = NoDelayHandler,
+    stop_timeout_s: float = STOP_TIMEOUT_S,
+) -> Iterator[pywsgi.WSGIServer]:
+    """Serves a WSGI application while the context is open.
+
+    Args:
+        app: The application.
+        host: IP number to bind.
+        port: TCP port to bind.
+        handler_class: Handles each connection.
+        stop_timeout_s: Time that open connections get at the end, s.
+
+    Yields:
+        The listening server.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    server = pywsgi.WSGIServer(
+        (host, port),
+        app,
+        log=None,
+        error_log=_LOG,
+        handler_class=handler_class,
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(timeout=stop_timeout_s)
--- a/packages/dotterelgrade/tests/test_admin.py
+++ b/packages/dotterelgrade/tests/test_admin.py
@@ -6,6 +6,7 @@
 from dotterelgrade import admin
 from dotterelgrade import journal
 from dotterelgrade import metrics
+from dotterelgrade import wsgi
 
 
 class _Process:
@@ -25,7 +26,7 @@
 
 @pytest.fixture
 def get(process):
-    with admin.serving(admin.AdminApp(process), host="127.0.9.9", port=17401):
+    with wsgi.serving(admin.AdminApp(process), host="127.0.9.9", port=17401):
         client = geventhttpclient.HTTPClient("127.0.9.9", 17401)
 
         def call(path):
