Let prompts stretch a batch by 0.12 instead of 0.25

Cause: with many prompts at once the gaps between tokens grew beyond what admission had predicted, while the first token had room (1.1 s of 2.7 s). Change: `prefill_stretch` 0.12.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_settings.py
@@ -43,7 +43,7 @@
     max_sequences: int = 64
     max_calls: int = 64
     prefill_tokens: int = 512
-    prefill_stretch: float = 0.25
+    prefill_stretch: float = 0.12
     timeout_s: float = 10.0
     status_poll_s: float = 0.5
     buffer_values: int = 32_768
