Encode a busy agent's report once, not twice

Cause: the reporter encoded the report a second time only to learn its size for the pacing. Change: a broadcast returns the size of what it encoded. The test's stand-in for the entries returns it too; its assertions are unchanged.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/entry_links.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/entry_links.py
@@ -119,11 +119,19 @@
         if self._links.pop(link.process, None) is link:
             self._on_orphaned(link)
 
-    def broadcast(self, message: Any) -> None:
-        """Sends a frame to every connected entry, encoded once."""
+    def broadcast(self, message: Any) -> int:
+        """Sends a frame to every connected entry, encoded once.
+
+        Args:
+            message: An instance of a registered frame.
+
+        Returns:
+            Size of the encoded frame, bytes.
+        """
         data = messages.encode(message)
         for link in self:
             link.send_encoded(data)
+        return len(data)
 
     def close(self) -> None:
         """Ends the grace periods."""
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/reports.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/reports.py
@@ -5,7 +5,6 @@
 
 import gevent
 from gevent import event
-import msgpack
 
 from dotterelgrade import messages
 from dotterelgrade_agent import agent_settings
@@ -64,17 +63,16 @@
     def _report(self) -> None:
         report = self._make_report()
         self._sent += 1
-        self._links.broadcast(report)
+        size = self._links.broadcast(report)
         if any(item.sequences for item in report.backends):
-            self._interval_s = self._busy_interval_s(report)
+            self._interval_s = self._busy_interval_s(size)
         else:
             self._interval_s = min(
                 self._interval_s * _STRETCH, self._settings.report_idle_s
             )
 
-    def _busy_interval_s(self, report: messages.Report) -> float:
+    def _busy_interval_s(self, size: int) -> float:
         # Many entries share the bytes that control may cost a host.
-        size = len(msgpack.packb(messages.to_wire(report)))
         paced_s = len(self._links) * size / self._settings.report_bytes_per_s
         return min(
             max(self._settings.report_busy_s, paced_s),
--- a/packages/dotterelgrade-agent/tests/test_reports.py
+++ b/packages/dotterelgrade-agent/tests/test_reports.py
@@ -12,8 +12,9 @@
 
     sent = 0
 
-    def broadcast(self, _):
+    def broadcast(self, message):
         self.sent += len(self)
+        return len(messages.encode(message))
 
 
 @pytest.fixture
