Give the routing decisions a package of their own

Cause: on the users' platform the backend servers run the layers themselves, and what remains ours are decisions: which layers a backend server holds, which chain a request takes, whether it is let in, what is tried again. The entry's planner mixes these with agents and sockets.

Ruled out: teaching the entry a second way of speaking; its decisions assume agents that admit, step and report.

The retry budget moves there from the entry and can be resized.

Conclusion: decisions can be tested and replayed without a process.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PY := .venv/bin/python
 CONTRACT ?= examples/tabuleiro.contract
 SECONDS ?= 60
-PACKAGES := packages/dotterelgrade packages/dotterelgrade-entry \
+PACKAGES := packages/dotterelgrade packages/dotterelgrade-routing \
+	packages/dotterelgrade-front platform packages/dotterelgrade-entry \
 	packages/dotterelgrade-agent packages/dotterelgrade-standins
+SOURCES := packages platform examples benchmarks
 
 .PHONY: demo test lint format fuzz mutants bench capacity
 
@@ -20,12 +22,12 @@
 	$(PY) -m pytest
 
 lint: .venv/installed
-	.venv/bin/ruff format --check packages examples benchmarks
-	.venv/bin/ruff check packages examples benchmarks
+	.venv/bin/ruff format --check $(SOURCES)
+	.venv/bin/ruff check $(SOURCES)
 
 format: .venv/installed
-	.venv/bin/ruff format packages examples benchmarks
-	.venv/bin/ruff check --fix packages examples benchmarks
+	.venv/bin/ruff format $(SOURCES)
+	.venv/bin/ruff check --fix $(SOURCES)
 
 fuzz: .venv/installed
 	$(PY) -m dotterelgrade_standins fuzz --seconds $(SECONDS)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -36,8 +36,8 @@
 from dotterelgrade_entry import planner as planner_lib
 from dotterelgrade_entry import policies
 from dotterelgrade_entry import record_relay
-from dotterelgrade_entry import retry_budget
 from dotterelgrade_entry import service_calls
+from dotterelgrade_routing import retry_budget
 
 _LOG = logging.getLogger(__name__)
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline_tools.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline_tools.py
@@ -8,7 +8,7 @@
 from dotterelgrade_entry import exchange as exchange_lib
 from dotterelgrade_entry import fleet as fleet_lib
 from dotterelgrade_entry import planner as planner_lib
-from dotterelgrade_entry import retry_budget
+from dotterelgrade_routing import retry_budget
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
@@ -19,7 +19,7 @@
 from dotterelgrade_entry import fleet as fleet_lib
 from dotterelgrade_entry import idempotency
 from dotterelgrade_entry import retry_after
-from dotterelgrade_entry import retry_budget
+from dotterelgrade_routing import retry_budget
 
 _MS_PER_S = 1000
 _MAX_TRIES = 4
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing decisions, free of input and output."""
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -0,0 +1,99 @@
+"""Whether a model request is let in, and over which chain.
+
+Load pattern: callers press beyond what the backend servers' memory holds, or
+a part of the chains is broken. A request that would only push out others is
+refused at once, with the time until memory is likely to be free.
+"""
+
+from collections.abc import Mapping, Sequence
+import dataclasses
+
+from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import load_picture
+
+# Reservations are estimates; the rest absorbs answers longer than expected.
+MOST_FILL = 0.95
+SHORTEST_RETRY_S = 0.25
+LONGEST_RETRY_S = 3.0
+# How strongly a chain's fill counts against its speed.
+FILL_WEIGHT = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Admitted:
+    """The request is let in.
+
+    Attributes:
+        chain: The chain that it takes.
+        fill: Reserved share of the chain's fullest stage, this one included.
+    """
+
+    chain: chain_choice.Chain
+    fill: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refused:
+    """The request is refused.
+
+    Attributes:
+        reason: Why, in one clause.
+        retry_after_s: When it may come back, s.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+def decide(
+    chains: Sequence[chain_choice.Chain],
+    *,
+    tokens: float,
+    answer_tokens: float,
+    load: load_picture.LoadPicture,
+    memory: Mapping[str, float],
+) -> Admitted | Refused:
+    """Chooses a chain for a request, or refuses it.
+
+    Args:
+        chains: The chains to choose from.
+        tokens: Tokens that the request will hold at most.
+        answer_tokens: Tokens that it is expected to produce.
+        load: Reservations at the backend servers.
+        memory: Memory for requests by backend server, tokens times layers.
+    """
+    if not chains:
+        return Refused(reason="no chain", retry_after_s=1.0)
+    ranked = [
+        Admitted(chain=chain, fill=fill_with(chain, tokens, load, memory))
+        for chain in chains
+    ]
+    best = min(ranked, key=lambda a: _price(a))
+    if best.fill <= MOST_FILL:
+        return best
+    # Memory is freed as answers end; half of one is left on average.
+    wait_s = best.chain.step_s * answer_tokens * (best.fill - MOST_FILL + 0.5)
+    return Refused(
+        reason="memory of backend servers full",
+        retry_after_s=min(max(wait_s, SHORTEST_RETRY_S), LONGEST_RETRY_S),
+    )
+
+
+def fill_with(
+    chain: chain_choice.Chain,
+    tokens: float,
+    load: load_picture.LoadPicture,
+    memory: Mapping[str, float],
+) -> float:
+    """Returns the fill of a chain's fullest stage with one more request."""
+    return max(
+        (load.used(stage.server_id) + tokens * len(stage.layers))
+        / max(memory.get(stage.server_id, 0.0), 1.0)
+        for stage in chain.stages
+    )
+
+
+def _price(admitted: Admitted) -> float:
+    over = max(0.0, admitted.fill - MOST_FILL)
+    fill = min(admitted.fill, 1.0)
+    return admitted.chain.step_s * (1 + FILL_WEIGHT * fill) + over
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
@@ -0,0 +1,244 @@
+"""Chains of backend servers that run every layer once and in order.
+
+Load pattern: backend servers of unequal speed and memory hold overlapping
+ranges, some are slow or full, and links between failure domains are narrow.
+A chain stays in one failure domain where it can, and uses parts of ranges so
+that the loss of one backend server is patched from another domain.
+"""
+
+from collections.abc import Iterable, Sequence
+import dataclasses
+
+from dotterelgrade_routing import configuration
+from dotterelgrade_routing import layer_range
+
+# Forwarding to the next stage in the same failure domain, for each token.
+HOP_S = 0.0004
+# Crossing to another failure domain, its share of the narrow link included.
+CROSSING_S = 0.004
+# A stage outside the preferred failure domain, beside the crossing.
+FOREIGN_S = 0.002
+# Weight of a stage's fill in its price; full stages are avoided first.
+FILL_WEIGHT = 3.0
+# Requests that a stage is expected to hold beside those known, so that one
+# with little room is avoided before it is full.
+EXPECTED_REQUESTS = 8.0
+# Beyond this fill a stage is used only if no other one holds its layers.
+FULL = 0.9
+FULL_S = 0.05
+MOST_STAGES = 32
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stage:
+    """One backend server's part of a chain.
+
+    Attributes:
+        server_id: The backend server.
+        address: `IP:PORT`.
+        failure_domain: Where it runs.
+        layers: The layers that it runs for this chain.
+    """
+
+    server_id: str
+    address: str
+    failure_domain: str
+    layers: layer_range.LayerRange
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Chain:
+    """Stages that run all layers.
+
+    Attributes:
+        stages: In order of their layers.
+        step_s: Predicted duration of one token, s.
+    """
+
+    stages: tuple[Stage, ...]
+    step_s: float
+
+    @property
+    def first(self) -> Stage:
+        """The stage that requests are sent to."""
+        return self.stages[0]
+
+    @property
+    def crossings(self) -> int:
+        """How often the chain goes to another failure domain."""
+        pairs = zip(self.stages, self.stages[1:], strict=False)
+        return sum(a.failure_domain != b.failure_domain for a, b in pairs)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Holder:
+    """A backend server that may be a stage.
+
+    Attributes:
+        server_id: The backend server.
+        address: `IP:PORT`.
+        failure_domain: Where it runs.
+        layers: Layers that it holds.
+        layer_s: Duration of one token in one layer, s.
+        total: Memory for requests, tokens times layers.
+        used: Reserved memory, tokens times layers.
+        expected: Memory that further requests will need, likewise.
+    """
+
+    server_id: str
+    address: str
+    failure_domain: str
+    layers: layer_range.LayerRange
+    layer_s: float
+    total: float
+    used: float
+    expected: float = 0.0
+
+    @property
+    def fill(self) -> float:
+        """Reserved share of its memory."""
+        return self.used / self.total if self.total > 0 else 1.0
+
+    @property
+    def layer_price_s(self) -> float:
+        """Price of one token in one layer, s."""
+        pressed = (self.used + self.expected) / max(self.total, 1.0)
+        return self.layer_s * (1.0 + FILL_WEIGHT * pressed**2)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Way:
+    """The cheapest known way to reach a layer.
+
+    Attributes:
+        price: Price of all parts so far, s for each token.
+        parts: Holders with the first and the end of their layers.
+    """
+
+    price: float
+    parts: tuple[tuple[Holder, int, int], ...]
+
+    def uses(self, holder: Holder) -> bool:
+        """Returns whether a holder is a part already."""
+        return any(part[0] is holder for part in self.parts)
+
+
+def candidates(
+    engine: configuration.Engine, holders: Sequence[Holder]
+) -> list[Chain]:
+    """Returns the cheapest chain for each preferred failure domain.
+
+    Args:
+        engine: Figures of the model.
+        holders: Backend servers that may be used.
+
+    Returns:
+        Different chains; empty if the layers are not all held.
+    """
+    found: dict[tuple[Stage, ...], Chain] = {}
+    for domain in sorted({h.failure_domain for h in holders}):
+        chain = cheapest(engine, holders, preferred_domain=domain)
+        if chain is not None:
+            found.setdefault(chain.stages, chain)
+    return list(found.values())
+
+
+def cheapest(
+    engine: configuration.Engine,
+    holders: Sequence[Holder],
+    *,
+    preferred_domain: str,
+) -> Chain | None:
+    """Returns the cheapest chain that prefers a failure domain.
+
+    A dynamic program over layer boundaries, with the failure domain of the
+    last stage as its state.
+
+    Args:
+        engine: Figures of the model.
+        holders: Backend servers that may be used.
+        preferred_domain: Stages elsewhere cost more.
+
+    Returns:
+        The chain, or None if a layer is held by nobody.
+    """
+    bounds = _bounds(engine, holders)
+    ways: dict[int, dict[str, _Way]] = {0: {"": _Way(0.0, ())}}
+    for position in bounds:
+        reached = ways.pop(position, {})
+        if reached and position == engine.layers:
+            return _chain(min(reached.values(), key=lambda way: way.price))
+        for holder in holders:
+            if reached and holder.layers.first <= position < holder.layers.end:
+                way = _entered(reached, holder, preferred_domain)
+                _spread(ways, way, holder, position, bounds)
+    return None
+
+
+def _bounds(
+    engine: configuration.Engine, holders: Iterable[Holder]
+) -> list[int]:
+    bounds = {0, engine.layers}
+    for holder in holders:
+        bounds.add(min(holder.layers.first, engine.layers))
+        bounds.add(min(holder.layers.end, engine.layers))
+    return sorted(bounds)
+
+
+def _entered(
+    reached: dict[str, _Way], holder: Holder, preferred_domain: str
+) -> _Way | None:
+    """Returns the cheapest way with the price of entering a holder."""
+    extra_s = HOP_S
+    if holder.failure_domain != preferred_domain:
+        extra_s += FOREIGN_S
+    if holder.fill > FULL:
+        extra_s += FULL_S
+    best = None
+    for domain, way in reached.items():
+        price = way.price + extra_s
+        if domain and domain != holder.failure_domain:
+            price += CROSSING_S
+        if (best is None or price < best.price) and not way.uses(holder):
+            best = _Way(price, way.parts)
+    return best
+
+
+def _spread(
+    ways: dict[int, dict[str, _Way]],
+    way: _Way | None,
+    holder: Holder,
+    position: int,
+    bounds: list[int],
+) -> None:
+    """Notes the way on to every boundary that the holder reaches."""
+    if way is None or len(way.parts) >= MOST_STAGES:
+        return
+    layer_price = holder.layer_price_s
+    for end in bounds:
+        if not position < end <= holder.layers.end:
+            continue
+        price = way.price + (end - position) * layer_price
+        here = ways.setdefault(end, {})
+        known = here.get(holder.failure_domain)
+        if known is None or price < known.price:
+            parts = (*way.parts, (holder, position, end))
+            here[holder.failure_domain] = _Way(price, parts)
+
+
+def _chain(way: _Way) -> Chain:
+    stages = tuple(
+        Stage(
+            server_id=holder.server_id,
+            address=holder.address,
+            failure_domain=holder.failure_domain,
+            layers=layer_range.LayerRange(first, end),
+        )
+        for holder, first, end in way.parts
+    )
+    step_s = sum(h.layer_s * (end - first) for h, first, end in way.parts)
+    chain = Chain(stages=stages, step_s=step_s)
+    return dataclasses.replace(
+        chain,
+        step_s=step_s + HOP_S * len(stages) + CROSSING_S * chain.crossings,
+    )
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/configuration.py
@@ -0,0 +1,237 @@
+"""The operators' configuration of a platform, as the front uses it."""
+
+import dataclasses
+import functools
+
+from dotterelgrade_routing import layer_range
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceWeight:
+    """A service and its share of a route's requests.
+
+    Attributes:
+        service: Name of the service.
+        weight: Share, relative to the other weights of the route.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Route:
+    """Which requests go where, and how long they may take.
+
+    Attributes:
+        name: Name of the route.
+        host: Host header, lower case.
+        path_prefix: Begins and ends with a slash.
+        services: Where the requests go.
+        idempotent: Whether a request may run more than once.
+        streaming: Whether the answer is a series of events.
+        resumable: Whether a stream may go on at another backend server.
+        timeout_s: Longest time that a request may take, s.
+        objective_s: Time within which an answer is on time, s; for streams
+            until the first event.
+        longest_pause_s: Longest pause between events on time, s.
+        priority: 0 is the most urgent.
+        max_attempts: Most backend servers that one request is sent to.
+        public: Whether no key is needed.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    services: tuple[ServiceWeight, ...]
+    idempotent: bool
+    streaming: bool
+    resumable: bool
+    timeout_s: float
+    objective_s: float
+    longest_pause_s: float
+    priority: int
+    max_attempts: int
+    public: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request whose run is unknown may be sent again."""
+        return self.idempotent or self.resumable
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Accelerator:
+    """Figures of one kind of accelerator.
+
+    Attributes:
+        name: Name of the kind.
+        memory_mb: Memory for layers and requests, MB.
+        step_factor: Duration of a step relative to the engine's figure.
+        read_factor: Duration of reading a prompt, likewise.
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Engine:
+    """Figures of the engines of a model service.
+
+    Attributes:
+        layers: Layers of the model.
+        layer_mb: Memory of one layer, MB.
+        token_layer_bytes: Memory of one token of a request in one layer.
+        step_s: Duration of one step through all layers, s.
+        read_tokens_per_s: Prompt tokens read in a second by all layers.
+        load_s: Duration of loading all layers, s.
+        loads_at_once: Loads that run at full speed together.
+        usual_prompt_tokens: Mean prompt.
+        usual_answer_tokens: Mean answer.
+        accelerators: Figures by kind of accelerator.
+    """
+
+    layers: int
+    layer_mb: float
+    token_layer_bytes: float
+    step_s: float
+    read_tokens_per_s: float
+    load_s: float
+    loads_at_once: int
+    usual_prompt_tokens: float
+    usual_answer_tokens: float
+    accelerators: tuple[Accelerator, ...]
+
+    @property
+    def usual_tokens(self) -> float:
+        """Tokens of a usual request with its answer."""
+        return max(self.usual_prompt_tokens + self.usual_answer_tokens, 1.0)
+
+    def accelerator(self, name: str) -> Accelerator | None:
+        """Returns the figures of a kind, or None if it is not listed."""
+        return next((a for a in self.accelerators if a.name == name), None)
+
+    def most_layers(self, kind: Accelerator) -> int:
+        """Returns how many layers fit into the memory of that kind."""
+        return min(self.layers, int(kind.memory_mb // self.layer_mb))
+
+    def room_tokens(self, kind: Accelerator, layers: int) -> float:
+        """Returns the tokens that fit beside so many layers."""
+        if layers <= 0:
+            return 0.0
+        free_bytes = (kind.memory_mb - layers * self.layer_mb) * 1e6
+        return max(0.0, free_bytes / (layers * self.token_layer_bytes))
+
+    def whole(self) -> layer_range.LayerRange:
+        """Returns the range of all layers."""
+        return layer_range.LayerRange(first=0, end=self.layers)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Service:
+    """A group of backend servers that serve the same requests.
+
+    Attributes:
+        name: Name of the service.
+        max_connections: Connections that one backend server accepts.
+        engine: Figures of the engines, or None for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClientLimits:
+    """Bounds on what callers may send.
+
+    Attributes:
+        header_bytes: Largest head of a request.
+        body_bytes: Largest body.
+        header_timeout_s: Longest time for the head to arrive, s.
+        idle_timeout_s: Longest time that a connection may stay idle, s.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Workspace:
+    """A customer with its keys.
+
+    Attributes:
+        name: Name of the workspace.
+        api_keys: Keys that are in force.
+        priority: Overrides the routes' priority, or None.
+    """
+
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """One version of the operators' configuration.
+
+    Attributes:
+        version: Grows with each change.
+        routes: All routes.
+        services: All services.
+        limits: Bounds on callers.
+        workspaces: All workspaces; empty when no keys are needed.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: ClientLimits
+    workspaces: tuple[Workspace, ...]
+
+    @functools.cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda r: -len(r.path_prefix))
+        return by_host
+
+    @functools.cached_property
+    def _workspace_by_key(self) -> dict[str, Workspace]:
+        return {k: w for w in self.workspaces for k in w.api_keys}
+
+    @functools.cached_property
+    def _service_by_name(self) -> dict[str, Service]:
+        return {service.name: service for service in self.services}
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of the path.
+
+        Args:
+            host: Host header, in any case, with or without a port.
+            path: Path of the request, without its query.
+        """
+        name = host.lower().partition(":")[0]
+        routes = self._routes_by_host.get(name, ())
+        return next((r for r in routes if path.startswith(r.path_prefix)), None)
+
+    def workspace_for(self, key: str) -> Workspace | None:
+        """Returns the workspace that holds a key."""
+        return self._workspace_by_key.get(key)
+
+    def service(self, name: str) -> Service | None:
+        """Returns the service of that name."""
+        return self._service_by_name.get(name)
+
+    @property
+    def model_services(self) -> list[Service]:
+        """The services whose backend servers hold layers of a model."""
+        return [s for s in self.services if s.engine is not None]
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/layer_range.py
@@ -0,0 +1,50 @@
+"""A contiguous range of a model's layers."""
+
+from collections.abc import Iterable
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class LayerRange:
+    """Layers from `first` up to, but without, `end`.
+
+    Attributes:
+        first: Index of the first layer.
+        end: Index behind the last layer.
+    """
+
+    first: int
+    end: int
+
+    def __repr__(self) -> str:
+        """Shows the range as in logs."""
+        return f"{self.first}-{self.end}"
+
+    def __len__(self) -> int:
+        """Returns how many layers the range holds."""
+        return max(0, self.end - self.first)
+
+    def covers(self, other: "LayerRange") -> bool:
+        """Returns whether every layer of the other range is in this one."""
+        return self.first <= other.first and other.end <= self.end
+
+    def overlap(self, other: "LayerRange") -> int:
+        """Returns how many layers both ranges hold."""
+        return max(0, min(self.end, other.end) - max(self.first, other.first))
+
+
+def gaps(
+    whole: LayerRange, ranges: Iterable[LayerRange]
+) -> tuple[LayerRange, ...]:
+    """Returns the parts of a range that no other range covers, in order."""
+    found = []
+    covered = whole.first
+    for held in sorted(ranges):
+        if held.first > covered:
+            found.append(LayerRange(covered, min(held.first, whole.end)))
+        covered = max(covered, held.end)
+        if covered >= whole.end:
+            break
+    if covered < whole.end:
+        found.append(LayerRange(covered, whole.end))
+    return tuple(gap for gap in found if len(gap))
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/load_picture.py
@@ -0,0 +1,70 @@
+"""Memory that requests in flight hold at each backend server.
+
+Load pattern: each front sees a part of the callers; without the others'
+requests it would fill a backend server beyond its memory. Reservations count
+tokens times layers.
+"""
+
+from collections.abc import Iterator, Mapping
+import contextlib
+
+from dotterelgrade_routing import chain_choice
+
+
+class LoadPicture:
+    """Own reservations, and those of the other fronts as last told."""
+
+    def __init__(self) -> None:
+        """Initializes an empty picture."""
+        self._own: dict[str, float] = {}
+        self._others: Mapping[str, float] = {}
+        self._in_flight = 0
+
+    def __repr__(self) -> str:
+        """Shows the number of requests in flight."""
+        return f"<LoadPicture {self._in_flight} in flight>"
+
+    @property
+    def own(self) -> Mapping[str, float]:
+        """Own reservations by backend server."""
+        return self._own
+
+    @property
+    def in_flight(self) -> int:
+        """Own requests in flight."""
+        return self._in_flight
+
+    def set_others(self, others: Mapping[str, float]) -> None:
+        """Takes in the reservations of all other fronts together."""
+        self._others = others
+
+    def used(self, server_id: str) -> float:
+        """Returns all reservations at a backend server."""
+        return self._own.get(server_id, 0.0) + self._others.get(server_id, 0.0)
+
+    @contextlib.contextmanager
+    def reserved(
+        self, chain: chain_choice.Chain, *, tokens: float
+    ) -> Iterator[None]:
+        """Holds a reservation at every stage of a chain.
+
+        Args:
+            chain: The chain.
+            tokens: Tokens that the request will hold at most.
+        """
+        self._add(chain, tokens)
+        self._in_flight += 1
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            self._add(chain, -tokens)
+
+    def _add(self, chain: chain_choice.Chain, tokens: float) -> None:
+        for stage in chain.stages:
+            total = self._own.get(stage.server_id, 0.0)
+            total += tokens * len(stage.layers)
+            if total < 1.0:
+                self._own.pop(stage.server_id, None)
+            else:
+                self._own[stage.server_id] = total
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -0,0 +1,212 @@
+"""What the front needs of a platform, free of its names and formats."""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from returns import result
+
+from dotterelgrade import errors
+from dotterelgrade import http_message
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import configuration
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import request_facts
+
+
+class StoreError(Exception):
+    """The store gave no usable answer."""
+
+
+class RecordsExpiredError(Exception):
+    """The records that were asked for have been deleted."""
+
+
+class EngineUnreachableError(Exception):
+    """An engine gave no answer in time."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Record:
+    """One record of a feed.
+
+    Attributes:
+        key: What it is about.
+        value: The newest value; empty when the key was dropped.
+        offset: Position in the feed.
+    """
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Page:
+    """Records and where to read on.
+
+    Attributes:
+        records: In order of their offsets.
+        end: Offset behind the last record.
+    """
+
+    records: tuple[Record, ...]
+    end: int
+
+
+class Feed(Protocol):
+    """Records of which only the newest of each key matters."""
+
+    def newest(self) -> Page:
+        """Returns the newest record of each key.
+
+        Raises:
+            StoreError: There was no usable answer.
+        """
+
+    def read(self, *, start: int, wait_s: float) -> Page:
+        """Returns the records from an offset on, waiting for the first.
+
+        Args:
+            start: Offset of the first record.
+            wait_s: Longest time to wait, s.
+
+        Raises:
+            StoreError: There was no usable answer.
+            RecordsExpiredError: The records are no longer kept.
+        """
+
+
+class Election(Protocol):
+    """Elects one member of a group."""
+
+    def join(self, member: str) -> bool:
+        """Joins or stays; returns whether the member is elected.
+
+        Raises:
+            StoreError: There was no usable answer.
+        """
+
+    def elected(self) -> str | None:
+        """Returns the elected member, if any.
+
+        Raises:
+            StoreError: There was no usable answer.
+        """
+
+    def leave(self, member: str) -> None:
+        """Leaves the group.
+
+        Raises:
+            StoreError: There was no usable answer.
+        """
+
+
+class OrderOutcome(enum.Enum):
+    """How an engine answered an order."""
+
+    ACCEPTED = "accepted"
+    DONE = "done"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Engines(Protocol):
+    """Calls to engines beside the requests."""
+
+    def report(self, address: str) -> backend_server.EngineReport:
+        """Returns what an engine says of itself.
+
+        Raises:
+            EngineUnreachableError: There was no usable answer.
+        """
+
+    def place(
+        self,
+        address: str,
+        *,
+        layers: layer_range.LayerRange,
+        orders: int,
+    ) -> OrderOutcome:
+        """Orders an engine to hold a range.
+
+        Args:
+            address: `IP:PORT`.
+            layers: What it shall hold.
+            orders: How many orders it must have accepted so far.
+        """
+
+    def reroute(
+        self,
+        address: str,
+        *,
+        request_id: str,
+        stages: tuple[chain_choice.Stage, ...],
+    ) -> OrderOutcome:
+        """Orders the first stage of a running request to use other stages.
+
+        Args:
+            address: `IP:PORT` of the first stage.
+            request_id: The request.
+            stages: The new chain, with the same first stage.
+        """
+
+
+class Documents(Protocol):
+    """Decodes the platform's documents."""
+
+    def configuration_of(
+        self, body: bytes
+    ) -> result.Result[configuration.Configuration, errors.Error]:
+        """Decodes the operators' configuration."""
+
+    def backend_server_of(
+        self, *, server_id: str, body: bytes
+    ) -> result.Result[backend_server.BackendServer, errors.Error]:
+        """Decodes the entry of a backend server."""
+
+
+class HeaderNames(Protocol):
+    """Reads and writes headers."""
+
+    def read_request(
+        self, headers: http_message.Headers
+    ) -> request_facts.RequestFacts:
+        """Reads what a caller says of its request."""
+
+    def write_request(
+        self,
+        headers: http_message.Headers,
+        orders: request_facts.ForwardingOrders,
+    ) -> http_message.Headers:
+        """Returns the headers of a request as a backend server gets them."""
+
+    def read_answer(
+        self, *, status: int, headers: http_message.Headers
+    ) -> request_facts.AnswerFacts:
+        """Reads what a backend server says of its answer."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Platform:
+    """Everything that speaks to one platform.
+
+    Attributes:
+        configurations: Feed with the operators' configuration.
+        backend_servers: Feed with the list of backend servers.
+        configuration_key: Key of the configuration in its feed.
+        election: Elects the planner.
+        engines: Calls to engines.
+        documents: Decodes records.
+        headers: Reads and writes headers.
+    """
+
+    configurations: Feed
+    backend_servers: Feed
+    configuration_key: str
+    election: Election
+    engines: Engines
+    documents: Documents
+    headers: HeaderNames
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/retry_budget.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
@@ -49,6 +49,18 @@
         self._filled_at = now
         self._tokens = min(self._capacity, self._tokens + earned)
 
+    def resize(self, *, rate_per_s: float, capacity: float) -> None:
+        """Changes the steady rate, such as when a part of a budget changes.
+
+        Args:
+            rate_per_s: Retries earned per second without any request.
+            capacity: The most retries that can be saved up.
+        """
+        self._fill()
+        self._rate_per_s = rate_per_s
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
+
     def note_request(self) -> None:
         """Earns the share of one request."""
         self._tokens = min(self._capacity, self._tokens + self._share)
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
@@ -0,0 +1,120 @@
+"""Which backend servers are left out of choice for a while.
+
+Load pattern: a backend server crashes, flaps or fails a share of its
+requests while its health answer says otherwise. Trust comes from what
+requests show; exclusion grows while failures go on, and ends by real work.
+"""
+
+import dataclasses
+
+FIRST_EXCLUSION_S = 0.6
+LONGEST_EXCLUSION_S = 6.0
+# A backend server that was short of memory or gave up layers is passed over
+# for a moment; that is no failure.
+BUSY_S = 0.3
+# One silence may be a long request; so many in a row are a failure.
+SILENCES = 3
+# A backend server without a failure for so long starts with a clean record.
+FORGET_AFTER_S = 20.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Record:
+    failures: int = 0
+    silences: int = 0
+    last_failure: float = 0.0
+    excluded_until: float = 0.0
+
+
+class Trust:
+    """Failures by backend server and the exclusions that follow."""
+
+    def __init__(self) -> None:
+        """Initializes an empty record."""
+        self._records: dict[str, _Record] = {}
+
+    def __repr__(self) -> str:
+        """Shows how many backend servers have failed lately."""
+        return f"<Trust {len(self._records)} records>"
+
+    def note_failure(self, server_id: str, *, now: float) -> float:
+        """Excludes a backend server for a time that grows.
+
+        Failures during an exclusion belong to the same incident.
+
+        Args:
+            server_id: The backend server.
+            now: Monotonic time, s.
+
+        Returns:
+            The time left of its exclusion, s.
+        """
+        record = self._records.setdefault(server_id, _Record())
+        if now - record.last_failure > FORGET_AFTER_S:
+            record.failures = 0
+        record.last_failure = now
+        if now < record.excluded_until:
+            return record.excluded_until - now
+        exclusion_s = min(
+            FIRST_EXCLUSION_S * 2**record.failures, LONGEST_EXCLUSION_S
+        )
+        record.failures += 1
+        record.excluded_until = now + exclusion_s
+        return exclusion_s
+
+    def note_busy(self, server_id: str, *, now: float) -> None:
+        """Passes over a backend server that could not take more."""
+        record = self._records.setdefault(server_id, _Record())
+        record.excluded_until = max(record.excluded_until, now + BUSY_S)
+
+    def note_silence(self, server_id: str, *, now: float) -> bool:
+        """Counts an answer that did not come in time.
+
+        Args:
+            server_id: The backend server.
+            now: Monotonic time, s.
+
+        Returns:
+            Whether there were so many in a row that it counts as failed.
+        """
+        record = self._records.setdefault(server_id, _Record())
+        record.silences += 1
+        if record.silences < SILENCES:
+            return False
+        record.silences = 0
+        self.note_failure(server_id, now=now)
+        return True
+
+    def note_success(self, server_id: str, *, now: float) -> None:
+        """Halves what is held against a backend server."""
+        record = self._records.get(server_id)
+        if record is None:
+            return
+        record.silences = 0
+        if now < record.excluded_until:
+            return
+        record.failures //= 2
+        if not record.failures:
+            del self._records[server_id]
+
+    def forgive(self, server_id: str) -> None:
+        """Forgets a backend server, such as one that has started again."""
+        self._records.pop(server_id, None)
+
+    def excluded(self, server_id: str, *, now: float) -> bool:
+        """Returns whether the backend server is left out now."""
+        record = self._records.get(server_id)
+        return record is not None and now < record.excluded_until
+
+    def exclusion_left_s(self, *, now: float) -> float:
+        """Returns the shortest time until an exclusion ends, s, or 0."""
+        left = (r.excluded_until - now for r in self._records.values())
+        return min((s for s in left if s > 0), default=0.0)
+
+    def excluded_ids(self, *, now: float) -> frozenset[str]:
+        """Returns the backend servers that are left out now."""
+        return frozenset(
+            server_id
+            for server_id, record in self._records.items()
+            if now < record.excluded_until
+        )
--- a/packages/dotterelgrade-entry/tests/test_retry_budget.py
+++ b/packages/dotterelgrade-routing/tests/test_retry_budget.py
@@ -1,4 +1,4 @@
-from dotterelgrade_entry import retry_budget
+from dotterelgrade_routing import retry_budget
 
 
 def test_retries_are_a_share_of_the_requests():
--- a/packages/dotterelgrade/src/dotterelgrade/error_page.py
+++ b/packages/dotterelgrade/src/dotterelgrade/error_page.py
@@ -35,6 +35,10 @@
         "The body is larger than the entry accepts.",
         "Send less.",
     ),
+    _KIND.HEAD_TOO_LARGE: (
+        "The head of the request is larger than the configuration allows.",
+        "Send fewer or shorter headers.",
+    ),
     _KIND.REQUEST_TIMEOUT: (
         "The caller took too long to send its request.",
         "Send it again, faster.",
--- a/packages/dotterelgrade/src/dotterelgrade/errors.py
+++ b/packages/dotterelgrade/src/dotterelgrade/errors.py
@@ -25,6 +25,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
     REQUEST_TIMEOUT = "request_timeout"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
@@ -87,6 +88,7 @@
     ErrorKind.UNKNOWN_SERVICE: _not_run(404),
     ErrorKind.METHOD_NOT_ALLOWED: _not_run(405),
     ErrorKind.BODY_TOO_LARGE: _not_run(413),
+    ErrorKind.HEAD_TOO_LARGE: _not_run(431),
     ErrorKind.REQUEST_TIMEOUT: _not_run(408),
     ErrorKind.RATE_LIMITED: _not_run(429, retryable=True),
     ErrorKind.CONCURRENCY_LIMITED: _not_run(429, retryable=True),
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/http_message.py
@@ -0,0 +1,95 @@
+"""HTTP/1.1 messages as both sides of a connection see them."""
+
+from collections.abc import Mapping
+import dataclasses
+
+Headers = list[tuple[bytes, bytes]]
+
+_CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Request:
+    """A whole request.
+
+    Attributes:
+        method: Method, upper case.
+        target: Path and query as sent.
+        headers: Names in lower case with their values, in order.
+        body: The body, without its transfer coding.
+        keep_alive: Whether the connection may serve another request.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def host(self) -> str:
+        """The Host header, or empty."""
+        return by_name(self.headers).get(b"host", b"").decode("latin-1")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ResponseHead:
+    """The head of an answer.
+
+    Attributes:
+        status: HTTP status.
+        reason: Reason phrase.
+        headers: Names in lower case with their values, in order.
+    """
+
+    status: int
+    reason: bytes
+    headers: Headers
+
+
+def by_name(headers: Headers) -> Mapping[bytes, bytes]:
+    """Returns the headers by name; the last of equal names counts."""
+    return dict(headers)
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Returns the headers that don't concern a single connection."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = _CONNECTION_HEADERS | named
+    return [(name, value) for name, value in headers if name not in dropped]
+
+
+def encode_head(first_line: bytes, headers: Headers) -> bytes:
+    """Returns the bytes of a head.
+
+    Args:
+        first_line: Request or status line.
+        headers: All headers, those of the connection included.
+    """
+    lines = [first_line]
+    lines.extend(name + b": " + value for name, value in headers)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
