--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/__init__.py
@@ -0,0 +1,1 @@
+"""The front: the process that callers of a platform reach."""
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -0,0 +1,151 @@
+"""Chains of each model service, computed again when something changed."""
+
+import dataclasses
+import time
+
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import configuration
+from dotterelgrade_routing import fleet as fleet_lib
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import load_picture
+from dotterelgrade_routing import trust as trust_lib
+
+# Reservations change with every request; chains follow them this often.
+_REFRESH_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Offer:
+    """The chains of a service and what their stages offer.
+
+    Attributes:
+        chains: One for each preferred failure domain.
+        memory: Memory for requests by backend server, tokens times layers.
+        fleet_version: Version of the fleet that they were computed from.
+        computed_at: Monotonic time, s.
+    """
+
+    chains: tuple[chain_choice.Chain, ...]
+    memory: dict[str, float]
+    fleet_version: int
+    computed_at: float
+
+
+class ChainDirectory:
+    """Offers of all model services."""
+
+    def __init__(
+        self,
+        *,
+        fleet: fleet_lib.Fleet,
+        trust: trust_lib.Trust,
+        load: load_picture.LoadPicture,
+    ) -> None:
+        """Initializes an empty directory.
+
+        Args:
+            fleet: The backend servers.
+            trust: Which of them are left out.
+            load: Their reservations.
+        """
+        self._fleet = fleet
+        self._trust = trust
+        self._load = load
+        self._offers: dict[str, Offer] = {}
+
+    def __repr__(self) -> str:
+        """Shows the services."""
+        return f"<ChainDirectory {sorted(self._offers)}>"
+
+    def invalidate(self) -> None:
+        """Has all chains computed again when they are next asked for."""
+        self._offers.clear()
+
+    def offer(self, service: configuration.Service) -> Offer:
+        """Returns the chains of a model service."""
+        now = time.monotonic()
+        known = self._offers.get(service.name)
+        if (
+            known is not None
+            and known.fleet_version == self._fleet.version
+            and now - known.computed_at < _REFRESH_S
+        ):
+            return known
+        holders = self._holders(service, now)
+        offer = Offer(
+            chains=tuple(chain_choice.candidates(service.engine, holders)),
+            memory={h.server_id: h.total for h in holders},
+            fleet_version=self._fleet.version,
+            computed_at=now,
+        )
+        self._offers[service.name] = offer
+        return offer
+
+    def behind(
+        self, service: configuration.Service, first: chain_choice.Stage
+    ) -> chain_choice.Chain | None:
+        """Returns the cheapest chain that begins with a given stage.
+
+        Args:
+            service: The model service.
+            first: The stage to keep.
+        """
+        holders = []
+        for holder in self._holders(service, time.monotonic()):
+            if holder.server_id == first.server_id:
+                continue
+            rest = layer_range.LayerRange(
+                max(holder.layers.first, first.layers.end), holder.layers.end
+            )
+            if len(rest):
+                holders.append(dataclasses.replace(holder, layers=rest))
+        kept = chain_choice.Holder(
+            server_id=first.server_id,
+            address=first.address,
+            failure_domain=first.failure_domain,
+            layers=first.layers,
+            layer_s=0.0,
+            total=1.0,
+            used=0.0,
+        )
+        return chain_choice.cheapest(
+            service.engine,
+            [kept, *holders],
+            preferred_domain=first.failure_domain,
+        )
+
+    def _holders(
+        self, service: configuration.Service, now: float
+    ) -> list[chain_choice.Holder]:
+        excluded = self._trust.excluded_ids(now=now)
+        holders = []
+        for server in self._fleet.ready(service.name):
+            if server.id not in excluded:
+                holder = self._holder(service.engine, server)
+                if holder is not None:
+                    holders.append(holder)
+        return holders
+
+    def _holder(
+        self,
+        engine: configuration.Engine,
+        server: backend_server.BackendServer,
+    ) -> chain_choice.Holder | None:
+        layers = self._fleet.layers_of(server)
+        kind = engine.accelerator(server.accelerator)
+        if layers is None or kind is None:
+            return None
+        slowness = self._fleet.slowness_of(server)
+        return chain_choice.Holder(
+            server_id=server.id,
+            address=server.address,
+            failure_domain=server.failure_domain,
+            layers=layers,
+            layer_s=engine.step_s * kind.step_factor * slowness / engine.layers,
+            total=engine.room_tokens(kind, len(layers)) * len(layers),
+            used=self._load.used(server.id),
+            expected=chain_choice.EXPECTED_REQUESTS
+            * engine.usual_tokens
+            * len(layers),
+        )
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/explain_command.py
@@ -0,0 +1,86 @@
+"""The command that tells the story of one request from a log."""
+
+from collections.abc import Iterable, Iterator
+import contextlib
+import json
+import sys
+from typing import Any, ClassVar, TextIO
+
+from cleo import helpers
+from returns import result
+
+from dotterelgrade import console
+from dotterelgrade import errors
+
+_HIDDEN = frozenset({"time", "level", "logger", "event", "process", "role"})
+
+
+class ExplainCommand(console.OperatorCommand):
+    """Prints the decisions on one request in order, with their inputs."""
+
+    name = "explain"
+    description = "Print the decisions on one request from a log."
+    arguments: ClassVar = [
+        helpers.argument("request", "Identifier of the request."),
+        helpers.argument(
+            "log", "Log file; standard input without it.", optional=True
+        ),
+    ]
+
+    def perform(self) -> result.Result[console.Report, errors.Error]:
+        """Reads the log."""
+        request_id = self.argument("request")
+        try:
+            with _opened(self.argument("log")) as lines:
+                found = decisions_on(request_id, lines)
+        except OSError as error:
+            return _not_found(f"cannot read the log: {error}")
+        if not found:
+            return _not_found(f"the log holds no line on {request_id!r}")
+        text = "\n".join(_told(line) for line in found)
+        return result.Success(
+            console.Report(text=text, data={"decisions": found})
+        )
+
+
+def decisions_on(request_id: str, lines: Iterable[str]) -> list[dict[str, Any]]:
+    """Returns the log lines on a request, as JSON values in order.
+
+    Args:
+        request_id: The request.
+        lines: Lines of a log; what is no JSON object is passed over. A prefix
+            before the object, such as a collector's, is allowed.
+    """
+    found = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or request_id not in line:
+            continue
+        with contextlib.suppress(ValueError):
+            value = json.loads(line[start:])
+            if value.get("request_id") == request_id:
+                found.append(value)
+    return found
+
+
+@contextlib.contextmanager
+def _opened(path: str | None) -> Iterator[TextIO]:
+    if path is None:
+        yield sys.stdin
+        return
+    with open(path, encoding="utf-8", errors="replace") as file:
+        yield file
+
+
+def _told(line: dict[str, Any]) -> str:
+    details = "  ".join(
+        f"{name}={value}" for name, value in line.items() if name not in _HIDDEN
+    )
+    time = line.get("time", "")
+    return f"{time}  {line.get('process')}  {line.get('event')}  {details}"
+
+
+def _not_found(message: str) -> result.Failure[errors.Error]:
+    return result.Failure(
+        errors.Error(kind=errors.ErrorKind.NOT_FOUND, message=message)
+    )
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -0,0 +1,278 @@
+"""Assembles a front from its parts and runs it until it is told to stop."""
+
+from collections.abc import Iterator
+import contextlib
+import hashlib
+import logging
+import os
+import time
+from typing import Any
+import uuid
+
+import gevent
+from gevent import server as gevent_server
+
+from dotterelgrade import admin
+from dotterelgrade import handshake
+from dotterelgrade import messages
+from dotterelgrade import wire
+from dotterelgrade import wsgi
+from dotterelgrade_front import beliefs
+from dotterelgrade_front import feed_follower
+from dotterelgrade_front import front_settings
+from dotterelgrade_front import front_state
+from dotterelgrade_front import planner as planner_lib
+from dotterelgrade_front import planner_link
+from dotterelgrade_front import request_handler
+from dotterelgrade_routing import leadership as leadership_lib
+from dotterelgrade_routing import platform_port
+
+_logger = logging.getLogger(__name__)
+
+_BACKLOG = 512
+# The balancer notices within two checks, a second apart, that a front leaves.
+_KEEP_ACCEPTING_S = 2.6
+# What is still running this long before SIGKILL is cut.
+_LAST_MOMENT_S = 0.5
+_DRAIN_STEP_S = 0.05
+# The leases' renewals; three may be lost.
+_RENEWALS_PER_LEASE = 3.0
+_STORE_FRESH_S = 4.0
+
+
+class Front:
+    """One process that callers reach."""
+
+    def __init__(
+        self,
+        settings: front_settings.FrontSettings,
+        *,
+        platform: platform_port.Platform,
+    ) -> None:
+        """Initializes a front; `running` starts it.
+
+        Args:
+            settings: Where it runs and what bounds hold.
+            platform: Everything that speaks to the platform.
+        """
+        self._settings = settings
+        self._state = front_state.FrontState(settings, platform=platform)
+        self._handler = request_handler.RequestHandler(self._state)
+        self._planner = planner_lib.Planner(self._state)
+        self._hub = planner_link.PlannerHub(self._state, planner=self._planner)
+        self._identity = handshake.Identity(
+            process=str(uuid.uuid4()),
+            role=messages.Role.ENTRY,
+            host=settings.host,
+            port=settings.peer_port,
+            failure_domain=settings.failure_domain,
+            # Tells deployments apart; hosts share no secret.
+            shared_key=hashlib.sha256(settings.store_address.encode()).digest(),
+        )
+        self._link = planner_link.PlannerLink(
+            self._state, identity=self._identity
+        )
+        self._leadership = leadership_lib.Leadership()
+        self._led = False
+
+    def __repr__(self) -> str:
+        """Shows the host."""
+        return f"<Front {self._settings.node}>"
+
+    @property
+    def metrics(self) -> Any:
+        """The metrics, for the admin address."""
+        return self._state.metrics
+
+    @property
+    def journal(self) -> Any:
+        """The latest decisions, for the admin address."""
+        return self._state.decisions.journal
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._state.ready
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the whole state as JSON values."""
+        state = self._state
+        now = time.monotonic()
+        known = state.configuration
+        return {
+            "node": self._settings.node,
+            "ready": state.ready,
+            "leads": self._led,
+            "configuration": {
+                "version": None if known is None else known.version,
+                "age_s": round(now - state.belief.read_at, 2),
+            },
+            "backend_servers": [
+                {
+                    "id": server.id,
+                    "service": server.service,
+                    "address": server.address,
+                    "availability": server.availability.value,
+                    "layers": repr(state.fleet.layers_of(server)),
+                    "slowness": state.fleet.slowness_of(server),
+                    "excluded": state.trust.excluded(server.id, now=now),
+                    "reserved": round(state.load.used(server.id)),
+                }
+                for server in state.fleet.servers
+            ],
+        }
+
+    def reload(self, settings: front_settings.FrontSettings) -> None:
+        """Takes in changed settings; addresses stay until the next start.
+
+        Args:
+            settings: What the settings file holds now.
+        """
+        self._settings = settings
+        self._state.reload(settings)
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator[None]:
+        """Serves callers for the body of the context.
+
+        Raises:
+            OSError: An address is taken.
+        """
+        callers = gevent_server.StreamServer(
+            _host_port(self._settings.callers_address),
+            self._handler.serve_connection,
+            backlog=_BACKLOG,
+        )
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._serving_admin())
+            stack.enter_context(
+                wire.listening(self._hub.serve, identity=self._identity)
+            )
+            callers.start()
+            stack.callback(callers.stop, timeout=0)
+            greenlets = [gevent.spawn(task) for task in self._tasks()]
+            stack.callback(gevent.killall, greenlets, timeout=0.2)
+            _logger.info("started", extra={"pid": os.getpid()})
+            yield
+
+    def drain(self) -> None:
+        """Finishes the requests in flight, within the time of a stop."""
+        stopped_at = time.monotonic()
+        last_moment = stopped_at + self._settings.grace_s - _LAST_MOMENT_S
+        self._state.leave()
+        self._state.decisions.record(
+            "leaving", reason="stop requested", requests=self._handler.busy
+        )
+        with contextlib.suppress(platform_port.StoreError):
+            self._state.platform.election.leave(self._settings.peer_address)
+        gevent.sleep(_KEEP_ACCEPTING_S)
+        self._handler.close_idle()
+        while self._handler.busy and time.monotonic() < last_moment:
+            gevent.sleep(_DRAIN_STEP_S)
+            self._handler.close_idle()
+        _logger.info("stopped", extra={"unfinished": self._handler.busy})
+
+    @contextlib.contextmanager
+    def _serving_admin(self) -> Iterator[None]:
+        app = admin.AdminApp(self)
+        app.route("GET", "ready", self._ready)
+        ready_host, ready_port = _host_port(self._settings.ready_address)
+        with (
+            wsgi.serving(app, host=ready_host, port=ready_port),
+            wsgi.serving(
+                app, host=ready_host, port=self._settings.metrics_port
+            ),
+        ):
+            yield
+
+    def _ready(self, _: str, __: dict[str, str]) -> tuple[int, Any]:
+        ready = self._state.ready
+        return (200 if ready else 503), {"ready": ready}
+
+    def _tasks(self) -> list[Any]:
+        platform, state = self._state.platform, self._state
+        count = state.metrics.count_store_read
+        followers = [
+            feed_follower.FeedFollower(
+                feed, sink=sink, rng=state.rng, count=count
+            )
+            for feed, sink in (
+                (platform.configurations, beliefs.ConfigurationSink(state)),
+                (platform.backend_servers, beliefs.ServerSink(state)),
+            )
+        ]
+        return [
+            *(follower.run for follower in followers),
+            self._renew_lease,
+            self._plan,
+            self._exchange,
+            self._settle,
+        ]
+
+    def _renew_lease(self) -> None:
+        """Stays a member of the planners' election."""
+        pause_s = self._settings.lease_s / _RENEWALS_PER_LEASE
+        member = self._settings.peer_address
+        while True:
+            asked_at = time.monotonic()
+            try:
+                elected = self._state.platform.election.join(member)
+            except platform_port.StoreError:
+                # The follower of the store logs its outage.
+                self._link.note_store(reached=False)
+            else:
+                self._link.note_store(reached=True)
+                self._leadership.confirm(
+                    leadership_lib.Confirmation(elected=elected, at=asked_at)
+                )
+            gevent.sleep(pause_s * (0.8 + 0.4 * self._state.rng.random()))
+
+    def _plan(self) -> None:
+        """Plans and tells the fronts while this front leads."""
+        while True:
+            self._leadership.note_others(
+                reach_store=self._hub.others_reach_store
+            )
+            leads = self._leadership.leads(now=time.monotonic())
+            leads = leads and not self._state.leaving
+            self._note_lead(leads)
+            if leads:
+                self._planner.tick()
+                self._hub.tell()
+            gevent.sleep(planner_lib.TICK_S)
+
+    def _note_lead(self, leads: bool) -> None:
+        if leads == self._led:
+            return
+        self._led = leads
+        self._state.decisions.record(
+            "planner_elected" if leads else "planner_stepped_down",
+            reason=repr(self._leadership),
+        )
+        if not leads:
+            self._hub.disconnect()
+            self._state.load.set_others({})
+
+    def _exchange(self) -> None:
+        """Keeps a link to the planner while another front leads."""
+        while True:
+            if self._led:
+                gevent.sleep(planner_link.EXCHANGE_S)
+            else:
+                self._link.run_once()
+
+    def _settle(self) -> None:
+        """Forgets backend servers that an outage of the list hid."""
+        while True:
+            gevent.sleep(planner_link.EXCHANGE_S)
+            for server_id in self._state.fleet.settle(now=time.monotonic()):
+                self._state.decisions.record(
+                    "backend_server_gone",
+                    reason="still missing after the store's return",
+                    server=server_id,
+                )
+
+
+def _host_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -0,0 +1,59 @@
+"""Counters and latency distributions of a front."""
+
+from dotterelgrade import metrics as metrics_lib
+
+
+class FrontMetrics:
+    """What a front counts."""
+
+    def __init__(self) -> None:
+        """Initializes all metrics at zero."""
+        self._metrics = metrics_lib.Metrics()
+        self._answers = self._metrics.counter(
+            "front_answers", "Answers by outcome.", ("outcome",)
+        )
+        self._tries = self._metrics.counter(
+            "front_tries", "Tries at backend servers by result.", ("result",)
+        )
+        self._store = self._metrics.counter(
+            "front_store_reads", "Reads of the store by result.", ("result",)
+        )
+        self._in_flight = self._metrics.gauge(
+            "front_requests_in_flight", "Requests that are worked on."
+        )
+        self._whole = self._metrics.latency(
+            "front_answer_seconds", "Time from request to the end of answer."
+        )
+        self._first = self._metrics.latency(
+            "front_first_event_seconds", "Time from request to first event."
+        )
+
+    def __repr__(self) -> str:
+        """Shows the class."""
+        return "<FrontMetrics>"
+
+    @property
+    def first_event(self) -> metrics_lib.Latency:
+        """Time from request to first event, s."""
+        return self._first
+
+    def count_answer(self, outcome: str, *, seconds: float) -> None:
+        """Counts an answer and how long it took."""
+        self._answers.labels(outcome).inc()
+        self._whole.record(seconds)
+
+    def count_try(self, result: str) -> None:
+        """Counts a try at a backend server."""
+        self._tries.labels(result).inc()
+
+    def count_store_read(self, result: str) -> None:
+        """Counts a read of the store."""
+        self._store.labels(result).inc()
+
+    def set_in_flight(self, requests: int) -> None:
+        """Notes how many requests are worked on."""
+        self._in_flight.set(requests)
+
+    def as_text(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return self._metrics.as_text()
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -0,0 +1,61 @@
+"""Settings of a front."""
+
+import dataclasses
+
+from dotterelgrade_routing import placement
+
+# Shorter leases cost more calls; a planner's death is noticed in this time.
+SHORTEST_LEASE_S = 2.0
+DEFAULT_METRICS_PORT = 9464
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FrontSettings:
+    """Where a front runs and what bounds hold for it.
+
+    Attributes:
+        node: Name of the host.
+        host: Own IP number.
+        failure_domain: Own failure domain.
+        callers_address: `IP:PORT` for callers.
+        ready_address: `IP:PORT` for the balancer's readiness checks.
+        peer_port: TCP port for the other fronts.
+        metrics_port: TCP port for metrics and the state dump.
+        store_address: `IP:PORT` of the platform's store.
+        lease_s: Silence after which the planner's lease ends, s.
+        most_connections: File descriptors of the process.
+        grace_s: Time between SIGTERM and SIGKILL, s.
+        retry_ratio: Retries for each request, over all fronts.
+        retry_slack: Retries beside these in each window, over all fronts.
+        retry_window_s: Length of that window, s.
+        placement: Name of the placement policy.
+    """
+
+    node: str
+    host: str
+    failure_domain: str
+    callers_address: str
+    ready_address: str
+    peer_port: int
+    metrics_port: int = DEFAULT_METRICS_PORT
+    store_address: str
+    lease_s: float = SHORTEST_LEASE_S
+    most_connections: int = 1024
+    grace_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 100.0
+    retry_window_s: float = 10.0
+    placement: str = "balanced"
+
+    def __post_init__(self) -> None:
+        """Checks what the types can't express."""
+        placement.make_policy(self.placement)
+        for address in (self.callers_address, self.ready_address):
+            host, _, port = address.rpartition(":")
+            if not host or not port.isdigit():
+                raise ValueError(f"expected IP:PORT, got {address!r}")
+
+    @property
+    def peer_address(self) -> str:
+        """`IP:PORT` at which other fronts reach this one."""
+        return f"{self.host}:{self.peer_port}"
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -0,0 +1,227 @@
+"""What the greenlets of one front share."""
+
+import dataclasses
+import random
+import time
+
+from dotterelgrade import decision_log
+from dotterelgrade import journal
+from dotterelgrade_front import chain_directory
+from dotterelgrade_front import front_metrics
+from dotterelgrade_front import front_settings
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import configuration as configuration_lib
+from dotterelgrade_routing import fleet as fleet_lib
+from dotterelgrade_routing import load_picture
+from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import retry_budget
+from dotterelgrade_routing import trust as trust_lib
+
+_JOURNAL_CAPACITY = 2_000
+# The parts of the fronts are estimates; the rest covers a wrong count of them.
+_BUDGET_SAFETY = 0.4
+# Until the other fronts are known, one front takes the part of one in so many.
+_UNKNOWN_FRONTS = 16
+
+
+@dataclasses.dataclass(kw_only=True)
+class Belief:
+    """The configuration in force, with its age.
+
+    Attributes:
+        configuration: The newest version, or None before the first.
+        read_at: Monotonic time at which the store was last heard, s.
+    """
+
+    configuration: configuration_lib.Configuration | None = None
+    read_at: float = float("-inf")
+
+
+class FrontState:
+    """Beliefs, reservations and records of one front."""
+
+    def __init__(
+        self,
+        settings: front_settings.FrontSettings,
+        *,
+        platform: platform_port.Platform,
+    ) -> None:
+        """Initializes a front that knows nothing yet.
+
+        Args:
+            settings: Where it runs and what bounds hold.
+            platform: Everything that speaks to the platform.
+        """
+        self._settings = settings
+        self._platform = platform
+        self._belief = Belief()
+        self._fleet = fleet_lib.Fleet()
+        self._trust = trust_lib.Trust()
+        self._load = load_picture.LoadPicture()
+        self._rng = random.Random()
+        self._decisions = decision_log.DecisionLog(
+            journal=journal.Journal(capacity=_JOURNAL_CAPACITY)
+        )
+        self._metrics = front_metrics.FrontMetrics()
+        self._chains = chain_directory.ChainDirectory(
+            fleet=self._fleet, trust=self._trust, load=self._load
+        )
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._fronts = _UNKNOWN_FRONTS
+        self._leaving = False
+
+    def __repr__(self) -> str:
+        """Shows the host."""
+        return f"<FrontState {self._settings.node}>"
+
+    @property
+    def settings(self) -> front_settings.FrontSettings:
+        """Where it runs and what bounds hold."""
+        return self._settings
+
+    @property
+    def platform(self) -> platform_port.Platform:
+        """Everything that speaks to the platform."""
+        return self._platform
+
+    @property
+    def belief(self) -> Belief:
+        """The configuration in force, with its age."""
+        return self._belief
+
+    @property
+    def configuration(self) -> configuration_lib.Configuration | None:
+        """The configuration in force, or None before the first."""
+        return self._belief.configuration
+
+    @property
+    def fleet(self) -> fleet_lib.Fleet:
+        """The backend servers."""
+        return self._fleet
+
+    @property
+    def trust(self) -> trust_lib.Trust:
+        """Which backend servers are left out for a while."""
+        return self._trust
+
+    @property
+    def load(self) -> load_picture.LoadPicture:
+        """Memory that requests in flight hold."""
+        return self._load
+
+    @property
+    def chains(self) -> chain_directory.ChainDirectory:
+        """The chains to choose from."""
+        return self._chains
+
+    @property
+    def rng(self) -> random.Random:
+        """Breaks ties and spreads calls in time."""
+        return self._rng
+
+    @property
+    def decisions(self) -> decision_log.DecisionLog:
+        """Records decisions."""
+        return self._decisions
+
+    @property
+    def metrics(self) -> front_metrics.FrontMetrics:
+        """Counters and latencies."""
+        return self._metrics
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a stop was ordered."""
+        return self._leaving
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self._leaving and self._belief.configuration is not None
+
+    def reload(self, settings: front_settings.FrontSettings) -> None:
+        """Takes in changed settings."""
+        self._settings = settings
+        self._resize_budgets()
+
+    def leave(self) -> None:
+        """Takes in that a stop was ordered."""
+        self._leaving = True
+
+    def set_fronts(self, fronts: int) -> None:
+        """Takes in how many fronts share the retry budget."""
+        if fronts == self._fronts:
+            return
+        self._fronts = fronts
+        self._resize_budgets()
+
+    def _resize_budgets(self) -> None:
+        for budget in self._budgets.values():
+            budget.resize(
+                rate_per_s=self._retry_rate_per_s(),
+                capacity=self._retry_capacity(),
+            )
+
+    def budget(self, service: str) -> retry_budget.RetryBudget:
+        """Returns the retry budget of a service."""
+        if service not in self._budgets:
+            self._budgets[service] = retry_budget.RetryBudget(
+                share=self._settings.retry_ratio * _BUDGET_SAFETY,
+                rate_per_s=self._retry_rate_per_s(),
+                capacity=self._retry_capacity(),
+            )
+        return self._budgets[service]
+
+    def note_failure(self, server_id: str, *, reason: str) -> None:
+        """Leaves a backend server out of choice and records why."""
+        now = time.monotonic()
+        known = self._trust.excluded(server_id, now=now)
+        left_s = self._trust.note_failure(server_id, now=now)
+        if not known:
+            self._decisions.record(
+                "backend_server_excluded",
+                reason=reason,
+                server=server_id,
+                for_s=round(left_s, 2),
+            )
+            self._chains.invalidate()
+
+    def note_report(
+        self, server_id: str, report: backend_server.EngineReport
+    ) -> bool:
+        """Takes in what an engine reported.
+
+        Returns:
+            Whether anything that matters to routing changed.
+        """
+        return self._fleet.observe(
+            server_id,
+            fleet_lib.Observation(
+                layers=report.layers,
+                started_ms=report.started_ms,
+                slowness=report.slowness,
+                loading=report.loading,
+                at=time.monotonic(),
+            ),
+        )
+
+    def note_silence(self, server_id: str) -> None:
+        """Counts an answer of a backend server that did not come in time."""
+        if self._trust.note_silence(server_id, now=time.monotonic()):
+            self._decisions.record(
+                "backend_server_excluded",
+                reason="silent several times in a row",
+                server=server_id,
+            )
+
+    def note_busy(self, server_id: str) -> None:
+        """Passes over a backend server that could not take more."""
+        self._trust.note_busy(server_id, now=time.monotonic())
+        self._chains.invalidate()
+
+    def _retry_capacity(self) -> float:
+        part = self._settings.retry_slack / max(self._fronts, 1)
+        return max(1.0, part * _BUDGET_SAFETY)
+
+    def _retry_rate_per_s(self) -> float:
+        return self._retry_capacity() / self._settings.retry_window_s
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -0,0 +1,426 @@
+"""Carries a model request from admission to the last event."""
+
+from collections.abc import Callable
+import time
+from typing import TypeVar
+
+from dotterelgrade import http_connection
+from dotterelgrade import http_message
+from dotterelgrade_front import answers
+from dotterelgrade_front import call as call_lib
+from dotterelgrade_front import client_connection
+from dotterelgrade_front import event_stream
+from dotterelgrade_front import front_state
+from dotterelgrade_front import stall_watch
+from dotterelgrade_front import upstream
+from dotterelgrade_routing import admission
+from dotterelgrade_routing import attempt
+from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import platform_port
+
+# Silence after which the first stage is asked what it waits for.
+_SUSPICIOUS_SILENCE_S = 0.3
+# Callers leave after about two seconds without an event.
+_LONGEST_SILENCE_S = 1.5
+_LARGEST_BODY_BYTES = 16_777_216
+_SERVER_ERROR = 500
+
+_Heard = TypeVar("_Heard")
+
+
+class ModelStream:
+    """One model request; it goes on elsewhere when its chain breaks."""
+
+    def __init__(
+        self,
+        state: front_state.FrontState,
+        *,
+        client: client_connection.ClientConnection,
+        call: call_lib.Call,
+        stalls: stall_watch.StallWatch,
+        close: bool,
+    ) -> None:
+        """Initializes the stream.
+
+        Args:
+            state: Shared by the front's greenlets.
+            client: The caller.
+            call: The call.
+            stalls: Finds out who holds a stream up.
+            close: Whether the connection ends with the answer.
+        """
+        self._state = state
+        self._client = client
+        self._call = call
+        self._stalls = stalls
+        self._close = close
+        self._splitter = event_stream.EventSplitter()
+        self._last_id = ""
+        self._head_sent = False
+        self._events = 0
+
+    def __repr__(self) -> str:
+        """Shows the request and how far it is."""
+        return f"<ModelStream {self._call.request_id} {self._events} events>"
+
+    def serve(self) -> str:
+        """Answers the call.
+
+        Returns:
+            The outcome, for metrics and logs.
+
+        Raises:
+            client_connection.CallerGoneError: The caller left, or an answer
+                that has begun can't be finished.
+        """
+        with self._client.watched():
+            return self._serve()
+
+    def _serve(self) -> str:
+        reason = "out of time"
+        retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
+        while self._call.left_s > 0:
+            decision = self._admit()
+            if isinstance(decision, admission.Refused):
+                reason = decision.reason
+                retry_after_s = decision.retry_after_s
+                break
+            try:
+                return self._try(decision.chain)
+            except upstream.TryFailedError as failed:
+                reason = str(failed)
+                self._note(failed, decision.chain)
+                if not self._may_go_on():
+                    break
+        return self._give_up(reason, retry_after_s)
+
+    def _admit(self) -> admission.Admitted | admission.Refused:
+        state, call = self._state, self._call
+        offer = state.chains.offer(call.service)
+        chains = [
+            chain
+            for chain in offer.chains
+            if call.may_go_to(chain.first.server_id)
+            and chain.first.server_id not in call.unreachable
+        ]
+        decision = admission.decide(
+            chains,
+            tokens=self._tokens(),
+            answer_tokens=self._answer_tokens(),
+            load=state.load,
+            memory=offer.memory,
+        )
+        inputs = {
+            "fleet_version": offer.fleet_version,
+            "age_s": round(time.monotonic() - offer.computed_at, 2),
+            "chains": len(chains),
+            "tokens": round(self._tokens()),
+        }
+        if isinstance(decision, admission.Refused):
+            state.decisions.record(
+                "refused",
+                reason=decision.reason,
+                request_id=call.request_id,
+                retry_after_s=round(decision.retry_after_s, 2),
+                **inputs,
+            )
+            return decision
+        state.decisions.record(
+            "chain_chosen",
+            reason="cheapest with room",
+            request_id=call.request_id,
+            chain=[
+                f"{s.server_id}={s.layers!r}" for s in decision.chain.stages
+            ],
+            fill=round(decision.fill, 2),
+            **inputs,
+        )
+        return decision
+
+    def _answer_tokens(self) -> float:
+        facts = self._call.facts
+        usual = self._call.service.engine.usual_answer_tokens
+        expected = facts.expected_answer_tokens or usual
+        if facts.most_answer_tokens:
+            expected = min(expected, facts.most_answer_tokens)
+        return max(expected, 1.0)
+
+    def _tokens(self) -> float:
+        return self._call.facts.prompt_tokens + self._answer_tokens()
+
+    def _try(self, chain: chain_choice.Chain) -> str:
+        """Runs the call on one chain; the chain may change on the way."""
+        state, call = self._state, self._call
+        target = upstream.Target(
+            server_id=chain.first.server_id,
+            address=chain.first.address,
+            stages=chain.stages,
+            resume_after=self._last_id,
+        )
+        names = state.platform.headers
+        self._splitter = event_stream.EventSplitter()
+        with (
+            state.load.reserved(chain, tokens=self._tokens()),
+            upstream.sent(call, target, headers=names) as connection,
+        ):
+            return self._answer(connection, chain)
+
+    def _answer(
+        self,
+        connection: http_connection.HttpConnection,
+        chain: chain_choice.Chain,
+    ) -> str:
+        call = self._call
+        names = self._state.platform.headers
+        waits = _Waits(self, chain)
+        head, facts = waits.until_heard(
+            lambda until: upstream.own_answer(
+                call, connection, headers=names, until=until
+            )
+        )
+        if head.status >= 300:
+            return self._pass_failure(connection, head)
+        if not facts.sealed:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.UNKNOWN, "answer without a seal"
+            )
+        while True:
+            piece = waits.until_heard(
+                lambda until: connection.read_piece(until=until)
+            )
+            if not piece:
+                break
+            self._pass_on(head, piece)
+        if self._splitter.partial:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.UNKNOWN, "ended within an event"
+            )
+        return self._finish(head, chain)
+
+    def _pass_failure(
+        self,
+        connection: http_connection.HttpConnection,
+        head: http_message.ResponseHead,
+    ) -> str:
+        body = connection.read_body(
+            until=self._call.until, most_bytes=_LARGEST_BODY_BYTES
+        )
+        again = self._head_sent or len(self._call.tries) == 0
+        if head.status >= _SERVER_ERROR and again:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.RAN, f"status {head.status}"
+            )
+        if self._head_sent:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.REFUSED, f"status {head.status}"
+            )
+        answers.send_whole(
+            self._client,
+            head=http_message.ResponseHead(
+                status=head.status,
+                reason=head.reason,
+                headers=http_message.end_to_end(head.headers),
+            ),
+            body=body,
+            close=self._close,
+        )
+        return f"answered_{head.status // 100}xx"
+
+    def _pass_on(self, head: http_message.ResponseHead, piece: bytes) -> None:
+        events = self._splitter.feed(piece)
+        if not events.count:
+            return
+        data = answers.chunk(events.data)
+        if not self._head_sent:
+            data = self._encoded_head(head) + data
+            self._state.metrics.first_event.record(self._call.age_s)
+        self._client.write(data)
+        self._head_sent = True
+        self._events += events.count
+        self._last_id = events.last_id or self._last_id
+
+    def _encoded_head(self, head: http_message.ResponseHead) -> bytes:
+        kept = http_message.ResponseHead(
+            status=head.status,
+            reason=head.reason,
+            headers=http_message.end_to_end(head.headers),
+        )
+        return answers.stream_head(kept, close=self._close)
+
+    def _finish(
+        self, head: http_message.ResponseHead, chain: chain_choice.Chain
+    ) -> str:
+        data = answers.LAST_CHUNK
+        if not self._head_sent:
+            data = self._encoded_head(head) + data
+        self._client.write(data)
+        now = time.monotonic()
+        for stage in chain.stages:
+            self._state.trust.note_success(stage.server_id, now=now)
+        self._state.metrics.count_try("answered")
+        return "streamed"
+
+    def _note(
+        self, failed: upstream.TryFailedError, chain: chain_choice.Chain
+    ) -> None:
+        state, call = self._state, self._call
+        call.tries.append(failed.knowledge)
+        state.metrics.count_try(failed.knowledge.name.lower())
+        if failed.knowledge is attempt.Knowledge.NEVER_SENT:
+            call.unreachable.add(chain.first.server_id)
+        if failed.knowledge is attempt.Knowledge.REFUSED:
+            self._check(failed.culprit or chain.first.address)
+        elif failed.culprit:
+            self.blame(failed.culprit, reason=str(failed))
+        state.decisions.record(
+            "try_failed",
+            reason=str(failed),
+            request_id=call.request_id,
+            server=chain.first.server_id,
+            culprit=failed.culprit,
+            known=failed.knowledge.name,
+            events=self._events,
+            left_s=round(call.left_s, 3),
+        )
+
+    def _check(self, address: str) -> None:
+        """Asks a backend server that refused a stage what it holds now."""
+        server = self._state.fleet.by_address(address)
+        if server is None:
+            return
+        report = self._stalls.report(address)
+        if report is None:
+            self._state.note_failure(server.id, reason="refused, then silent")
+            return
+        self._state.note_report(server.id, report)
+        self._state.note_busy(server.id)
+
+    def blame(self, address: str, *, reason: str) -> None:
+        """Leaves the backend server at an address out of choice."""
+        server = self._state.fleet.by_address(address)
+        if server is not None:
+            self._state.note_failure(server.id, reason=reason)
+
+    def reroute(
+        self, chain: chain_choice.Chain, culprit: str
+    ) -> chain_choice.Chain | None:
+        """Moves the running request around a backend server at fault.
+
+        Args:
+            chain: The chain that it takes.
+            culprit: Address of the backend server to avoid.
+
+        Returns:
+            The new chain, or None if the request can't be moved.
+        """
+        state, call = self._state, self._call
+        if culprit == chain.first.address:
+            return None
+        other = state.chains.behind(call.service, chain.first)
+        if other is None or other.stages == chain.stages:
+            return None
+        outcome = state.platform.engines.reroute(
+            chain.first.address,
+            request_id=call.request_id,
+            stages=other.stages,
+        )
+        state.decisions.record(
+            "rerouted",
+            reason=f"held up by {culprit}",
+            request_id=call.request_id,
+            outcome=outcome.value,
+            events=self._events,
+        )
+        accepted = (
+            platform_port.OrderOutcome.ACCEPTED,
+            platform_port.OrderOutcome.DONE,
+        )
+        return other if outcome in accepted else None
+
+    def culprit(self, chain: chain_choice.Chain) -> str:
+        """Returns the address of whoever holds the request up, or empty."""
+        return self._stalls.culprit(
+            request_id=self._call.request_id, first=chain.first
+        )
+
+    @property
+    def until(self) -> float:
+        """Monotonic time after which nobody waits, s."""
+        return self._call.until
+
+    def _may_go_on(self) -> bool:
+        call = self._call
+        if not call.may_repeat() or call.left_s <= 0:
+            return False
+        if self._head_sent and not self._last_id:
+            return False
+        if call.tries[-1] is attempt.Knowledge.NEVER_SENT:
+            return True
+        return self._state.budget(call.service.name).spend()
+
+    def _give_up(self, reason: str, retry_after_s: float) -> str:
+        error = self._call.failure(reason, retry_after_s=retry_after_s)
+        if self._head_sent:
+            self._state.decisions.record(
+                "stream_broken",
+                reason=reason,
+                request_id=self._call.request_id,
+                events=self._events,
+                tries=len(self._call.tries),
+            )
+            raise client_connection.CallerGoneError("stream can't be finished")
+        answers.send_error(
+            self._client,
+            error,
+            request_id=self._call.request_id,
+            close=self._close,
+        )
+        return error.kind.value
+
+
+class _Waits:
+    """Waits for an answer, looks into silence, and gives up in time."""
+
+    def __init__(self, stream: ModelStream, chain: chain_choice.Chain) -> None:
+        self._stream = stream
+        self._chain = chain
+
+    def until_heard(self, read: Callable[[float], _Heard]) -> _Heard:
+        """Calls a read until it returns, giving up after a long silence.
+
+        Args:
+            read: Waits until the monotonic time that it is given.
+
+        Raises:
+            upstream.TryFailedError: The backend servers stayed silent.
+        """
+        started = time.monotonic()
+        while True:
+            now = time.monotonic()
+            until = min(now + _SUSPICIOUS_SILENCE_S, self._stream.until)
+            try:
+                return read(until)
+            except http_connection.AnswerTimeoutError as error:
+                silent_s = time.monotonic() - started
+                if time.monotonic() >= self._stream.until:
+                    raise upstream.TryFailedError(
+                        attempt.Knowledge.UNKNOWN, "out of time"
+                    ) from error
+                self._look_into(silent_s)
+
+    def _look_into(self, silent_s: float) -> None:
+        culprit = self._stream.culprit(self._chain)
+        if culprit:
+            self._stream.blame(culprit, reason="holds streams up")
+            other = self._stream.reroute(self._chain, culprit)
+            if other is None:
+                raise upstream.TryFailedError(
+                    attempt.Knowledge.UNKNOWN,
+                    f"held up for {silent_s:.1f} s",
+                    culprit=culprit,
+                )
+            self._chain = other
+        elif silent_s > _LONGEST_SILENCE_S:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.UNKNOWN, f"silent for {silent_s:.1f} s"
+            )
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -0,0 +1,61 @@
+"""Frames between a front and the front that plans."""
+
+import dataclasses
+
+from dotterelgrade import messages
+
+
+@messages.frame
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FrontLoad:
+    """What a front tells the planner.
+
+    Attributes:
+        reserved: Reserved memory by backend server, tokens times layers.
+        excluded: Backend servers that it leaves out of choice.
+        reaches_store: Whether the store answers it.
+    """
+
+    reserved: dict[str, float]
+    excluded: list[str]
+    reaches_store: bool
+
+
+@messages.frame
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SeenServer:
+    """What an engine reported to the planner.
+
+    Attributes:
+        id: The backend server.
+        started_ms: Start of its process, ms since the epoch.
+        first: First layer that it holds.
+        end: Index behind its last layer; equal to `first` without layers.
+        slowness: Duration of its work relative to the usual one.
+        loading: Whether an order is in progress.
+        silent: Whether it did not answer lately.
+    """
+
+    id: str
+    started_ms: int
+    first: int
+    end: int
+    slowness: float
+    loading: bool
+    silent: bool
+
+
+@messages.frame
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetPicture:
+    """What the planner tells a front.
+
+    Attributes:
+        reserved: Reserved memory of all other fronts together.
+        servers: Engines as they last reported.
+        fronts: How many fronts there are.
+    """
+
+    reserved: dict[str, float]
+    servers: list[SeenServer]
+    fronts: int
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -0,0 +1,195 @@
+"""Carries a call to a plain service from choice to answer."""
+
+import collections
+import time
+
+from dotterelgrade import errors
+from dotterelgrade import http_connection
+from dotterelgrade import http_message
+from dotterelgrade_front import answers
+from dotterelgrade_front import call as call_lib
+from dotterelgrade_front import client_connection
+from dotterelgrade_front import front_state
+from dotterelgrade_front import upstream
+from dotterelgrade_routing import attempt
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import service_choice
+
+_LARGEST_BODY_BYTES = 16_777_216
+# A silent backend server is left for another one after this multiple of the
+# objective, if the call may run twice.
+_PATIENCE_OBJECTIVES = 0.9
+_SERVER_ERROR = 500
+
+
+class PlainCalls:
+    """Tries backend servers of plain services one after another."""
+
+    def __init__(self, state: front_state.FrontState) -> None:
+        """Initializes the object.
+
+        Args:
+            state: Shared by the front's greenlets.
+        """
+        self._state = state
+        self._in_flight: collections.Counter[str] = collections.Counter()
+
+    def __repr__(self) -> str:
+        """Shows the calls in flight."""
+        return f"<PlainCalls {self._in_flight.total()} in flight>"
+
+    def serve(
+        self,
+        client: client_connection.ClientConnection,
+        call: call_lib.Call,
+        *,
+        close: bool,
+    ) -> str:
+        """Answers a call.
+
+        Args:
+            client: The caller.
+            call: The call.
+            close: Whether the connection ends with the answer.
+
+        Returns:
+            The outcome, for metrics and logs.
+
+        Raises:
+            client_connection.CallerGoneError: The caller left.
+        """
+        reason = "no backend server"
+        while call.left_s > 0:
+            server = self._choose(call)
+            if server is None:
+                break
+            try:
+                with client.watched():
+                    head, body = self._try(call, server)
+            except upstream.TryFailedError as failed:
+                reason = self._note(call, server, failed)
+                if not self._may_go_on(call):
+                    break
+                continue
+            answers.send_whole(
+                client,
+                head=head,
+                body=body,
+                close=close,
+                bodiless=call.request.method == b"HEAD",
+            )
+            return f"answered_{head.status // 100}xx"
+        error = call.failure(reason)
+        answers.send_error(
+            client, error, request_id=call.request_id, close=close
+        )
+        return _outcome(error)
+
+    def _choose(
+        self, call: call_lib.Call
+    ) -> backend_server.BackendServer | None:
+        state = self._state
+        candidates = [
+            server
+            for server in state.fleet.ready(call.service.name)
+            if call.may_go_to(server.id)
+        ]
+        return service_choice.choose(
+            candidates,
+            in_flight=self._in_flight,
+            excluded=state.trust.excluded_ids(now=time.monotonic()),
+            tried=call.sent_to | call.unreachable,
+            failure_domain=state.settings.failure_domain,
+            rng=state.rng,
+        )
+
+    def _try(
+        self, call: call_lib.Call, server: backend_server.BackendServer
+    ) -> tuple[http_message.ResponseHead, bytes]:
+        state = self._state
+        target = upstream.Target(server_id=server.id, address=server.address)
+        names = state.platform.headers
+        until = self._patience_until(call)
+        self._in_flight[server.id] += 1
+        try:
+            with upstream.sent(call, target, headers=names) as connection:
+                head, facts = upstream.own_answer(
+                    call, connection, headers=names, until=until
+                )
+                body = connection.read_body(
+                    until=call.until, most_bytes=_LARGEST_BODY_BYTES
+                )
+        except http_connection.AnswerTimeoutError as error:
+            state.note_silence(server.id)
+            raise upstream.TryFailedError(
+                attempt.Knowledge.UNKNOWN, str(error)
+            ) from error
+        finally:
+            self._in_flight[server.id] -= 1
+        if not facts.sealed and head.status < 300:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.UNKNOWN, "answer without a seal"
+            )
+        if head.status >= _SERVER_ERROR and self._worth_another(call):
+            raise upstream.TryFailedError(
+                attempt.Knowledge.RAN, f"status {head.status}"
+            )
+        state.trust.note_success(server.id, now=time.monotonic())
+        state.metrics.count_try("answered")
+        return (
+            http_message.ResponseHead(
+                status=head.status,
+                reason=head.reason,
+                headers=http_message.end_to_end(head.headers),
+            ),
+            body,
+        )
+
+    def _patience_until(self, call: call_lib.Call) -> float:
+        another = len(call.sent_to) + 1 < call.route.max_attempts
+        if not call.route.idempotent or not another:
+            return call.until
+        patience_s = call.route.objective_s * _PATIENCE_OBJECTIVES
+        return min(call.until, time.monotonic() + patience_s)
+
+    def _worth_another(self, call: call_lib.Call) -> bool:
+        return (
+            call.route.idempotent
+            and len(call.sent_to) < call.route.max_attempts
+            and call.left_s > call.route.objective_s / 2
+            and len(self._state.fleet.ready(call.service.name)) > 1
+        )
+
+    def _note(
+        self,
+        call: call_lib.Call,
+        server: backend_server.BackendServer,
+        failed: upstream.TryFailedError,
+    ) -> str:
+        state = self._state
+        call.tries.append(failed.knowledge)
+        if failed.knowledge is attempt.Knowledge.NEVER_SENT:
+            call.unreachable.add(server.id)
+        state.metrics.count_try(failed.knowledge.name.lower())
+        if failed.culprit:
+            state.note_failure(server.id, reason=str(failed))
+        state.decisions.record(
+            "try_failed",
+            reason=str(failed),
+            request_id=call.request_id,
+            server=server.id,
+            known=failed.knowledge.name,
+            left_s=round(call.left_s, 3),
+        )
+        return str(failed)
+
+    def _may_go_on(self, call: call_lib.Call) -> bool:
+        if not call.may_repeat():
+            return False
+        if call.tries[-1] is attempt.Knowledge.NEVER_SENT:
+            return True
+        return self._state.budget(call.service.name).spend()
+
+
+def _outcome(error: errors.Error) -> str:
+    return error.kind.value
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -0,0 +1,223 @@
+"""Keeps whole replicas of the model on the backend servers.
+
+Runs on one front at a time. Reads engines' reports, decides with
+`placement.plan`, and sends orders that an engine accepts only if it has
+accepted no other one since its report.
+"""
+
+import dataclasses
+import time
+
+import gevent
+from gevent import pool
+
+from dotterelgrade_front import front_state
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import configuration
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import placement
+from dotterelgrade_routing import platform_port
+
+TICK_S = 0.2
+# Each report has a price; engines with an order in progress are asked sooner.
+_REPORT_EVERY_S = 1.5
+_BUSY_REPORT_EVERY_S = 0.3
+# An engine that did not answer so often in a row is left out of the plan.
+_SILENT_REPORTS = 2
+# An order that shows no effect after this time is sent anew.
+_ORDER_LASTS_S = 3.0
+_MOST_CALLS_AT_ONCE = 64
+
+
+@dataclasses.dataclass(kw_only=True)
+class Watched:
+    """What the planner knows of one engine.
+
+    Attributes:
+        report: Its last report, or None.
+        asked_at: Monotonic time of the last question, s.
+        misses: Questions in a row without an answer.
+        known_at: Monotonic time at which it was first seen, s.
+        wanted: The range of the last order, or None.
+        ordered_at: Monotonic time of the last order, s.
+    """
+
+    report: backend_server.EngineReport | None = None
+    asked_at: float = float("-inf")
+    misses: int = 0
+    known_at: float = dataclasses.field(default_factory=time.monotonic)
+    wanted: layer_range.LayerRange | None = None
+    ordered_at: float = float("-inf")
+
+    @property
+    def silent(self) -> bool:
+        """Whether it did not answer lately."""
+        return self.misses >= _SILENT_REPORTS
+
+    def order_pending(self, *, now: float) -> bool:
+        """Returns whether an order may still take effect."""
+        if self.wanted is None:
+            return False
+        if self.report is not None and self.report.layers == self.wanted:
+            return False
+        loading = self.report is not None and self.report.loading
+        return loading or now - self.ordered_at < _ORDER_LASTS_S
+
+
+class Planner:
+    """Watches the engines and gives them orders."""
+
+    def __init__(self, state: front_state.FrontState) -> None:
+        """Initializes a planner that knows no engine yet.
+
+        Args:
+            state: Shared by the front's greenlets.
+        """
+        self._state = state
+        self._watched: dict[tuple[str, int], Watched] = {}
+        self._pool = pool.Pool(_MOST_CALLS_AT_ONCE)
+        self._policy = placement.make_policy(state.settings.placement)
+        self._suspects: set[str] = set()
+
+    def __repr__(self) -> str:
+        """Shows how many engines are watched."""
+        return f"<Planner {len(self._watched)} engines>"
+
+    def suspect(self, server_ids: list[str]) -> None:
+        """Has engines asked at once that a front leaves out of choice."""
+        self._suspects.update(server_ids)
+
+    def watched(self, server: backend_server.BackendServer) -> Watched | None:
+        """Returns what is known of an engine."""
+        return self._watched.get(server.incarnation)
+
+    def tick(self) -> None:
+        """Asks for the reports that are due, then orders what is missing."""
+        known = self._state.configuration
+        if known is None:
+            return
+        self._forget_gone()
+        for service in known.model_services:
+            members = [
+                server
+                for server in self._state.fleet.servers
+                if server.service == service.name
+            ]
+            self._ask(members)
+            self._order(service, members)
+
+    def _forget_gone(self) -> None:
+        known = {server.incarnation for server in self._state.fleet.servers}
+        for key in [k for k in self._watched if k not in known]:
+            del self._watched[key]
+
+    def _ask(self, members: list[backend_server.BackendServer]) -> None:
+        now = time.monotonic()
+        due = []
+        for server in members:
+            seen = self._watched.setdefault(server.incarnation, Watched())
+            every_s = _REPORT_EVERY_S
+            urgent = seen.order_pending(now=now) or 0 < seen.misses < 4
+            if urgent or server.id in self._suspects:
+                every_s = _BUSY_REPORT_EVERY_S
+            if now - seen.asked_at >= every_s:
+                seen.asked_at = now
+                due.append(self._pool.spawn(self._ask_one, server, seen))
+        self._suspects.clear()
+        gevent.joinall(due)
+
+    def _ask_one(
+        self, server: backend_server.BackendServer, seen: Watched
+    ) -> None:
+        state = self._state
+        was_silent = seen.silent
+        try:
+            report = state.platform.engines.report(server.address)
+        except platform_port.EngineUnreachableError as error:
+            seen.misses += 1
+            if seen.silent and not was_silent:
+                state.note_failure(server.id, reason=f"silent: {error}")
+            return
+        seen.misses = 0
+        seen.report = report
+        if report.started_ms != server.started_ms:
+            # Another incarnation than the list knows; the list will tell.
+            return
+        if state.note_report(server.id, report):
+            state.decisions.record(
+                "engine_changed",
+                reason="report",
+                server=server.id,
+                layers=repr(report.layers),
+                slowness=round(report.slowness, 2),
+                loading=report.loading,
+            )
+
+    def _order(
+        self,
+        service: configuration.Service,
+        members: list[backend_server.BackendServer],
+    ) -> None:
+        candidates = []
+        by_id = {}
+        for server in members:
+            candidate = self._candidate(service, server)
+            if candidate is not None:
+                candidates.append(candidate)
+                by_id[server.id] = server
+        orders = placement.plan(service.engine, candidates, shares=self._policy)
+        jobs = [
+            self._pool.spawn(self._order_one, by_id[order.server_id], order)
+            for order in orders
+        ]
+        gevent.joinall(jobs)
+
+    def _candidate(
+        self,
+        service: configuration.Service,
+        server: backend_server.BackendServer,
+    ) -> placement.Candidate | None:
+        seen = self._watched.get(server.incarnation)
+        kind = service.engine.accelerator(server.accelerator)
+        if seen is None or seen.report is None or kind is None:
+            return None
+        if seen.silent or not server.ready:
+            return None
+        now = time.monotonic()
+        pending = seen.order_pending(now=now)
+        return placement.Candidate(
+            server_id=server.id,
+            failure_domain=server.failure_domain,
+            accelerator=kind,
+            layers=seen.wanted if pending else seen.report.layers,
+            movable=not pending and not seen.report.loading,
+            known_s=now - seen.known_at,
+        )
+
+    def _order_one(
+        self,
+        server: backend_server.BackendServer,
+        order: placement.Placement,
+    ) -> None:
+        seen = self._watched[server.incarnation]
+        before = seen.report
+        seen.wanted = order.layers
+        seen.ordered_at = time.monotonic()
+        outcome = self._state.platform.engines.place(
+            server.address, layers=order.layers, orders=before.orders
+        )
+        if outcome in (
+            platform_port.OrderOutcome.CONFLICT,
+            platform_port.OrderOutcome.REFUSED,
+        ):
+            seen.wanted = None
+            seen.asked_at = float("-inf")
+        self._state.decisions.record(
+            "layers_ordered",
+            reason=order.reason,
+            server=server.id,
+            layers=repr(order.layers),
+            orders=before.orders,
+            report_age_s=round(seen.ordered_at - seen.asked_at, 2),
+            outcome=outcome.value,
+        )
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -0,0 +1,245 @@
+"""Serves the requests of one caller's connection, from top to bottom."""
+
+import http
+import time
+
+from gevent import socket
+
+from dotterelgrade import errors
+from dotterelgrade import http_message
+from dotterelgrade_front import answers
+from dotterelgrade_front import call as call_lib
+from dotterelgrade_front import client_connection
+from dotterelgrade_front import front_state
+from dotterelgrade_front import model_stream
+from dotterelgrade_front import plain_call
+from dotterelgrade_front import stall_watch
+from dotterelgrade_routing import configuration
+from dotterelgrade_routing import request_facts
+
+_STATUS_KINDS = {
+    http.HTTPStatus.REQUEST_TIMEOUT: errors.ErrorKind.REQUEST_TIMEOUT,
+    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE: errors.ErrorKind.BODY_TOO_LARGE,
+    http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: (
+        errors.ErrorKind.HEAD_TOO_LARGE
+    ),
+}
+# A front that knows no configuration yet has read the store within this time.
+_NOT_READY_RETRY_S = 0.5
+
+
+class _RejectedError(Exception):
+    """The request is answered by the front itself."""
+
+    def __init__(self, error: errors.Error) -> None:
+        super().__init__(error.message)
+        self.error = error
+
+
+class RequestHandler:
+    """Accepts connections and carries each request to its answer."""
+
+    def __init__(self, state: front_state.FrontState) -> None:
+        """Initializes the handler.
+
+        Args:
+            state: Shared by the front's greenlets.
+        """
+        self._state = state
+        self._plain = plain_call.PlainCalls(state)
+        self._stalls = stall_watch.StallWatch(state)
+        self._connections: set[client_connection.ClientConnection] = set()
+        self._busy = 0
+
+    def __repr__(self) -> str:
+        """Shows how much is going on."""
+        return f"<RequestHandler {self._busy} requests>"
+
+    @property
+    def busy(self) -> int:
+        """Requests that are worked on."""
+        return self._busy
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request has begun."""
+        for client in list(self._connections):
+            client.close_if_idle()
+
+    def serve_connection(self, sock: socket.socket, _address: object) -> None:
+        """Serves a connection until it ends.
+
+        Args:
+            sock: The connected socket.
+            _address: The caller's address.
+        """
+        known = self._state.configuration
+        limits = configuration.ClientLimits() if known is None else known.limits
+        client = client_connection.ClientConnection(sock, limits=limits)
+        self._connections.add(client)
+        try:
+            while self._serve_next(client):
+                pass
+        except client_connection.CallerGoneError:
+            pass
+        finally:
+            self._connections.discard(client)
+            sock.close()
+
+    def _serve_next(self, client: client_connection.ClientConnection) -> bool:
+        """Serves one request; returns whether the connection goes on."""
+        try:
+            request = client.read_request()
+        except client_connection.BadRequestError as bad:
+            self._reject_bytes(client, bad)
+            return False
+        if request is None:
+            return False
+        close = self._state.leaving or not request.keep_alive
+        self._busy += 1
+        self._state.metrics.set_in_flight(self._busy)
+        try:
+            with client.working():
+                self._serve_request(client, request, close=close)
+        finally:
+            self._busy -= 1
+            self._state.metrics.set_in_flight(self._busy)
+        return not close
+
+    def _serve_request(
+        self,
+        client: client_connection.ClientConnection,
+        request: http_message.Request,
+        *,
+        close: bool,
+    ) -> None:
+        received_at = time.monotonic()
+        facts = self._state.platform.headers.read_request(request.headers)
+        outcome = "caller_gone"
+        try:
+            call = self._admit_call(request, facts, received_at)
+            outcome = self._carry(client, call, close=close)
+        except _RejectedError as rejected:
+            outcome = rejected.error.kind.value
+            answers.send_error(
+                client,
+                rejected.error,
+                request_id=facts.request_id,
+                close=close,
+            )
+        finally:
+            seconds = time.monotonic() - received_at
+            self._state.metrics.count_answer(outcome, seconds=seconds)
+            self._state.decisions.record(
+                "request_ended",
+                reason=outcome,
+                request_id=facts.request_id,
+                seconds=round(seconds, 3),
+                path=request.path,
+            )
+
+    def _carry(
+        self,
+        client: client_connection.ClientConnection,
+        call: call_lib.Call,
+        *,
+        close: bool,
+    ) -> str:
+        self._state.budget(call.service.name).note_request()
+        if call.service.engine is None:
+            return self._plain.serve(client, call, close=close)
+        return model_stream.ModelStream(
+            self._state,
+            client=client,
+            call=call,
+            stalls=self._stalls,
+            close=close,
+        ).serve()
+
+    def _admit_call(
+        self,
+        request: http_message.Request,
+        facts: request_facts.RequestFacts,
+        received_at: float,
+    ) -> call_lib.Call:
+        """Finds route, workspace and service, or raises what is wrong."""
+        known = self._state.configuration
+        if known is None:
+            raise _rejected(
+                errors.ErrorKind.NOT_READY,
+                "no configuration yet",
+                retry_after_s=_NOT_READY_RETRY_S,
+            )
+        route = known.route_for(request.host, request.path)
+        if route is None:
+            raise _rejected(errors.ErrorKind.NOT_FOUND, "no such route")
+        workspace = self._workspace(known, route, facts)
+        service = self._service(known, route)
+        priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
+        patience_s = route.timeout_s
+        if facts.patience_s is not None:
+            patience_s = min(patience_s, facts.patience_s)
+        return call_lib.Call(
+            request=request,
+            facts=facts,
+            route=route,
+            service=service,
+            workspace="" if workspace is None else workspace.name,
+            priority=priority,
+            received_at=received_at,
+            until=received_at + patience_s,
+        )
+
+    def _workspace(
+        self,
+        known: configuration.Configuration,
+        route: configuration.Route,
+        facts: request_facts.RequestFacts,
+    ) -> configuration.Workspace | None:
+        workspace = known.workspace_for(facts.api_key)
+        if workspace is None and known.workspaces and not route.public:
+            raise _rejected(errors.ErrorKind.UNAUTHORIZED, "unknown key")
+        return workspace
+
+    def _service(
+        self, known: configuration.Configuration, route: configuration.Route
+    ) -> configuration.Service:
+        weights = [share.weight for share in route.services]
+        names = [share.service for share in route.services]
+        if sum(weights) <= 0:
+            weights = [1.0] * len(names)
+        name = self._state.rng.choices(names, weights)[0]
+        service = known.service(name)
+        if service is None:
+            raise _rejected(
+                errors.ErrorKind.NO_CAPACITY,
+                f"no service {name!r}",
+                retry_after_s=_NOT_READY_RETRY_S,
+            )
+        return service
+
+    def _reject_bytes(
+        self,
+        client: client_connection.ClientConnection,
+        bad: client_connection.BadRequestError,
+    ) -> None:
+        kind = _STATUS_KINDS.get(bad.status, errors.ErrorKind.BAD_REQUEST)
+        self._state.decisions.record("bytes_rejected", reason=str(bad))
+        answers.send_error(
+            client,
+            errors.Error(kind=kind, message=str(bad)),
+            request_id="",
+            close=True,
+        )
+
+
+def _rejected(
+    kind: errors.ErrorKind,
+    message: str,
+    *,
+    retry_after_s: float | None = None,
+) -> _RejectedError:
+    return _RejectedError(
+        errors.Error(kind=kind, message=message, retry_after_s=retry_after_s)
+    )
