Double the layers whose only holder is the largest

Cause: a test that was written for it showed that free backend servers doubled the slowest layers and none of the 26 layers of the fastest accelerator, whose loss takes longest to repair.

Change: a second holder is worth the more, the more layers the only one holds.

Before: 26 of 26 layers held once. After: the test's bound of a quarter holds.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -21,8 +21,9 @@
 # The list shows backend servers that start together within about two seconds;
 # a group without any layer waits until no further one has joined for so long.
 FORMING_QUIET_S = 0.8
-# Worth of a second holder of a layer, relative to that layer's step time.
-REDUNDANCY_WORTH = 0.5
+# Worth of a second holder of a layer, in step factors, if the first one holds
+# the whole model; the more a backend server holds, the longer its loss lasts.
+REDUNDANCY_WORTH = 32.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -420,7 +421,7 @@
     if size <= 0:
         return None
     worth = [
-        _layer_worth(layer, holders, candidate)
+        _layer_worth(engine, layer, holders, candidate)
         for layer in range(engine.layers)
     ]
     starts = range(engine.layers - size + 1)
@@ -441,14 +442,17 @@
 
 
 def _layer_worth(
-    layer: int, holders: Sequence[Candidate], candidate: Candidate
+    engine: configuration.Engine,
+    layer: int,
+    holders: Sequence[Candidate],
+    candidate: Candidate,
 ) -> float:
-    factors = [
-        c.accelerator.step_factor
-        for c in holders
-        if c.layers.first <= layer < c.layers.end
-    ]
-    fastest = min(factors, default=0.0)
+    here = [c for c in holders if c.layers.first <= layer < c.layers.end]
+    if not here:
+        return REDUNDANCY_WORTH
+    fastest = min(c.accelerator.step_factor for c in here)
     faster = max(0.0, fastest - candidate.accelerator.step_factor)
-    redundancy = fastest * REDUNDANCY_WORTH / max(len(factors), 1) ** 2
-    return faster + redundancy
+    if len(here) > 1:
+        return faster
+    share = len(here[0].layers) / engine.layers
+    return faster + REDUNDANCY_WORTH * share
--- /dev/null
+++ b/packages/dotterelgrade-routing/tests/test_chain_choice.py
@@ -0,0 +1,101 @@
+import hypothesis
+from hypothesis import strategies
+
+from dotterelgrade_routing import chain_choice
+
+
+def _layers_run(chain):
+    return [
+        layer
+        for stage in chain.stages
+        for layer in range(stage.layers.first, stage.layers.end)
+    ]
+
+
+def _ids(chain):
+    return [stage.server_id for stage in chain.stages]
+
+
+@hypothesis.settings(
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+    deadline=None,
+)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 79),
+            strategies.integers(1, 40),
+            strategies.sampled_from("abc"),
+            strategies.floats(0, 1.2),
+        ),
+        max_size=14,
+    )
+)
+def test_a_chain_runs_every_layer_once_in_order(engine, make_holder, parts):
+    holders = [
+        make_holder(
+            f"s{i}", first, min(first + n, 80), domain=d, used=fill * 1e6
+        )
+        for i, (first, n, d, fill) in enumerate(parts)
+    ]
+    covered = all(
+        any(h.layers.first <= x < h.layers.end for h in holders)
+        for x in range(80)
+    )
+    chains = chain_choice.candidates(engine, holders)
+    assert bool(chains) == covered
+    for chain in chains:
+        assert _layers_run(chain) == list(range(80))
+        assert len(set(_ids(chain))) == len(chain.stages)
+        by_id = {h.server_id: h for h in holders}
+        for stage in chain.stages:
+            assert by_id[stage.server_id].layers.covers(stage.layers)
+
+
+def test_a_chain_stays_in_its_failure_domain(engine, make_holder):
+    holders = [
+        make_holder("a1", 0, 40, domain="a"),
+        make_holder("a2", 40, 80, domain="a"),
+        make_holder("b1", 0, 40, domain="b", layer_s=0.9e-4),
+        make_holder("b2", 40, 80, domain="b", layer_s=0.9e-4),
+    ]
+    chains = chain_choice.candidates(engine, holders)
+    assert sorted(_ids(c) for c in chains) == [["a1", "a2"], ["b1", "b2"]]
+
+
+def test_a_lost_part_is_patched_from_another_domain(engine, make_holder):
+    holders = [
+        make_holder("a1", 0, 30, domain="a"),
+        make_holder("a3", 50, 80, domain="a"),
+        make_holder("b1", 0, 80, domain="b", layer_s=1e-3),
+    ]
+    chain = chain_choice.cheapest(engine, holders, preferred_domain="a")
+    assert _ids(chain) == ["a1", "b1", "a3"]
+    assert chain.crossings == 2
+
+
+def test_a_stage_with_little_room_is_avoided_before_it_is_full(
+    engine, make_holder
+):
+    expected = chain_choice.EXPECTED_REQUESTS * engine.usual_tokens * 40
+    holders = [
+        make_holder("tight", 0, 40, total=expected / 4, expected=expected),
+        make_holder("wide", 0, 40, total=expected * 20, expected=expected),
+        make_holder("rest", 40, 80, total=expected * 20, expected=expected),
+    ]
+    chain = chain_choice.cheapest(engine, holders, preferred_domain="a")
+    assert _ids(chain) == ["wide", "rest"]
+
+
+def test_a_full_stage_is_used_only_without_another(engine, make_holder):
+    holders = [
+        make_holder("full", 0, 40, used=0.95e6, layer_s=1e-5),
+        make_holder("free", 0, 40, layer_s=4e-4),
+        make_holder("rest", 40, 80),
+    ]
+    chain = chain_choice.cheapest(engine, holders, preferred_domain="a")
+    assert _ids(chain) == ["free", "rest"]
+    chain = chain_choice.cheapest(
+        engine, [holders[0], holders[2]], preferred_domain="a"
+    )
+    assert _ids(chain) == ["full", "rest"]
--- /dev/null
+++ b/packages/dotterelgrade-routing/tests/test_layer_range.py
@@ -0,0 +1,32 @@
+import hypothesis
+from hypothesis import strategies
+
+from dotterelgrade_routing import layer_range
+
+_RANGES = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 19), strategies.integers(1, 20)
+    ).map(lambda pair: layer_range.LayerRange(min(pair), max(pair) + 1)),
+    max_size=6,
+)
+
+
+@hypothesis.given(_RANGES)
+def test_gaps_are_just_the_layers_that_nobody_holds(ranges):
+    whole = layer_range.LayerRange(0, 20)
+    found = layer_range.gaps(whole, ranges)
+    missing = {
+        layer
+        for layer in range(20)
+        if not any(r.first <= layer < r.end for r in ranges)
+    }
+    assert {x for gap in found for x in range(gap.first, gap.end)} == missing
+    assert sum(len(gap) for gap in found) == len(missing)
+
+
+def test_overlap_and_covers():
+    one = layer_range.LayerRange(2, 8)
+    assert one.overlap(layer_range.LayerRange(6, 10)) == 2
+    assert one.overlap(layer_range.LayerRange(8, 10)) == 0
+    assert one.covers(layer_range.LayerRange(2, 8))
+    assert not one.covers(layer_range.LayerRange(1, 8))
--- /dev/null
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -0,0 +1,151 @@
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import placement
+
+
+def _plan(engine, servers, policy="balanced"):
+    return placement.plan(
+        engine, servers, shares=placement.make_policy(policy)
+    )
+
+
+def _carried_out(servers, orders):
+    by_id = {order.server_id: order.layers for order in orders}
+    return [
+        dataclasses.replace(s, layers=by_id.get(s.server_id, s.layers))
+        for s in servers
+    ]
+
+
+def _settled(engine, servers, rounds=10):
+    for _ in range(rounds):
+        orders = _plan(engine, servers)
+        if not orders:
+            return servers
+        servers = _carried_out(servers, orders)
+    raise AssertionError("the plan does not settle")
+
+
+def _gaps(engine, servers):
+    held = [s.layers for s in servers if s.layers is not None]
+    return layer_range.gaps(engine.whole(), held)
+
+
+def _room(engine, server):
+    return engine.room_tokens(server.accelerator, len(server.layers))
+
+
+@pytest.mark.parametrize("policy", placement.policies())
+def test_every_domain_gets_a_whole_replica(engine, make_domain, policy):
+    servers = [*make_domain("a"), *make_domain("b", fast=2, small=4)]
+    placed = _carried_out(servers, _plan(engine, servers, policy))
+    for domain in "ab":
+        members = [s for s in placed if s.failure_domain == domain]
+        assert not _gaps(engine, members)
+
+
+def test_no_order_exceeds_the_memory(engine, make_domain):
+    for server in _settled(engine, make_domain("a")):
+        if server.layers is not None:
+            most = engine.most_layers(server.accelerator)
+            assert len(server.layers) <= most
+
+
+def test_the_loss_of_the_largest_server_leaves_a_replica(engine, make_domain):
+    """Load pattern: the fastest accelerator crashes and stays away."""
+    servers = _settled(engine, make_domain("a"))
+    largest = max(servers, key=lambda s: len(s.layers or ()))
+    left = [s for s in servers if s is not largest]
+    repaired = _settled(engine, left)
+    assert not _gaps(engine, repaired)
+    least = placement.least_room_tokens(engine)
+    for server in repaired:
+        if server.layers is not None:
+            assert _room(engine, server) >= least
+
+
+def test_most_layers_of_the_largest_server_are_held_twice(
+    engine, make_domain
+):
+    servers = _settled(engine, make_domain("a"))
+    largest = max(servers, key=lambda s: len(s.layers or ()))
+    others = [s for s in servers if s is not largest]
+    missing = sum(len(gap) for gap in _gaps(engine, others))
+    assert missing <= len(largest.layers) / 4
+
+
+def test_a_server_that_comes_back_empty_takes_its_part_again(
+    engine, make_domain
+):
+    servers = _settled(engine, make_domain("a"))
+    largest = max(servers, key=lambda s: len(s.layers or ()))
+    repaired = _settled(engine, [s for s in servers if s is not largest])
+    back = [*repaired, dataclasses.replace(largest, layers=None)]
+    again = next(
+        s for s in _settled(engine, back) if s.server_id == largest.server_id
+    )
+    assert len(again.layers) > 20
+
+
+def test_a_settled_fleet_gets_no_orders(engine, make_domain):
+    servers = _settled(engine, [*make_domain("a"), *make_domain("b")])
+    assert not _plan(engine, servers)
+
+
+def test_small_domains_share_a_replica(engine, make_domain):
+    servers = [
+        *make_domain("a", fast=0, small=5, slow=2),
+        *make_domain("b", fast=0, small=5, slow=2),
+    ]
+    assert not _gaps(engine, _settled(engine, servers))
+
+
+def test_a_forming_fleet_is_waited_for(engine, make_domain):
+    """Load pattern: all servers start at once and appear one by one."""
+    early = [
+        dataclasses.replace(s, known_s=0.1) for s in make_domain("a")[:5]
+    ]
+    assert not _plan(engine, early)
+
+
+def test_busy_servers_get_no_order(engine, make_domain):
+    servers = _settled(engine, make_domain("a"))
+    busy = [dataclasses.replace(s, movable=False) for s in servers[1:]]
+    assert not _plan(engine, busy)
+
+
+@hypothesis.settings(
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+    deadline=None,
+    max_examples=60,
+)
+@hypothesis.given(
+    strategies.lists(strategies.integers(0, 14), max_size=5, unique=True),
+    strategies.lists(strategies.booleans(), min_size=40, max_size=40),
+)
+def test_lost_orders_and_losses_never_break_what_is_held(
+    engine, make_domain, lost, carried
+):
+    """Some servers vanish, some orders get lost; gaps only close."""
+    servers = _settled(engine, make_domain("a"))
+    servers = [s for i, s in enumerate(servers) if i not in lost]
+    fate = iter(carried)
+    for _ in range(6):
+        before = sum(len(gap) for gap in _gaps(engine, servers))
+        orders = _plan(engine, servers)
+        ids = [order.server_id for order in orders]
+        assert len(ids) == len(set(ids))
+        kept = [order for order in orders if next(fate, True)]
+        servers = _carried_out(servers, kept)
+        after = sum(len(gap) for gap in _gaps(engine, servers))
+        assert after <= before
+
+
+def test_an_unknown_policy_is_refused():
+    with pytest.raises(ValueError, match="expected one of"):
+        placement.make_policy("best")
--- /dev/null
+++ b/packages/dotterelgrade-routing/tests/test_trust.py
@@ -0,0 +1,65 @@
+from dotterelgrade_routing import trust as trust_lib
+
+
+def test_exclusion_grows_while_failures_go_on():
+    """Load pattern: a backend server goes down and up by turns."""
+    trust = trust_lib.Trust()
+    now, lengths = 0.0, []
+    for _ in range(6):
+        left_s = trust.note_failure("s", now=now)
+        lengths.append(left_s)
+        now += left_s + 0.1
+    assert lengths == sorted(lengths)
+    assert lengths[0] == trust_lib.FIRST_EXCLUSION_S
+    assert lengths[-1] == trust_lib.LONGEST_EXCLUSION_S
+
+
+def test_failures_of_one_incident_count_once():
+    trust = trust_lib.Trust()
+    trust.note_failure("s", now=0.0)
+    for _ in range(50):
+        trust.note_failure("s", now=0.1)
+    assert not trust.excluded("s", now=trust_lib.FIRST_EXCLUSION_S)
+
+
+def test_real_work_ends_the_record():
+    trust = trust_lib.Trust()
+    trust.note_failure("s", now=0.0)
+    trust.note_success("s", now=1.0)
+    again_s = trust.note_failure("s", now=2.0)
+    assert again_s == trust_lib.FIRST_EXCLUSION_S
+
+
+def test_a_success_during_an_exclusion_does_not_end_it():
+    trust = trust_lib.Trust()
+    trust.note_failure("s", now=0.0)
+    trust.note_success("s", now=0.1)
+    assert trust.excluded("s", now=0.2)
+
+
+def test_a_single_silence_is_no_failure():
+    """Load pattern: a route ends requests before the service would answer."""
+    trust = trust_lib.Trust()
+    for _ in range(20):
+        assert not trust.note_silence("s", now=0.0)
+        trust.note_success("s", now=0.0)
+    assert not trust.excluded("s", now=0.0)
+    failed = [trust.note_silence("s", now=1.0) for _ in range(3)]
+    assert failed == [False, False, True]
+    assert trust.excluded("s", now=1.0)
+
+
+def test_a_busy_server_is_passed_over_for_a_moment_only():
+    trust = trust_lib.Trust()
+    trust.note_busy("s", now=0.0)
+    assert trust.excluded_ids(now=0.1) == {"s"}
+    assert not trust.excluded("s", now=trust_lib.BUSY_S)
+    left_s = trust.note_failure("s", now=1.0)
+    assert left_s == trust_lib.FIRST_EXCLUSION_S
+
+
+def test_a_restarted_server_starts_clean():
+    trust = trust_lib.Trust()
+    trust.note_failure("s", now=0.0)
+    trust.forgive("s")
+    assert not trust.excluded("s", now=0.0)
