Wait for a silent backend server where there is no other one

Cause: a test of a graceful stop got 502 for a slow idempotent call: after nine tenths of the objective the front gave the call up for another backend server, although there was none.

Change: patience ends early only while another trusted backend server is left to try. Tests of the front with fakes at its platform port: plain calls, streams, connections, followers, planner, whole fronts.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -109,12 +109,14 @@
         state = self._state
         target = upstream.Target(server_id=server.id, address=server.address)
         names = state.platform.headers
-        until = self._patience_until(call)
         self._in_flight[server.id] += 1
         try:
             with upstream.sent(call, target, headers=names) as connection:
                 head, facts = upstream.own_answer(
-                    call, connection, headers=names, until=until
+                    call,
+                    connection,
+                    headers=names,
+                    until=self._patience_until(call),
                 )
                 body = connection.read_body(
                     until=call.until, most_bytes=_LARGEST_BODY_BYTES
@@ -146,8 +148,7 @@
         )
 
     def _patience_until(self, call: call_lib.Call) -> float:
-        another = len(call.sent_to) + 1 < call.route.max_attempts
-        if not call.route.idempotent or not another:
+        if not call.route.idempotent or not self._has_another(call):
             return call.until
         patience_s = call.route.objective_s * _PATIENCE_OBJECTIVES
         return min(call.until, time.monotonic() + patience_s)
@@ -155,9 +156,19 @@
     def _worth_another(self, call: call_lib.Call) -> bool:
         return (
             call.route.idempotent
-            and len(call.sent_to) < call.route.max_attempts
             and call.left_s > call.route.objective_s / 2
-            and len(self._state.fleet.ready(call.service.name)) > 1
+            and self._has_another(call)
+        )
+
+    def _has_another(self, call: call_lib.Call) -> bool:
+        """Returns whether a backend server is left to try after this one."""
+        if len(call.sent_to) >= call.route.max_attempts:
+            return False
+        seen = call.sent_to | call.unreachable
+        excluded = self._state.trust.excluded_ids(now=time.monotonic())
+        return any(
+            server.id not in seen and server.id not in excluded
+            for server in self._state.fleet.ready(call.service.name)
         )
 
     def _note(
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -0,0 +1,456 @@
+"""A front in this process with fakes at its platform port, for tests."""
+
+import contextlib
+import dataclasses
+import socket as std_socket
+
+import gevent
+from gevent import event
+from gevent import server as gevent_server
+from gevent import socket
+from returns import result
+
+from dotterelgrade import errors
+from dotterelgrade import http_message
+from dotterelgrade_front import front_state
+from dotterelgrade_front import request_handler
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import configuration
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import request_facts
+
+WAIT_S = 5.0
+
+
+def free_port():
+    with std_socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class FakeHeaders:
+    """Header names of these tests."""
+
+    def read_request(self, headers):
+        found = http_message.by_name(headers)
+        patience = found.get(b"patience-ms")
+        return request_facts.RequestFacts(
+            request_id=found.get(b"request-id", b"").decode(),
+            patience_s=None if patience is None else int(patience) / 1000,
+            api_key=found.get(b"key", b"").decode(),
+            prompt_tokens=10,
+            most_answer_tokens=10,
+            expected_answer_tokens=None,
+            last_event_id=found.get(b"after", b"").decode(),
+        )
+
+    def write_request(self, headers, orders):
+        kept = [(n, v) for n, v in headers if n not in (b"key", b"after")]
+        chain = ",".join(f"{s.server_id}={s.layers!r}" for s in orders.stages)
+        kept += [
+            (b"left-ms", str(int(orders.time_left_s * 1000)).encode()),
+            (b"instance", orders.instance_id.encode()),
+            (b"workspace", orders.workspace.encode()),
+            (b"chain", chain.encode()),
+            (b"after", orders.resume_after.encode()),
+        ]
+        return kept
+
+    def read_answer(self, *, status, headers):
+        found = http_message.by_name(headers)
+        return request_facts.AnswerFacts(
+            request_id=found.get(b"request-id", b"").decode(),
+            sealed=b"seal" in found,
+            not_run=b"not-run" in found,
+            misdirected=status == 421,
+            culprit=found.get(b"culprit", b"").decode(),
+        )
+
+
+class FakeEngines:
+    """Answers reports from a table and notes orders."""
+
+    def __init__(self):
+        self.reports = {}
+        self.placed = []
+        self.rerouted = []
+        self.outcome = platform_port.OrderOutcome.ACCEPTED
+
+    def report(self, address):
+        if address not in self.reports:
+            raise platform_port.EngineUnreachableError(address)
+        return self.reports[address]
+
+    def place(self, address, *, layers, orders):
+        self.placed.append((address, layers, orders))
+        return self.outcome
+
+    def reroute(self, address, *, request_id, stages):
+        self.rerouted.append((address, request_id, stages))
+        return self.outcome
+
+
+class FakeFeed:
+    """Records that a test adds; fails while `down`."""
+
+    def __init__(self):
+        self.records = []
+        self.down = False
+        self.first = 0
+        self.reads = 0
+        self._changed = event.Event()
+
+    def add(self, key, value):
+        self.records.append(
+            platform_port.Record(key=key, value=value, offset=len(self.records))
+        )
+        self._changed.set()
+        self._changed.clear()
+
+    def newest(self):
+        self._answer()
+        newest = {record.key: record for record in self.records}
+        return platform_port.Page(
+            records=tuple(r for r in newest.values() if r.value),
+            end=len(self.records),
+        )
+
+    def read(self, *, start, wait_s):
+        self._answer()
+        if start < self.first:
+            raise platform_port.RecordsExpiredError("gone")
+        if start >= len(self.records):
+            self._changed.wait(min(wait_s, 0.05))
+            self._answer()
+        return platform_port.Page(
+            records=tuple(self.records[start:]), end=len(self.records)
+        )
+
+    def _answer(self):
+        self.reads += 1
+        if self.down:
+            raise platform_port.StoreError("down")
+
+
+class FakeElection:
+    """Elects whom the test names."""
+
+    def __init__(self):
+        self.winner = None
+        self.left = []
+
+    def join(self, member):
+        return member == self.winner
+
+    def elected(self):
+        return self.winner
+
+    def leave(self, member):
+        self.left.append(member)
+
+
+class FakeDocuments:
+    """Decodes a record by looking its bytes up."""
+
+    def __init__(self):
+        self.known = {}
+
+    def put(self, name, value):
+        self.known[name] = value
+        return name
+
+    def configuration_of(self, body):
+        return self._find(body)
+
+    def backend_server_of(self, *, server_id, body):
+        return self._find(body)
+
+    def _find(self, body):
+        if body not in self.known:
+            return result.Failure(
+                errors.Error(
+                    kind=errors.ErrorKind.RECORD_INVALID, message="unknown"
+                )
+            )
+        return result.Success(self.known[body])
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request at a backend stub."""
+
+    line: bytes
+    headers: dict
+    body: bytes
+
+
+class Backend:
+    """A backend server whose answers a test scripts.
+
+    Each script gets the socket and the arrival; the last one repeats.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.arrivals = []
+        self.closed = event.Event()
+        self._server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            piece = sock.recv(65536)
+            if not piece:
+                return
+            data += piece
+        head, _, body = data.partition(b"\r\n\r\n")
+        line, *rows = head.split(b"\r\n")
+        headers = dict(row.split(b": ", 1) for row in rows)
+        while len(body) < int(headers.get(b"content-length", 0)):
+            body += sock.recv(65536)
+        arrival = Arrival(line=line, headers=headers, body=body)
+        self.arrivals.append(arrival)
+        script = self.scripts[0]
+        if len(self.scripts) > 1:
+            self.scripts.pop(0)
+        try:
+            script(sock, arrival)
+        finally:
+            sock.close()
+            self.closed.set()
+
+
+def answering(body=b"done", status=b"200 OK", headers=b"seal: 1\r\n"):
+    """A script that sends a whole answer."""
+
+    def script(sock, arrival):
+        request_id = arrival.headers.get(b"request-id", b"")
+        sock.sendall(
+            b"HTTP/1.1 "
+            + status
+            + b"\r\n"
+            + headers
+            + b"request-id: "
+            + request_id
+            + b"\r\n"
+            + b"content-length: "
+            + str(len(body)).encode()
+            + b"\r\n\r\n"
+            + body
+        )
+
+    return script
+
+
+def refusing(culprit=b""):
+    """A script that states that the request has not run."""
+    rows = b"not-run: 1\r\n"
+    if culprit:
+        rows += b"culprit: " + culprit + b"\r\n"
+    return answering(b"", b"503 Busy", rows)
+
+
+def resetting(sock, _):
+    """A script that resets the connection without an answer."""
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, linger)
+
+
+def silent(sock, _):
+    """A script that waits until the other side closes."""
+    with contextlib.suppress(OSError):
+        while sock.recv(65536):
+            pass
+
+
+def event_bytes(number):
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def streaming(first, last, *, torn=b"", end=True, pause_s=0.0, after=None):
+    """A script that sends events in chunks, then ends or breaks off."""
+
+    def script(sock, arrival):
+        request_id = arrival.headers.get(b"request-id", b"")
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nseal: 1\r\n"
+            b"content-type: text/event-stream\r\n"
+            b"request-id: " + request_id + b"\r\n"
+            b"transfer-encoding: chunked\r\n\r\n"
+        )
+        for number in range(first, last + 1):
+            data = event_bytes(number)
+            sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+            gevent.sleep(pause_s)
+        if torn:
+            sock.sendall(b"%x\r\n%s\r\n" % (len(torn), torn))
+        if after is not None:
+            after(sock, arrival)
+        if end:
+            sock.sendall(b"0\r\n\r\n")
+
+    return script
+
+
+ENGINE = configuration.Engine(
+    layers=8,
+    layer_mb=100,
+    token_layer_bytes=1_000,
+    step_s=0.001,
+    read_tokens_per_s=1e5,
+    load_s=1.0,
+    loads_at_once=4,
+    usual_prompt_tokens=10,
+    usual_answer_tokens=10,
+    accelerators=(
+        configuration.Accelerator(
+            name="kind", memory_mb=2_000, step_factor=1.0, read_factor=1.0
+        ),
+    ),
+)
+
+
+def route(name, **rest):
+    rest.setdefault(
+        "services", (configuration.ServiceWeight(service="plain", weight=1),)
+    )
+    for flag in ("idempotent", "streaming", "resumable", "public"):
+        rest.setdefault(flag, False)
+    rest.setdefault("timeout_s", 3.0)
+    rest.setdefault("objective_s", 0.5)
+    rest.setdefault("max_attempts", 2)
+    return configuration.Route(
+        name=name,
+        host="shop.example",
+        path_prefix=f"/{name}/",
+        longest_pause_s=0.25,
+        priority=1,
+        **rest,
+    )
+
+
+_MODEL = (configuration.ServiceWeight(service="model", weight=1),)
+CONFIGURATION = configuration.Configuration(
+    version=1,
+    routes=(
+        route("safe", idempotent=True),
+        route("unsafe"),
+        route("public", public=True, idempotent=True),
+        route("brief", timeout_s=0.2, objective_s=0.2),
+        route("stream", streaming=True, resumable=True, services=_MODEL),
+        route("once", streaming=True, services=_MODEL),
+    ),
+    services=(
+        configuration.Service(name="plain", max_connections=9, engine=None),
+        configuration.Service(name="model", max_connections=9, engine=ENGINE),
+    ),
+    limits=configuration.ClientLimits(
+        header_bytes=2_000,
+        body_bytes=5_000,
+        header_timeout_s=0.3,
+        idle_timeout_s=2.0,
+    ),
+    workspaces=(
+        configuration.Workspace(name="bench", api_keys=("secret",), priority=0),
+    ),
+)
+
+
+class FrontUnderTest:
+    """A request handler behind a listening socket."""
+
+    def __init__(self, settings, platform):
+        self.state = front_state.FrontState(settings, platform=platform)
+        self.state.belief.configuration = CONFIGURATION
+        self.handler = request_handler.RequestHandler(self.state)
+        self._server = gevent_server.StreamServer(
+            ("127.0.0.1", 0), self.handler.serve_connection
+        )
+        self._server.start()
+        self.backends = []
+
+    def stop(self):
+        self._server.stop(timeout=0)
+        for backend in self.backends:
+            backend.stop()
+
+    def add(self, server_id, *scripts, service="plain", layers=None, **rest):
+        backend = Backend(*scripts)
+        self.backends.append(backend)
+        held = None if layers is None else layer_range.LayerRange(*layers)
+        rest.setdefault("failure_domain", "a")
+        self.state.fleet.put(
+            backend_server.BackendServer(
+                id=server_id,
+                service=service,
+                address=backend.address,
+                availability=backend_server.Availability.READY,
+                slots=4,
+                accelerator="" if layers is None else "kind",
+                layers=held,
+                **rest,
+            )
+        )
+        return backend
+
+    def connect(self):
+        return socket.create_connection(
+            ("127.0.0.1", self._server.server_port), timeout=WAIT_S
+        )
+
+    def send(self, path, *, method="GET", body=b"", sock=None, **headers):
+        sock = sock or self.connect()
+        rows = {"host": "shop.example", "key": "secret", "request-id": "r1"}
+        rows.update({k.replace("_", "-"): v for k, v in headers.items()})
+        if body:
+            rows["content-length"] = str(len(body))
+        head = "".join(
+            f"{n}: {v}\r\n" for n, v in rows.items() if v is not None
+        )
+        sock.sendall(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+        return sock
+
+    def ask(self, path, **rest):
+        """Sends a request and returns status, headers and body."""
+        with self.send(path, **rest) as sock:
+            return read_answer(sock)
+
+
+def read_answer(sock):
+    """Returns status, headers and body; the body is None if it broke off."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = sock.recv(65536)
+        if not piece:
+            return None, {}, None
+        data += piece
+    head, _, rest = data.partition(b"\r\n\r\n")
+    line, *rows = head.split(b"\r\n")
+    headers = dict(row.split(b": ", 1) for row in rows)
+    status = int(line.split()[1])
+    if b"transfer-encoding" in headers:
+        while not rest.endswith(b"0\r\n\r\n"):
+            piece = sock.recv(65536)
+            if not piece:
+                return status, headers, None
+            rest += piece
+        return status, headers, _unchunked(rest)
+    while len(rest) < int(headers.get(b"content-length", 0)):
+        rest += sock.recv(65536)
+    return status, headers, rest
+
+
+def _unchunked(data):
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        length = int(size, 16)
+        body += data[:length]
+        data = data[length + 2 :]
+    return body
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -0,0 +1,95 @@
+import front_fakes as fakes
+import gevent
+
+
+def test_a_large_head_is_refused(front):
+    status, _, _ = front.ask("/safe/x", filler="x" * 3_000)
+    assert status == 431
+
+
+def test_a_large_body_is_refused_before_it_is_read(front):
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"content-length: 6000\r\n\r\n"
+        )
+        assert fakes.read_answer(sock)[0] == 413
+
+
+def test_bytes_that_are_no_request_are_refused(front):
+    with front.connect() as sock:
+        sock.sendall(b"\x00\x01 nonsense\r\n\r\n")
+        assert fakes.read_answer(sock)[0] == 400
+
+
+def test_two_lengths_are_refused(front):
+    backend = front.add("s", fakes.answering())
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"0\r\n\r\n"
+        )
+        assert fakes.read_answer(sock)[0] == 400
+    assert not backend.arrivals
+
+
+def test_a_head_that_does_not_end_is_refused_in_time(front):
+    with front.connect() as sock:
+        sock.sendall(b"GET /safe/x HTTP/1.1\r\nhost:")
+        assert fakes.read_answer(sock)[0] == 408
+
+
+def test_an_idle_connection_is_closed(front):
+    with front.connect() as sock:
+        assert sock.recv(1) == b""
+
+
+def test_a_body_in_chunks_arrives_with_its_length(front):
+    backend = front.add("s", fakes.answering())
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n"
+            b"transfer-encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        assert fakes.read_answer(sock)[0] == 200
+    assert backend.arrivals[0].body == b"abcde"
+    assert b"transfer-encoding" not in backend.arrivals[0].headers
+
+
+def test_requests_sent_ahead_are_answered_in_order(front):
+    front.add(
+        "s",
+        lambda sock, arrival: fakes.answering(arrival.line)(sock, arrival),
+    )
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock)
+        front.send("/safe/2", sock=sock)
+        data = b""
+        while data.count(b"GET /safe/") < 2:
+            data += sock.recv(65536)
+    assert data.index(b"/safe/1") < data.index(b"/safe/2")
+
+
+def test_idle_connections_end_when_told(front):
+    front.add("s", fakes.answering())
+    with front.connect() as sock:
+        front.send("/safe/x", sock=sock)
+        fakes.read_answer(sock)
+        gevent.sleep(0.02)
+        front.handler.close_idle()
+        assert sock.recv(1) == b""
+
+
+def test_a_busy_connection_is_not_ended(front):
+    def slow(sock, arrival):
+        gevent.sleep(0.2)
+        fakes.answering()(sock, arrival)
+
+    backend = front.add("s", slow)
+    with front.send("/safe/x") as sock:
+        while not backend.arrivals:
+            gevent.sleep(0.01)
+        front.handler.close_idle()
+        assert fakes.read_answer(sock)[0] == 200
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -0,0 +1,132 @@
+import dataclasses
+import random
+
+import front_fakes as fakes
+import gevent
+import pytest
+
+from dotterelgrade_front import beliefs
+from dotterelgrade_front import feed_follower
+from dotterelgrade_routing import backend_server
+
+
+@pytest.fixture
+def follow(front):
+    """Follows both feeds; returns the state."""
+    state = front.state
+    state.belief.configuration = None
+    greenlets = [
+        gevent.spawn(
+            feed_follower.FeedFollower(
+                feed, sink=sink, rng=random.Random(1), count=lambda _: None
+            ).run
+        )
+        for feed, sink in (
+            (state.platform.configurations, beliefs.ConfigurationSink(state)),
+            (state.platform.backend_servers, beliefs.ServerSink(state)),
+        )
+    ]
+    yield state
+    gevent.killall(greenlets)
+
+
+def _until(condition):
+    with gevent.Timeout(fakes.WAIT_S):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def _versions(state):
+    for version in (1, 2, 3):
+        state.platform.documents.put(
+            b"v%d" % version,
+            dataclasses.replace(fakes.CONFIGURATION, version=version),
+        )
+    return state.platform.configurations
+
+
+def test_the_newest_configuration_comes_into_force(follow):
+    feed = _versions(follow)
+    feed.add("config", b"v1")
+    _until(lambda: follow.configuration is not None)
+    feed.add("config", b"v3")
+    _until(lambda: follow.configuration.version == 3)
+
+
+def test_an_older_version_never_comes_back(follow):
+    """Load pattern: the store answers with a stale state."""
+    feed = _versions(follow)
+    feed.add("config", b"v3")
+    _until(lambda: follow.configuration is not None)
+    feed.add("config", b"v2")
+    feed.add("other", b"v1")
+    reads = feed.reads
+    _until(lambda: feed.reads > reads + 3)
+    assert follow.configuration.version == 3
+
+
+def test_an_unreadable_record_changes_nothing(follow):
+    feed = _versions(follow)
+    feed.add("config", b"v1")
+    _until(lambda: follow.configuration is not None)
+    feed.add("config", b"forged")
+    reads = feed.reads
+    _until(lambda: feed.reads > reads + 3)
+    assert follow.configuration.version == 1
+
+
+def test_the_follower_goes_on_after_an_outage_and_lost_history(follow):
+    feed = _versions(follow)
+    feed.add("config", b"v1")
+    _until(lambda: follow.configuration is not None)
+    feed.down = True
+    gevent.sleep(0.3)
+    feed.add("config", b"v2")
+    feed.first = 2
+    feed.down = False
+    _until(lambda: follow.configuration.version == 2)
+
+
+def test_an_outage_is_not_met_with_a_flood_of_reads(follow):
+    feed = follow.platform.configurations
+    feed.down = True
+    gevent.sleep(0.5)
+    before = feed.reads
+    gevent.sleep(1.0)
+    assert feed.reads - before <= 8
+
+
+def test_a_forged_entry_names_no_server(follow, make_entry):
+    feed = follow.platform.backend_servers
+    make_entry(follow, "s")
+    feed.add("forged", b"bytes")
+    feed.add("s", b"s")
+    _until(lambda: follow.fleet.get("s") is not None)
+    assert [server.id for server in follow.fleet.servers] == ["s"]
+
+
+def test_a_removed_entry_leaves_the_fleet(follow, make_entry):
+    feed = follow.platform.backend_servers
+    make_entry(follow, "s")
+    feed.add("s", b"s")
+    _until(lambda: follow.fleet.get("s") is not None)
+    feed.add("s", b"")
+    _until(lambda: follow.fleet.get("s") is None)
+
+
+@pytest.fixture
+def make_entry():
+    def make(state, server_id):
+        state.platform.documents.put(
+            server_id.encode(),
+            backend_server.BackendServer(
+                id=server_id,
+                service="plain",
+                address="127.0.0.1:1",
+                failure_domain="a",
+                availability=backend_server.Availability.READY,
+                slots=1,
+            ),
+        )
+
+    return make
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -0,0 +1,114 @@
+"""Whole fronts in this process, with fakes at their platform port."""
+
+import dataclasses
+
+import front_fakes as fakes
+import gevent
+from gevent import socket
+import pytest
+
+from dotterelgrade_front import front as front_lib
+from dotterelgrade_routing import backend_server
+
+
+def _until(condition):
+    with gevent.Timeout(fakes.WAIT_S):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def _get(address, path):
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        return fakes.read_answer(sock)
+
+
+@pytest.fixture
+def running(settings, platform):
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    front = front_lib.Front(settings, platform=platform)
+    with front.running():
+        yield front
+
+
+def test_ready_follows_the_configuration(running, settings, platform):
+    assert _get(settings.ready_address, "/ready")[0] == 503
+    platform.configurations.add("config", b"v1")
+    _until(lambda: _get(settings.ready_address, "/ready")[0] == 200)
+
+
+def test_metrics_and_state_are_served(running, settings, platform):
+    platform.configurations.add("config", b"v1")
+    _until(lambda: running.is_ready)
+    address = f"{settings.host}:{settings.metrics_port}"
+    assert b"front_answers" in _get(address, "/metrics")[2]
+    assert b'"version": 1' in _get(address, "/state")[2]
+
+
+def test_a_stop_finishes_what_is_in_flight(running, settings, monkeypatch):
+    monkeypatch.setattr(front_lib, "_KEEP_ACCEPTING_S", 0.2)
+    platform = running._state.platform
+    platform.configurations.add("config", b"v1")
+    _until(lambda: running.is_ready)
+
+    def slow(sock, arrival):
+        gevent.sleep(0.6)
+        fakes.answering()(sock, arrival)
+
+    backend = fakes.Backend(slow)
+    running._state.fleet.put(
+        backend_server.BackendServer(
+            id="s",
+            service="plain",
+            address=backend.address,
+            failure_domain="a",
+            availability=backend_server.Availability.READY,
+            slots=1,
+        )
+    )
+    host, _, port = settings.callers_address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), timeout=5)
+    sock.sendall(
+        b"GET /safe/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n\r\n"
+    )
+    _until(lambda: backend.arrivals)
+    drain = gevent.spawn(running.drain)
+    gevent.sleep(0.05)
+    assert _get(settings.ready_address, "/ready")[0] == 503
+    assert fakes.read_answer(sock)[0] == 200
+    drain.join(fakes.WAIT_S)
+    assert drain.ready()
+    assert platform.election.left == [settings.peer_address]
+    backend.stop()
+
+
+def test_fronts_tell_each_other_their_reservations(settings, platform):
+    """One front is elected; the other learns from it what is reserved."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    platform.election.winner = settings.peer_address
+    other_settings = dataclasses.replace(
+        settings,
+        node="front-2",
+        callers_address=f"127.0.0.1:{fakes.free_port()}",
+        ready_address=f"127.0.0.1:{fakes.free_port()}",
+        peer_port=fakes.free_port(),
+        metrics_port=fakes.free_port(),
+    )
+    planner = front_lib.Front(settings, platform=platform)
+    other = front_lib.Front(other_settings, platform=platform)
+    with planner.running(), other.running():
+        _until(lambda: planner.dump()["leads"])
+        other._state.load._own["s"] = 500.0
+        _until(lambda: planner._state.load.used("s") == 500.0)
+        planner._state.load._own["s"] = 70.0
+        _until(lambda: other._state.load.used("s") == 570.0)
+        other._state.load._own.clear()
+        _until(lambda: planner._state.load.used("s") == 70.0)
+
+
+def test_without_a_planner_a_front_serves_by_its_own_picture(running, platform):
+    platform.configurations.add("config", b"v1")
+    _until(lambda: running.is_ready)
+    assert not running.dump()["leads"]
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -0,0 +1,180 @@
+import dataclasses
+
+import front_fakes as fakes
+import gevent
+import pytest
+
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import platform_port
+
+
+def _events(first, last):
+    return b"".join(fakes.event_bytes(n) for n in range(first, last + 1))
+
+
+def _resuming(script, *, last):
+    """Runs a script, or streams on when an earlier event is named."""
+
+    def resuming(sock, arrival):
+        after = int(arrival.headers[b"after"] or 0)
+        if after:
+            script_of_rest = fakes.streaming(after + 1, last)
+            script_of_rest(sock, arrival)
+        else:
+            script(sock, arrival)
+
+    return resuming
+
+
+def _report(**rest):
+    report = backend_server.EngineReport(
+        layers=None,
+        accelerator="kind",
+        loading=False,
+        orders=1,
+        started_ms=0,
+        waiting=0,
+        running=1,
+        used=0,
+        total=1e6,
+        slowness=1.0,
+        stalled={},
+    )
+    return dataclasses.replace(report, **rest)
+
+
+def _add_chains(front, first_scripts, other_scripts):
+    """Two chains, in domains a and b; the first stages are scripted."""
+    first = front.add("a1", *first_scripts, service="model", layers=(0, 8))
+    other = front.add(
+        "b1",
+        *other_scripts,
+        service="model",
+        layers=(0, 8),
+        failure_domain="b",
+    )
+    return first, other
+
+
+def test_a_stream_passes_event_by_event(front):
+    backend = front.add(
+        "a1", fakes.streaming(1, 5), service="model", layers=(0, 8)
+    )
+    status, headers, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert status == 200
+    assert headers[b"seal"] == b"1"
+    assert body == _events(1, 5)
+    assert backend.arrivals[0].headers[b"chain"] == b"a1=0-8"
+
+
+def test_a_broken_stream_goes_on_elsewhere_without_loss_or_repeat(front):
+    """Load pattern: a backend server crashes within an event."""
+
+    broken = fakes.streaming(1, 3, torn=b"id: 4\ndata: to", end=False)
+    script = _resuming(broken, last=6)
+    _add_chains(front, [script], [script])
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert status == 200
+    assert body == _events(1, 6)
+
+
+def test_an_end_within_an_event_is_not_taken_as_complete(front):
+    torn = fakes.streaming(1, 2, torn=b"id: 3\ndata: to", end=True)
+    script = _resuming(torn, last=4)
+    _add_chains(front, [script], [script])
+    assert front.ask("/stream/x", method="POST", body=b"p")[2] == _events(1, 4)
+
+
+def test_a_stream_that_may_run_once_breaks_off_visibly(front):
+    broken = fakes.streaming(1, 3, end=False)
+    first, other = _add_chains(front, [broken], [broken])
+    status, _, body = front.ask("/once/x", method="POST", body=b"p")
+    assert status == 200
+    assert body is None
+    assert len(first.arrivals) + len(other.arrivals) == 1
+
+
+def test_a_refusing_stage_is_avoided_on_the_next_chain(front):
+    first, other = _add_chains(
+        front, [fakes.refusing()], [fakes.streaming(1, 2)]
+    )
+    first.scripts = [fakes.refusing(first.address.encode())]
+    front.state.platform.engines.reports[first.address] = _report()
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 2))
+    assert len(first.arrivals) <= 1
+
+
+def test_a_held_up_stream_is_moved_to_other_stages(front):
+    """Load pattern: a stage in the middle of a chain goes dark."""
+
+    def held_up(sock, arrival):
+        while not front.state.platform.engines.rerouted:
+            gevent.sleep(0.01)
+        data = fakes.event_bytes(3)
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+    front.add(
+        "a1",
+        fakes.streaming(1, 2, after=held_up),
+        service="model",
+        layers=(0, 4),
+    )
+    dark = front.add("a2", fakes.silent, service="model", layers=(4, 8))
+    front.add(
+        "b2",
+        fakes.silent,
+        service="model",
+        layers=(4, 8),
+        failure_domain="b",
+    )
+    engines = front.state.platform.engines
+    first = front.state.fleet.get("a1").address
+    engines.reports[first] = _report(stalled={"r1": dark.address})
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 3))
+    ((address, request_id, stages),) = engines.rerouted
+    assert (address, request_id) == (first, "r1")
+    assert [s.server_id for s in stages] == ["a1", "b2"]
+
+
+def test_a_stream_that_can_not_be_moved_goes_on_elsewhere(front):
+    front.state.platform.engines.outcome = platform_port.OrderOutcome.CONFLICT
+    stuck = fakes.streaming(1, 2, after=fakes.silent, end=False)
+    script = _resuming(stuck, last=4)
+    _add_chains(front, [script], [script])
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 4))
+
+
+def test_without_a_chain_the_caller_is_told_when_to_return(front):
+    status, headers, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert status == 503
+    assert float(headers[b"retry-after"]) > 0
+    assert b'"not_run"' in body
+
+
+def test_a_caller_that_leaves_ends_its_stream_and_reservation(front):
+    endless = fakes.streaming(1, 1, after=fakes.silent)
+    backend = front.add("a1", endless, service="model", layers=(0, 8))
+    sock = front.send("/stream/x", method="POST", body=b"p")
+    assert sock.recv(1_000)
+    assert front.state.load.in_flight == 1
+    sock.close()
+    assert backend.closed.wait(fakes.WAIT_S)
+    gevent.sleep(0.02)
+    assert front.state.load.in_flight == 0
+    assert not front.state.load.own
+
+
+@pytest.mark.parametrize("status", [b"400 Bad", b"404 Gone"])
+def test_a_refusal_of_the_engine_itself_is_passed_on(front, status):
+    front.add(
+        "a1",
+        fakes.answering(b"why", status),
+        service="model",
+        layers=(0, 8),
+    )
+    answer = front.ask("/stream/x", method="POST", body=b"p")
+    assert answer[0] == int(status.split()[0])
+    assert answer[2] == b"why"
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -0,0 +1,118 @@
+import dataclasses
+
+import front_fakes as fakes
+import pytest
+
+from dotterelgrade_front import planner as planner_lib
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import platform_port
+
+_EMPTY = backend_server.EngineReport(
+    layers=None,
+    accelerator="kind",
+    loading=False,
+    orders=0,
+    started_ms=0,
+    waiting=0,
+    running=0,
+    used=0,
+    total=1e6,
+    slowness=1.0,
+    stalled={},
+)
+
+
+@pytest.fixture
+def planner(front, monkeypatch):
+    """A planner whose reports are due at each tick."""
+    monkeypatch.setattr(planner_lib, "_REPORT_EVERY_S", 0.0)
+    monkeypatch.setattr(planner_lib, "_BUSY_REPORT_EVERY_S", 0.0)
+    monkeypatch.setattr("dotterelgrade_routing.placement.FORMING_QUIET_S", 0.0)
+    return planner_lib.Planner(front.state)
+
+
+def _add_engines(front, count=2):
+    engines = front.state.platform.engines
+    for number in range(count):
+        server_id = f"e{number}"
+        front.add(server_id, fakes.silent, service="model", layers=None)
+        server = dataclasses.replace(
+            front.state.fleet.get(server_id), accelerator="kind"
+        )
+        front.state.fleet.put(server)
+        engines.reports[server.address] = _EMPTY
+    return engines
+
+
+def test_empty_engines_are_ordered_to_hold_the_layers(front, planner):
+    engines = _add_engines(front)
+    planner.tick()
+    held = [layers for _, layers, _ in engines.placed]
+    whole = layer_range.LayerRange(0, fakes.ENGINE.layers)
+    assert layer_range.gaps(whole, held) == ()
+
+
+def test_an_order_names_the_orders_that_were_seen(front, planner):
+    """A late order must not undo a newer one."""
+    engines = _add_engines(front, count=1)
+    address = front.state.fleet.get("e0").address
+    engines.reports[address] = dataclasses.replace(_EMPTY, orders=7)
+    planner.tick()
+    assert [orders for _, _, orders in engines.placed] == [7]
+
+
+def test_an_order_without_an_answer_is_not_repeated_at_once(front, planner):
+    """Load pattern: engines leave orders unanswered and obey later."""
+    engines = _add_engines(front, count=1)
+    engines.outcome = platform_port.OrderOutcome.UNKNOWN
+    for _ in range(5):
+        planner.tick()
+    assert len(engines.placed) == 1
+
+
+def test_a_conflicting_order_is_decided_anew_from_a_fresh_report(
+    front, planner
+):
+    engines = _add_engines(front, count=1)
+    engines.outcome = platform_port.OrderOutcome.CONFLICT
+    planner.tick()
+    address = front.state.fleet.get("e0").address
+    engines.reports[address] = dataclasses.replace(_EMPTY, orders=3)
+    planner.tick()
+    assert [orders for _, _, orders in engines.placed] == [0, 3]
+
+
+def test_a_silent_engine_is_left_out_of_plan_and_choice(front, planner):
+    engines = _add_engines(front, count=2)
+    gone = front.state.fleet.get("e1")
+    del engines.reports[gone.address]
+    for _ in range(3):
+        planner.tick()
+    assert {address for address, _, _ in engines.placed} == {
+        front.state.fleet.get("e0").address
+    }
+    assert "e1" in front.state.trust.excluded_ids(now=0.0)
+
+
+def test_a_leaving_engine_gets_no_orders(front, planner):
+    engines = _add_engines(front, count=1)
+    server = front.state.fleet.get("e0")
+    front.state.fleet.put(
+        dataclasses.replace(
+            server, availability=backend_server.Availability.LEAVING
+        )
+    )
+    planner.tick()
+    assert not engines.placed
+
+
+def test_reports_reach_the_choice_of_chains(front, planner):
+    engines = _add_engines(front, count=1)
+    server = front.state.fleet.get("e0")
+    held = layer_range.LayerRange(0, 8)
+    engines.reports[server.address] = dataclasses.replace(_EMPTY, layers=held)
+    planner.tick()
+    service = fakes.CONFIGURATION.service("model")
+    (chain,) = front.state.chains.offer(service).chains
+    assert chain.first.server_id == "e0"
--- a/packages/dotterelgrade-routing/tests/test_attempt.py
+++ b/packages/dotterelgrade-routing/tests/test_attempt.py
@@ -10,9 +10,7 @@
 
 @hypothesis.given(_KNOWN, strategies.booleans())
 def test_not_run_is_said_only_when_it_is_true(tries, out_of_time):
-    kind = attempt.failure_kind(
-        attempt.overall(tries), out_of_time=out_of_time
-    )
+    kind = attempt.failure_kind(attempt.overall(tries), out_of_time=out_of_time)
     says_not_run = errors.ANSWERS[kind].run is errors.Run.NOT_RUN
     may_have_run = any(t >= attempt.Knowledge.UNKNOWN for t in tries)
     assert says_not_run == (not may_have_run)
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -9,9 +9,7 @@
 
 
 def _plan(engine, servers, policy="balanced"):
-    return placement.plan(
-        engine, servers, shares=placement.make_policy(policy)
-    )
+    return placement.plan(engine, servers, shares=placement.make_policy(policy))
 
 
 def _carried_out(servers, orders):
@@ -69,9 +67,7 @@
             assert _room(engine, server) >= least
 
 
-def test_most_layers_of_the_largest_server_are_held_twice(
-    engine, make_domain
-):
+def test_most_layers_of_the_largest_server_are_held_twice(engine, make_domain):
     servers = _settled(engine, make_domain("a"))
     largest = max(servers, key=lambda s: len(s.layers or ()))
     others = [s for s in servers if s is not largest]
@@ -107,9 +103,7 @@
 
 def test_a_forming_fleet_is_waited_for(engine, make_domain):
     """Load pattern: all servers start at once and appear one by one."""
-    early = [
-        dataclasses.replace(s, known_s=0.1) for s in make_domain("a")[:5]
-    ]
+    early = [dataclasses.replace(s, known_s=0.1) for s in make_domain("a")[:5]]
     assert not _plan(engine, early)
 
 
