--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -10,7 +10,7 @@
 
 from dotterelgrade_routing import platform_port
 
-_logger = logging.getLogger(__name__)
+_LOG = logging.getLogger(__name__)
 
 # A read that finds nothing new ends after this time; a connection that fell
 # silent is given up soon after, so that no change is missed for long.
@@ -72,7 +72,7 @@
             try:
                 self._read()
             except platform_port.RecordsExpiredError as error:
-                _logger.info("feed_expired", extra={"feed": str(error)})
+                _LOG.info("feed_expired", extra={"feed": str(error)})
                 self._position = None
                 self._count("expired")
             except platform_port.StoreError as error:
@@ -101,7 +101,7 @@
         if self._lost_at is not None:
             away_s = time.monotonic() - self._lost_at
             self._lost_at = None
-            _logger.info(
+            _LOG.info(
                 "store_regained",
                 extra={"feed": repr(self._feed), "away_s": round(away_s, 2)},
             )
@@ -111,7 +111,7 @@
         self._count("failed")
         if self._lost_at is None:
             self._lost_at = time.monotonic()
-            _logger.warning(
+            _LOG.warning(
                 "store_lost",
                 extra={"feed": repr(self._feed), "reason": reason},
             )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -27,7 +27,7 @@
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
 
-_logger = logging.getLogger(__name__)
+_LOG = logging.getLogger(__name__)
 
 _BACKLOG = 512
 # The balancer notices within two checks, a second apart, that a front leaves.
@@ -152,7 +152,7 @@
             stack.callback(callers.stop, timeout=0)
             greenlets = [gevent.spawn(task) for task in self._tasks()]
             stack.callback(gevent.killall, greenlets, timeout=0.2)
-            _logger.info("started", extra={"pid": os.getpid()})
+            _LOG.info("started", extra={"pid": os.getpid()})
             yield
 
     def drain(self) -> None:
@@ -170,7 +170,7 @@
         while self._handler.busy and time.monotonic() < last_moment:
             gevent.sleep(_DRAIN_STEP_S)
             self._handler.close_idle()
-        _logger.info("stopped", extra={"unfinished": self._handler.busy})
+        _LOG.info("stopped", extra={"unfinished": self._handler.busy})
 
     @contextlib.contextmanager
     def _serving_admin(self) -> Iterator[None]:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/serve_command.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/serve_command.py
@@ -20,7 +20,7 @@
 from dotterelgrade_front import front_settings
 from dotterelgrade_routing import platform_port
 
-_logger = logging.getLogger(__name__)
+_LOG = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -115,9 +115,9 @@
     def _reload(self, front: front_lib.Front) -> None:
         loaded = self._load()
         if isinstance(loaded, result.Failure):
-            _logger.error(
+            _LOG.error(
                 "reload_failed", extra={"reason": loaded.failure().message}
             )
             return
         front.reload(loaded.unwrap())
-        _logger.info("reloaded")
+        _LOG.info("reloaded")
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/adapter/test_codec.py
@@ -0,0 +1,168 @@
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+from returns import pipeline
+
+from dotterelgrade_platform import codec
+from dotterelgrade_routing import backend_server
+
+_ROUTE = {
+    "name": "r",
+    "host": "Shop.Example",
+    "path_prefix": "/x/",
+    "type": "streaming",
+    "timeout_ms": 20000,
+    "target_latency_ms": 500,
+    "priority": 1,
+    "service": "model",
+    "max_attempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gap_target_ms": 250,
+}
+_ENGINE = {
+    "layers": 80,
+    "layer_mb": 1750.0,
+    "kv_token_bytes": 1180000,
+    "step_ms": 1.02,
+    "read_per_s": 164000.0,
+    "loads_at_once": 6,
+    "usual": {"prompt": 775, "answer": 216},
+    "kinds": [{"name": "k", "mb": 72000.0, "pace": 2.4, "read_x": 3.2}],
+    "models": [{"name": "m", "load_s": 14.0}],
+}
+_CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        _ROUTE,
+        {
+            **_ROUTE,
+            "path_prefix": "/x/y/",
+            "type": "unsafe",
+            "traffic_split": [
+                {"service": "model", "weight": 90},
+                {"service": "plain", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {"name": "model", "max_connections": 9, "engine": _ENGINE},
+        {"name": "plain", "max_connections": 9},
+    ],
+    "limits": {
+        "max_header_bytes": 100,
+        "max_body_bytes": 200,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+    "a new field": 1,
+}
+_SERVER = {
+    "service": "model",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "sequence": 4,
+    "type": "k",
+    "layers": {"from": 3, "target": 9, "version": 1},
+    "born": 12,
+}
+
+
+def _encoded(value):
+    return json.dumps(value).encode()
+
+
+def test_a_configuration_is_decoded_with_its_units():
+    known = codec.configuration_of(_encoded(_CONFIGURATION)).unwrap()
+    assert known.version == 7
+    route = known.route_for("shop.example:80", "/x/z")
+    assert route.timeout_s == 20.0
+    assert route.objective_s == 0.5
+    assert route.longest_pause_s == 0.25
+    assert route.streaming
+    assert route.repeatable
+    assert known.limits.idle_timeout_s == 15.0
+    assert known.workspace_for("k2").name == "t"
+    engine = known.service("model").engine
+    assert engine.token_layer_bytes == 14750
+    assert engine.accelerator("k").memory_mb == 72000
+    assert known.service("plain").engine is None
+
+
+def test_the_longest_prefix_wins_and_may_be_split():
+    known = codec.configuration_of(_encoded(_CONFIGURATION)).unwrap()
+    route = known.route_for("shop.example", "/x/y/z")
+    assert [share.weight for share in route.services] == [90, 10]
+    assert not route.repeatable or route.resumable
+    assert known.route_for("shop.example", "/x") is None
+    assert known.route_for("other.example", "/x/") is None
+
+
+def test_a_backend_server_is_decoded():
+    server = codec.backend_server_of(
+        server_id="i", body=_encoded(_SERVER)
+    ).unwrap()
+    assert server.ready
+    assert (server.layers.first, server.layers.end) == (3, 9)
+    assert server.orders == 0
+
+
+def test_a_draining_server_is_leaving():
+    body = _encoded({**_SERVER, "state": "draining"})
+    server = codec.backend_server_of(server_id="i", body=body).unwrap()
+    assert server.availability is backend_server.Availability.LEAVING
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "sleeping"},
+        {"state": 5},
+        {"address": None},
+        {"address": "nowhere"},
+        {"slots": "many"},
+        {"layers": "all"},
+        {"born": 1.5},
+    ],
+)
+def test_a_forged_entry_names_no_server(change):
+    body = _encoded({**_SERVER, **change})
+    decoded = codec.backend_server_of(server_id="i", body=body)
+    assert not pipeline.is_successful(decoded)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots"])
+def test_an_entry_without_a_field_names_no_server(field):
+    body = _encoded({k: v for k, v in _SERVER.items() if k != field})
+    decoded = codec.backend_server_of(server_id="i", body=body)
+    assert not pipeline.is_successful(decoded)
+
+
+@hypothesis.given(strategies.binary(max_size=60))
+def test_any_bytes_are_decoded_or_refused(body):
+    for decode in (
+        codec.configuration_of,
+        codec.report_of,
+        lambda b: codec.backend_server_of(server_id="i", body=b),
+    ):
+        assert not pipeline.is_successful(decode(body))
+
+
+def test_a_report_is_decoded():
+    report = codec.report_of(
+        b'{"stage":"prefill_decode","models":[],"type":"k","layers":null,'
+        b'"busy":true,"sequence":2,"waiting":1,"running":12,"kv_used":41000,'
+        b'"kv_total":90000,"handles":0,"born":5,"pace":3.0,'
+        b'"stalled":[{"id":"r","address":"10.0.0.2:80"}]}'
+    ).unwrap()
+    assert report.loading
+    assert report.orders == 2
+    assert report.slowness == 3.0
+    assert report.stalled == {"r": "10.0.0.2:80"}
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/adapter/test_headers.py
@@ -0,0 +1,118 @@
+import pytest
+
+from dotterelgrade_platform import headers
+from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import request_facts
+
+_SENT = [
+    (b"host", b"shop.example"),
+    (b"x-dotterelgrade-attempt-id", b"9c41"),
+    (b"x-dotterelgrade-deadline-ms", b"20002"),
+    (b"x-dotterelgrade-model", b"m"),
+    (b"x-dotterelgrade-token-counts", b"1460,80"),
+    (b"x-dotterelgrade-prompt-prefix", b"5c1e:800,91bd:410"),
+    (b"x-dotterelgrade-length-hint", b"33"),
+    (b"x-dotterelgrade-tenant", b"forged"),
+    (b"x-dotterelgrade-hops", b"forged"),
+    (b"authorization", b"Bearer abc"),
+    (b"last-event-id", b"12"),
+]
+
+
+def _stages():
+    return tuple(
+        chain_choice.Stage(
+            server_id=f"s{first}",
+            address=f"10.0.0.{first}:80",
+            failure_domain="a",
+            layers=layer_range.LayerRange(first, end),
+        )
+        for first, end in ((0, 20), (20, 80))
+    )
+
+
+def _orders(**rest):
+    rest.setdefault("time_left_s", 1.5)
+    rest.setdefault("instance_id", "i-1")
+    rest.setdefault("workspace", "bench")
+    rest.setdefault("priority", 1)
+    return request_facts.ForwardingOrders(**rest)
+
+
+def test_the_facts_of_a_request():
+    facts = headers.read_request(_SENT)
+    assert facts.request_id == "9c41"
+    assert facts.patience_s == 20.002
+    assert facts.api_key == "abc"
+    assert (facts.prompt_tokens, facts.most_answer_tokens) == (1460, 80)
+    assert facts.expected_answer_tokens == 33
+    assert facts.last_event_id == "12"
+
+
+@pytest.mark.parametrize("value", [b"", b"soon", b"-1", b"nan", b"inf"])
+def test_malformed_numbers_are_passed_over(value):
+    facts = headers.read_request(
+        [
+            (b"x-dotterelgrade-deadline-ms", value),
+            (b"x-dotterelgrade-token-counts", value),
+        ]
+    )
+    assert facts.patience_s is None
+    assert facts.prompt_tokens == 0
+
+
+def test_what_the_system_sets_replaces_what_the_client_sent():
+    sent = dict(headers.write_request(_SENT, _orders(stages=_stages())))
+    assert sent[b"x-dotterelgrade-tenant"] == b"bench"
+    assert sent[b"x-dotterelgrade-deadline-ms"] == b"1500"
+    assert sent[b"x-dotterelgrade-expect-instance"] == b"i-1"
+    assert (
+        sent[b"x-dotterelgrade-hops"] == b"10.0.0.0:80=0-20,10.0.0.20:80=20-80"
+    )
+    assert b"authorization" not in sent
+
+
+def test_what_identifies_the_request_is_unchanged():
+    sent = headers.write_request(_SENT, _orders())
+    for name in (
+        b"x-dotterelgrade-attempt-id",
+        b"x-dotterelgrade-model",
+        b"x-dotterelgrade-token-counts",
+        b"x-dotterelgrade-prompt-prefix",
+        b"last-event-id",
+    ):
+        assert [v for n, v in sent if n == name] == [dict(_SENT)[name]]
+
+
+def test_without_a_workspace_none_is_claimed():
+    sent = dict(headers.write_request(_SENT, _orders(workspace="")))
+    assert b"x-dotterelgrade-tenant" not in sent
+
+
+def test_a_resumed_stream_names_the_last_event_once():
+    sent = headers.write_request(_SENT, _orders(resume_after="40"))
+    values = [v for n, v in sent if n == b"last-event-id"]
+    assert values == [b"40"]
+
+
+@pytest.mark.parametrize(
+    ("status", "rows", "not_run"),
+    [
+        (503, [(b"x-dotterelgrade-not-executed", b"1")], True),
+        (421, [], True),
+        (503, [], False),
+        (200, [], False),
+        (500, [], False),
+    ],
+)
+def test_only_the_workers_own_word_says_not_run(status, rows, not_run):
+    facts = headers.read_answer(status=status, headers=rows)
+    assert facts.not_run == not_run
+
+
+def test_the_worker_at_fault_is_read():
+    facts = headers.read_answer(
+        status=503, headers=[(b"at-server", b"10.0.0.2:80")]
+    )
+    assert facts.culprit == "10.0.0.2:80"
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -0,0 +1,64 @@
+import pytest
+
+from dotterelgrade import errors
+from dotterelgrade_platform import settings_file
+
+_FILE = """
+node = "front-a-1"
+ip = "10.1.0.40"
+zone = "a"
+internal_ports = [7340, 7355]
+a_new_field = 1
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[limits]
+file_descriptors = 1570
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 400
+[platform]
+address = "10.200.1.7:8223"
+ttl_min_ms = 1000
+"""
+
+
+def test_the_settings_of_a_front(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(_FILE)
+    settings = settings_file.load(str(path))
+    assert settings.failure_domain == "a"
+    assert settings.peer_address == "10.1.0.40:7340"
+    assert settings.retry_slack == 400
+    assert settings.lease_s == 2.0
+
+
+def test_the_environment_names_the_file(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    path.write_text(_FILE)
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, str(path))
+    assert settings_file.load().node == "front-a-1"
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "node = ",
+        _FILE.replace('"10.1.0.40:8227"', "5"),
+        _FILE.replace("10.1.0.40:8220", "nowhere"),
+    ],
+)
+def test_a_wrong_file_is_refused_with_a_reason(tmp_path, text):
+    path = tmp_path / "local.toml"
+    path.write_text(text)
+    with pytest.raises(errors.DotterelgradeError, match="settings"):
+        settings_file.load(str(path))
+
+
+def test_without_a_file_the_reason_names_the_variable(monkeypatch):
+    monkeypatch.delenv(settings_file.PATH_VARIABLE, raising=False)
+    with pytest.raises(errors.DotterelgradeError, match="names no settings"):
+        settings_file.load()
--- a/packages/dotterelgrade/src/dotterelgrade/decision_log.py
+++ b/packages/dotterelgrade/src/dotterelgrade/decision_log.py
@@ -7,7 +7,7 @@
 
 from dotterelgrade import journal as journal_lib
 
-_logger = logging.getLogger("decisions")
+_LOG = logging.getLogger("decisions")
 
 # Lines of one kind in a second; what lies beyond is counted, not written.
 MOST_LINES_PER_S = 100
@@ -67,7 +67,7 @@
         extra = {"reason": reason, **details}
         if request_id:
             extra["request_id"] = request_id
-        _logger.info(decision, extra=extra)
+        _LOG.info(decision, extra=extra)
 
     def _allowed(self, decision: str) -> bool:
         second = int(self._clock())
@@ -76,7 +76,7 @@
             self._written.clear()
             suppressed, self._suppressed = self._suppressed, 0
             if suppressed:
-                _logger.warning("lines_suppressed", extra={"n": suppressed})
+                _LOG.warning("lines_suppressed", extra={"n": suppressed})
         written = self._written.get(decision, 0)
         self._written[decision] = written + 1
         if written >= MOST_LINES_PER_S:
