--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -58,6 +58,7 @@
         self._last_id = ""
         self._head_sent = False
         self._events = 0
+        self._first_event_s = 0.0
 
     def __repr__(self) -> str:
         """Shows the request and how far it is."""
@@ -233,7 +234,8 @@
         data = answers.chunk(events.data)
         if not self._head_sent:
             data = self._encoded_head(head) + data
-            self._state.metrics.first_event.record(self._call.age_s)
+            self._first_event_s = self._call.age_s
+            self._state.metrics.first_event.record(self._first_event_s)
         self._client.write(data)
         self._head_sent = True
         self._events += events.count
@@ -258,6 +260,15 @@
         for stage in chain.stages:
             self._state.trust.note_success(stage.server_id, now=now)
         self._state.metrics.count_try("answered")
+        self._state.decisions.record(
+            "stream_finished",
+            reason="last event passed on",
+            request_id=self._call.request_id,
+            events=self._events,
+            first_event_s=round(self._first_event_s, 3),
+            predicted_step_ms=round(chain.step_s * 1000, 2),
+            stages=len(chain.stages),
+        )
         return "streamed"
 
     def _note(
