--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
@@ -99,11 +99,15 @@
         """Reserved share of its memory."""
         return self.used / self.total if self.total > 0 else 1.0
 
+    @property
+    def pressure(self) -> float:
+        """Share of its memory that is reserved or will be."""
+        return (self.used + self.expected) / max(self.total, 1.0)
+
     @property
     def layer_price_s(self) -> float:
         """Price of one token in one layer, s."""
-        pressed = (self.used + self.expected) / max(self.total, 1.0)
-        return self.layer_s * (1.0 + FILL_WEIGHT * pressed**2)
+        return self.layer_s * (1.0 + FILL_WEIGHT * self.pressure**2)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -126,7 +130,10 @@
 def candidates(
     engine: configuration.Engine, holders: Sequence[Holder]
 ) -> list[Chain]:
-    """Returns the cheapest chain for each preferred failure domain.
+    """Returns the chains that a request may choose from.
+
+    For each preferred failure domain these are the cheapest chain, and the
+    cheapest one around its fullest stage, which takes over in a burst.
 
     Args:
         engine: Figures of the model.
@@ -138,11 +145,28 @@
     found: dict[tuple[Stage, ...], Chain] = {}
     for domain in sorted({h.failure_domain for h in holders}):
         chain = cheapest(engine, holders, preferred_domain=domain)
-        if chain is not None:
-            found.setdefault(chain.stages, chain)
+        if chain is None:
+            continue
+        found.setdefault(chain.stages, chain)
+        around = _around_tightest(engine, holders, chain, domain)
+        if around is not None:
+            found.setdefault(around.stages, around)
     return list(found.values())
 
 
+def _around_tightest(
+    engine: configuration.Engine,
+    holders: Sequence[Holder],
+    chain: Chain,
+    domain: str,
+) -> Chain | None:
+    by_id = {holder.server_id: holder for holder in holders}
+    used = [by_id[stage.server_id] for stage in chain.stages]
+    tightest = max(used, key=lambda h: h.pressure)
+    rest = [holder for holder in holders if holder is not tightest]
+    return cheapest(engine, rest, preferred_domain=domain)
+
+
 def cheapest(
     engine: configuration.Engine,
     holders: Sequence[Holder],
