Don't end a stop while a caller's request may be on its way

Ruled out: the last moment before SIGKILL; the stop had 5 s left.

Change: after the balancer had time to notice, the front stops accepting, closes connections that have been idle for 0.3 s, and ends when none is left.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -127,6 +127,7 @@
         self._limits = limits
         self._parsed = _Parsed(limits)
         self._busy = False
+        self._active_at = time.monotonic()
 
     def __repr__(self) -> str:
         """Shows how many requests wait."""
@@ -140,12 +141,19 @@
             yield
         finally:
             self._busy = False
+            self._active_at = time.monotonic()
 
-    def close_if_idle(self) -> None:
-        """Ends the connection if no byte of a further request has come."""
+    def close_if_idle(self, *, for_s: float) -> None:
+        """Ends the connection if no byte of a further request has come.
+
+        Args:
+            for_s: How long it must have been idle, s.
+        """
         parsed = self._parsed
         if self._busy or parsed.started or parsed.requests:
             return
+        if time.monotonic() - self._active_at < for_s:
+            return
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -35,6 +35,8 @@
 # What is still running this long before SIGKILL is cut.
 _LAST_MOMENT_S = 0.5
 _DRAIN_STEP_S = 0.05
+# A request may be on its way on a connection that is younger than this.
+_IDLE_BEFORE_CLOSE_S = 0.3
 # The leases' renewals; three may be lost.
 _RENEWALS_PER_LEASE = 3.0
 _STORE_FRESH_S = 4.0
@@ -74,6 +76,11 @@
         )
         self._leadership = leadership_lib.Leadership()
         self._led = False
+        self._callers = gevent_server.StreamServer(
+            _host_port(settings.callers_address),
+            self._handler.serve_connection,
+            backlog=_BACKLOG,
+        )
 
     def __repr__(self) -> str:
         """Shows the host."""
@@ -138,11 +145,7 @@
         Raises:
             OSError: An address is taken.
         """
-        callers = gevent_server.StreamServer(
-            _host_port(self._settings.callers_address),
-            self._handler.serve_connection,
-            backlog=_BACKLOG,
-        )
+        callers = self._callers
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._serving_admin())
             stack.enter_context(
@@ -166,10 +169,10 @@
         with contextlib.suppress(platform_port.StoreError):
             self._state.platform.election.leave(self._settings.peer_address)
         gevent.sleep(_KEEP_ACCEPTING_S)
-        self._handler.close_idle()
-        while self._handler.busy and time.monotonic() < last_moment:
+        self._callers.stop_accepting()
+        while self._handler.connections and time.monotonic() < last_moment:
+            self._handler.close_idle(for_s=_IDLE_BEFORE_CLOSE_S)
             gevent.sleep(_DRAIN_STEP_S)
-            self._handler.close_idle()
         _LOG.info("stopped", extra={"unfinished": self._handler.busy})
 
     @contextlib.contextmanager
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -60,10 +60,19 @@
         """Requests that are worked on."""
         return self._busy
 
-    def close_idle(self) -> None:
-        """Closes the connections on which no request has begun."""
+    @property
+    def connections(self) -> int:
+        """Open connections of callers."""
+        return len(self._connections)
+
+    def close_idle(self, *, for_s: float = 0.0) -> None:
+        """Closes the connections on which no request has begun.
+
+        Args:
+            for_s: How long a connection must have been idle, s.
+        """
         for client in list(self._connections):
-            client.close_if_idle()
+            client.close_if_idle(for_s=for_s)
 
     def serve_connection(self, sock: socket.socket, _address: object) -> None:
         """Serves a connection until it ends.
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -83,6 +83,26 @@
     backend.stop()
 
 
+def test_a_request_that_comes_as_the_stop_ends_is_answered(
+    running, settings, monkeypatch
+):
+    """A caller connects just before the front stops accepting."""
+    monkeypatch.setattr(front_lib, "_KEEP_ACCEPTING_S", 0.2)
+    running._state.platform.configurations.add("config", b"v1")
+    _until(lambda: running.is_ready)
+    drain = gevent.spawn(running.drain)
+    gevent.sleep(0.19)
+    host, _, port = settings.callers_address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), timeout=5)
+    gevent.sleep(0.1)
+    sock.sendall(
+        b"GET /safe/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n\r\n"
+    )
+    assert fakes.read_answer(sock)[0] == 503
+    drain.join(fakes.WAIT_S)
+    assert drain.ready()
+
+
 def test_fronts_tell_each_other_their_reservations(settings, platform):
     """One front is elected; the other learns from it what is reserved."""
     platform.documents.put(b"v1", fakes.CONFIGURATION)
