Read what lies unread before an idle connection is closed

Change: a connection with unread bytes is not idle, and nothing that is read after the close is carried out.

Before: the new test failed without the check. After: it passes.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -128,6 +128,7 @@
         self._parsed = _Parsed(limits)
         self._busy = False
         self._active_at = time.monotonic()
+        self._ended = False
 
     def __repr__(self) -> str:
         """Shows how many requests wait."""
@@ -154,6 +155,9 @@
             return
         if time.monotonic() - self._active_at < for_s:
             return
+        if self._has_unread_bytes():
+            return
+        self._ended = True
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
@@ -172,6 +176,9 @@
         while not parsed.requests:
             was_started = parsed.started
             data = self._receive(until)
+            if self._ended:
+                # What crosses the close was never read.
+                return None
             if data is None:
                 if parsed.started:
                     raise BadRequestError(http.HTTPStatus.REQUEST_TIMEOUT)
@@ -216,11 +223,24 @@
             watcher.stop()
             watcher.close()
 
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self._peek())
+        except OSError:
+            return False
+
+    def _peek(self) -> bytes:
+        """Returns what lies unread, without waiting for anything."""
+        timeout_s = self._sock.gettimeout()
+        self._sock.settimeout(0.0)
+        try:
+            return self._sock.recv(_RECEIVE_BYTES, socket.MSG_PEEK)
+        finally:
+            self._sock.settimeout(timeout_s)
+
     def _caller_left(self, watcher: object) -> bool:
         try:
-            data = self._sock.recv(
-                _RECEIVE_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
+            data = self._peek()
         except BlockingIOError:
             return False
         except OSError:
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -82,6 +82,18 @@
         assert sock.recv(1) == b""
 
 
+def test_a_request_that_lies_unread_is_not_cut_off(front):
+    """The request has arrived, the reader has not had its turn yet."""
+    front.add("s", fakes.answering())
+    with front.connect() as sock:
+        front.send("/safe/x", sock=sock)
+        fakes.read_answer(sock)
+        gevent.sleep(0.02)
+        front.send("/safe/x", sock=sock)
+        front.handler.close_idle()
+        assert fakes.read_answer(sock)[0] == 200
+
+
 def test_a_busy_connection_is_not_ended(front):
     def slow(sock, arrival):
         gevent.sleep(0.2)
