Keep one planner through elections and outages of the store

Every front was a member of the election's group, so each restart dealt the partitions anew and moved the planner; one such move came half a second before the store went silent for 8 s, and nobody planned or told pictures meanwhile: each front found the dead backend servers again by itself.

Ruled out: the engines; chains around the dead ones worked before and after.

Change: a front with a planner is no member of the group; a front that is asked but does not plan says so; while the store is away the fronts ask the last planner and then each other in one common order, and the first one acts.

Before and after by tests: a planner lost together with the store, agreement on who acts.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -39,7 +39,6 @@
 _IDLE_BEFORE_CLOSE_S = 0.3
 # The leases' renewals; three may be lost.
 _RENEWALS_PER_LEASE = 3.0
-_STORE_FRESH_S = 4.0
 
 
 class Front:
@@ -71,10 +70,12 @@
             # Tells deployments apart; hosts share no secret.
             shared_key=hashlib.sha256(settings.store_address.encode()).digest(),
         )
+        self._leadership = leadership_lib.Leadership()
         self._link = planner_link.PlannerLink(
-            self._state, identity=self._identity
+            self._state,
+            identity=self._identity,
+            leadership=self._leadership,
         )
-        self._leadership = leadership_lib.Leadership()
         self._led = False
         self._callers = gevent_server.StreamServer(
             _host_port(settings.callers_address),
@@ -166,8 +167,6 @@
         self._state.decisions.record(
             "leaving", reason="stop requested", requests=self._handler.busy
         )
-        with contextlib.suppress(platform_port.StoreError):
-            self._state.platform.election.leave(self._settings.peer_address)
         gevent.sleep(_KEEP_ACCEPTING_S)
         self._callers.stop_accepting()
         while self._handler.connections and time.monotonic() < last_moment:
@@ -213,23 +212,44 @@
         ]
 
     def _renew_lease(self) -> None:
-        """Stays a member of the planners' election."""
+        """Stands for election while no planner is known.
+
+        Members that come and go move the partitions of the others, so a front
+        with a planner is no member.
+        """
         pause_s = self._settings.lease_s / _RENEWALS_PER_LEASE
-        member = self._settings.peer_address
+        member = False
         while True:
-            asked_at = time.monotonic()
-            try:
-                elected = self._state.platform.election.join(member)
-            except platform_port.StoreError:
-                # The follower of the store logs its outage.
-                self._link.note_store(reached=False)
-            else:
-                self._link.note_store(reached=True)
-                self._leadership.confirm(
-                    leadership_lib.Confirmation(elected=elected, at=asked_at)
-                )
+            stands = self._led or not self._link.fresh
+            if stands and not self._state.leaving:
+                member = True
+                self._stand()
+            elif member:
+                member = False
+                self._resign()
             gevent.sleep(pause_s * (0.8 + 0.4 * self._state.rng.random()))
 
+    def _stand(self) -> None:
+        asked_at = time.monotonic()
+        try:
+            elected = self._state.platform.election.join(
+                self._settings.peer_address
+            )
+        except platform_port.StoreError:
+            # The follower of the store logs its outage.
+            return
+        self._leadership.confirm(
+            leadership_lib.Confirmation(elected=elected, at=asked_at)
+        )
+
+    def _resign(self) -> None:
+        self._leadership.confirm(
+            leadership_lib.Confirmation(elected=False, at=time.monotonic())
+        )
+        # Without the store the lease simply ends.
+        with contextlib.suppress(platform_port.StoreError):
+            self._state.platform.election.leave(self._settings.peer_address)
+
     def _plan(self) -> None:
         """Plans and tells the fronts while this front leads."""
         while True:
@@ -252,8 +272,8 @@
             "planner_elected" if leads else "planner_stepped_down",
             reason=repr(self._leadership),
         )
+        self._hub.note_leads(leads)
         if not leads:
-            self._hub.disconnect()
             self._state.load.set_others({})
 
     def _exchange(self) -> None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -1,5 +1,6 @@
 """What the greenlets of one front share."""
 
+from collections.abc import Iterable
 import dataclasses
 import random
 import time
@@ -20,6 +21,8 @@
 _JOURNAL_CAPACITY = 2_000
 # The parts of the fronts are estimates; the rest covers a wrong count of them.
 _BUDGET_SAFETY = 0.4
+# A waiting read ends after two seconds; one that is overdue shows an outage.
+_STORE_FRESH_S = 3.0
 # Until the other fronts are known, one front takes the part of one in so many.
 _UNKNOWN_FRONTS = 16
 
@@ -67,7 +70,7 @@
             fleet=self._fleet, trust=self._trust, load=self._load
         )
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
-        self._fronts = _UNKNOWN_FRONTS
+        self._fronts: tuple[str, ...] = ()
         self._leaving = False
 
     def __repr__(self) -> str:
@@ -134,6 +137,12 @@
         """Whether a stop was ordered."""
         return self._leaving
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store has answered lately."""
+        age_s = time.monotonic() - self._belief.read_at
+        return age_s < _STORE_FRESH_S
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -148,11 +157,18 @@
         """Takes in that a stop was ordered."""
         self._leaving = True
 
-    def set_fronts(self, fronts: int) -> None:
-        """Takes in how many fronts share the retry budget."""
-        if fronts == self._fronts:
+    @property
+    def fronts(self) -> tuple[str, ...]:
+        """`IP:PORT` of all fronts that were known last."""
+        return self._fronts
+
+    def set_fronts(self, fronts: Iterable[str]) -> None:
+        """Takes in which fronts share the retry budget."""
+        known = tuple(fronts)
+        if len(known) == len(self._fronts):
+            self._fronts = known
             return
-        self._fronts = fronts
+        self._fronts = known
         self._resize_budgets()
 
     def _resize_budgets(self) -> None:
@@ -220,7 +236,9 @@
         self._chains.invalidate()
 
     def _retry_capacity(self) -> float:
-        part = self._settings.retry_slack / max(self._fronts, 1)
+        part = self._settings.retry_slack / (
+            len(self._fronts) or _UNKNOWN_FRONTS
+        )
         return max(1.0, part * _BUDGET_SAFETY)
 
     def _retry_rate_per_s(self) -> float:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -53,9 +53,9 @@
     Attributes:
         reserved: Reserved memory of all other fronts together.
         servers: Engines as they last reported.
-        fronts: How many fronts there are.
+        fronts: `IP:PORT` of all fronts, the planner included.
     """
 
     reserved: dict[str, float]
     servers: list[SeenServer]
-    fronts: int
+    fronts: list[str]
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+from gevent import event
 
 from dotterelgrade import errors
 from dotterelgrade import handshake
@@ -13,6 +14,7 @@
 from dotterelgrade_front import planner as planner_lib
 from dotterelgrade_routing import fleet
 from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
 
 # Loads change with each request; a picture this old is good enough.
@@ -22,6 +24,10 @@
 # A front is counted for so long after its last word, for the retry budget.
 _FRONT_COUNTS_S = 10.0
 _LONGEST_PAUSE_S = 2.0
+# Fronts learn of an election within two renewals of their leases.
+_ELECTION_SETTLES_S = 0.7
+# A planner sends its first picture within this time.
+_FIRST_PICTURE_S = 1.2
 
 
 class PlannerHub:
@@ -41,6 +47,7 @@
         """
         self._state = state
         self._planner = planner
+        self._leads = event.Event()
         self._links: dict[wire.Connection, peer_frames.FrontLoad] = {}
         self._heard_at: dict[str, float] = {}
 
@@ -59,23 +66,36 @@
         Args:
             connection: The connection to the front.
         """
+        if not self._leads_soon():
+            connection.close("not the planner")
+            return
         try:
             for frame in connection:
                 if isinstance(frame, peer_frames.FrontLoad):
                     self._links[connection] = frame
-                    self._heard_at[connection.peer.host] = time.monotonic()
+                    peer = connection.peer
+                    address = f"{peer.host}:{peer.port}"
+                    self._heard_at[address] = time.monotonic()
                     self._planner.suspect(frame.excluded)
         finally:
             self._links.pop(connection, None)
 
-    def disconnect(self) -> None:
-        """Ends all connections, so that the fronts look for the planner."""
+    def note_leads(self, leads: bool) -> None:
+        """Takes in whether this front plans."""
+        if leads:
+            self._leads.set()
+            return
+        self._leads.clear()
         for connection in list(self._links):
             connection.close("no longer the planner")
 
+    def _leads_soon(self) -> bool:
+        """Waits a moment for this front's own election to be known."""
+        return self._leads.wait(_ELECTION_SETTLES_S)
+
     def tell(self) -> None:
         """Sends every front its picture, and updates the own one."""
-        fronts = self._count_fronts()
+        fronts = self._known_fronts()
         servers = self._seen_servers()
         totals: collections.Counter[str] = collections.Counter(
             self._state.load.own
@@ -93,12 +113,12 @@
         self._state.load.set_others(_without(totals, self._state.load.own))
         self._state.set_fronts(fronts)
 
-    def _count_fronts(self) -> int:
+    def _known_fronts(self) -> list[str]:
         now = time.monotonic()
-        for host, at in list(self._heard_at.items()):
+        for address, at in list(self._heard_at.items()):
             if now - at > _FRONT_COUNTS_S:
-                del self._heard_at[host]
-        return 1 + len(self._heard_at)
+                del self._heard_at[address]
+        return sorted({self._state.settings.peer_address, *self._heard_at})
 
     def _seen_servers(self) -> list[peer_frames.SeenServer]:
         rows = []
@@ -129,76 +149,110 @@
         state: front_state.FrontState,
         *,
         identity: handshake.Identity,
+        leadership: leadership_lib.Leadership,
     ) -> None:
         """Initializes a link that is not connected.
 
         Args:
             state: Shared by the front's greenlets.
             identity: What this front says about itself.
+            leadership: Whether this front plans.
         """
         self._state = state
         self._identity = identity
+        self._leadership = leadership
         self._pause_s = EXCHANGE_S
-        self._reaches_store = False
+        self._planner = ""
+        self._picture_at = float("-inf")
 
     def __repr__(self) -> str:
-        """Shows the front."""
-        return f"<PlannerLink of {self._identity.host}>"
+        """Shows the front and the planner that it knows."""
+        return f"<PlannerLink of {self._identity.host} to {self._planner}>"
 
-    def note_store(self, *, reached: bool) -> None:
-        """Takes in whether the store answers this front."""
-        self._reaches_store = reached
+    @property
+    def fresh(self) -> bool:
+        """Whether a planner has told its picture lately."""
+        return time.monotonic() - self._picture_at <= SILENCE_S
 
     def run_once(self) -> None:
         """Finds the planner and exchanges loads until the link ends."""
-        member = self._find()
-        if member in (None, self._state.settings.peer_address):
-            self._rest()
-            return
-        host, _, port = member.rpartition(":")
+        own = self._state.settings.peer_address
         try:
-            connection = wire.dial(host, int(port), identity=self._identity)
-        except (errors.DotterelgradeError, ValueError) as error:
-            self._state.decisions.record(
-                "planner_unreachable", reason=str(error), planner=member
-            )
-            self._rest()
-            return
-        self._pause_s = EXCHANGE_S
-        self._state.decisions.record(
-            "planner_found", reason="elected", planner=member
-        )
-        self._exchange(connection)
-        self._state.load.set_others({})
-        self._state.decisions.record(
-            "planner_lost", reason=connection.close_reason, planner=member
-        )
-
-    def _find(self) -> str | None:
-        try:
-            return self._state.platform.election.elected()
+            member = self._state.platform.election.elected()
         except platform_port.StoreError:
             # The follower of the store logs its outage.
-            return None
+            self._find_without_store(own)
+            return
+        if member is None or member == own or not self._exchange(member):
+            self._rest()
+
+    def _find_without_store(self, own: str) -> None:
+        """Asks the fronts in their common order; acts if none answers."""
+        asked = leadership_lib.successors(
+            self._state.fronts, own=own, planner=self._planner
+        )
+        for member in asked:
+            if self._exchange(member):
+                return
+        if self._state.fronts and not self._state.reaches_store:
+            self._state.decisions.record(
+                "planner_acting",
+                reason="store away, no planner answers",
+                asked=len(asked),
+            )
+            self._leadership.act()
+        self._rest()
 
     def _rest(self) -> None:
         gevent.sleep(self._pause_s * (0.5 + self._state.rng.random()))
         self._pause_s = min(self._pause_s * 2, _LONGEST_PAUSE_S)
 
-    def _exchange(self, connection: wire.Connection) -> None:
+    def _exchange(self, member: str) -> bool:
+        """Exchanges loads with a front; returns whether it was the planner."""
+        host, _, port = member.rpartition(":")
+        try:
+            connection = wire.dial(host, int(port), identity=self._identity)
+        except (errors.DotterelgradeError, ValueError) as error:
+            self._state.decisions.record(
+                "planner_unreachable", reason=str(error), planner=member
+            )
+            return False
+        told_before = self._picture_at
         sender = gevent.spawn(self._send_loads, connection)
         try:
             for frame in connection:
                 if isinstance(frame, peer_frames.FleetPicture):
+                    self._note_planner(member)
                     self._take_in(frame)
         finally:
             sender.kill()
             connection.close("exchange ended")
+        self._state.load.set_others({})
+        told = self._picture_at > told_before
+        if told:
+            self._state.decisions.record(
+                "planner_lost", reason=connection.close_reason, planner=member
+            )
+        return told
+
+    def _note_planner(self, member: str) -> None:
+        if not self.fresh or member != self._planner:
+            self._state.decisions.record(
+                "planner_found", reason="tells its picture", planner=member
+            )
+        self._planner = member
+        self._pause_s = EXCHANGE_S
 
     def _send_loads(self, connection: wire.Connection) -> None:
         state = self._state
+        connected_at = time.monotonic()
         while connection.is_open:
-            if time.monotonic() - connection.last_heard > SILENCE_S:
+            now = time.monotonic()
+            heard_at = max(self._picture_at, connected_at)
+            limit_s = SILENCE_S
+            if self._picture_at < connected_at:
+                limit_s = _FIRST_PICTURE_S
+            if now - heard_at > limit_s:
                 connection.close("planner silent")
                 return
             excluded = state.trust.excluded_ids(now=time.monotonic())
@@ -206,13 +260,14 @@
                 peer_frames.FrontLoad(
                     reserved=dict(state.load.own),
                     excluded=sorted(excluded),
-                    reaches_store=self._reaches_store,
+                    reaches_store=state.reaches_store,
                 )
             )
             gevent.sleep(EXCHANGE_S)
 
     def _take_in(self, picture: peer_frames.FleetPicture) -> None:
         state = self._state
+        self._picture_at = time.monotonic()
         state.load.set_others(picture.reserved)
         state.set_fronts(picture.fronts)
         now = time.monotonic()
--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -139,14 +139,22 @@
     def __init__(self):
         self.winner = None
         self.left = []
+        self.down = False
+
+    def _answer(self):
+        if self.down:
+            raise platform_port.StoreError("down")
 
     def join(self, member):
+        self._answer()
         return member == self.winner
 
     def elected(self):
+        self._answer()
         return self.winner
 
     def leave(self, member):
+        self._answer()
         self.left.append(member)
 
 
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -1,5 +1,6 @@
 """Whole fronts in this process, with fakes at their platform port."""
 
+import contextlib
 import dataclasses
 
 import front_fakes as fakes
@@ -79,7 +80,8 @@
     assert fakes.read_answer(sock)[0] == 200
     drain.join(fakes.WAIT_S)
     assert drain.ready()
-    assert platform.election.left == [settings.peer_address]
+    _until(lambda: platform.election.left)
+    assert set(platform.election.left) == {settings.peer_address}
     backend.stop()
 
 
@@ -128,6 +130,44 @@
         _until(lambda: planner._state.load.used("s") == 70.0)
 
 
+def test_the_store_goes_away_with_the_planner(settings, platform):
+    """The fronts agree on one of them that plans meanwhile."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    all_settings = [
+        dataclasses.replace(
+            settings,
+            node=f"front-{number}",
+            callers_address=f"127.0.0.1:{fakes.free_port()}",
+            ready_address=f"127.0.0.1:{fakes.free_port()}",
+            peer_port=fakes.free_port(),
+            metrics_port=fakes.free_port(),
+        )
+        for number in range(3)
+    ]
+    platform.election.winner = all_settings[0].peer_address
+    with contextlib.ExitStack() as stack:
+        fronts = [front_lib.Front(s, platform=platform) for s in all_settings]
+        first = contextlib.ExitStack()
+        first.enter_context(fronts[0].running())
+        for front in fronts[1:]:
+            stack.enter_context(front.running())
+        _until(lambda: all(len(f._state.fronts) == 3 for f in fronts[1:]))
+        platform.election.down = True
+        platform.configurations.down = True
+        first.close()
+        with gevent.Timeout(15):
+            while not any(f.dump()["leads"] for f in fronts[1:]):
+                gevent.sleep(0.05)
+        gevent.sleep(1.0)
+        assert sum(f.dump()["leads"] for f in fronts[1:]) == 1
+        platform.election.down = False
+        platform.configurations.down = False
+        platform.election.winner = all_settings[1].peer_address
+        _until(lambda: fronts[1].dump()["leads"])
+        _until(lambda: not fronts[2].dump()["leads"])
+
+
 def test_without_a_planner_a_front_serves_by_its_own_picture(running, platform):
     platform.configurations.add("config", b"v1")
     _until(lambda: running.is_ready)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -1,13 +1,17 @@
 """Whether this front plans placement and collects the fronts' loads.
 
 Load pattern: the planner is killed, paused or cut off from the store while
-others go on. Ownership of one partition in a group of the store elects the
-planner; orders are compare-and-set at the engines, so a second planner can do
-no harm.
+others go on, or the store is away for all. Ownership of one partition in a
+group of the store elects the planner; while the store is away, the first front
+in a common order acts as planner. Orders are compare-and-set at the engines,
+so a second planner can do no harm.
 """
 
+from collections.abc import Iterable
 import dataclasses
 
+from dotterelgrade import rendezvous
+
 # A planner that the store has not confirmed for so long steps down, unless
 # no front reaches the store.
 CONFIRMED_FOR_S = 3.0
@@ -33,14 +37,20 @@
         """Initializes a front that is not elected."""
         self._last = Confirmation(elected=False, at=float("-inf"))
         self._others_reach_store = False
+        self._acting = False
 
     def __repr__(self) -> str:
         """Shows the last confirmation."""
         return f"<Leadership {self._last}>"
 
     def confirm(self, confirmation: Confirmation) -> None:
-        """Takes in the store's word."""
+        """Takes in the store's word, which ends acting without it."""
         self._last = confirmation
+        self._acting = False
+
+    def act(self) -> None:
+        """Leads without an election until the store's next word."""
+        self._acting = True
 
     def note_others(self, *, reach_store: bool) -> None:
         """Takes in whether any connected front reaches the store."""
@@ -52,7 +62,30 @@
         Args:
             now: Monotonic time, s.
         """
+        if self._acting:
+            return True
         if not self._last.elected:
             return False
         fresh = now - self._last.at <= CONFIRMED_FOR_S
         return fresh or not self._others_reach_store
+
+
+def successors(
+    fronts: Iterable[str], *, own: str, planner: str
+) -> tuple[str, ...]:
+    """Returns whom to ask for a picture while the store is away.
+
+    Args:
+        fronts: All fronts that were known last.
+        own: The front that asks.
+        planner: The front that planned last, or empty.
+
+    Returns:
+        The last planner, then the fronts before the own one in an order that
+        is the same at every front.
+    """
+    ranked = rendezvous.rank("planner", {*fronts, own})
+    before = ranked[: ranked.index(own)]
+    if planner and planner != own:
+        before = [planner, *(front for front in before if front != planner)]
+    return tuple(before)
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -24,3 +24,36 @@
     leadership = _elected(0.0)
     leadership.note_others(reach_store=False)
     assert leadership.leads(now=60.0)
+
+
+def test_while_the_store_is_away_a_front_may_act_until_its_return():
+    """Load pattern: the store goes silent just after an election."""
+    leadership = leadership_lib.Leadership()
+    leadership.act()
+    assert leadership.leads(now=0.0)
+    leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
+    assert not leadership.leads(now=1.0)
+
+
+def test_fronts_agree_who_acts():
+    fronts = [f"10.0.0.{i}:1" for i in range(8)]
+    asked = {
+        own: leadership_lib.successors(fronts, own=own, planner="")
+        for own in fronts
+    }
+    actors = [own for own, before in asked.items() if not before]
+    assert len(actors) == 1
+    for own, before in asked.items():
+        if own not in actors:
+            assert before[0] == actors[0]
+
+
+def test_the_last_planner_is_asked_first():
+    fronts = ["a", "b", "c"]
+    for own in fronts:
+        for planner in fronts:
+            asked = leadership_lib.successors(fronts, own=own, planner=planner)
+            assert own not in asked
+            if planner != own:
+                assert asked[0] == planner
+                assert len(set(asked)) == len(asked)
