A planner that stepped down stays down; stand at once when it is lost

A planner that was cut off from the store stepped down, its fronts left it, and as nobody connected reached the store any more it led again, alone. An empty member in the list of owners was dialled as an address. A front stood for election only 1.5 s after its planner had said goodbye.

Change: stepping down lasts until the store elects again; an empty member is nobody; a link that ended is not fresh.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -254,10 +254,10 @@
         """Plans and tells the fronts while this front leads."""
         while True:
             self._leadership.note_others(
-                reach_store=self._hub.others_reach_store
+                reach_store=self._hub.others_reach_store,
+                now=time.monotonic(),
             )
-            leads = self._leadership.leads(now=time.monotonic())
-            leads = leads and not self._state.leaving
+            leads = self._leadership.leads and not self._state.leaving
             self._note_lead(leads)
             if leads:
                 self._planner.tick()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -183,7 +183,7 @@
             # The follower of the store logs its outage.
             self._find_without_store(own)
             return
-        if member is None or member == own or not self._exchange(member):
+        if not member or member == own or not self._exchange(member):
             self._rest()
 
     def _find_without_store(self, own: str) -> None:
@@ -229,6 +229,7 @@
             connection.close("exchange ended")
         self._state.load.set_others({})
         told = self._picture_at > told_before
+        self._picture_at = float("-inf")
         if told:
             self._state.decisions.record(
                 "planner_lost", reason=connection.close_reason, planner=member
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -31,12 +31,15 @@
 
 
 class Leadership:
-    """Decides from the store's word and the other fronts' reach of it."""
+    """Decides from the store's word and the other fronts' reach of it.
+
+    An elected planner leads on while neither it nor any front that is
+    connected to it reaches the store.
+    """
 
     def __init__(self) -> None:
         """Initializes a front that is not elected."""
         self._last = Confirmation(elected=False, at=float("-inf"))
-        self._others_reach_store = False
         self._acting = False
 
     def __repr__(self) -> str:
@@ -52,22 +55,23 @@
         """Leads without an election until the store's next word."""
         self._acting = True
 
-    def note_others(self, *, reach_store: bool) -> None:
-        """Takes in whether any connected front reaches the store."""
-        self._others_reach_store = reach_store
+    def note_others(self, *, reach_store: bool, now: float) -> None:
+        """Takes in whether any connected front reaches the store.
 
-    def leads(self, *, now: float) -> bool:
-        """Returns whether this front leads now.
+        A planner that the store has not confirmed lately steps down then, and
+        stays down until the store elects it again.
 
         Args:
+            reach_store: Whether any front does.
             now: Monotonic time, s.
         """
-        if self._acting:
-            return True
-        if not self._last.elected:
-            return False
-        fresh = now - self._last.at <= CONFIRMED_FOR_S
-        return fresh or not self._others_reach_store
+        if reach_store and now - self._last.at > CONFIRMED_FOR_S:
+            self._last = dataclasses.replace(self._last, elected=False)
+
+    @property
+    def leads(self) -> bool:
+        """Whether this front leads."""
+        return self._acting or self._last.elected
 
 
 def successors(
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -8,31 +8,43 @@
 
 
 def test_only_the_elected_front_leads():
-    leadership = leadership_lib.Leadership()
-    assert not leadership.leads(now=0.0)
-    assert _elected(0.0).leads(now=1.0)
+    assert not leadership_lib.Leadership().leads
+    assert _elected(0.0).leads
 
 
 def test_a_planner_that_is_cut_off_alone_steps_down():
     leadership = _elected(0.0)
-    leadership.note_others(reach_store=True)
-    assert leadership.leads(now=leadership_lib.CONFIRMED_FOR_S)
-    assert not leadership.leads(now=leadership_lib.CONFIRMED_FOR_S + 0.1)
+    leadership.note_others(reach_store=True, now=leadership_lib.CONFIRMED_FOR_S)
+    assert leadership.leads
+    leadership.note_others(
+        reach_store=True, now=leadership_lib.CONFIRMED_FOR_S + 0.1
+    )
+    assert not leadership.leads
+
+
+def test_who_stepped_down_stays_down_until_the_store_elects_it():
+    """The other fronts leave it, so nobody reaches the store any more."""
+    leadership = _elected(0.0)
+    leadership.note_others(reach_store=True, now=10.0)
+    leadership.note_others(reach_store=False, now=10.2)
+    assert not leadership.leads
+    leadership.confirm(leadership_lib.Confirmation(elected=True, at=11.0))
+    assert leadership.leads
 
 
 def test_a_planner_goes_on_while_nobody_reaches_the_store():
     leadership = _elected(0.0)
-    leadership.note_others(reach_store=False)
-    assert leadership.leads(now=60.0)
+    leadership.note_others(reach_store=False, now=60.0)
+    assert leadership.leads
 
 
 def test_while_the_store_is_away_a_front_may_act_until_its_return():
     """Load pattern: the store goes silent just after an election."""
     leadership = leadership_lib.Leadership()
     leadership.act()
-    assert leadership.leads(now=0.0)
+    assert leadership.leads
     leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
-    assert not leadership.leads(now=1.0)
+    assert not leadership.leads
 
 
 def test_fronts_agree_who_acts():
