Give each front its turn to act as planner

Change: a front acts after three seconds without the store and one more for each front that comes before it in the common order.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -13,6 +13,7 @@
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration as configuration_lib
 from dotterelgrade_routing import fleet as fleet_lib
+from dotterelgrade_routing import leadership
 from dotterelgrade_routing import load_picture
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import retry_budget
@@ -21,8 +22,6 @@
 _JOURNAL_CAPACITY = 2_000
 # The parts of the fronts are estimates; the rest covers a wrong count of them.
 _BUDGET_SAFETY = 0.4
-# A waiting read ends after two seconds; one that is overdue shows an outage.
-_STORE_FRESH_S = 3.0
 # Until the other fronts are known, one front takes the part of one in so many.
 _UNKNOWN_FRONTS = 16
 
@@ -137,11 +136,15 @@
         """Whether a stop was ordered."""
         return self._leaving
 
+    @property
+    def store_silent_s(self) -> float:
+        """Time since the store last answered, s."""
+        return time.monotonic() - self._belief.read_at
+
     @property
     def reaches_store(self) -> bool:
         """Whether the store has answered lately."""
-        age_s = time.monotonic() - self._belief.read_at
-        return age_s < _STORE_FRESH_S
+        return self.store_silent_s < leadership.STORE_AWAY_S
 
     @property
     def ready(self) -> bool:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -194,13 +194,16 @@
         for member in asked:
             if self._exchange(member):
                 return
-        if self._state.fronts and not self._state.reaches_store:
+        silent_s = self._state.store_silent_s
+        if self._state.fronts and self._leadership.may_act(
+            store_silent_s=silent_s, asked=len(asked)
+        ):
             self._state.decisions.record(
                 "planner_acting",
                 reason="store away, no planner answers",
                 asked=len(asked),
+                store_silent_s=round(silent_s, 1),
             )
-            self._leadership.act()
         self._rest()
 
     def _rest(self) -> None:
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -15,6 +15,10 @@
 # A planner that the store has not confirmed for so long steps down, unless
 # no front reaches the store.
 CONFIRMED_FOR_S = 3.0
+# The store counts as away after this silence; each front that others come
+# before waits longer, so that an earlier one has begun to act.
+STORE_AWAY_S = 3.0
+ACT_STEP_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,9 +55,20 @@
         self._last = confirmation
         self._acting = False
 
-    def act(self) -> None:
-        """Leads without an election until the store's next word."""
+    def may_act(self, *, store_silent_s: float, asked: int) -> bool:
+        """Leads without an election, if it is this front's turn.
+
+        Args:
+            store_silent_s: Time since the store last answered, s.
+            asked: How many fronts were asked in vain.
+
+        Returns:
+            Whether the front leads from now on, until the store's next word.
+        """
+        if store_silent_s < STORE_AWAY_S + ACT_STEP_S * asked:
+            return False
         self._acting = True
+        return True
 
     def note_others(self, *, reach_store: bool, now: float) -> None:
         """Takes in whether any connected front reaches the store.
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -41,7 +41,11 @@
 def test_while_the_store_is_away_a_front_may_act_until_its_return():
     """Load pattern: the store goes silent just after an election."""
     leadership = leadership_lib.Leadership()
-    leadership.act()
+    away_s = leadership_lib.STORE_AWAY_S
+    assert not leadership.may_act(store_silent_s=away_s - 0.1, asked=0)
+    assert not leadership.may_act(store_silent_s=away_s, asked=1)
+    assert not leadership.leads
+    assert leadership.may_act(store_silent_s=away_s, asked=0)
     assert leadership.leads
     leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
     assert not leadership.leads
