Let a stream that has begun go on where new ones are refused

Ruled out: weighing speed more than room in the placement.

Change: up to 1.5 of the memory may be reserved for streams that have begun.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -110,6 +110,7 @@
             answer_tokens=self._answer_tokens(),
             load=state.load,
             memory=offer.memory,
+            begun=self._head_sent,
         )
         inputs = {
             "fleet_version": offer.fleet_version,
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -13,6 +13,9 @@
 
 # Reservations are estimates; the rest absorbs answers longer than expected.
 MOST_FILL = 0.95
+# A stream that has begun goes on even where memory is reserved twice over: its
+# caller has waited already, and not all reservations are used at once.
+MOST_FILL_BEGUN = 1.5
 SHORTEST_RETRY_S = 0.25
 LONGEST_RETRY_S = 3.0
 # How strongly a chain's fill counts against its speed.
@@ -52,6 +55,7 @@
     answer_tokens: float,
     load: load_picture.LoadPicture,
     memory: Mapping[str, float],
+    begun: bool = False,
 ) -> Admitted | Refused:
     """Chooses a chain for a request, or refuses it.
 
@@ -61,7 +65,9 @@
         answer_tokens: Tokens that it is expected to produce.
         load: Reservations at the backend servers.
         memory: Memory for requests by backend server, tokens times layers.
+        begun: Whether the caller has had events already.
     """
+    most_fill = MOST_FILL_BEGUN if begun else MOST_FILL
     if not chains:
         return Refused(reason="no chain", retry_after_s=1.0)
     ranked = [
@@ -69,10 +75,10 @@
         for chain in chains
     ]
     best = min(ranked, key=lambda a: _price(a))
-    if best.fill <= MOST_FILL:
+    if best.fill <= most_fill:
         return best
     # Memory is freed as answers end; half of one is left on average.
-    wait_s = best.chain.step_s * answer_tokens * (best.fill - MOST_FILL + 0.5)
+    wait_s = best.chain.step_s * answer_tokens * (best.fill - most_fill + 0.5)
     return Refused(
         reason="memory of backend servers full",
         retry_after_s=min(max(wait_s, SHORTEST_RETRY_S), LONGEST_RETRY_S),
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -21,9 +21,6 @@
 # The list shows backend servers that start together within about two seconds;
 # a group without any layer waits until no further one has joined for so long.
 FORMING_QUIET_S = 0.8
-# Weight of a chain's speed against its room: a slow stream holds its memory,
-# and is exposed to failures, for longer.
-SPEED_WEIGHT = 1.0
 # Worth of a second holder of a layer, in step factors, if the first one holds
 # the whole model; the more a backend server holds, the longer its loss lasts.
 REDUNDANCY_WORTH = 32.0
@@ -162,7 +159,7 @@
             if best and not _survives_loss(engine, free, layers, room):
                 break
             shares = _fill_fastest(engine, free, layers, room)
-            worth = room / _step_factor(shares) ** SPEED_WEIGHT
+            worth = room / _step_factor(shares)
             if worth > best_worth:
                 best, best_worth = shares, worth
         return best
--- a/packages/dotterelgrade-routing/tests/test_admission.py
+++ b/packages/dotterelgrade-routing/tests/test_admission.py
@@ -76,6 +76,22 @@
     assert not load.own
 
 
+def test_a_stream_that_has_begun_goes_on_in_a_full_house(chains, memory):
+    """Load pattern: a chain breaks while the others are full."""
+    load = load_picture.LoadPicture()
+    load.set_others({"a1": 1.1 * _ROOM * 80, "b1": 1.2 * _ROOM * 80})
+    assert isinstance(_decide(chains, load, memory), admission.Refused)
+    going_on = admission.decide(
+        chains,
+        tokens=1_000,
+        answer_tokens=200,
+        load=load,
+        memory=memory,
+        begun=True,
+    )
+    assert going_on.chain.first.server_id == "a1"
+
+
 def test_reservations_end_with_an_exception(chains):
     load = load_picture.LoadPicture()
     with pytest.raises(KeyError), load.reserved(chains[0], tokens=10):
