--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -215,12 +215,12 @@
         """Stands for election while no planner is known.
 
         Members that come and go move the partitions of the others, so a front
-        with a planner is no member.
+        stands only after the store has named no planner that answers.
         """
         pause_s = self._settings.lease_s / _RENEWALS_PER_LEASE
         member = False
         while True:
-            stands = self._led or not self._link.fresh
+            stands = self._led or self._link.vacant
             if stands and not self._state.leaving:
                 member = True
                 self._stand()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -163,6 +163,7 @@
         self._leadership = leadership
         self._pause_s = EXCHANGE_S
         self._planner = ""
+        self._vacant = False
         self._picture_at = float("-inf")
 
     def __repr__(self) -> str:
@@ -174,6 +175,11 @@
         """Whether a planner has told its picture lately."""
         return time.monotonic() - self._picture_at <= SILENCE_S
 
+    @property
+    def vacant(self) -> bool:
+        """Whether the store named no planner that answers."""
+        return self._vacant
+
     def run_once(self) -> None:
         """Finds the planner and exchanges loads until the link ends."""
         own = self._state.settings.peer_address
@@ -183,8 +189,11 @@
             # The follower of the store logs its outage.
             self._find_without_store(own)
             return
-        if not member or member == own or not self._exchange(member):
-            self._rest()
+        if member and member != own and self._exchange(member):
+            self._vacant = False
+            return
+        self._vacant = True
+        self._rest()
 
     def _find_without_store(self, own: str) -> None:
         """Asks the fronts in their common order; acts if none answers."""
@@ -245,6 +254,7 @@
                 "planner_found", reason="tells its picture", planner=member
             )
         self._planner = member
+        self._vacant = False
         self._pause_s = EXCHANGE_S
 
     def _send_loads(self, connection: wire.Connection) -> None:
--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -139,6 +139,7 @@
     def __init__(self):
         self.winner = None
         self.left = []
+        self.joined = set()
         self.down = False
 
     def _answer(self):
@@ -147,6 +148,7 @@
 
     def join(self, member):
         self._answer()
+        self.joined.add(member)
         return member == self.winner
 
     def elected(self):
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -130,6 +130,32 @@
         _until(lambda: planner._state.load.used("s") == 70.0)
 
 
+def test_a_front_that_comes_back_does_not_stand_against_a_planner(
+    settings, platform
+):
+    """Joining the group would move the planner's partition."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    platform.election.winner = settings.peer_address
+    other_settings = dataclasses.replace(
+        settings,
+        node="front-2",
+        callers_address=f"127.0.0.1:{fakes.free_port()}",
+        ready_address=f"127.0.0.1:{fakes.free_port()}",
+        peer_port=fakes.free_port(),
+        metrics_port=fakes.free_port(),
+    )
+    planner = front_lib.Front(settings, platform=platform)
+    with planner.running():
+        _until(lambda: planner.dump()["leads"])
+        platform.election.joined.clear()
+        other = front_lib.Front(other_settings, platform=platform)
+        with other.running():
+            _until(lambda: other._state.fronts)
+            gevent.sleep(1.0)
+            assert other_settings.peer_address not in platform.election.joined
+
+
 def test_the_store_goes_away_with_the_planner(settings, platform):
     """The fronts agree on one of them that plans meanwhile."""
     platform.documents.put(b"v1", fakes.CONFIGURATION)
