--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -52,6 +52,7 @@
     platform = running._state.platform
     platform.configurations.add("config", b"v1")
     _until(lambda: running.is_ready)
+    _until(lambda: platform.election.joined)
 
     def slow(sock, arrival):
         gevent.sleep(0.6)
