Compare when planner and fronts heard the store; stand one after another

The store went silent at 18 s; the planner counted itself as cut off at 20.9 s, because its fronts still counted the store as reached, having heard it a little later than its last renewal. Each loss of the planner then made all fronts stand at once, and each further member moved the partitions again: seven changes from 28 s to 39 s.

Change: fronts tell how long ago they heard the store, and the planner compares that with its own last confirmation; fronts stand in their common order, 0.4 s apart; an acting planner's turn is not missed by a long pause.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -77,6 +77,7 @@
             leadership=self._leadership,
         )
         self._led = False
+        self._chance = self._state.rng.random()
         self._callers = gevent_server.StreamServer(
             _host_port(settings.callers_address),
             self._handler.serve_connection,
@@ -220,7 +221,7 @@
         pause_s = self._settings.lease_s / _RENEWALS_PER_LEASE
         member = False
         while True:
-            stands = self._led or self._link.vacant
+            stands = self._led or self._link.vacant_s > self._stand_delay_s()
             if stands and not self._state.leaving:
                 member = True
                 self._stand()
@@ -229,6 +230,13 @@
                 self._resign()
             gevent.sleep(pause_s * (0.8 + 0.4 * self._state.rng.random()))
 
+    def _stand_delay_s(self) -> float:
+        return leadership_lib.stand_delay_s(
+            self._state.fronts,
+            own=self._settings.peer_address,
+            chance=self._chance,
+        )
+
     def _stand(self) -> None:
         asked_at = time.monotonic()
         try:
@@ -254,8 +262,7 @@
         """Plans and tells the fronts while this front leads."""
         while True:
             self._leadership.note_others(
-                reach_store=self._hub.others_reach_store,
-                now=time.monotonic(),
+                heard_store_at=self._hub.heard_store_at
             )
             leads = self._leadership.leads and not self._state.leaving
             self._note_lead(leads)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -13,12 +13,12 @@
     Attributes:
         reserved: Reserved memory by backend server, tokens times layers.
         excluded: Backend servers that it leaves out of choice.
-        reaches_store: Whether the store answers it.
+        store_silent_s: Time since the store last answered it, s.
     """
 
     reserved: dict[str, float]
     excluded: list[str]
-    reaches_store: bool
+    store_silent_s: float
 
 
 @messages.frame
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -24,6 +24,8 @@
 # A front is counted for so long after its last word, for the retry budget.
 _FRONT_COUNTS_S = 10.0
 _LONGEST_PAUSE_S = 2.0
+# A front that never heard the store tells this.
+_LONGEST_SILENCE_S = 1e6
 # Fronts learn of an election within two renewals of their leases.
 _ELECTION_SETTLES_S = 0.7
 # A planner sends its first picture within this time.
@@ -56,9 +58,11 @@
         return f"<PlannerHub {len(self._links)} fronts>"
 
     @property
-    def others_reach_store(self) -> bool:
-        """Whether any connected front reaches the store."""
-        return any(load.reaches_store for load in self._links.values())
+    def heard_store_at(self) -> float:
+        """Monotonic time at which any front last heard the store, s."""
+        now = time.monotonic()
+        heard = (now - load.store_silent_s for load in self._links.values())
+        return max(heard, default=float("-inf"))
 
     def serve(self, connection: wire.Connection) -> None:
         """Takes in the loads of one front until its connection ends.
@@ -163,7 +167,7 @@
         self._leadership = leadership
         self._pause_s = EXCHANGE_S
         self._planner = ""
-        self._vacant = False
+        self._vacant_since: float | None = None
         self._picture_at = float("-inf")
 
     def __repr__(self) -> str:
@@ -176,9 +180,11 @@
         return time.monotonic() - self._picture_at <= SILENCE_S
 
     @property
-    def vacant(self) -> bool:
-        """Whether the store named no planner that answers."""
-        return self._vacant
+    def vacant_s(self) -> float:
+        """How long the store has named no planner that answers, s."""
+        if self._vacant_since is None:
+            return 0.0
+        return time.monotonic() - self._vacant_since
 
     def run_once(self) -> None:
         """Finds the planner and exchanges loads until the link ends."""
@@ -190,9 +196,10 @@
             self._find_without_store(own)
             return
         if member and member != own and self._exchange(member):
-            self._vacant = False
+            self._vacant_since = None
             return
-        self._vacant = True
+        if self._vacant_since is None:
+            self._vacant_since = time.monotonic()
         self._rest()
 
     def _find_without_store(self, own: str) -> None:
@@ -213,7 +220,8 @@
                 asked=len(asked),
                 store_silent_s=round(silent_s, 1),
             )
-        self._rest()
+        # Turns are a second apart; a longer pause would miss the own one.
+        gevent.sleep(EXCHANGE_S)
 
     def _rest(self) -> None:
         gevent.sleep(self._pause_s * (0.5 + self._state.rng.random()))
@@ -254,7 +262,7 @@
                 "planner_found", reason="tells its picture", planner=member
             )
         self._planner = member
-        self._vacant = False
+        self._vacant_since = None
         self._pause_s = EXCHANGE_S
 
     def _send_loads(self, connection: wire.Connection) -> None:
@@ -274,7 +282,9 @@
                 peer_frames.FrontLoad(
                     reserved=dict(state.load.own),
                     excluded=sorted(excluded),
-                    reaches_store=state.reaches_store,
+                    store_silent_s=min(
+                        state.store_silent_s, _LONGEST_SILENCE_S
+                    ),
                 )
             )
             gevent.sleep(EXCHANGE_S)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -12,13 +12,17 @@
 
 from dotterelgrade import rendezvous
 
-# A planner that the store has not confirmed for so long steps down, unless
-# no front reaches the store.
-CONFIRMED_FOR_S = 3.0
+# A planner steps down when others have heard the store for so long after it
+# was last confirmed; reads and renewals are a second or two apart.
+CONFIRMED_FOR_S = 3.5
 # The store counts as away after this silence; each front that others come
 # before waits longer, so that an earlier one has begun to act.
 STORE_AWAY_S = 3.0
 ACT_STEP_S = 1.0
+# Fronts stand for election one after another, since each further member moves
+# the partitions of the others.
+STAND_STEP_S = 0.4
+MOST_STAND_STEPS = 6
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,17 +74,16 @@
         self._acting = True
         return True
 
-    def note_others(self, *, reach_store: bool, now: float) -> None:
-        """Takes in whether any connected front reaches the store.
+    def note_others(self, *, heard_store_at: float) -> None:
+        """Takes in when a connected front last heard the store.
 
-        A planner that the store has not confirmed lately steps down then, and
-        stays down until the store elects it again.
+        A planner that the store has not confirmed since long before steps
+        down, and stays down until the store elects it again.
 
         Args:
-            reach_store: Whether any front does.
-            now: Monotonic time, s.
+            heard_store_at: Monotonic time, s; the latest of all fronts.
         """
-        if reach_store and now - self._last.at > CONFIRMED_FOR_S:
+        if heard_store_at - self._last.at > CONFIRMED_FOR_S:
             self._last = dataclasses.replace(self._last, elected=False)
 
     @property
@@ -108,3 +111,18 @@
     if planner and planner != own:
         before = [planner, *(front for front in before if front != planner)]
     return tuple(before)
+
+
+def stand_delay_s(fronts: Iterable[str], *, own: str, chance: float) -> float:
+    """Returns how long the planner must be missing before a front stands, s.
+
+    Args:
+        fronts: All fronts that were known last; empty after a start.
+        own: The front that asks.
+        chance: From 0 to 1, spreads fronts that know no others.
+    """
+    known = set(fronts)
+    if not known:
+        return chance * STAND_STEP_S * MOST_STAND_STEPS / 2
+    place = rendezvous.rank("planner", {*known, own}).index(own)
+    return min(place, MOST_STAND_STEPS) * STAND_STEP_S
