Count each stage of a chain when layers are shared out

Each crash broke a chain and was mended in pieces of one and two layers.

Ruled out: compute; the predicted steps of the long chains explain half.

Change: the policy counts what each further stage costs a token, and weighs the square root of the room, so that servers stay free to double what is held.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -10,6 +10,7 @@
 import dataclasses
 from typing import Protocol
 
+from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
 
@@ -18,6 +19,9 @@
 # Candidate rooms are tried as multiples of the least one, in this ratio.
 ROOM_RATIO = 1.15
 ROOM_STEPS = 48
+# Weight of room against speed; a chain of many small stages has more room, but
+# each further stage slows every token and is one more that can fail.
+ROOM_WEIGHT = 0.5
 # The list shows backend servers that start together within about two seconds;
 # a group without any layer waits until no further one has joined for so long.
 FORMING_QUIET_S = 0.8
@@ -159,7 +163,7 @@
             if best and not _survives_loss(engine, free, layers, room):
                 break
             shares = _fill_fastest(engine, free, layers, room)
-            worth = room / _step_factor(shares)
+            worth = room**ROOM_WEIGHT / _token_s(engine, shares)
             if worth > best_worth:
                 best, best_worth = shares, worth
         return best
@@ -262,9 +266,13 @@
     return sum(counts) - max(counts, default=0) >= layers
 
 
-def _step_factor(shares: Sequence[tuple[Candidate, int]]) -> float:
+def _token_s(
+    engine: configuration.Engine, shares: Sequence[tuple[Candidate, int]]
+) -> float:
+    """Returns the duration of one token on a chain of these shares, s."""
     total = sum(count * c.accelerator.step_factor for c, count in shares)
-    return max(total, 1e-9)
+    compute_s = total * engine.step_s / engine.layers
+    return compute_s + chain_choice.HOP_S * len(shares) + 1e-9
 
 
 def _plan_group(
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -93,6 +93,15 @@
     assert not _plan(engine, servers)
 
 
+def test_a_large_domain_does_not_get_a_chain_of_crumbs(engine, make_domain):
+    """Load pattern: single servers crash in a domain of many."""
+    servers = make_domain("a", fast=1, small=14, slow=5)
+    first = _plan(engine, servers)
+    assert len(first) <= 13
+    placed = _settled(engine, servers)
+    assert all(s.layers is not None for s in placed)
+
+
 def test_small_domains_share_a_replica(engine, make_domain):
     servers = [
         *make_domain("a", fast=0, small=5, slow=2),
