--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -21,7 +21,7 @@
 ROOM_STEPS = 48
 # Weight of room against speed; a chain of many small stages has more room, but
 # each further stage slows every token and is one more that can fail.
-ROOM_WEIGHT = 0.5
+ROOM_WEIGHT = 0.45
 # The list shows backend servers that start together within about two seconds;
 # a group without any layer waits until no further one has joined for so long.
 FORMING_QUIET_S = 0.8
