Seek room for 80 usual requests, not for ever more

Change: room counts in full up to 80 usual requests, and no further; a stage still costs what it costs a token.

By test: a domain of 20 gets at most 13 stages, as before.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -19,9 +19,10 @@
 # Candidate rooms are tried as multiples of the least one, in this ratio.
 ROOM_RATIO = 1.15
 ROOM_STEPS = 48
-# Weight of room against speed; a chain of many small stages has more room, but
-# each further stage slows every token and is one more that can fail.
-ROOM_WEIGHT = 0.45
+# Room for more usual requests than this is not sought. A chain of many small
+# stages has it, but each further stage slows every token and can fail as well;
+# free servers that double what is held give room and safety.
+ENOUGH_REQUESTS = 80.0
 # The list shows backend servers that start together within about two seconds;
 # a group without any layer waits until no further one has joined for so long.
 FORMING_QUIET_S = 0.8
@@ -156,6 +157,7 @@
     ) -> list[tuple[Candidate, int]]:
         """Returns how many layers each takes; see `Policy.share`."""
         least = least_room_tokens(engine)
+        enough = ENOUGH_REQUESTS * engine.usual_tokens
         best: list[tuple[Candidate, int]] = []
         best_worth = 0.0
         for step in range(ROOM_STEPS):
@@ -163,7 +165,7 @@
             if best and not _survives_loss(engine, free, layers, room):
                 break
             shares = _fill_fastest(engine, free, layers, room)
-            worth = room**ROOM_WEIGHT / _token_s(engine, shares)
+            worth = min(room, enough) / _token_s(engine, shares)
             if worth > best_worth:
                 best, best_worth = shares, worth
         return best
