--- a/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
@@ -51,7 +51,6 @@
         if known is not None and newer.version <= known.version:
             return
         state.belief.configuration = newer
-        state.chains.invalidate()
         state.decisions.record(
             "configuration_in_force",
             reason="newer version read",
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -13,6 +13,10 @@
 
 # Reservations change with every request; chains follow them this often.
 _REFRESH_S = 0.5
+# A change of the fleet is followed sooner; a computation takes 5 to 50 ms of
+# the processor, and changes come in series.
+_CHANGED_REFRESH_S = 0.15
+_SHORTEST_REFRESH_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -58,29 +62,46 @@
         """Shows the services."""
         return f"<ChainDirectory {sorted(self._offers)}>"
 
-    def invalidate(self) -> None:
-        """Has all chains computed again when they are next asked for."""
-        self._offers.clear()
-
     def offer(self, service: configuration.Service) -> Offer:
-        """Returns the chains of a model service."""
+        """Returns the chains of a model service.
+
+        Between two computations those with an excluded stage are left out.
+        """
         now = time.monotonic()
         known = self._offers.get(service.name)
-        if (
-            known is not None
-            and known.fleet_version == self._fleet.version
-            and now - known.computed_at < _REFRESH_S
-        ):
+        if known is not None and now - known.computed_at < self._valid_s(known):
+            usable = self._without_excluded(known, now)
+            just_now = now - known.computed_at < _SHORTEST_REFRESH_S
+            if usable.chains or just_now:
+                return usable
+        computed = self._compute(service, now)
+        self._offers[service.name] = computed
+        return computed
+
+    def _valid_s(self, known: Offer) -> float:
+        if known.fleet_version == self._fleet.version:
+            return _REFRESH_S
+        return _CHANGED_REFRESH_S
+
+    def _without_excluded(self, known: Offer, now: float) -> Offer:
+        excluded = self._trust.excluded_ids(now=now)
+        if not excluded:
             return known
+        usable = tuple(
+            chain
+            for chain in known.chains
+            if not any(stage.server_id in excluded for stage in chain.stages)
+        )
+        return dataclasses.replace(known, chains=usable)
+
+    def _compute(self, service: configuration.Service, now: float) -> Offer:
         holders = self._holders(service, now)
-        offer = Offer(
+        return Offer(
             chains=tuple(chain_choice.candidates(service.engine, holders)),
             memory={h.server_id: h.total for h in holders},
             fleet_version=self._fleet.version,
             computed_at=now,
         )
-        self._offers[service.name] = offer
-        return offer
 
     def behind(
         self, service: configuration.Service, first: chain_choice.Stage
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -216,7 +216,6 @@
                 server=server_id,
                 for_s=round(left_s, 2),
             )
-            self._chains.invalidate()
 
     def note_report(
         self, server_id: str, report: backend_server.EngineReport
@@ -249,7 +248,6 @@
     def note_busy(self, server_id: str) -> None:
         """Passes over a backend server that could not take more."""
         self._trust.note_busy(server_id, now=time.monotonic())
-        self._chains.invalidate()
 
     def _retry_capacity(self) -> float:
         part = self._settings.retry_slack / (
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
@@ -6,6 +6,7 @@
 that the loss of one backend server is patched from another domain.
 """
 
+import bisect
 from collections.abc import Iterable, Sequence
 import dataclasses
 
@@ -23,6 +24,8 @@
 # Requests that a stage is expected to hold beside those known, so that one
 # with little room is avoided before it is full.
 EXPECTED_REQUESTS = 8.0
+# Below this pressure of its fullest stage a chain needs no second one.
+PRESSED = 0.4
 # Beyond this fill a stage is used only if no other one holds its layers.
 FULL = 0.9
 FULL_S = 0.05
@@ -163,6 +166,8 @@
     by_id = {holder.server_id: holder for holder in holders}
     used = [by_id[stage.server_id] for stage in chain.stages]
     tightest = max(used, key=lambda h: h.pressure)
+    if tightest.pressure < PRESSED:
+        return None
     rest = [holder for holder in holders if holder is not tightest]
     return cheapest(engine, rest, preferred_domain=domain)
 
@@ -187,6 +192,7 @@
         The chain, or None if a layer is held by nobody.
     """
     bounds = _bounds(engine, holders)
+    starts = sorted({holder.layers.first for holder in holders})
     ways: dict[int, dict[str, _Way]] = {0: {"": _Way(0.0, ())}}
     for position in bounds:
         reached = ways.pop(position, {})
@@ -195,7 +201,7 @@
         for holder in holders:
             if reached and holder.layers.first <= position < holder.layers.end:
                 way = _entered(reached, holder, preferred_domain)
-                _spread(ways, way, holder, position, bounds)
+                _spread(ways, way, holder, position, starts)
     return None
 
 
@@ -233,21 +239,26 @@
     way: _Way | None,
     holder: Holder,
     position: int,
-    bounds: list[int],
+    starts: list[int],
 ) -> None:
-    """Notes the way on to every boundary that the holder reaches."""
+    """Notes the way on to where another holder may take over.
+
+    With prices for each layer, the best change is at the first layer of a
+    cheaper holder or at the end of this one.
+    """
     if way is None or len(way.parts) >= MOST_STAGES:
         return
     layer_price = holder.layer_price_s
-    for end in bounds:
-        if not position < end <= holder.layers.end:
-            continue
+    last = holder.layers.end
+    here = bisect.bisect_right(starts, position)
+    ends = starts[here : bisect.bisect_left(starts, last)]
+    for end in (*ends, last):
         price = way.price + (end - position) * layer_price
-        here = ways.setdefault(end, {})
-        known = here.get(holder.failure_domain)
+        reached = ways.setdefault(end, {})
+        known = reached.get(holder.failure_domain)
         if known is None or price < known.price:
             parts = (*way.parts, (holder, position, end))
-            here[holder.failure_domain] = _Way(price, parts)
+            reached[holder.failure_domain] = _Way(price, parts)
 
 
 def _chain(way: _Way) -> Chain:
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/fleet.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/fleet.py
@@ -188,20 +188,6 @@
         self._version += 1
         return True
 
-    def misheld(self, server_id: str) -> None:
-        """Takes in that a backend server does not hold its known layers."""
-        server = self._servers.get(server_id)
-        if server is None:
-            return
-        self._observations[server_id] = Observation(
-            layers=None,
-            started_ms=server.started_ms,
-            slowness=self.slowness_of(server),
-            loading=False,
-            at=0.0,
-        )
-        self._version += 1
-
     def _unsettled(self, now: float) -> bool:
         return self._outage or now - self._returned_at < RETURN_GRACE_S
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
@@ -106,11 +106,6 @@
         record = self._records.get(server_id)
         return record is not None and now < record.excluded_until
 
-    def exclusion_left_s(self, *, now: float) -> float:
-        """Returns the shortest time until an exclusion ends, s, or 0."""
-        left = (r.excluded_until - now for r in self._records.values())
-        return min((s for s in left if s > 0), default=0.0)
-
     def excluded_ids(self, *, now: float) -> frozenset[str]:
         """Returns the backend servers that are left out now."""
         return frozenset(
