Let an acting planner go on until the store elects one

Before that a front that was being stopped counted as the first to act, was asked by all others and never led.

Ruled out: the budget of the links.

Change: who acts goes on until it is elected or was denied four times; a front that is being stopped neither acts nor accepts fronts.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -70,7 +70,7 @@
         Args:
             connection: The connection to the front.
         """
-        if not self._leads_soon():
+        if self._state.leaving or not self._leads_soon():
             connection.close("not the planner")
             return
         try:
@@ -211,7 +211,8 @@
             if self._exchange(member):
                 return
         silent_s = self._state.store_silent_s
-        if self._state.fronts and self._leadership.may_act(
+        stays = bool(self._state.fronts) and not self._state.leaving
+        if stays and self._leadership.may_act(
             store_silent_s=silent_s, asked=len(asked)
         ):
             self._state.decisions.record(
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -19,6 +19,8 @@
 # before waits longer, so that an earlier one has begun to act.
 STORE_AWAY_S = 3.0
 ACT_STEP_S = 1.0
+# An election takes a few renewals of the lease.
+MOST_DENIALS = 4
 # Fronts stand for election one after another, since each further member moves
 # the partitions of the others.
 STAND_STEP_S = 0.4
@@ -49,15 +51,22 @@
         """Initializes a front that is not elected."""
         self._last = Confirmation(elected=False, at=float("-inf"))
         self._acting = False
+        self._denials = 0
 
     def __repr__(self) -> str:
         """Shows the last confirmation."""
         return f"<Leadership {self._last}>"
 
     def confirm(self, confirmation: Confirmation) -> None:
-        """Takes in the store's word, which ends acting without it."""
+        """Takes in the store's word.
+
+        Who acts goes on until it is elected, or until the store has said
+        several times that it is not: somebody else is then.
+        """
         self._last = confirmation
-        self._acting = False
+        self._denials = 0 if confirmation.elected else self._denials + 1
+        if confirmation.elected or self._denials >= MOST_DENIALS:
+            self._acting = False
 
     def may_act(self, *, store_silent_s: float, asked: int) -> bool:
         """Leads without an election, if it is this front's turn.
@@ -72,6 +81,7 @@
         if store_silent_s < STORE_AWAY_S + ACT_STEP_S * asked:
             return False
         self._acting = True
+        self._denials = 0
         return True
 
     def note_others(self, *, heard_store_at: float) -> None:
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -59,10 +59,22 @@
     assert not leadership.leads
     assert leadership.may_act(store_silent_s=away_s, asked=0)
     assert leadership.leads
-    leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
+    for denials in range(leadership_lib.MOST_DENIALS):
+        assert leadership.leads, denials
+        leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
     assert not leadership.leads
 
 
+def test_who_acts_goes_on_until_it_is_elected():
+    """Load pattern: a crash comes just as the store returns."""
+    leadership = leadership_lib.Leadership()
+    assert leadership.may_act(store_silent_s=60.0, asked=0)
+    leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
+    assert leadership.leads
+    leadership.confirm(leadership_lib.Confirmation(elected=True, at=2.0))
+    assert leadership.leads
+
+
 def test_fronts_agree_who_acts():
     fronts = [f"10.0.0.{i}:1" for i in range(8)]
     asked = {
