--- /dev/null
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -0,0 +1,115 @@
+import socket as std_socket
+import time
+
+import gevent
+from gevent import server as gevent_server
+import pytest
+
+from dotterelgrade import http_connection
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(script):
+        def handle(sock, _):
+            sock.recv(65536)
+            script(sock)
+            sock.close()
+
+        server = gevent_server.StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        servers.append(server)
+        return f"127.0.0.1:{server.server_port}"
+
+    yield start
+    for server in servers:
+        server.stop(timeout=0)
+
+
+def _call(address, **rest):
+    rest.setdefault("timeout_s", 2.0)
+    rest.setdefault("method", b"GET")
+    return http_connection.call(address, target=b"/", **rest)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nok",
+        b"HTTP/1.1 100 Continue\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 500 Extra",
+    ],
+)
+def test_whole_answers(serve, answer):
+    head, body = _call(serve(lambda sock: sock.sendall(answer)))
+    assert (head.status, body) == (200, b"ok")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\ncontent-le",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\no\r\n",
+        b"\x00\x01\x02 no answer\r\n\r\n",
+    ],
+)
+def test_broken_answers(serve, answer):
+    with pytest.raises(http_connection.BrokenConnectionError):
+        _call(serve(lambda sock: sock.sendall(answer)))
+
+
+def test_a_reset_answer_without_length_is_not_whole(serve):
+    def script(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nha")
+        gevent.sleep(0.05)
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, linger)
+
+    with pytest.raises(http_connection.BrokenConnectionError):
+        _call(serve(script))
+
+
+def test_silence_ends_in_time(serve):
+    started = time.monotonic()
+    with pytest.raises(http_connection.AnswerTimeoutError):
+        _call(serve(lambda sock: gevent.sleep(5)), timeout_s=0.2)
+    assert time.monotonic() - started < 2
+
+
+def test_an_endless_head_is_refused(serve):
+    def script(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 20_000)
+        gevent.sleep(0.5)
+
+    with pytest.raises(http_connection.BrokenConnectionError):
+        _call(serve(script))
+
+
+def test_a_large_body_is_refused(serve):
+    def script(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n")
+        sock.sendall(b"x" * 99)
+
+    with pytest.raises(http_connection.BrokenConnectionError):
+        _call(serve(script), most_bytes=10)
+
+
+def test_an_unreachable_peer_is_told_apart():
+    with pytest.raises(http_connection.ConnectError):
+        _call("127.0.0.1:1")
+    with pytest.raises(http_connection.ConnectError):
+        _call("nowhere")
+
+
+def test_a_head_request_has_no_body(serve):
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"
+    head, body = _call(serve(lambda sock: sock.sendall(answer)), method=b"HEAD")
+    assert (head.status, body) == (200, b"")
