--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from dotterelgrade_routing import placement
+from dotterelgrade_routing import placement_policies
 
 # Shorter leases cost more calls; a planner's death is noticed in this time.
 SHORTEST_LEASE_S = 2.0
@@ -49,7 +49,7 @@
 
     def __post_init__(self) -> None:
         """Checks what the types can't express."""
-        placement.make_policy(self.placement)
+        placement_policies.make_policy(self.placement)
         for address in (self.callers_address, self.ready_address):
             host, _, port = address.rpartition(":")
             if not host or not port.isdigit():
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -16,6 +16,7 @@
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import placement
+from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import platform_port
 
 TICK_S = 0.2
@@ -76,7 +77,7 @@
         self._state = state
         self._watched: dict[tuple[str, int], Watched] = {}
         self._pool = pool.Pool(_MOST_CALLS_AT_ONCE)
-        self._policy = placement.make_policy(state.settings.placement)
+        self._policy = placement_policies.make_policy(state.settings.placement)
         self._suspects: set[str] = set()
 
     def __repr__(self) -> str:
@@ -176,7 +177,7 @@
         self,
         service: configuration.Service,
         server: backend_server.BackendServer,
-    ) -> placement.Candidate | None:
+    ) -> placement_policies.Candidate | None:
         seen = self._watched.get(server.incarnation)
         kind = service.engine.accelerator(server.accelerator)
         if seen is None or seen.report is None or kind is None:
@@ -185,7 +186,7 @@
             return None
         now = time.monotonic()
         pending = seen.order_pending(now=now)
-        return placement.Candidate(
+        return placement_policies.Candidate(
             server_id=server.id,
             failure_domain=server.failure_domain,
             accelerator=kind,
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -6,23 +6,13 @@
 and what is held already moves only to close a gap.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 import dataclasses
-from typing import Protocol
 
-from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import placement_policies
 
-# A stage must hold at least so many usual requests, however short of memory.
-LEAST_REQUESTS = 16.0
-# Candidate rooms are tried as multiples of the least one, in this ratio.
-ROOM_RATIO = 1.15
-ROOM_STEPS = 48
-# Room for more usual requests than this is not sought. A chain of many small
-# stages has it, but each further stage slows every token and can fail as well;
-# free servers that double what is held give room and safety.
-ENOUGH_REQUESTS = 80.0
 # The list shows backend servers that start together within about two seconds;
 # a group without any layer waits until no further one has joined for so long.
 FORMING_QUIET_S = 0.8
@@ -31,27 +21,6 @@
 REDUNDANCY_WORTH = 32.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Candidate:
-    """A backend server as the planner sees it.
-
-    Attributes:
-        server_id: The backend server.
-        failure_domain: Where it runs.
-        accelerator: Figures of its kind.
-        layers: Layers that it holds, or will hold once its order is done.
-        movable: Whether it can take an order now.
-        known_s: How long it has been in the list, s.
-    """
-
-    server_id: str
-    failure_domain: str
-    accelerator: configuration.Accelerator
-    layers: layer_range.LayerRange | None
-    movable: bool
-    known_s: float = float("inf")
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Placement:
     """An order to hold a range.
@@ -67,130 +36,11 @@
     reason: str
 
 
-class Policy(Protocol):
-    """Shares layers out among backend servers that are free."""
-
-    def share(
-        self,
-        engine: configuration.Engine,
-        free: Sequence[Candidate],
-        layers: int,
-    ) -> list[tuple[Candidate, int]]:
-        """Returns how many layers each backend server takes.
-
-        Args:
-            engine: Figures of the model.
-            free: Backend servers that can take an order.
-            layers: How many layers are to be held.
-        """
-
-
-_POLICIES: dict[str, Policy] = {}
-
-
-def policy(name: str) -> Callable[[type], type]:
-    """Registers a policy under its name in the settings."""
-
-    def register(cls: type) -> type:
-        _POLICIES[name] = cls()
-        return cls
-
-    return register
-
-
-def policies() -> list[str]:
-    """Returns the names of the registered policies."""
-    return sorted(_POLICIES)
-
-
-def make_policy(name: str) -> Policy:
-    """Returns a registered policy.
-
-    Args:
-        name: Its name.
-
-    Raises:
-        ValueError: No policy has that name.
-    """
-    if name not in _POLICIES:
-        expected = ", ".join(policies())
-        raise ValueError(f"placement: expected one of {expected}")
-    return _POLICIES[name]
-
-
-@policy("even")
-class EvenPolicy:
-    """Gives every backend server the same number of layers, as a baseline."""
-
-    def share(
-        self,
-        engine: configuration.Engine,
-        free: Sequence[Candidate],
-        layers: int,
-    ) -> list[tuple[Candidate, int]]:
-        """Returns how many layers each takes; see `Policy.share`."""
-        shares = []
-        left = layers
-        for index, candidate in enumerate(free):
-            wanted = -(-left // (len(free) - index))
-            count = min(wanted, engine.most_layers(candidate.accelerator))
-            shares.append((candidate, count))
-            left -= count
-        return [(c, count) for c, count in shares if count]
-
-
-@policy("balanced")
-class BalancedPolicy:
-    """Weighs room for requests against the speed of the chain.
-
-    For each room that every stage could offer, the fastest backend servers
-    are filled first; the room with the most requests a second wins. Only rooms
-    that leave a replica possible after the loss of the largest backend server
-    count, so that the slower ones stay free to double its layers.
-    """
-
-    def share(
-        self,
-        engine: configuration.Engine,
-        free: Sequence[Candidate],
-        layers: int,
-    ) -> list[tuple[Candidate, int]]:
-        """Returns how many layers each takes; see `Policy.share`."""
-        least = least_room_tokens(engine)
-        enough = ENOUGH_REQUESTS * engine.usual_tokens
-        best: list[tuple[Candidate, int]] = []
-        best_worth = 0.0
-        for step in range(ROOM_STEPS):
-            room = least * ROOM_RATIO**step
-            if best and not _survives_loss(engine, free, layers, room):
-                break
-            shares = _fill_fastest(engine, free, layers, room)
-            worth = min(room, enough) / _token_s(engine, shares)
-            if worth > best_worth:
-                best, best_worth = shares, worth
-        return best
-
-
-def least_room_tokens(engine: configuration.Engine) -> float:
-    """Returns the fewest tokens that a stage must have room for."""
-    return LEAST_REQUESTS * engine.usual_tokens
-
-
-def layers_with_room(
-    engine: configuration.Engine,
-    kind: configuration.Accelerator,
-    room_tokens: float,
-) -> int:
-    """Returns the most layers that leave room for so many tokens."""
-    one_mb = engine.layer_mb + room_tokens * engine.token_layer_bytes / 1e6
-    return min(engine.most_layers(kind), int(kind.memory_mb // one_mb))
-
-
 def plan(
     engine: configuration.Engine,
-    servers: Sequence[Candidate],
+    servers: Sequence[placement_policies.Candidate],
     *,
-    shares: Policy,
+    shares: placement_policies.Policy,
 ) -> list[Placement]:
     """Returns the orders that bring the fleet closer to whole replicas.
 
@@ -209,17 +59,18 @@
 
 
 def groups(
-    engine: configuration.Engine, servers: Sequence[Candidate]
-) -> list[list[Candidate]]:
+    engine: configuration.Engine,
+    servers: Sequence[placement_policies.Candidate],
+) -> list[list[placement_policies.Candidate]]:
     """Returns sets of backend servers that each can hold a whole replica.
 
     Failure domains that can't do so alone are put together.
     """
-    by_domain: dict[str, list[Candidate]] = {}
+    by_domain: dict[str, list[placement_policies.Candidate]] = {}
     for server in servers:
         by_domain.setdefault(server.failure_domain, []).append(server)
     alone = []
-    together: list[Candidate] = []
+    together: list[placement_policies.Candidate] = []
     for _, members in sorted(by_domain.items()):
         if _capacity(engine, members) >= engine.layers:
             alone.append(members)
@@ -231,56 +82,20 @@
 
 
 def _capacity(
-    engine: configuration.Engine, servers: Sequence[Candidate]
-) -> int:
-    room = least_room_tokens(engine)
-    return sum(layers_with_room(engine, s.accelerator, room) for s in servers)
-
-
-def _fill_fastest(
     engine: configuration.Engine,
-    free: Sequence[Candidate],
-    layers: int,
-    room: float,
-) -> list[tuple[Candidate, int]]:
-    shares = []
-    left = layers
-    fastest_first = sorted(
-        free, key=lambda c: (c.accelerator.step_factor, c.server_id)
+    servers: Sequence[placement_policies.Candidate],
+) -> int:
+    room = placement_policies.least_room_tokens(engine)
+    return sum(
+        placement_policies.layers_with_room(engine, s.accelerator, room)
+        for s in servers
     )
-    for candidate in fastest_first:
-        count = layers_with_room(engine, candidate.accelerator, room)
-        count = min(count, left)
-        if count:
-            shares.append((candidate, count))
-            left -= count
-    return shares
-
-
-def _survives_loss(
-    engine: configuration.Engine,
-    free: Sequence[Candidate],
-    layers: int,
-    room: float,
-) -> bool:
-    """Returns whether the layers fit without the largest backend server."""
-    counts = [layers_with_room(engine, c.accelerator, room) for c in free]
-    return sum(counts) - max(counts, default=0) >= layers
-
-
-def _token_s(
-    engine: configuration.Engine, shares: Sequence[tuple[Candidate, int]]
-) -> float:
-    """Returns the duration of one token on a chain of these shares, s."""
-    total = sum(count * c.accelerator.step_factor for c, count in shares)
-    compute_s = total * engine.step_s / engine.layers
-    return compute_s + chain_choice.HOP_S * len(shares) + 1e-9
 
 
 def _plan_group(
     engine: configuration.Engine,
-    group: Sequence[Candidate],
-    shares: Policy,
+    group: Sequence[placement_policies.Candidate],
+    shares: placement_policies.Policy,
 ) -> list[Placement]:
     held = [c.layers for c in group if c.layers is not None]
     if not held and min(c.known_s for c in group) < FORMING_QUIET_S:
@@ -309,8 +124,8 @@
 def _close_gaps(
     engine: configuration.Engine,
     gaps: Sequence[layer_range.LayerRange],
-    free: Sequence[Candidate],
-    shares: Policy,
+    free: Sequence[placement_policies.Candidate],
+    shares: placement_policies.Policy,
     *,
     reason: str,
 ) -> list[Placement]:
@@ -337,8 +152,8 @@
 
 
 def _expendable(
-    group: Sequence[Candidate],
-) -> list[Candidate]:
+    group: Sequence[placement_policies.Candidate],
+) -> list[placement_policies.Candidate]:
     """Returns those whose layers the rest of the group holds as well.
 
     One is taken at a time, so that two that cover each other don't both go.
@@ -360,7 +175,7 @@
 def _stretch(
     engine: configuration.Engine,
     gaps: Sequence[layer_range.LayerRange],
-    group: Sequence[Candidate],
+    group: Sequence[placement_policies.Candidate],
     taken: set[str],
 ) -> list[Placement]:
     """Lets the neighbours of a gap take it over, as far as memory goes."""
@@ -373,8 +188,10 @@
                 continue
             if candidate.server_id in taken or first >= end:
                 continue
-            most = layers_with_room(
-                engine, candidate.accelerator, least_room_tokens(engine)
+            most = placement_policies.layers_with_room(
+                engine,
+                candidate.accelerator,
+                placement_policies.least_room_tokens(engine),
             )
             spare = min(most - len(held), end - first)
             if spare <= 0:
@@ -400,8 +217,8 @@
 
 def _reinforce(
     engine: configuration.Engine,
-    group: Sequence[Candidate],
-    free: Sequence[Candidate],
+    group: Sequence[placement_policies.Candidate],
+    free: Sequence[placement_policies.Candidate],
 ) -> list[Placement]:
     """Places free backend servers where they speed up or double layers."""
     holders = [c for c in group if c.layers is not None]
@@ -423,11 +240,13 @@
 
 def _most_useful(
     engine: configuration.Engine,
-    holders: Sequence[Candidate],
-    candidate: Candidate,
+    holders: Sequence[placement_policies.Candidate],
+    candidate: placement_policies.Candidate,
 ) -> layer_range.LayerRange | None:
     usual_room = _median_room(engine, holders)
-    size = layers_with_room(engine, candidate.accelerator, usual_room)
+    size = placement_policies.layers_with_room(
+        engine, candidate.accelerator, usual_room
+    )
     if size <= 0:
         return None
     worth = [
@@ -442,20 +261,21 @@
 
 
 def _median_room(
-    engine: configuration.Engine, holders: Sequence[Candidate]
+    engine: configuration.Engine,
+    holders: Sequence[placement_policies.Candidate],
 ) -> float:
     rooms = sorted(
         engine.room_tokens(c.accelerator, len(c.layers)) for c in holders
     )
-    least = least_room_tokens(engine)
+    least = placement_policies.least_room_tokens(engine)
     return max(rooms[len(rooms) // 2], least) if rooms else least
 
 
 def _layer_worth(
     engine: configuration.Engine,
     layer: int,
-    holders: Sequence[Candidate],
-    candidate: Candidate,
+    holders: Sequence[placement_policies.Candidate],
+    candidate: placement_policies.Candidate,
 ) -> float:
     here = [c for c in holders if c.layers.first <= layer < c.layers.end]
     if not here:
--- a/packages/dotterelgrade-routing/tests/conftest.py
+++ b/packages/dotterelgrade-routing/tests/conftest.py
@@ -6,7 +6,7 @@
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
-from dotterelgrade_routing import placement
+from dotterelgrade_routing import placement_policies
 
 FAST = configuration.Accelerator(
     name="fast", memory_mb=72_000, step_factor=2.4, read_factor=3.2
@@ -40,7 +40,7 @@
     def make(server_id, *, kind=SMALL, domain="a", layers=None, **rest):
         held = None if layers is None else layer_range.LayerRange(*layers)
         rest.setdefault("movable", True)
-        return placement.Candidate(
+        return placement_policies.Candidate(
             server_id=server_id,
             failure_domain=domain,
             accelerator=kind,
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -6,10 +6,13 @@
 
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import placement
+from dotterelgrade_routing import placement_policies
 
 
 def _plan(engine, servers, policy="balanced"):
-    return placement.plan(engine, servers, shares=placement.make_policy(policy))
+    return placement.plan(
+        engine, servers, shares=placement_policies.make_policy(policy)
+    )
 
 
 def _carried_out(servers, orders):
@@ -38,7 +41,7 @@
     return engine.room_tokens(server.accelerator, len(server.layers))
 
 
-@pytest.mark.parametrize("policy", placement.policies())
+@pytest.mark.parametrize("policy", placement_policies.policies())
 def test_every_domain_gets_a_whole_replica(engine, make_domain, policy):
     servers = [*make_domain("a"), *make_domain("b", fast=2, small=4)]
     placed = _carried_out(servers, _plan(engine, servers, policy))
@@ -61,7 +64,7 @@
     left = [s for s in servers if s is not largest]
     repaired = _settled(engine, left)
     assert not _gaps(engine, repaired)
-    least = placement.least_room_tokens(engine)
+    least = placement_policies.least_room_tokens(engine)
     for server in repaired:
         if server.layers is not None:
             assert _room(engine, server) >= least
@@ -151,4 +154,4 @@
 
 def test_an_unknown_policy_is_refused():
     with pytest.raises(ValueError, match="expected one of"):
-        placement.make_policy("best")
+        placement_policies.make_policy("best")
