Split the repair of streams from their way to the caller

Change: stream_repair.py looks into silence, asks who is at fault, and moves the request within the links' budget; a move without change of behaviour.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -1,8 +1,6 @@
 """Carries a model request from admission to the last event."""
 
-from collections.abc import Callable
 import time
-from typing import TypeVar
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
@@ -12,21 +10,15 @@
 from dotterelgrade_front import event_stream
 from dotterelgrade_front import front_state
 from dotterelgrade_front import stall_watch
+from dotterelgrade_front import stream_repair
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import admission
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import chain_choice
-from dotterelgrade_routing import platform_port
 
-# Silence after which the first stage is asked what it waits for.
-_SUSPICIOUS_SILENCE_S = 0.3
-# Callers leave after about two seconds without an event.
-_LONGEST_SILENCE_S = 1.5
 _LARGEST_BODY_BYTES = 16_777_216
 _SERVER_ERROR = 500
 
-_Heard = TypeVar("_Heard")
-
 
 class ModelStream:
     """One model request; it goes on elsewhere when its chain breaks."""
@@ -52,7 +44,13 @@
         self._state = state
         self._client = client
         self._call = call
-        self._stalls = stalls
+        self._repair = stream_repair.StreamRepair(
+            state,
+            call=call,
+            stalls=stalls,
+            tokens=self._tokens(),
+            count_events=lambda: self._events,
+        )
         self._close = close
         self._splitter = event_stream.EventSplitter()
         self._last_id = ""
@@ -103,7 +101,7 @@
             for chain in offer.chains
             if call.may_go_to(chain.first.server_id)
             and chain.first.server_id not in call.unreachable
-            and self._affords(chain, tokens=call.facts.prompt_tokens)
+            and self._repair.affords(chain, tokens=call.facts.prompt_tokens)
         ]
         decision = admission.decide(
             chains,
@@ -140,29 +138,6 @@
         )
         return decision
 
-    def _affords(
-        self,
-        chain: chain_choice.Chain,
-        *,
-        tokens: float,
-    ) -> bool:
-        """Returns whether the links between domains bear a chain."""
-        service = self._call.service
-        bits = service.engine.crossing_bits(
-            tokens=tokens, crossings=chain.crossings
-        )
-        return not bits or self._state.links(service).affords(bits)
-
-    def _note_crossings(
-        self, chain: chain_choice.Chain, *, tokens: float
-    ) -> None:
-        service = self._call.service
-        bits = service.engine.crossing_bits(
-            tokens=tokens, crossings=chain.crossings
-        )
-        if bits:
-            self._state.links(service).spend(bits)
-
     def _answer_tokens(self) -> float:
         facts = self._call.facts
         usual = self._call.service.engine.usual_answer_tokens
@@ -184,7 +159,7 @@
             resume_after=self._last_id,
         )
         names = state.platform.headers
-        self._note_crossings(chain, tokens=call.facts.prompt_tokens)
+        self._repair.note_crossings(chain, tokens=call.facts.prompt_tokens)
         self._splitter = event_stream.EventSplitter()
         with (
             state.load.reserved(chain, tokens=self._tokens()),
@@ -199,7 +174,7 @@
     ) -> str:
         call = self._call
         names = self._state.platform.headers
-        waits = _Waits(self, chain)
+        waits = self._repair.waits(chain)
         head, facts = waits.until_heard(
             lambda until: upstream.own_answer(
                 call, connection, headers=names, until=until
@@ -306,9 +281,9 @@
         if failed.knowledge is attempt.Knowledge.NEVER_SENT:
             call.unreachable.add(chain.first.server_id)
         if failed.knowledge is attempt.Knowledge.REFUSED:
-            self._check(failed.culprit or chain.first.address)
+            self._repair.check(failed.culprit or chain.first.address)
         elif failed.culprit:
-            self.blame(failed.culprit, reason=str(failed))
+            self._repair.blame(failed.culprit, reason=str(failed))
         state.decisions.record(
             "try_failed",
             reason=str(failed),
@@ -320,75 +295,6 @@
             left_s=round(call.left_s, 3),
         )
 
-    def _check(self, address: str) -> None:
-        """Asks a backend server that refused a stage what it holds now."""
-        server = self._state.fleet.by_address(address)
-        if server is None:
-            return
-        report = self._stalls.report(address)
-        if report is None:
-            self._state.note_failure(server.id, reason="refused, then silent")
-            return
-        self._state.note_report(server.id, report)
-        self._state.note_busy(server.id)
-
-    def blame(self, address: str, *, reason: str) -> None:
-        """Leaves the backend server at an address out of choice."""
-        server = self._state.fleet.by_address(address)
-        if server is not None:
-            self._state.note_failure(server.id, reason=reason)
-
-    def reroute(
-        self, chain: chain_choice.Chain, culprit: str
-    ) -> chain_choice.Chain | None:
-        """Moves the running request around a backend server at fault.
-
-        Args:
-            chain: The chain that it takes.
-            culprit: Address of the backend server to avoid.
-
-        Returns:
-            The new chain, or None if the request can't be moved.
-        """
-        state, call = self._state, self._call
-        if culprit == chain.first.address:
-            return None
-        other = state.chains.behind(call.service, chain.first)
-        if other is None or other.stages == chain.stages:
-            return None
-        # The new stages read all tokens so far.
-        if not self._affords(other, tokens=self._tokens()):
-            return None
-        self._note_crossings(other, tokens=self._tokens())
-        outcome = state.platform.engines.reroute(
-            chain.first.address,
-            request_id=call.request_id,
-            stages=other.stages,
-        )
-        state.decisions.record(
-            "rerouted",
-            reason=f"held up by {culprit}",
-            request_id=call.request_id,
-            outcome=outcome.value,
-            events=self._events,
-        )
-        accepted = (
-            platform_port.OrderOutcome.ACCEPTED,
-            platform_port.OrderOutcome.DONE,
-        )
-        return other if outcome in accepted else None
-
-    def culprit(self, chain: chain_choice.Chain) -> str:
-        """Returns the address of whoever holds the request up, or empty."""
-        return self._stalls.culprit(
-            request_id=self._call.request_id, first=chain.first
-        )
-
-    @property
-    def until(self) -> float:
-        """Monotonic time after which nobody waits, s."""
-        return self._call.until
-
     def _may_go_on(self) -> bool:
         call = self._call
         if not call.may_repeat() or call.left_s <= 0:
@@ -417,51 +323,3 @@
             close=self._close,
         )
         return error.kind.value
-
-
-class _Waits:
-    """Waits for an answer, looks into silence, and gives up in time."""
-
-    def __init__(self, stream: ModelStream, chain: chain_choice.Chain) -> None:
-        self._stream = stream
-        self._chain = chain
-
-    def until_heard(self, read: Callable[[float], _Heard]) -> _Heard:
-        """Calls a read until it returns, giving up after a long silence.
-
-        Args:
-            read: Waits until the monotonic time that it is given.
-
-        Raises:
-            upstream.TryFailedError: The backend servers stayed silent.
-        """
-        started = time.monotonic()
-        while True:
-            now = time.monotonic()
-            until = min(now + _SUSPICIOUS_SILENCE_S, self._stream.until)
-            try:
-                return read(until)
-            except http_connection.AnswerTimeoutError as error:
-                silent_s = time.monotonic() - started
-                if time.monotonic() >= self._stream.until:
-                    raise upstream.TryFailedError(
-                        attempt.Knowledge.UNKNOWN, "out of time"
-                    ) from error
-                self._look_into(silent_s)
-
-    def _look_into(self, silent_s: float) -> None:
-        culprit = self._stream.culprit(self._chain)
-        if culprit:
-            self._stream.blame(culprit, reason="holds streams up")
-            other = self._stream.reroute(self._chain, culprit)
-            if other is None:
-                raise upstream.TryFailedError(
-                    attempt.Knowledge.UNKNOWN,
-                    f"held up for {silent_s:.1f} s",
-                    culprit=culprit,
-                )
-            self._chain = other
-        elif silent_s > _LONGEST_SILENCE_S:
-            raise upstream.TryFailedError(
-                attempt.Knowledge.UNKNOWN, f"silent for {silent_s:.1f} s"
-            )
--- /dev/null
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -0,0 +1,214 @@
+"""Looks into silent streams and moves them around stages at fault.
+
+Load pattern: a stage of a chain dies or stalls, and all streams through it fall
+silent together. Who is at fault is asked of the first stage; the request is
+moved while the links between failure domains bear it, else it is given up in
+time to go on elsewhere.
+"""
+
+from collections.abc import Callable
+import time
+from typing import TypeVar
+
+from dotterelgrade import http_connection
+from dotterelgrade_front import call as call_lib
+from dotterelgrade_front import front_state
+from dotterelgrade_front import stall_watch
+from dotterelgrade_front import upstream
+from dotterelgrade_routing import attempt
+from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import platform_port
+
+# Silence after which the first stage is asked what it waits for.
+_SUSPICIOUS_SILENCE_S = 0.3
+# Callers leave after about two seconds without an event.
+_LONGEST_SILENCE_S = 1.5
+
+_Heard = TypeVar("_Heard")
+
+
+class StreamRepair:
+    """What can be done for one model request whose chain is in trouble."""
+
+    def __init__(
+        self,
+        state: front_state.FrontState,
+        *,
+        call: call_lib.Call,
+        stalls: stall_watch.StallWatch,
+        tokens: float,
+        count_events: Callable[[], int],
+    ) -> None:
+        """Initializes the repair of one request.
+
+        Args:
+            state: Shared by the front's greenlets.
+            call: The call.
+            stalls: Finds out who holds a stream up.
+            tokens: Tokens that the request holds at most.
+            count_events: Returns how many events were passed on.
+        """
+        self._state = state
+        self._call = call
+        self._stalls = stalls
+        self._tokens = tokens
+        self._count_events = count_events
+
+    def __repr__(self) -> str:
+        """Shows the request."""
+        return f"<StreamRepair {self._call.request_id}>"
+
+    def waits(self, chain: chain_choice.Chain) -> "Waits":
+        """Returns what waits for the answer of a chain."""
+        return Waits(self, chain)
+
+    @property
+    def until(self) -> float:
+        """Monotonic time after which nobody waits, s."""
+        return self._call.until
+
+    def affords(
+        self,
+        chain: chain_choice.Chain,
+        *,
+        tokens: float,
+    ) -> bool:
+        """Returns whether the links between domains bear a chain."""
+        service = self._call.service
+        bits = service.engine.crossing_bits(
+            tokens=tokens, crossings=chain.crossings
+        )
+        return not bits or self._state.links(service).affords(bits)
+
+    def note_crossings(
+        self, chain: chain_choice.Chain, *, tokens: float
+    ) -> None:
+        """Counts what a chain sends between failure domains."""
+        service = self._call.service
+        bits = service.engine.crossing_bits(
+            tokens=tokens, crossings=chain.crossings
+        )
+        if bits:
+            self._state.links(service).spend(bits)
+
+    def check(self, address: str) -> None:
+        """Asks a backend server that refused a stage what it holds now."""
+        server = self._state.fleet.by_address(address)
+        if server is None:
+            return
+        report = self._stalls.report(address)
+        if report is None:
+            self._state.note_failure(server.id, reason="refused, then silent")
+            return
+        self._state.note_report(server.id, report)
+        self._state.note_busy(server.id)
+
+    def blame(self, address: str, *, reason: str) -> None:
+        """Leaves the backend server at an address out of choice."""
+        server = self._state.fleet.by_address(address)
+        if server is not None:
+            self._state.note_failure(server.id, reason=reason)
+
+    def reroute(
+        self, chain: chain_choice.Chain, culprit: str
+    ) -> chain_choice.Chain | None:
+        """Moves the running request around a backend server at fault.
+
+        Args:
+            chain: The chain that it takes.
+            culprit: Address of the backend server to avoid.
+
+        Returns:
+            The new chain, or None if the request can't be moved.
+        """
+        state, call = self._state, self._call
+        if culprit == chain.first.address:
+            return None
+        other = state.chains.behind(call.service, chain.first)
+        if other is None or other.stages == chain.stages:
+            return None
+        # The new stages read all tokens so far.
+        if not self.affords(other, tokens=self._tokens):
+            return None
+        self.note_crossings(other, tokens=self._tokens)
+        outcome = state.platform.engines.reroute(
+            chain.first.address,
+            request_id=call.request_id,
+            stages=other.stages,
+        )
+        state.decisions.record(
+            "rerouted",
+            reason=f"held up by {culprit}",
+            request_id=call.request_id,
+            outcome=outcome.value,
+            events=self._count_events(),
+        )
+        accepted = (
+            platform_port.OrderOutcome.ACCEPTED,
+            platform_port.OrderOutcome.DONE,
+        )
+        return other if outcome in accepted else None
+
+    def culprit(self, chain: chain_choice.Chain) -> str:
+        """Returns the address of whoever holds the request up, or empty."""
+        return self._stalls.culprit(
+            request_id=self._call.request_id, first=chain.first
+        )
+
+
+class Waits:
+    """Waits for an answer, looks into silence, and gives up in time."""
+
+    def __init__(self, repair: StreamRepair, chain: chain_choice.Chain) -> None:
+        """Initializes the waits for one try.
+
+        Args:
+            repair: What can be done for the request.
+            chain: The chain that it takes.
+        """
+        self._repair = repair
+        self._chain = chain
+
+    def __repr__(self) -> str:
+        """Shows the first stage."""
+        return f"<Waits for {self._chain.first.server_id}>"
+
+    def until_heard(self, read: Callable[[float], _Heard]) -> _Heard:
+        """Calls a read until it returns, giving up after a long silence.
+
+        Args:
+            read: Waits until the monotonic time that it is given.
+
+        Raises:
+            upstream.TryFailedError: The backend servers stayed silent.
+        """
+        started = time.monotonic()
+        while True:
+            now = time.monotonic()
+            until = min(now + _SUSPICIOUS_SILENCE_S, self._repair.until)
+            try:
+                return read(until)
+            except http_connection.AnswerTimeoutError as error:
+                silent_s = time.monotonic() - started
+                if time.monotonic() >= self._repair.until:
+                    raise upstream.TryFailedError(
+                        attempt.Knowledge.UNKNOWN, "out of time"
+                    ) from error
+                self._look_into(silent_s)
+
+    def _look_into(self, silent_s: float) -> None:
+        culprit = self._repair.culprit(self._chain)
+        if culprit:
+            self._repair.blame(culprit, reason="holds streams up")
+            other = self._repair.reroute(self._chain, culprit)
+            if other is None:
+                raise upstream.TryFailedError(
+                    attempt.Knowledge.UNKNOWN,
+                    f"held up for {silent_s:.1f} s",
+                    culprit=culprit,
+                )
+            self._chain = other
+        elif silent_s > _LONGEST_SILENCE_S:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.UNKNOWN, f"silent for {silent_s:.1f} s"
+            )
