Answer when a failure's body stays out; keep the front's parts running

Cause: found by reading. A worker that answers with a failure and then stays silent, or sends an event without end, raised an error that nobody caught: the caller's connection closed without an answer. An unforeseen error in a follower or in the planner's loop ended it for the life of the process.

Change: both become a failed try with its answer; what is still unforeseen is logged and ends only that connection. The front's parts run under the agent's supervision, which moves to the core.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -18,6 +18,7 @@
 from dotterelgrade import log_client
 from dotterelgrade import messages
 from dotterelgrade import metrics as metrics_lib
+from dotterelgrade import supervision
 from dotterelgrade import wire
 from dotterelgrade import wsgi
 from dotterelgrade_agent import agent_settings
@@ -37,7 +38,6 @@
 from dotterelgrade_agent import server as server_lib
 from dotterelgrade_agent import service_backend
 from dotterelgrade_agent import stages as stages_lib
-from dotterelgrade_agent import supervision
 from dotterelgrade_agent import vacancies
 
 _FAREWELL_S = 0.2
--- a/packages/dotterelgrade-agent/tests/test_engine_backend.py
+++ b/packages/dotterelgrade-agent/tests/test_engine_backend.py
@@ -8,12 +8,12 @@
 from dotterelgrade import errors
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import messages
+from dotterelgrade import supervision
 from dotterelgrade_agent import batch
 from dotterelgrade_agent import engine_client
 from dotterelgrade_agent import orders
 from dotterelgrade_agent import sequence as sequence_lib
 from dotterelgrade_agent import step_times
-from dotterelgrade_agent import supervision
 from dotterelgrade_agent import weight_store_client
 
 PROMPT = (5, 6, 7)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -15,6 +15,7 @@
 from dotterelgrade import admin
 from dotterelgrade import handshake
 from dotterelgrade import messages
+from dotterelgrade import supervision
 from dotterelgrade import wire
 from dotterelgrade import wsgi
 from dotterelgrade_front import beliefs
@@ -157,7 +158,12 @@
             )
             callers.start()
             stack.callback(callers.stop, timeout=0)
-            greenlets = [gevent.spawn(task) for task in self._tasks()]
+            greenlets = [
+                gevent.spawn(
+                    supervision.keep_running, task, journal=self.journal
+                )
+                for task in self._tasks()
+            ]
             stack.callback(gevent.killall, greenlets, timeout=0.2)
             _LOG.info("started", extra={"pid": os.getpid()})
             yield
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -161,11 +161,19 @@
         names = state.platform.headers
         self._repair.note_crossings(chain, tokens=call.facts.prompt_tokens)
         self._splitter = event_stream.EventSplitter()
-        with (
-            state.load.reserved(chain, tokens=self._tokens()),
-            upstream.sent(call, target, headers=names) as connection,
-        ):
-            return self._answer(connection, chain)
+        try:
+            with (
+                state.load.reserved(chain, tokens=self._tokens()),
+                upstream.sent(call, target, headers=names) as connection,
+            ):
+                return self._answer(connection, chain)
+        except (
+            http_connection.AnswerTimeoutError,
+            event_stream.EventTooLargeError,
+        ) as error:
+            raise upstream.TryFailedError(
+                attempt.Knowledge.UNKNOWN, str(error)
+            ) from error
 
     def _answer(
         self,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -1,6 +1,7 @@
 """Serves the requests of one caller's connection, from top to bottom."""
 
 import http
+import logging
 import time
 
 from gevent import socket
@@ -17,6 +18,8 @@
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import request_facts
 
+_LOG = logging.getLogger(__name__)
+
 _STATUS_KINDS = {
     http.HTTPStatus.REQUEST_TIMEOUT: errors.ErrorKind.REQUEST_TIMEOUT,
     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE: errors.ErrorKind.BODY_TOO_LARGE,
@@ -90,6 +93,9 @@
                 pass
         except client_connection.CallerGoneError:
             pass
+        except Exception:
+            # The connection ends, so that nobody takes its bytes for an answer.
+            _LOG.exception("request failed")
         finally:
             self._connections.discard(client)
             sock.close()
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -195,6 +195,15 @@
         _until(lambda: not fronts[2].dump()["leads"])
 
 
+def test_a_part_that_fails_starts_again(running, platform, monkeypatch):
+    monkeypatch.setattr("dotterelgrade.supervision.RESTART_S", 0.01)
+    platform.documents.put(b"broken", None)
+    platform.configurations.add("config", b"broken")
+    gevent.sleep(0.1)
+    platform.configurations.add("config", b"v1")
+    _until(lambda: running.is_ready)
+
+
 def test_without_a_planner_a_front_serves_by_its_own_picture(running, platform):
     platform.configurations.add("config", b"v1")
     _until(lambda: running.is_ready)
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -147,6 +147,26 @@
     assert (status, body) == (200, _events(1, 4))
 
 
+def test_a_failure_whose_body_does_not_come_ends_in_time(front):
+    def stuck(sock, arrival):
+        sock.sendall(b"HTTP/1.1 400 Bad\r\ncontent-length: 9\r\n\r\n")
+        fakes.silent(sock, arrival)
+
+    front.add("a1", stuck, service="model", layers=(0, 8))
+    status, _, body = front.ask(
+        "/stream/x", method="POST", body=b"p", patience_ms="300"
+    )
+    assert status == 504
+    assert b'"unknown"' in body
+
+
+def test_an_endless_event_ends_the_stream(front):
+    endless = fakes.streaming(1, 2, torn=b"x" * 1_100_000)
+    front.add("a1", endless, service="model", layers=(0, 8))
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, None)
+
+
 def test_without_a_chain_the_caller_is_told_when_to_return(front):
     status, headers, body = front.ask("/stream/x", method="POST", body=b"p")
     assert status == 503
