End a connection with an answer that began before the stop

Ruled out: the listener, which had stopped accepting at 2.6 s.

Change: while the front is leaving, a connection ends with its answer.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -118,7 +118,8 @@
         finally:
             self._busy -= 1
             self._state.metrics.set_in_flight(self._busy)
-        return not close
+        # An answer that began before a stop could not announce the close.
+        return not close and not self._state.leaving
 
     def _serve_request(
         self,
--- a/packages/dotterelgrade-front/tests/test_plain_call.py
+++ b/packages/dotterelgrade-front/tests/test_plain_call.py
@@ -196,6 +196,24 @@
     assert headers[b"connection"] == b"close"
 
 
+def test_a_connection_ends_with_an_answer_that_began_before_the_stop(front):
+    """Load pattern: a long answer ends late in the time of a stop."""
+
+    def slow(sock, arrival):
+        gevent.sleep(0.2)
+        fakes.answering()(sock, arrival)
+
+    backend = front.add("s", slow)
+    with front.send("/safe/x") as sock:
+        while not backend.arrivals:
+            gevent.sleep(0.01)
+        front.state.leave()
+        assert fakes.read_answer(sock)[0] == 200
+        # Well before the connection would end for being idle.
+        sock.settimeout(0.5)
+        assert sock.recv(1) == b""
+
+
 def test_silence_alone_does_not_end_a_call_without_another_server(front):
     def late(sock, arrival):
         gevent.sleep(0.7)
