Strip a head's connection headers in one place

Cause: the last reading found three copies of the step from a backend server's head to the caller's, a property that nothing used any more, and a function of one expression.

Change: ResponseHead.end_to_end serves all three; the property and the function go. Behaviour and tests stay as they are.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -13,7 +13,6 @@
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration as configuration_lib
 from dotterelgrade_routing import fleet as fleet_lib
-from dotterelgrade_routing import leadership
 from dotterelgrade_routing import link_budget
 from dotterelgrade_routing import load_picture
 from dotterelgrade_routing import platform_port
@@ -143,11 +142,6 @@
         """Time since the store last answered, s."""
         return time.monotonic() - self._belief.read_at
 
-    @property
-    def reaches_store(self) -> bool:
-        """Whether the store has answered lately."""
-        return self.store_silent_s < leadership.STORE_AWAY_S
-
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -226,11 +226,7 @@
             )
         answers.send_whole(
             self._client,
-            head=http_message.ResponseHead(
-                status=head.status,
-                reason=head.reason,
-                headers=http_message.end_to_end(head.headers),
-            ),
+            head=head.end_to_end(),
             body=body,
             close=self._close,
         )
@@ -251,11 +247,7 @@
         self._last_id = events.last_id or self._last_id
 
     def _encoded_head(self, head: http_message.ResponseHead) -> bytes:
-        kept = http_message.ResponseHead(
-            status=head.status,
-            reason=head.reason,
-            headers=http_message.end_to_end(head.headers),
-        )
+        kept = head.end_to_end()
         return answers.stream_head(kept, close=self._close)
 
     def _finish(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -3,7 +3,6 @@
 import collections
 import time
 
-from dotterelgrade import errors
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
 from dotterelgrade_front import answers
@@ -83,7 +82,7 @@
         answers.send_error(
             client, error, request_id=call.request_id, close=close
         )
-        return _outcome(error)
+        return error.kind.value
 
     def _choose(
         self, call: call_lib.Call
@@ -139,11 +138,7 @@
         state.trust.note_success(server.id, now=time.monotonic())
         state.metrics.count_try("answered")
         return (
-            http_message.ResponseHead(
-                status=head.status,
-                reason=head.reason,
-                headers=http_message.end_to_end(head.headers),
-            ),
+            head.end_to_end(),
             body,
         )
 
@@ -200,7 +195,3 @@
         if call.tries[-1] is attempt.Knowledge.NEVER_SENT:
             return True
         return self._state.budget(call.service.name).spend()
-
-
-def _outcome(error: errors.Error) -> str:
-    return error.kind.value
--- a/packages/dotterelgrade/src/dotterelgrade/http_message.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_message.py
@@ -65,6 +65,10 @@
     reason: bytes
     headers: Headers
 
+    def end_to_end(self) -> "ResponseHead":
+        """Returns the head without what concerns a single connection."""
+        return dataclasses.replace(self, headers=end_to_end(self.headers))
+
 
 def by_name(headers: Headers) -> Mapping[bytes, bytes]:
     """Returns the headers by name; the last of equal names counts."""
