Leave out engines that refuse though they report room

Their reports still show layers and room, so each refusal was taken for a short shortage: passed over for 0.3 s, tried again, 300 refusals, and the plan counted their layers as held, so nobody was ordered to take them over until the store was back. Streams that such an engine had before it began to leave ended well and cleared its record.

Ruled out: memory (the reports of those engines showed room), the fronts' processors (0.06 of 0.56), the planner's absence alone (one acted from 21.0 s and gave no order until 27.4 s).

Change: two refusals in a row that the engine's own report does not explain exclude it, for longer each time, and work that began before a failure proves nothing. Fronts tell the planner, which plans without such engines unless a quarter of a group refuses. Besides, engines that answer slowly, or not, no longer hold up the planner's orders to others; one missed report is enough where a front found a fault; who refused an order gets none for 3 s.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -287,7 +287,7 @@
             leads = self._leadership.leads and not self._state.leaving
             self._note_lead(leads)
             if leads:
-                self._planner.tick()
+                self._planner.tick(refusing=self._hub.refusing)
                 self._hub.tell()
             gevent.sleep(planner_lib.TICK_S)
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -239,6 +239,15 @@
                 server=server_id,
             )
 
+    def note_refusal(self, server_id: str) -> None:
+        """Counts a refusal that a backend server's report doesn't explain."""
+        if self._trust.note_refusal(server_id, now=time.monotonic()):
+            self._decisions.record(
+                "backend_server_excluded",
+                reason="refuses though it reports room",
+                server=server_id,
+            )
+
     def note_busy(self, server_id: str) -> None:
         """Passes over a backend server that could not take more."""
         self._trust.note_busy(server_id, now=time.monotonic())
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -57,6 +57,7 @@
         self._head_sent = False
         self._events = 0
         self._first_event_s = 0.0
+        self._try_began_at = call.received_at
 
     def __repr__(self) -> str:
         """Shows the request and how far it is."""
@@ -161,6 +162,7 @@
         names = state.platform.headers
         self._repair.note_crossings(chain, tokens=call.facts.prompt_tokens)
         self._splitter = event_stream.EventSplitter()
+        self._try_began_at = time.monotonic()
         try:
             with (
                 state.load.reserved(chain, tokens=self._tokens()),
@@ -259,7 +261,9 @@
         self._client.write(data)
         now = time.monotonic()
         for stage in chain.stages:
-            self._state.trust.note_success(stage.server_id, now=now)
+            self._state.trust.note_success(
+                stage.server_id, now=now, began_at=self._try_began_at
+            )
         self._state.metrics.count_try("answered")
         self._state.decisions.record(
             "stream_finished",
@@ -281,7 +285,7 @@
         if failed.knowledge is attempt.Knowledge.NEVER_SENT:
             call.unreachable.add(chain.first.server_id)
         if failed.knowledge is attempt.Knowledge.REFUSED:
-            self._repair.check(failed.culprit or chain.first.address)
+            self._repair.check(chain, failed.culprit or chain.first.address)
         elif failed.culprit:
             self._repair.blame(failed.culprit, reason=str(failed))
         state.decisions.record(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -13,11 +13,13 @@
     Attributes:
         reserved: Reserved memory by backend server, tokens times layers.
         excluded: Backend servers that it leaves out of choice.
+        refusing: Those of them that refuse though they report room.
         store_silent_s: Time since the store last answered it, s.
     """
 
     reserved: dict[str, float]
     excluded: list[str]
+    refusing: list[str]
     store_silent_s: float
 
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -108,6 +108,7 @@
         state = self._state
         target = upstream.Target(server_id=server.id, address=server.address)
         names = state.platform.headers
+        began_at = time.monotonic()
         self._in_flight[server.id] += 1
         try:
             with upstream.sent(call, target, headers=names) as connection:
@@ -135,7 +136,9 @@
             raise upstream.TryFailedError(
                 attempt.Knowledge.RAN, f"status {head.status}"
             )
-        state.trust.note_success(server.id, now=time.monotonic())
+        state.trust.note_success(
+            server.id, now=time.monotonic(), began_at=began_at
+        )
         state.metrics.count_try("answered")
         return (
             head.end_to_end(),
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -5,6 +5,7 @@
 accepted no other one since its report.
 """
 
+from collections.abc import Collection
 import dataclasses
 import time
 
@@ -25,9 +26,16 @@
 _BUSY_REPORT_EVERY_S = 0.3
 # An engine that did not answer so often in a row is left out of the plan.
 _SILENT_REPORTS = 2
+# Fronts tell whom they leave out a few times in this time.
+_SUSPECTED_S = 1.0
 # An order that shows no effect after this time is sent anew.
 _ORDER_LASTS_S = 3.0
 _MOST_CALLS_AT_ONCE = 64
+# Engines that are slow to answer must not hold up orders to the others.
+_WAIT_FOR_CALLS_S = 0.1
+# An engine that refused an order, such as one that leaves, gets no other one
+# for this time.
+_REFUSED_ORDER_S = 3.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -41,6 +49,9 @@
         known_at: Monotonic time at which it was first seen, s.
         wanted: The range of the last order, or None.
         ordered_at: Monotonic time of the last order, s.
+        refused_at: Monotonic time of the last order that it refused, s.
+        asking: Whether a question is on its way.
+        suspected_at: Monotonic time at which a front last left it out, s.
     """
 
     report: backend_server.EngineReport | None = None
@@ -49,11 +60,18 @@
     known_at: float = dataclasses.field(default_factory=time.monotonic)
     wanted: layer_range.LayerRange | None = None
     ordered_at: float = float("-inf")
+    refused_at: float = float("-inf")
+    asking: bool = False
+    suspected_at: float = float("-inf")
 
     @property
     def silent(self) -> bool:
-        """Whether it did not answer lately."""
-        return self.misses >= _SILENT_REPORTS
+        """Whether it did not answer lately.
+
+        One miss is enough if a front has found it at fault as well.
+        """
+        suspected = time.monotonic() - self.suspected_at < _SUSPECTED_S
+        return self.misses >= (1 if suspected else _SILENT_REPORTS)
 
     def order_pending(self, *, now: float) -> bool:
         """Returns whether an order may still take effect."""
@@ -64,6 +82,12 @@
         loading = self.report is not None and self.report.loading
         return loading or now - self.ordered_at < _ORDER_LASTS_S
 
+    def movable(self, *, now: float) -> bool:
+        """Returns whether it can take an order now."""
+        if self.order_pending(now=now) or self.report.loading:
+            return False
+        return now - self.refused_at >= _REFUSED_ORDER_S
+
 
 class Planner:
     """Watches the engines and gives them orders."""
@@ -92,8 +116,12 @@
         """Returns what is known of an engine."""
         return self._watched.get(server.incarnation)
 
-    def tick(self) -> None:
-        """Asks for the reports that are due, then orders what is missing."""
+    def tick(self, *, refusing: Collection[str] = ()) -> None:
+        """Asks for the reports that are due, then orders what is missing.
+
+        Args:
+            refusing: Backend servers that refuse though they report room.
+        """
         known = self._state.configuration
         if known is None:
             return
@@ -105,7 +133,7 @@
                 if server.service == service.name
             ]
             self._ask(members)
-            self._order(service, members)
+            self._order(service, members, refusing)
 
     def _forget_gone(self) -> None:
         known = {server.incarnation for server in self._state.fleet.servers}
@@ -114,18 +142,23 @@
 
     def _ask(self, members: list[backend_server.BackendServer]) -> None:
         now = time.monotonic()
+        self._suspects |= self._state.trust.excluded_ids(now=now)
         due = []
         for server in members:
             seen = self._watched.setdefault(server.incarnation, Watched())
             every_s = _REPORT_EVERY_S
             urgent = seen.order_pending(now=now) or 0 < seen.misses < 4
-            if urgent or server.id in self._suspects:
+            suspected = server.id in self._suspects
+            if suspected:
+                seen.suspected_at = now
+            if urgent or suspected:
                 every_s = _BUSY_REPORT_EVERY_S
-            if now - seen.asked_at >= every_s:
+            if now - seen.asked_at >= every_s and not seen.asking:
                 seen.asked_at = now
+                seen.asking = True
                 due.append(self._pool.spawn(self._ask_one, server, seen))
         self._suspects.clear()
-        gevent.joinall(due)
+        gevent.joinall(due, timeout=_WAIT_FOR_CALLS_S)
 
     def _ask_one(
         self, server: backend_server.BackendServer, seen: Watched
@@ -139,6 +172,8 @@
             if seen.silent and not was_silent:
                 state.note_failure(server.id, reason=f"silent: {error}")
             return
+        finally:
+            seen.asking = False
         seen.misses = 0
         seen.report = report
         if report.started_ms != server.started_ms:
@@ -158,6 +193,7 @@
         self,
         service: configuration.Service,
         members: list[backend_server.BackendServer],
+        refusing: Collection[str],
     ) -> None:
         candidates = []
         by_id = {}
@@ -166,12 +202,19 @@
             if candidate is not None:
                 candidates.append(candidate)
                 by_id[server.id] = server
-        orders = placement.plan(service.engine, candidates, shares=self._policy)
-        jobs = [
-            self._pool.spawn(self._order_one, by_id[order.server_id], order)
-            for order in orders
-        ]
-        gevent.joinall(jobs)
+        orders = placement.plan(
+            service.engine,
+            placement.staying(candidates, refusing=refusing),
+            shares=self._policy,
+        )
+        jobs = []
+        for order in orders:
+            server = by_id[order.server_id]
+            seen = self._watched[server.incarnation]
+            seen.wanted = order.layers
+            seen.ordered_at = time.monotonic()
+            jobs.append(self._pool.spawn(self._order_one, server, order, seen))
+        gevent.joinall(jobs, timeout=_WAIT_FOR_CALLS_S)
 
     def _candidate(
         self,
@@ -191,7 +234,7 @@
             failure_domain=server.failure_domain,
             accelerator=kind,
             layers=seen.wanted if pending else seen.report.layers,
-            movable=not pending and not seen.report.loading,
+            movable=seen.movable(now=now),
             known_s=now - seen.known_at,
         )
 
@@ -199,11 +242,9 @@
         self,
         server: backend_server.BackendServer,
         order: placement.Placement,
+        seen: Watched,
     ) -> None:
-        seen = self._watched[server.incarnation]
         before = seen.report
-        seen.wanted = order.layers
-        seen.ordered_at = time.monotonic()
         outcome = self._state.platform.engines.place(
             server.address, layers=order.layers, orders=before.orders
         )
@@ -213,6 +254,8 @@
         ):
             seen.wanted = None
             seen.asked_at = float("-inf")
+        if outcome is platform_port.OrderOutcome.REFUSED:
+            seen.refused_at = time.monotonic()
         self._state.decisions.record(
             "layers_ordered",
             reason=order.reason,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -64,6 +64,12 @@
         heard = (now - load.store_silent_s for load in self._links.values())
         return max(heard, default=float("-inf"))
 
+    @property
+    def refusing(self) -> frozenset[str]:
+        """Backend servers that refuse though they report room."""
+        own = self._state.trust.refusing_ids(now=time.monotonic())
+        return own.union(*(load.refusing for load in self._links.values()))
+
     def serve(self, connection: wire.Connection) -> None:
         """Takes in the loads of one front until its connection ends.
 
@@ -278,11 +284,11 @@
             if now - heard_at > limit_s:
                 connection.close("planner silent")
                 return
-            excluded = state.trust.excluded_ids(now=time.monotonic())
             connection.send(
                 peer_frames.FrontLoad(
                     reserved=dict(state.load.own),
-                    excluded=sorted(excluded),
+                    excluded=sorted(state.trust.excluded_ids(now=now)),
+                    refusing=sorted(state.trust.refusing_ids(now=now)),
                     store_silent_s=min(
                         state.store_silent_s, _LONGEST_SILENCE_S
                     ),
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -91,8 +91,13 @@
         if bits:
             self._state.links(service).spend(bits)
 
-    def check(self, address: str) -> None:
-        """Asks a backend server that refused a stage what it holds now."""
+    def check(self, chain: chain_choice.Chain, address: str) -> None:
+        """Asks a backend server that refused a stage what it holds now.
+
+        Args:
+            chain: The chain that was refused.
+            address: `IP:PORT` of the backend server.
+        """
         server = self._state.fleet.by_address(address)
         if server is None:
             return
@@ -101,7 +106,17 @@
             self._state.note_failure(server.id, reason="refused, then silent")
             return
         self._state.note_report(server.id, report)
-        self._state.note_busy(server.id)
+        explained = [
+            report.explains_refusal(
+                stage.layers, tokens=self._tokens, slots=server.slots
+            )
+            for stage in chain.stages
+            if stage.address == address
+        ]
+        if all(explained):
+            self._state.note_busy(server.id)
+        else:
+            self._state.note_refusal(server.id)
 
     def blame(self, address: str, *, reason: str) -> None:
         """Leaves the backend server at an address out of choice."""
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -1,11 +1,14 @@
 import dataclasses
+import time
 
 import front_fakes as fakes
 import gevent
 import pytest
 
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import trust
 
 
 def _events(first, last):
@@ -105,6 +108,35 @@
     assert len(first.arrivals) <= 1
 
 
+def test_a_stage_that_refuses_with_room_counts_as_leaving(front, monkeypatch):
+    """Load pattern: a backend server leaves while the list is away."""
+    monkeypatch.setattr("dotterelgrade_routing.trust.BUSY_S", 0.0)
+    for name in ("FIRST_EXCLUSION_S", "LONGEST_EXCLUSION_S"):
+        monkeypatch.setattr(f"dotterelgrade_routing.trust.{name}", 60.0)
+    first, _ = _add_chains(front, [fakes.refusing()], [fakes.streaming(1, 2)])
+    front.state.platform.engines.reports[first.address] = _report(
+        layers=layer_range.LayerRange(0, 8)
+    )
+    for _ in range(12):
+        status, _, _ = front.ask("/stream/x", method="POST", body=b"p")
+        assert status == 200
+        gevent.sleep(0.06)
+    assert len(first.arrivals) == trust.REFUSALS
+    assert front.state.trust.refusing_ids(now=time.monotonic()) == {"a1"}
+
+
+def test_a_stage_without_room_refuses_for_a_reason(front, monkeypatch):
+    """Load pattern: memory is short for a moment; nobody leaves."""
+    monkeypatch.setattr("dotterelgrade_routing.trust.BUSY_S", 0.0)
+    first, _ = _add_chains(front, [fakes.refusing()], [fakes.streaming(1, 2)])
+    front.state.platform.engines.reports[first.address] = _report(
+        layers=layer_range.LayerRange(0, 8), used=1e6
+    )
+    for _ in range(4):
+        front.ask("/stream/x", method="POST", body=b"p")
+    assert not front.state.trust.refusing_ids(now=time.monotonic())
+
+
 def test_a_held_up_stream_is_moved_to_other_stages(front):
     """Load pattern: a stage in the middle of a chain goes dark."""
 
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -1,6 +1,8 @@
 import dataclasses
+import time
 
 import front_fakes as fakes
+import gevent
 import pytest
 
 from dotterelgrade_front import planner as planner_lib
@@ -116,3 +118,67 @@
     service = fakes.CONFIGURATION.service("model")
     (chain,) = front.state.chains.offer(service).chains
     assert chain.first.server_id == "e0"
+
+
+def _hold(front, engines, server_id, *layers):
+    """Lets an engine report layers."""
+    server = front.state.fleet.get(server_id)
+    engines.reports[server.address] = dataclasses.replace(
+        _EMPTY, layers=layer_range.LayerRange(*layers)
+    )
+    return server.address
+
+
+def test_layers_of_an_engine_that_refuses_are_placed_elsewhere(front, planner):
+    """Load pattern: engines leave while the list is away."""
+    engines = _add_engines(front, count=5)
+    _hold(front, engines, "e0", 0, 8)
+    planner.tick()
+    engines.placed.clear()
+    for number in range(1, 5):
+        address = front.state.fleet.get(f"e{number}").address
+        engines.reports[address] = _EMPTY
+    planner.tick()
+    planner.tick(refusing={"e0"})
+    held = [layers for _, layers, _ in engines.placed]
+    assert layer_range.gaps(layer_range.LayerRange(0, 8), held) == ()
+
+
+def test_engines_slow_to_answer_hold_up_nobody(front, planner, monkeypatch):
+    """Load pattern: some engines fall silent, others need orders."""
+    engines = _add_engines(front, count=3)
+    silent = front.state.fleet.get("e0").address
+    answer = engines.report
+
+    def report(address):
+        if address == silent:
+            gevent.sleep(5.0)
+        return answer(address)
+
+    monkeypatch.setattr(engines, "report", report)
+    started = time.monotonic()
+    for _ in range(2):
+        planner.tick()
+    assert time.monotonic() - started < 1.0
+    assert engines.placed
+
+
+def test_one_miss_is_enough_where_a_front_found_a_fault(front, planner):
+    engines = _add_engines(front, count=2)
+    planner.tick()
+    server = front.state.fleet.get("e1")
+    del engines.reports[server.address]
+    planner.suspect(["e1"])
+    planner.tick()
+    assert planner.watched(server).silent
+
+
+def test_an_engine_that_refused_an_order_is_not_asked_again_at_once(
+    front, planner
+):
+    """Load pattern: engines that leave get no layers, others do."""
+    engines = _add_engines(front, count=1)
+    engines.outcome = platform_port.OrderOutcome.REFUSED
+    for _ in range(4):
+        planner.tick()
+    assert len(engines.placed) == 1
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/backend_server.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/backend_server.py
@@ -82,3 +82,19 @@
     total: float
     slowness: float
     stalled: dict[str, str]
+
+    def explains_refusal(
+        self, layers: layer_range.LayerRange, *, tokens: float, slots: int
+    ) -> bool:
+        """Returns whether a request may be refused for want of anything.
+
+        Args:
+            layers: The layers that the request needs here.
+            tokens: Tokens that it holds at most.
+            slots: Requests that the engine works on at once.
+        """
+        if self.loading or self.layers is None:
+            return True
+        if not self.layers.covers(layers) or self.running >= slots:
+            return True
+        return self.used + tokens * len(layers) > self.total
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -6,7 +6,7 @@
 and what is held already moves only to close a gap.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 import dataclasses
 
 from dotterelgrade_routing import configuration
@@ -21,6 +21,11 @@
 REDUNDANCY_WORTH = 32.0
 
 
+# Refusals by more than this share of a group have a common cause, such as the
+# load of callers; then all stay in the plan.
+MOST_REFUSING = 0.25
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Placement:
     """An order to hold a range.
@@ -58,6 +63,23 @@
     return orders
 
 
+def staying(
+    servers: Sequence[placement_policies.Candidate],
+    *,
+    refusing: Collection[str],
+) -> list[placement_policies.Candidate]:
+    """Returns the backend servers to plan with.
+
+    Args:
+        servers: Every backend server that is alive and says that it stays.
+        refusing: Those that refuse requests without a reason of their own.
+    """
+    rest = [s for s in servers if s.server_id not in refusing]
+    if len(servers) - len(rest) > MOST_REFUSING * len(servers):
+        return list(servers)
+    return rest
+
+
 def groups(
     engine: configuration.Engine,
     servers: Sequence[placement_policies.Candidate],
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
@@ -3,6 +3,8 @@
 Load pattern: a backend server crashes, flaps or fails a share of its
 requests while its health answer says otherwise. Trust comes from what
 requests show; exclusion grows while failures go on, and ends by real work.
+One that is leaving refuses every request while its report still shows layers
+and room; during an outage of the list nothing else tells that it leaves.
 """
 
 import dataclasses
@@ -14,6 +16,9 @@
 BUSY_S = 0.3
 # One silence may be a long request; so many in a row are a failure.
 SILENCES = 3
+# One refusal may come from a report that lags; so many in a row, with room
+# reported each time, come from a backend server that is leaving.
+REFUSALS = 2
 # A backend server without a failure for so long starts with a clean record.
 FORGET_AFTER_S = 20.0
 
@@ -22,6 +27,7 @@
 class _Record:
     failures: int = 0
     silences: int = 0
+    refusals: int = 0
     last_failure: float = 0.0
     excluded_until: float = 0.0
 
@@ -85,12 +91,46 @@
         self.note_failure(server_id, now=now)
         return True
 
-    def note_success(self, server_id: str, *, now: float) -> None:
-        """Halves what is held against a backend server."""
+    def note_refusal(self, server_id: str, *, now: float) -> bool:
+        """Counts a refusal that the backend server's report doesn't explain.
+
+        Refusals during an exclusion belong to the same incident.
+
+        Args:
+            server_id: The backend server.
+            now: Monotonic time, s.
+
+        Returns:
+            Whether there were so many in a row that it counts as leaving.
+        """
+        record = self._records.setdefault(server_id, _Record())
+        if now < record.excluded_until:
+            return False
+        record.refusals += 1
+        if record.refusals < REFUSALS:
+            self.note_busy(server_id, now=now)
+            return False
+        self.note_failure(server_id, now=now)
+        return True
+
+    def note_success(
+        self, server_id: str, *, now: float, began_at: float
+    ) -> None:
+        """Halves what is held against a backend server.
+
+        Work that began before the last failure proves nothing: who leaves
+        finishes what it has.
+
+        Args:
+            server_id: The backend server.
+            now: Monotonic time, s.
+            began_at: Monotonic time at which the work began, s.
+        """
         record = self._records.get(server_id)
-        if record is None:
+        if record is None or began_at < record.last_failure:
             return
         record.silences = 0
+        record.refusals = 0
         if now < record.excluded_until:
             return
         record.failures //= 2
@@ -113,3 +153,12 @@
             for server_id, record in self._records.items()
             if now < record.excluded_until
         )
+
+    def refusing_ids(self, *, now: float) -> frozenset[str]:
+        """Returns the backend servers that count as leaving."""
+        return frozenset(
+            server_id
+            for server_id, record in self._records.items()
+            if record.refusals >= REFUSALS
+            and now - record.last_failure < FORGET_AFTER_S
+        )
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -155,3 +155,18 @@
 def test_an_unknown_policy_is_refused():
     with pytest.raises(ValueError, match="expected one of"):
         placement_policies.make_policy("best")
+
+
+def test_who_refuses_is_planned_without(engine, make_domain):
+    servers = _settled(engine, make_domain("a"))
+    leaving = next(s for s in servers if s.layers is not None)
+    rest = placement.staying(servers, refusing={leaving.server_id})
+    assert leaving not in rest
+    assert len(rest) == len(servers) - 1
+
+
+def test_a_group_that_refuses_as_a_whole_stays_in_the_plan(engine, make_domain):
+    """Load pattern: callers press so much that all backend servers refuse."""
+    servers = _settled(engine, make_domain("a"))
+    everyone = {s.server_id for s in servers}
+    assert placement.staying(servers, refusing=everyone) == servers
--- a/packages/dotterelgrade-routing/tests/test_trust.py
+++ b/packages/dotterelgrade-routing/tests/test_trust.py
@@ -25,7 +25,7 @@
 def test_real_work_ends_the_record():
     trust = trust_lib.Trust()
     trust.note_failure("s", now=0.0)
-    trust.note_success("s", now=1.0)
+    trust.note_success("s", now=1.0, began_at=0.5)
     again_s = trust.note_failure("s", now=2.0)
     assert again_s == trust_lib.FIRST_EXCLUSION_S
 
@@ -33,7 +33,7 @@
 def test_a_success_during_an_exclusion_does_not_end_it():
     trust = trust_lib.Trust()
     trust.note_failure("s", now=0.0)
-    trust.note_success("s", now=0.1)
+    trust.note_success("s", now=0.1, began_at=0.05)
     assert trust.excluded("s", now=0.2)
 
 
@@ -42,7 +42,7 @@
     trust = trust_lib.Trust()
     for _ in range(20):
         assert not trust.note_silence("s", now=0.0)
-        trust.note_success("s", now=0.0)
+        trust.note_success("s", now=0.0, began_at=0.0)
     assert not trust.excluded("s", now=0.0)
     failed = [trust.note_silence("s", now=1.0) for _ in range(3)]
     assert failed == [False, False, True]
@@ -63,3 +63,35 @@
     trust.note_failure("s", now=0.0)
     trust.forgive("s")
     assert not trust.excluded("s", now=0.0)
+
+
+def test_who_refuses_with_room_is_left_out_for_longer_and_longer():
+    """Load pattern: a backend server leaves while the list is away."""
+    trust = trust_lib.Trust()
+    now, tries = 0.0, 0
+    while now < 10.0:
+        if not trust.excluded("s", now=now):
+            trust.note_refusal("s", now=now)
+            tries += 1
+        # Streams that it had before it began to leave go on ending well.
+        trust.note_success("s", now=now, began_at=-1.0)
+        now += 0.05
+    assert trust.refusing_ids(now=now) == {"s"}
+    assert tries <= 7
+
+
+def test_refusals_at_one_moment_count_once():
+    """Load pattern: a burst hits a backend server whose report lags."""
+    trust = trust_lib.Trust()
+    for _ in range(40):
+        trust.note_refusal("s", now=1.0)
+    assert not trust.excluded("s", now=1.0 + trust_lib.BUSY_S)
+    assert trust.refusing_ids(now=1.0) == frozenset()
+
+
+def test_work_taken_after_a_refusal_clears_the_record():
+    trust = trust_lib.Trust()
+    for now in (0.0, 1.0):
+        trust.note_refusal("s", now=now)
+    trust.note_success("s", now=3.0, began_at=2.5)
+    assert trust.refusing_ids(now=3.0) == frozenset()
