Keep a second answer's head out of the first one

Both came in one read; the parser went on into the second one, whose head replaced the first one's and whose headers were added to the same list. Bodies were kept apart already.

Ruled out: a kept connection (each try opens its own), an answer without a request id (the echo was checked, on the first head).

Change: headers and heads that come after the head of the answer, or after its end, are dropped; trailers are, too.

Conclusion: a parser callback must know that its message is over.

--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -49,12 +49,17 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.head is not None:
+            # Trailers, or a further answer that belongs to no request.
+            return
         lower = name.lower()
         self.headers.append((lower, value))
         if lower in (b"content-length", b"transfer-encoding"):
             self.framed = True
 
     def on_headers_complete(self) -> None:
+        if self.complete:
+            return
         status = self.parser.get_status_code()
         if status < 200:
             self.headers = []
--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -51,6 +51,28 @@
     assert (head.status, body) == (200, b"ok")
 
 
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"HTTP/1.1 503 Busy\r\nseal: other\r\ncontent-length: 3\r\n\r\nnot",
+        b"HTTP/1.1 200 OK\r\nseal: other\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nseal: other\r\n",
+    ],
+)
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+def test_a_further_answer_changes_nothing(serve, rest, pause_s):
+    """Load pattern: a backend server sends a second answer at once."""
+    answer = b"HTTP/1.1 200 OK\r\nseal: own\r\ncontent-length: 2\r\n\r\nok"
+
+    def script(sock):
+        sock.sendall(answer + rest)
+        gevent.sleep(pause_s)
+
+    head, body = _call(serve(script))
+    assert (head.status, body) == (200, b"ok")
+    assert [v for n, v in head.headers if n == b"seal"] == [b"own"]
+
+
 @pytest.mark.parametrize(
     "answer",
     [
