Let a planner that leaves name the next one

Nobody planned until 22.5 s, since each front first asked the store and waited for its timeout; then two fronts acted, each followed by some. Each front meanwhile knew only its own reservations, so all filled the same chain, and streams waited in engines' queues (66 silent for 1.5 s from 22 to 26 s). Each front also had to find out by itself who refused.

Ruled out: the engines' speed (usual again from 28 s), the retry budget (no refusal named it).

Change: a planner that leaves names its successor to all fronts before it closes their links; while the store is silent it isn't asked for the planner; without a picture the other fronts count like this one; the planner passes on which engines refuse. `may_act` is `try_acting`, since it changes the state; the settings of a further front stand once in the tests.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -301,7 +301,7 @@
         )
         self._hub.note_leads(leads)
         if not leads:
-            self._state.load.set_others({})
+            self._state.load.assume_others(fronts=len(self._state.fronts))
 
     def _exchange(self) -> None:
         """Keeps a link to the planner while another front leads."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -56,8 +56,22 @@
         reserved: Reserved memory of all other fronts together.
         servers: Engines as they last reported.
         fronts: `IP:PORT` of all fronts, the planner included.
+        refusing: Engines that refuse requests though they report room.
     """
 
     reserved: dict[str, float]
     servers: list[SeenServer]
     fronts: list[str]
+    refusing: list[str]
+
+
+@messages.frame
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Successor:
+    """A planner's last word before it leaves.
+
+    Attributes:
+        planner: `IP:PORT` of the front that plans from now on.
+    """
+
+    planner: str
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -28,6 +28,8 @@
 _LONGEST_SILENCE_S = 1e6
 # Fronts learn of an election within two renewals of their leases.
 _ELECTION_SETTLES_S = 0.7
+# A planner that leaves waits so long for its last word to be sent.
+_LAST_WORD_S = 0.05
 # A planner sends its first picture within this time.
 _FIRST_PICTURE_S = 1.2
 
@@ -83,9 +85,7 @@
             for frame in connection:
                 if isinstance(frame, peer_frames.FrontLoad):
                     self._links[connection] = frame
-                    peer = connection.peer
-                    address = f"{peer.host}:{peer.port}"
-                    self._heard_at[address] = time.monotonic()
+                    self._heard_at[_address_of(connection)] = time.monotonic()
                     self._planner.suspect(frame.excluded)
         finally:
             self._links.pop(connection, None)
@@ -96,9 +96,24 @@
             self._leads.set()
             return
         self._leads.clear()
+        if self._state.leaving:
+            self._hand_over()
         for connection in list(self._links):
             connection.close("no longer the planner")
 
+    def _hand_over(self) -> None:
+        """Names the front that plans from now on to all others."""
+        heir = leadership_lib.heir(_address_of(link) for link in self._links)
+        if not heir:
+            return
+        self._state.decisions.record(
+            "planner_handed_over", reason="leaving", planner=heir
+        )
+        for connection in self._links:
+            connection.send(peer_frames.Successor(planner=heir))
+        # A close may overtake what is still to be sent.
+        gevent.sleep(_LAST_WORD_S)
+
     def _leads_soon(self) -> bool:
         """Waits a moment for this front's own election to be known."""
         return self._leads.wait(_ELECTION_SETTLES_S)
@@ -107,6 +122,7 @@
         """Sends every front its picture, and updates the own one."""
         fronts = self._known_fronts()
         servers = self._seen_servers()
+        refusing = sorted(self.refusing)
         totals: collections.Counter[str] = collections.Counter(
             self._state.load.own
         )
@@ -118,6 +134,7 @@
                     reserved=_without(totals, load.reserved),
                     servers=servers,
                     fronts=fronts,
+                    refusing=refusing,
                 )
             )
         self._state.load.set_others(_without(totals, self._state.load.own))
@@ -173,6 +190,7 @@
         self._leadership = leadership
         self._pause_s = EXCHANGE_S
         self._planner = ""
+        self._successor = ""
         self._vacant_since: float | None = None
         self._picture_at = float("-inf")
 
@@ -195,6 +213,16 @@
     def run_once(self) -> None:
         """Finds the planner and exchanges loads until the link ends."""
         own = self._state.settings.peer_address
+        successor, self._successor = self._successor, ""
+        if successor == own:
+            self._succeed()
+            return
+        if successor and self._exchange(successor):
+            return
+        if self._state.store_silent_s > leadership_lib.STORE_AWAY_S:
+            # A question would wait for its timeout.
+            self._find_without_store(own)
+            return
         try:
             member = self._state.platform.election.elected()
         except platform_port.StoreError:
@@ -208,6 +236,15 @@
             self._vacant_since = time.monotonic()
         self._rest()
 
+    def _succeed(self) -> None:
+        if self._state.leaving:
+            return
+        self._leadership.succeed()
+        self._state.decisions.record(
+            "planner_acting", reason=f"named by {self._planner}"
+        )
+        gevent.sleep(EXCHANGE_S)
+
     def _find_without_store(self, own: str) -> None:
         """Asks the fronts in their common order; acts if none answers."""
         asked = leadership_lib.successors(
@@ -218,7 +255,7 @@
                 return
         silent_s = self._state.store_silent_s
         stays = bool(self._state.fronts) and not self._state.leaving
-        if stays and self._leadership.may_act(
+        if stays and self._leadership.try_acting(
             store_silent_s=silent_s, asked=len(asked)
         ):
             self._state.decisions.record(
@@ -251,10 +288,12 @@
                 if isinstance(frame, peer_frames.FleetPicture):
                     self._note_planner(member)
                     self._take_in(frame)
+                elif isinstance(frame, peer_frames.Successor):
+                    self._successor = frame.planner
         finally:
             sender.kill()
             connection.close("exchange ended")
-        self._state.load.set_others({})
+        self._state.load.assume_others(fronts=len(self._state.fronts))
         told = self._picture_at > told_before
         self._picture_at = float("-inf")
         if told:
@@ -302,6 +341,9 @@
         state.load.set_others(picture.reserved)
         state.set_fronts(picture.fronts)
         now = time.monotonic()
+        for server_id in picture.refusing:
+            if not state.trust.excluded(server_id, now=now):
+                state.note_failure(server_id, reason="refuses other fronts")
         for seen in picture.servers:
             if seen.silent:
                 if not state.trust.excluded(seen.id, now=now):
@@ -322,6 +364,10 @@
             )
 
 
+def _address_of(connection: wire.Connection) -> str:
+    return f"{connection.peer.host}:{connection.peer.port}"
+
+
 def _without(
     totals: collections.Counter[str], own: dict[str, float]
 ) -> dict[str, float]:
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import time
 
 import front_fakes as fakes
 import gevent
@@ -10,6 +11,7 @@
 
 from dotterelgrade_front import front as front_lib
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import leadership
 
 
 def _until(condition):
@@ -25,6 +27,18 @@
         return fakes.read_answer(sock)
 
 
+def _another(settings, node):
+    """Settings of a further front."""
+    return dataclasses.replace(
+        settings,
+        node=node,
+        callers_address=f"127.0.0.1:{fakes.free_port()}",
+        ready_address=f"127.0.0.1:{fakes.free_port()}",
+        peer_port=fakes.free_port(),
+        metrics_port=fakes.free_port(),
+    )
+
+
 @pytest.fixture
 def running(settings, platform):
     platform.documents.put(b"v1", fakes.CONFIGURATION)
@@ -111,14 +125,7 @@
     platform.documents.put(b"v1", fakes.CONFIGURATION)
     platform.configurations.add("config", b"v1")
     platform.election.winner = settings.peer_address
-    other_settings = dataclasses.replace(
-        settings,
-        node="front-2",
-        callers_address=f"127.0.0.1:{fakes.free_port()}",
-        ready_address=f"127.0.0.1:{fakes.free_port()}",
-        peer_port=fakes.free_port(),
-        metrics_port=fakes.free_port(),
-    )
+    other_settings = _another(settings, "front-2")
     planner = front_lib.Front(settings, platform=platform)
     other = front_lib.Front(other_settings, platform=platform)
     with planner.running(), other.running():
@@ -138,14 +145,7 @@
     platform.documents.put(b"v1", fakes.CONFIGURATION)
     platform.configurations.add("config", b"v1")
     platform.election.winner = settings.peer_address
-    other_settings = dataclasses.replace(
-        settings,
-        node="front-2",
-        callers_address=f"127.0.0.1:{fakes.free_port()}",
-        ready_address=f"127.0.0.1:{fakes.free_port()}",
-        peer_port=fakes.free_port(),
-        metrics_port=fakes.free_port(),
-    )
+    other_settings = _another(settings, "front-2")
     planner = front_lib.Front(settings, platform=platform)
     with planner.running():
         _until(lambda: planner.dump()["leads"])
@@ -161,17 +161,7 @@
     """The fronts agree on one of them that plans meanwhile."""
     platform.documents.put(b"v1", fakes.CONFIGURATION)
     platform.configurations.add("config", b"v1")
-    all_settings = [
-        dataclasses.replace(
-            settings,
-            node=f"front-{number}",
-            callers_address=f"127.0.0.1:{fakes.free_port()}",
-            ready_address=f"127.0.0.1:{fakes.free_port()}",
-            peer_port=fakes.free_port(),
-            metrics_port=fakes.free_port(),
-        )
-        for number in range(3)
-    ]
+    all_settings = [_another(settings, f"front-{n}") for n in range(3)]
     platform.election.winner = all_settings[0].peer_address
     with contextlib.ExitStack() as stack:
         fronts = [front_lib.Front(s, platform=platform) for s in all_settings]
@@ -195,6 +185,44 @@
         _until(lambda: not fronts[2].dump()["leads"])
 
 
+def test_a_planner_that_leaves_names_the_next_one(settings, platform):
+    """Load pattern: the planner is stopped while the store is away."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    all_settings = [_another(settings, f"front-{n}") for n in range(3)]
+    platform.election.winner = all_settings[0].peer_address
+    with contextlib.ExitStack() as stack:
+        fronts = [front_lib.Front(s, platform=platform) for s in all_settings]
+        for front in fronts:
+            stack.enter_context(front.running())
+        _until(lambda: all(len(f._state.fronts) == 3 for f in fronts))
+        platform.election.down = True
+        platform.configurations.down = True
+        fronts[0]._state.leave()
+        started = time.monotonic()
+        _until(lambda: any(f.dump()["leads"] for f in fronts[1:]))
+        # Without a word of it the store's silence decides.
+        assert time.monotonic() - started < leadership.STORE_AWAY_S / 2
+        _until(lambda: all(f._link.fresh for f in fronts[1:] if not f._led))
+        assert sum(f.dump()["leads"] for f in fronts) == 1
+
+
+def test_what_refuses_one_front_is_left_out_by_the_others(settings, platform):
+    """Load pattern: engines leave while the list is away."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    other_settings = _another(settings, "front-2")
+    platform.election.winner = settings.peer_address
+    planner = front_lib.Front(settings, platform=platform)
+    other = front_lib.Front(other_settings, platform=platform)
+    with planner.running(), other.running():
+        _until(lambda: other._link.fresh)
+        for now in (0.0, 1.0):
+            planner._state.trust.note_refusal("s", now=now + time.monotonic())
+        _until(lambda: other._state.trust.excluded("s", now=time.monotonic()))
+        assert not other._state.trust.refusing_ids(now=time.monotonic())
+
+
 def test_a_part_that_fails_starts_again(running, platform, monkeypatch):
     monkeypatch.setattr("dotterelgrade.supervision.RESTART_S", 0.01)
     platform.documents.put(b"broken", None)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -68,7 +68,7 @@
         if confirmation.elected or self._denials >= MOST_DENIALS:
             self._acting = False
 
-    def may_act(self, *, store_silent_s: float, asked: int) -> bool:
+    def try_acting(self, *, store_silent_s: float, asked: int) -> bool:
         """Leads without an election, if it is this front's turn.
 
         Args:
@@ -80,9 +80,13 @@
         """
         if store_silent_s < STORE_AWAY_S + ACT_STEP_S * asked:
             return False
+        self.succeed()
+        return True
+
+    def succeed(self) -> None:
+        """Leads without an election, since the planner that leaves said so."""
         self._acting = True
         self._denials = 0
-        return True
 
     def note_others(self, *, heard_store_at: float) -> None:
         """Takes in when a connected front last heard the store.
@@ -123,6 +127,15 @@
     return tuple(before)
 
 
+def heir(fronts: Iterable[str]) -> str:
+    """Returns the front that plans after one that leaves, or empty.
+
+    Args:
+        fronts: Those that stay and can be reached.
+    """
+    return next(iter(rendezvous.rank("planner", set(fronts))), "")
+
+
 def stand_delay_s(fronts: Iterable[str], *, own: str, chance: float) -> float:
     """Returns how long the planner must be missing before a front stands, s.
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/load_picture.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/load_picture.py
@@ -1,8 +1,9 @@
 """Memory that requests in flight hold at each backend server.
 
 Load pattern: each front sees a part of the callers; without the others'
-requests it would fill a backend server beyond its memory. Reservations count
-tokens times layers.
+requests it would fill a backend server beyond its memory. While nobody tells
+what the others hold, they are taken to hold as much as this one. Reservations
+count tokens times layers.
 """
 
 from collections.abc import Iterator, Mapping
@@ -18,6 +19,7 @@
         """Initializes an empty picture."""
         self._own: dict[str, float] = {}
         self._others: Mapping[str, float] = {}
+        self._alike = 0
         self._in_flight = 0
 
     def __repr__(self) -> str:
@@ -37,10 +39,21 @@
     def set_others(self, others: Mapping[str, float]) -> None:
         """Takes in the reservations of all other fronts together."""
         self._others = others
+        self._alike = 0
+
+    def assume_others(self, *, fronts: int) -> None:
+        """Takes in that nobody tells what the others hold.
+
+        Args:
+            fronts: How many fronts there are, this one included.
+        """
+        self._others = {}
+        self._alike = max(fronts - 1, 0)
 
     def used(self, server_id: str) -> float:
         """Returns all reservations at a backend server."""
-        return self._own.get(server_id, 0.0) + self._others.get(server_id, 0.0)
+        own = self._own.get(server_id, 0.0)
+        return own * (1 + self._alike) + self._others.get(server_id, 0.0)
 
     @contextlib.contextmanager
     def reserved(
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -54,10 +54,10 @@
     """Load pattern: the store goes silent just after an election."""
     leadership = leadership_lib.Leadership()
     away_s = leadership_lib.STORE_AWAY_S
-    assert not leadership.may_act(store_silent_s=away_s - 0.1, asked=0)
-    assert not leadership.may_act(store_silent_s=away_s, asked=1)
+    assert not leadership.try_acting(store_silent_s=away_s - 0.1, asked=0)
+    assert not leadership.try_acting(store_silent_s=away_s, asked=1)
     assert not leadership.leads
-    assert leadership.may_act(store_silent_s=away_s, asked=0)
+    assert leadership.try_acting(store_silent_s=away_s, asked=0)
     assert leadership.leads
     for denials in range(leadership_lib.MOST_DENIALS):
         assert leadership.leads, denials
@@ -68,7 +68,7 @@
 def test_who_acts_goes_on_until_it_is_elected():
     """Load pattern: a crash comes just as the store returns."""
     leadership = leadership_lib.Leadership()
-    assert leadership.may_act(store_silent_s=60.0, asked=0)
+    assert leadership.try_acting(store_silent_s=60.0, asked=0)
     leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
     assert leadership.leads
     leadership.confirm(leadership_lib.Confirmation(elected=True, at=2.0))
@@ -97,3 +97,18 @@
             if planner != own:
                 assert asked[0] == planner
                 assert len(set(asked)) == len(asked)
+
+
+def test_who_is_named_by_a_planner_that_leaves_leads_at_once():
+    """Load pattern: the planner is stopped while the store is away."""
+    leadership = leadership_lib.Leadership()
+    leadership.succeed()
+    assert leadership.leads
+
+
+def test_all_fronts_name_the_same_heir():
+    fronts = {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+    heir = leadership_lib.heir(fronts)
+    assert heir in fronts
+    assert heir == leadership_lib.heir(sorted(fronts, reverse=True))
+    assert leadership_lib.heir(()) == ""
