Let one front read the store for all

Cause: each front followed both feeds itself; every heartbeat that changed anything woke a read of each.

Ruled out: longer waiting reads (a connection that fell silent would hide a change for longer than the 2 s that a configuration may take); relaying without a bound of age, which would let a planner that is cut off hold all back.

Change: the planner passes the records it reads on to all fronts at once, and tells with each picture how far it is and when it last heard the store. A front reads by itself as soon as that word is 1.1 s old, or the planner is ahead or behind; the planner asks the store at least twice a second. The decision is `feed_position.py`, apart from both.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
@@ -38,9 +38,9 @@
             return
         self._adopt(decoded.unwrap(), offset=record.offset)
 
-    def contact(self) -> None:
-        """Takes in that the store answered."""
-        self._state.belief.read_at = time.monotonic()
+    def contact(self, *, heard_at: float) -> None:
+        """Takes in when the store last answered, monotonic time, s."""
+        self._state.belief.read_at = heard_at
 
     def outage(self) -> None:
         """Keeps the belief; its age tells of the outage."""
@@ -108,9 +108,9 @@
         )
         self._remove(record.key)
 
-    def contact(self) -> None:
-        """Takes in that the store answered."""
-        self._state.fleet.note_contact(now=time.monotonic())
+    def contact(self, *, heard_at: float) -> None:
+        """Takes in when the store last answered, monotonic time, s."""
+        self._state.fleet.note_contact(now=heard_at)
 
     def outage(self) -> None:
         """Takes in that the store did not answer."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from dotterelgrade_routing import feed_position
 from dotterelgrade_routing import platform_port
 
 _LOG = logging.getLogger(__name__)
@@ -15,8 +16,13 @@
 # A read that finds nothing new ends after this time; a connection that fell
 # silent is given up soon after, so that no change is missed for long.
 WAIT_S = 2.0
+# Who reads for all fronts shows them more often that the store still answers.
+RELAYING_WAIT_S = 0.5
+RELAYING_GATHER_S = 0.1
 _FIRST_PAUSE_S = 0.15
 _LONGEST_PAUSE_S = 0.8
+# Word of the planner may come while a read begins.
+_SHORTEST_REST_S = 0.01
 
 
 class Sink(Protocol):
@@ -28,15 +34,18 @@
     def change(self, record: platform_port.Record) -> None:
         """Takes in one further record."""
 
-    def contact(self) -> None:
-        """Takes in that the store answered."""
+    def contact(self, *, heard_at: float) -> None:
+        """Takes in when the store last answered, monotonic time, s."""
 
     def outage(self) -> None:
         """Takes in that the store did not answer."""
 
 
 class FeedFollower:
-    """Reads one feed in a greenlet of its own."""
+    """Follows one feed in a greenlet of its own.
+
+    Reads the store, unless the planner has passed everything on lately.
+    """
 
     def __init__(
         self,
@@ -46,6 +55,7 @@
         rng: random.Random,
         count: Callable[[str], None],
         gather_s: float = 0.0,
+        pass_on: Callable[[int, platform_port.Page], None] | None = None,
     ) -> None:
         """Initializes the follower; `run` follows.
 
@@ -55,13 +65,17 @@
             rng: Spreads the reads of many fronts after an outage.
             count: Counts reads by their result.
             gather_s: Pause after news, in which further news gathers, s.
+            pass_on: Gets the records from an offset on that were read.
         """
         self._feed = feed
         self._sink = sink
         self._rng = rng
         self._count = count
         self._gather_s = gather_s
-        self._position: int | None = None
+        self._pass_on = pass_on
+        self._relaying = False
+        self._position = feed_position.FeedPosition()
+        self._heard_at = float("-inf")
         self._pause_s = _FIRST_PAUSE_S
         self._lost_at: float | None = None
 
@@ -69,39 +83,94 @@
         """Shows the feed and the position."""
         return f"<FeedFollower {self._feed} at {self._position}>"
 
+    @property
+    def end(self) -> int | None:
+        """Offset behind the last record, or None before the first read."""
+        return self._position.end
+
+    @property
+    def heard_at(self) -> float:
+        """Monotonic time at which the store last answered, s."""
+        return self._heard_at
+
+    def set_relaying(self, relaying: bool) -> None:
+        """Takes in whether this front reads for all."""
+        self._relaying = relaying
+
     def run(self) -> None:
         """Follows the feed until the greenlet is killed."""
         while True:
+            covered_s = self._position.covered_s(now=time.monotonic())
+            if covered_s > 0 and not self._relaying:
+                gevent.sleep(max(covered_s, _SHORTEST_REST_S))
+                continue
             try:
                 self._read()
             except platform_port.RecordsExpiredError as error:
                 _LOG.info("feed_expired", extra={"feed": str(error)})
-                self._position = None
+                self._position.reset()
                 self._count("expired")
             except platform_port.StoreError as error:
                 self._note_outage(str(error))
                 gevent.sleep(self._pause_s * (0.5 + self._rng.random()))
                 self._pause_s = min(self._pause_s * 2, _LONGEST_PAUSE_S)
 
+    def take_in(self, start: int, page: platform_port.Page) -> None:
+        """Takes in records that the planner passes on.
+
+        Args:
+            start: Offset from which on the page holds all records.
+            page: The records.
+        """
+        if not self._position.continues(start):
+            return
+        for record in page.records:
+            if record.offset >= self._position.end:
+                self._sink.change(record)
+        self._position.advance(page.end)
+
+    def note_told(self, *, end: int, heard_at: float) -> None:
+        """Takes in how far the planner is and when it heard the store.
+
+        Args:
+            end: Offset behind its last record.
+            heard_at: Monotonic time, s.
+        """
+        self._position.note_told(end=end, heard_at=heard_at)
+        if self._position.covered_s(now=time.monotonic()) > 0:
+            self._note_contact(heard_at)
+
     def _read(self) -> None:
-        if self._position is None:
+        start = self._position.end
+        if start is None:
             page = self._feed.newest()
-            self._note_contact()
+            self._note_answer()
             self._sink.whole(page)
         else:
-            # The first read after an outage does not wait: it shows at once
-            # that the store is back.
-            wait_s = WAIT_S if self._lost_at is None else 0.0
-            page = self._feed.read(start=self._position, wait_s=wait_s)
-            self._note_contact()
+            page = self._feed.read(start=start, wait_s=self._wait_s())
+            self._note_answer()
             for record in page.records:
                 self._sink.change(record)
-        self._position = page.end
-        if page.records:
-            gevent.sleep(self._gather_s)
+        self._position.advance(page.end)
+        if not page.records:
+            return
+        if start is not None and self._pass_on is not None:
+            self._pass_on(start, page)
+        longest_s = RELAYING_GATHER_S if self._relaying else self._gather_s
+        gevent.sleep(min(self._gather_s, longest_s))
+
+    def _wait_s(self) -> float:
+        if self._lost_at is not None:
+            # The first read after an outage shows at once that it is over.
+            return 0.0
+        return RELAYING_WAIT_S if self._relaying else WAIT_S
 
-    def _note_contact(self) -> None:
+    def _note_answer(self) -> None:
         self._count("answered")
+        self._note_contact(time.monotonic())
+
+    def _note_contact(self, heard_at: float) -> None:
+        self._heard_at = max(self._heard_at, heard_at)
         self._pause_s = _FIRST_PAUSE_S
         if self._lost_at is not None:
             away_s = time.monotonic() - self._lost_at
@@ -110,7 +179,7 @@
                 "store_regained",
                 extra={"feed": repr(self._feed), "away_s": round(away_s, 2)},
             )
-        self._sink.contact()
+        self._sink.contact(heard_at=self._heard_at)
 
     def _note_outage(self, reason: str) -> None:
         self._count("failed")
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import functools
 import hashlib
 import logging
 import os
@@ -22,6 +23,7 @@
 from dotterelgrade_front import feed_follower
 from dotterelgrade_front import front_settings
 from dotterelgrade_front import front_state
+from dotterelgrade_front import peer_frames
 from dotterelgrade_front import planner as planner_lib
 from dotterelgrade_front import planner_link
 from dotterelgrade_front import request_handler
@@ -74,10 +76,13 @@
             shared_key=hashlib.sha256(settings.store_address.encode()).digest(),
         )
         self._leadership = leadership_lib.Leadership()
+        self._followers = self._make_followers()
+        self._hub.relay_from(self._followers)
         self._link = planner_link.PlannerLink(
             self._state,
             identity=self._identity,
             leadership=self._leadership,
+            followers=self._followers,
         )
         self._led = False
         self._chance = self._state.rng.random()
@@ -200,32 +205,43 @@
         ready = self._state.ready
         return (200 if ready else 503), {"ready": ready}
 
-    def _tasks(self) -> list[Any]:
+    def _make_followers(self) -> planner_link.Followers:
         platform, state = self._state.platform, self._state
-        count = state.metrics.count_store_read
-        followers = [
-            feed_follower.FeedFollower(
-                feed,
-                sink=sink,
-                rng=state.rng,
-                count=count,
-                gather_s=gather_s,
-            )
-            for feed, sink, gather_s in (
-                (
-                    platform.configurations,
-                    beliefs.ConfigurationSink(state),
-                    0.0,
-                ),
-                (
-                    platform.backend_servers,
-                    beliefs.ServerSink(state),
-                    _GATHER_SERVERS_S,
-                ),
-            )
-        ]
+        names = peer_frames.FeedName
+        return {
+            names.CONFIGURATIONS: self._make_follower(
+                names.CONFIGURATIONS,
+                platform.configurations,
+                beliefs.ConfigurationSink(state),
+            ),
+            names.BACKEND_SERVERS: self._make_follower(
+                names.BACKEND_SERVERS,
+                platform.backend_servers,
+                beliefs.ServerSink(state),
+                gather_s=_GATHER_SERVERS_S,
+            ),
+        }
+
+    def _make_follower(
+        self,
+        name: peer_frames.FeedName,
+        feed: platform_port.Feed,
+        sink: feed_follower.Sink,
+        *,
+        gather_s: float = 0.0,
+    ) -> feed_follower.FeedFollower:
+        return feed_follower.FeedFollower(
+            feed,
+            sink=sink,
+            rng=self._state.rng,
+            count=self._state.metrics.count_store_read,
+            gather_s=gather_s,
+            pass_on=functools.partial(self._hub.pass_on, name),
+        )
+
+    def _tasks(self) -> list[Any]:
         return [
-            *(follower.run for follower in followers),
+            *(follower.run for follower in self._followers.values()),
             self._renew_lease,
             self._plan,
             self._exchange,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -1,8 +1,51 @@
 """Frames between a front and the front that plans."""
 
 import dataclasses
+import enum
 
 from dotterelgrade import messages
+from dotterelgrade_routing import platform_port
+
+
+class FeedName(enum.Enum):
+    """The feeds that one front reads for all."""
+
+    CONFIGURATIONS = "configurations"
+    BACKEND_SERVERS = "backend_servers"
+
+
+@messages.frame
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FeedTold:
+    """How far the planner has followed a feed.
+
+    Attributes:
+        feed: The feed.
+        end: Offset behind its last record.
+        age_s: Time since the store last answered it, s.
+    """
+
+    feed: FeedName
+    end: int
+    age_s: float
+
+
+@messages.frame
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelayedRecords:
+    """Records of a feed that the planner passes on.
+
+    Attributes:
+        feed: The feed.
+        start: Offset from which on no record is left out.
+        end: Offset behind the last record.
+        records: In order of their offsets.
+    """
+
+    feed: FeedName
+    start: int
+    end: int
+    records: list[platform_port.Record]
 
 
 @messages.frame
@@ -57,12 +100,14 @@
         servers: Engines as they last reported.
         fronts: `IP:PORT` of all fronts, the planner included.
         refusing: Engines that refuse requests though they report room.
+        feeds: How far the planner has followed the store.
     """
 
     reserved: dict[str, float]
     servers: list[SeenServer]
     fronts: list[str]
     refusing: list[str]
+    feeds: list[FeedTold]
 
 
 @messages.frame
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -1,6 +1,7 @@
 """The exchange of loads between a front and the front that plans."""
 
 import collections
+from collections.abc import Mapping
 import time
 
 import gevent
@@ -8,7 +9,9 @@
 
 from dotterelgrade import errors
 from dotterelgrade import handshake
+from dotterelgrade import messages
 from dotterelgrade import wire
+from dotterelgrade_front import feed_follower
 from dotterelgrade_front import front_state
 from dotterelgrade_front import peer_frames
 from dotterelgrade_front import planner as planner_lib
@@ -34,6 +37,9 @@
 _FIRST_PICTURE_S = 1.2
 
 
+Followers = Mapping[peer_frames.FeedName, feed_follower.FeedFollower]
+
+
 class PlannerHub:
     """Collects the fronts' loads and tells each what the others hold."""
 
@@ -52,6 +58,7 @@
         self._state = state
         self._planner = planner
         self._leads = event.Event()
+        self._followers: Followers = {}
         self._links: dict[wire.Connection, peer_frames.FrontLoad] = {}
         self._heard_at: dict[str, float] = {}
 
@@ -90,8 +97,37 @@
         finally:
             self._links.pop(connection, None)
 
+    def relay_from(self, followers: Followers) -> None:
+        """Takes in what follows the feeds of the store."""
+        self._followers = followers
+
+    def pass_on(
+        self,
+        feed: peer_frames.FeedName,
+        start: int,
+        page: platform_port.Page,
+    ) -> None:
+        """Sends records that were read to all fronts, if this one plans.
+
+        Args:
+            feed: The feed.
+            start: Offset from which on the page holds all records.
+            page: The records.
+        """
+        if not self._leads.is_set():
+            return
+        frame = messages.encode(
+            peer_frames.RelayedRecords(
+                feed=feed, start=start, end=page.end, records=[*page.records]
+            )
+        )
+        for connection in list(self._links):
+            connection.send_encoded(frame)
+
     def note_leads(self, leads: bool) -> None:
         """Takes in whether this front plans."""
+        for follower in self._followers.values():
+            follower.set_relaying(leads)
         if leads:
             self._leads.set()
             return
@@ -123,6 +159,7 @@
         fronts = self._known_fronts()
         servers = self._seen_servers()
         refusing = sorted(self.refusing)
+        feeds = self._told_feeds()
         totals: collections.Counter[str] = collections.Counter(
             self._state.load.own
         )
@@ -135,11 +172,22 @@
                     servers=servers,
                     fronts=fronts,
                     refusing=refusing,
+                    feeds=feeds,
                 )
             )
         self._state.load.set_others(_without(totals, self._state.load.own))
         self._state.set_fronts(fronts)
 
+    def _told_feeds(self) -> list[peer_frames.FeedTold]:
+        now = time.monotonic()
+        return [
+            peer_frames.FeedTold(
+                feed=name, end=follower.end, age_s=now - follower.heard_at
+            )
+            for name, follower in self._followers.items()
+            if follower.end is not None
+        ]
+
     def _known_fronts(self) -> list[str]:
         now = time.monotonic()
         for address, at in list(self._heard_at.items()):
@@ -177,6 +225,7 @@
         *,
         identity: handshake.Identity,
         leadership: leadership_lib.Leadership,
+        followers: Followers,
     ) -> None:
         """Initializes a link that is not connected.
 
@@ -184,8 +233,10 @@
             state: Shared by the front's greenlets.
             identity: What this front says about itself.
             leadership: Whether this front plans.
+            followers: Follow the feeds of the store.
         """
         self._state = state
+        self._followers = followers
         self._identity = identity
         self._leadership = leadership
         self._pause_s = EXCHANGE_S
@@ -288,6 +339,8 @@
                 if isinstance(frame, peer_frames.FleetPicture):
                     self._note_planner(member)
                     self._take_in(frame)
+                elif isinstance(frame, peer_frames.RelayedRecords):
+                    self._take_in_records(frame)
                 elif isinstance(frame, peer_frames.Successor):
                     self._successor = frame.planner
         finally:
@@ -335,12 +388,20 @@
             )
             gevent.sleep(EXCHANGE_S)
 
+    def _take_in_records(self, frame: peer_frames.RelayedRecords) -> None:
+        page = platform_port.Page(records=tuple(frame.records), end=frame.end)
+        self._followers[frame.feed].take_in(frame.start, page)
+
     def _take_in(self, picture: peer_frames.FleetPicture) -> None:
         state = self._state
         self._picture_at = time.monotonic()
         state.load.set_others(picture.reserved)
         state.set_fronts(picture.fronts)
         now = time.monotonic()
+        for told in picture.feeds:
+            self._followers[told.feed].note_told(
+                end=told.end, heard_at=now - told.age_s
+            )
         for server_id in picture.refusing:
             if not state.trust.excluded(server_id, now=now):
                 state.note_failure(server_id, reason="refuses other fronts")
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -1,5 +1,6 @@
 import dataclasses
 import random
+import time
 
 import front_fakes as fakes
 import gevent
@@ -8,6 +9,7 @@
 from dotterelgrade_front import beliefs
 from dotterelgrade_front import feed_follower
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import platform_port
 
 
 @pytest.fixture
@@ -135,6 +137,68 @@
     _until(lambda: follow.fleet.get("s") is None)
 
 
+@pytest.fixture
+def follower(front):
+    """A follower of the configurations, and its feed, that is not run yet."""
+    state = front.state
+    state.belief.configuration = None
+    feed = _versions(state)
+    return feed, feed_follower.FeedFollower(
+        feed,
+        sink=beliefs.ConfigurationSink(state),
+        rng=random.Random(1),
+        count=lambda _: None,
+    )
+
+
+def test_a_front_that_the_planner_tells_everything_reads_nothing(
+    front, follower
+):
+    """Load pattern: many fronts, each read has a price."""
+    feed, follower = follower
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    _until(lambda: follower.end == 1)
+    reads = None
+    for _ in range(20):
+        follower.note_told(end=1, heard_at=time.monotonic())
+        gevent.sleep(0.05)
+        reads = feed.reads if reads is None else reads
+    assert feed.reads - reads <= 1
+    page = platform_port.Page(
+        records=(platform_port.Record(key="config", value=b"v2", offset=1),),
+        end=2,
+    )
+    follower.take_in(1, page)
+    assert front.state.configuration.version == 2
+    running.kill()
+
+
+def test_a_front_reads_itself_once_the_planner_falls_silent(front, follower):
+    """Load pattern: the planner is lost and the configuration changes."""
+    feed, follower = follower
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    _until(lambda: follower.end == 1)
+    follower.note_told(end=1, heard_at=time.monotonic())
+    gevent.sleep(0.1)
+    feed.add("config", b"v3")
+    started = time.monotonic()
+    _until(lambda: front.state.configuration.version == 3)
+    assert time.monotonic() - started < 1.7
+    running.kill()
+
+
+def test_records_behind_a_gap_are_left_to_a_read(front, follower):
+    _, follower = follower
+    page = platform_port.Page(
+        records=(platform_port.Record(key="config", value=b"v2", offset=7),),
+        end=8,
+    )
+    follower.take_in(7, page)
+    assert front.state.configuration is None
+
+
 @pytest.fixture
 def make_entry():
     def make(state, server_id):
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -207,6 +207,36 @@
         assert sum(f.dump()["leads"] for f in fronts) == 1
 
 
+def test_one_front_reads_the_store_for_all(settings, platform):
+    """Load pattern: many fronts, each read of the store has a price."""
+    for version in (1, 2):
+        platform.documents.put(
+            b"v%d" % version,
+            dataclasses.replace(fakes.CONFIGURATION, version=version),
+        )
+    platform.configurations.add("config", b"v1")
+    other_settings = _another(settings, "front-2")
+    platform.election.winner = settings.peer_address
+    own_feeds = dataclasses.replace(
+        platform,
+        configurations=fakes.FakeFeed(),
+        backend_servers=fakes.FakeFeed(),
+    )
+    own_feeds.configurations.records = platform.configurations.records
+    planner = front_lib.Front(settings, platform=platform)
+    other = front_lib.Front(other_settings, platform=own_feeds)
+    with planner.running(), other.running():
+        _until(lambda: other._link.fresh and other.is_ready)
+        gevent.sleep(0.5)
+        # Only what the planner passes on can tell of the next version.
+        own_feeds.configurations.down = True
+        reads = own_feeds.configurations.reads
+        platform.configurations.add("config", b"v2")
+        _until(lambda: other.dump()["configuration"]["version"] == 2)
+        assert own_feeds.configurations.reads - reads <= 1
+        assert other.dump()["configuration"]["age_s"] < 1.0
+
+
 def test_what_refuses_one_front_is_left_out_by_the_others(settings, platform):
     """Load pattern: engines leave while the list is away."""
     platform.documents.put(b"v1", fakes.CONFIGURATION)
--- /dev/null
+++ b/packages/dotterelgrade-routing/tests/test_feed_position.py
@@ -0,0 +1,54 @@
+from dotterelgrade_routing import feed_position
+
+_VALID_S = feed_position.RELAY_VALID_S
+
+
+def _at(end):
+    position = feed_position.FeedPosition()
+    position.advance(end)
+    return position
+
+
+def test_before_the_first_read_nothing_is_covered():
+    position = feed_position.FeedPosition()
+    position.note_told(end=5, heard_at=0.0)
+    assert position.covered_s(now=0.0) == 0.0
+    assert not position.continues(0)
+
+
+def test_the_planners_word_suffices_for_a_while():
+    """Load pattern: the planner is cut off just after its last word."""
+    position = _at(5)
+    position.note_told(end=5, heard_at=0.0)
+    assert position.covered_s(now=0.0) == _VALID_S
+    assert position.covered_s(now=0.0 + _VALID_S) == 0.0
+
+
+def test_a_planner_that_is_ahead_or_behind_covers_nothing():
+    """Load pattern: a front reconnects and has missed records."""
+    position = _at(5)
+    for end in (4, 6):
+        position.note_told(end=end, heard_at=10.0)
+        assert position.covered_s(now=10.0) == 0.0
+
+
+def test_an_old_word_of_the_planner_covers_nothing():
+    """Load pattern: the planner itself is cut off from the store."""
+    position = _at(5)
+    position.note_told(end=5, heard_at=10.0 - _VALID_S)
+    assert position.covered_s(now=10.0) == 0.0
+
+
+def test_records_must_leave_no_gap():
+    position = _at(5)
+    assert position.continues(5)
+    assert position.continues(3)
+    assert not position.continues(6)
+
+
+def test_the_offset_never_goes_back():
+    position = _at(5)
+    position.advance(3)
+    assert position.end == 5
+    position.reset()
+    assert position.end is None
