Plan only on hosts that are strong enough

Change: each front knows its own limits from the settings; weak hosts stand or act 3 s later than all others, and pass the place on once a strong front is connected; so does a planner that hears less than half of the engines after it has planned for 5 s. Pictures hold only rows that say something new; each front keeps who is silent.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -85,6 +85,7 @@
             followers=self._followers,
         )
         self._led = False
+        self._led_since = float("-inf")
         self._chance = self._state.rng.random()
         self._callers = gevent_server.StreamServer(
             _host_port(settings.callers_address),
@@ -271,6 +272,7 @@
             self._state.fronts,
             own=self._settings.peer_address,
             chance=self._chance,
+            strong=self._settings.strong,
         )
 
     def _stand(self) -> None:
@@ -300,22 +302,31 @@
             self._leadership.note_others(
                 heard_store_at=self._hub.heard_store_at
             )
+            passes_on = self._led and leadership_lib.should_pass_on(
+                led_s=time.monotonic() - self._led_since,
+                silent=self._planner.silent_share,
+                strong=self._settings.strong,
+                stronger_waits=self._hub.stronger_waits,
+            )
+            if passes_on and self._hub.has_fronts:
+                self._leadership.resign()
             leads = self._leadership.leads and not self._state.leaving
-            self._note_lead(leads)
+            self._note_lead(leads, passes_on=passes_on)
             if leads:
                 self._planner.tick(refusing=self._hub.refusing)
                 self._hub.tell()
             gevent.sleep(planner_lib.TICK_S)
 
-    def _note_lead(self, leads: bool) -> None:
+    def _note_lead(self, leads: bool, *, passes_on: bool) -> None:
         if leads == self._led:
             return
         self._led = leads
+        self._led_since = time.monotonic()
         self._state.decisions.record(
             "planner_elected" if leads else "planner_stepped_down",
             reason=repr(self._leadership),
         )
-        self._hub.note_leads(leads)
+        self._hub.note_leads(leads, passes_on=passes_on)
         if not leads:
             self._state.load.assume_others(fronts=len(self._state.fronts))
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 
 # Shorter leases cost more calls; a planner's death is noticed in this time.
@@ -24,6 +25,8 @@
         store_address: `IP:PORT` of the platform's store.
         lease_s: Silence after which the planner's lease ends, s.
         most_connections: File descriptors of the process.
+        cores: Processor time that it may use, s for each second.
+        link_bits_per_s: Bandwidth of the host's link, bit/s.
         grace_s: Time between SIGTERM and SIGKILL, s.
         retry_ratio: Retries for each request, over all fronts.
         retry_slack: Retries beside these in each window, over all fronts.
@@ -41,6 +44,8 @@
     store_address: str
     lease_s: float = SHORTEST_LEASE_S
     most_connections: int = 1024
+    cores: float = 1.0
+    link_bits_per_s: float = 1e9
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_slack: float = 100.0
@@ -55,6 +60,13 @@
             if not host or not port.isdigit():
                 raise ValueError(f"expected IP:PORT, got {address!r}")
 
+    @property
+    def strong(self) -> bool:
+        """Whether the host is strong enough for a planner."""
+        return leadership.is_strong(
+            cores=self.cores, link_bits_per_s=self.link_bits_per_s
+        )
+
     @property
     def peer_address(self) -> str:
         """`IP:PORT` at which other fronts reach this one."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -58,12 +58,14 @@
         excluded: Backend servers that it leaves out of choice.
         refusing: Those of them that refuse though they report room.
         store_silent_s: Time since the store last answered it, s.
+        strong: Whether its host is strong enough for a planner.
     """
 
     reserved: dict[str, float]
     excluded: list[str]
     refusing: list[str]
     store_silent_s: float
+    strong: bool
 
 
 @messages.frame
@@ -97,7 +99,8 @@
 
     Attributes:
         reserved: Reserved memory of all other fronts together.
-        servers: Engines as they last reported.
+        servers: Engines whose reports say something new since the last
+            picture that was sent over the connection.
         fronts: `IP:PORT` of all fronts, the planner included.
         refusing: Engines that refuse requests though they report room.
         feeds: How far the planner has followed the store.
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -116,6 +116,12 @@
         """Returns what is known of an engine."""
         return self._watched.get(server.incarnation)
 
+    @property
+    def silent_share(self) -> float:
+        """Share of the engines that do not answer."""
+        silent = sum(seen.silent for seen in self._watched.values())
+        return silent / max(len(self._watched), 1)
+
     def tick(self, *, refusing: Collection[str] = ()) -> None:
         """Asks for the reports that are due, then orders what is missing.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -37,6 +37,7 @@
 _FIRST_PICTURE_S = 1.2
 
 
+_Rows = Mapping[str, peer_frames.SeenServer]
 Followers = Mapping[peer_frames.FeedName, feed_follower.FeedFollower]
 
 
@@ -60,6 +61,7 @@
         self._leads = event.Event()
         self._followers: Followers = {}
         self._links: dict[wire.Connection, peer_frames.FrontLoad] = {}
+        self._told: dict[wire.Connection, _Rows] = {}
         self._heard_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
@@ -96,6 +98,7 @@
                     self._planner.suspect(frame.excluded)
         finally:
             self._links.pop(connection, None)
+            self._told.pop(connection, None)
 
     def relay_from(self, followers: Followers) -> None:
         """Takes in what follows the feeds of the store."""
@@ -124,8 +127,23 @@
         for connection in list(self._links):
             connection.send_encoded(frame)
 
-    def note_leads(self, leads: bool) -> None:
-        """Takes in whether this front plans."""
+    @property
+    def has_fronts(self) -> bool:
+        """Whether any front is connected."""
+        return bool(self._links)
+
+    @property
+    def stronger_waits(self) -> bool:
+        """Whether a front on a strong host is connected."""
+        return any(load.strong for load in self._links.values())
+
+    def note_leads(self, leads: bool, *, passes_on: bool = False) -> None:
+        """Takes in whether this front plans.
+
+        Args:
+            leads: Whether it plans from now on.
+            passes_on: Whether it leaves its place to another one.
+        """
         for follower in self._followers.values():
             follower.set_relaying(leads)
         if leads:
@@ -133,17 +151,22 @@
             return
         self._leads.clear()
         if self._state.leaving:
-            self._hand_over()
+            self._hand_over("leaving")
+        elif passes_on:
+            self._hand_over("hears too few, or runs on a weak host")
         for connection in list(self._links):
             connection.close("no longer the planner")
 
-    def _hand_over(self) -> None:
+    def _hand_over(self, reason: str) -> None:
         """Names the front that plans from now on to all others."""
-        heir = leadership_lib.heir(_address_of(link) for link in self._links)
+        strong = [link for link, load in self._links.items() if load.strong]
+        heir = leadership_lib.heir(
+            _address_of(link) for link in strong or self._links
+        )
         if not heir:
             return
         self._state.decisions.record(
-            "planner_handed_over", reason="leaving", planner=heir
+            "planner_handed_over", reason=reason, planner=heir
         )
         for connection in self._links:
             connection.send(peer_frames.Successor(planner=heir))
@@ -166,10 +189,16 @@
         for load in self._links.values():
             totals.update(load.reserved)
         for connection, load in list(self._links.items()):
+            told = self._told.get(connection, {})
+            self._told[connection] = servers
             connection.send(
                 peer_frames.FleetPicture(
                     reserved=_without(totals, load.reserved),
-                    servers=servers,
+                    servers=[
+                        row
+                        for server_id, row in servers.items()
+                        if told.get(server_id) != row
+                    ],
                     fronts=fronts,
                     refusing=refusing,
                     feeds=feeds,
@@ -195,23 +224,21 @@
                 del self._heard_at[address]
         return sorted({self._state.settings.peer_address, *self._heard_at})
 
-    def _seen_servers(self) -> list[peer_frames.SeenServer]:
-        rows = []
+    def _seen_servers(self) -> _Rows:
+        rows = {}
         for server in self._state.fleet.servers:
             seen = self._planner.watched(server)
             if seen is None or seen.report is None:
                 continue
             layers = seen.report.layers or layer_range.LayerRange(0, 0)
-            rows.append(
-                peer_frames.SeenServer(
-                    id=server.id,
-                    started_ms=seen.report.started_ms,
-                    first=layers.first,
-                    end=layers.end,
-                    slowness=seen.report.slowness,
-                    loading=seen.report.loading,
-                    silent=seen.silent,
-                )
+            rows[server.id] = peer_frames.SeenServer(
+                id=server.id,
+                started_ms=seen.report.started_ms,
+                first=layers.first,
+                end=layers.end,
+                slowness=round(seen.report.slowness, 1),
+                loading=seen.report.loading,
+                silent=seen.silent,
             )
         return rows
 
@@ -244,6 +271,7 @@
         self._successor = ""
         self._vacant_since: float | None = None
         self._picture_at = float("-inf")
+        self._silent: set[str] = set()
 
     def __repr__(self) -> str:
         """Shows the front and the planner that it knows."""
@@ -307,7 +335,9 @@
         silent_s = self._state.store_silent_s
         stays = bool(self._state.fronts) and not self._state.leaving
         if stays and self._leadership.try_acting(
-            store_silent_s=silent_s, asked=len(asked)
+            store_silent_s=silent_s,
+            asked=len(asked),
+            strong=self._state.settings.strong,
         ):
             self._state.decisions.record(
                 "planner_acting",
@@ -333,6 +363,7 @@
             )
             return False
         told_before = self._picture_at
+        self._silent.clear()
         sender = gevent.spawn(self._send_loads, connection)
         try:
             for frame in connection:
@@ -384,6 +415,7 @@
                     store_silent_s=min(
                         state.store_silent_s, _LONGEST_SILENCE_S
                     ),
+                    strong=state.settings.strong,
                 )
             )
             gevent.sleep(EXCHANGE_S)
@@ -407,9 +439,9 @@
                 state.note_failure(server_id, reason="refuses other fronts")
         for seen in picture.servers:
             if seen.silent:
-                if not state.trust.excluded(seen.id, now=now):
-                    state.note_failure(seen.id, reason="silent to the planner")
+                self._silent.add(seen.id)
                 continue
+            self._silent.discard(seen.id)
             layers = None
             if seen.end > seen.first:
                 layers = layer_range.LayerRange(seen.first, seen.end)
@@ -423,6 +455,9 @@
                     at=now,
                 ),
             )
+        for server_id in self._silent:
+            if not state.trust.excluded(server_id, now=now):
+                state.note_failure(server_id, reason="silent to the planner")
 
 
 def _address_of(connection: wire.Connection) -> str:
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -11,8 +11,23 @@
 
 from dotterelgrade_front import front as front_lib
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership
 
+_REPORT = backend_server.EngineReport(
+    layers=layer_range.LayerRange(0, 8),
+    accelerator="kind",
+    loading=False,
+    orders=0,
+    started_ms=0,
+    waiting=0,
+    running=0,
+    used=0,
+    total=1e6,
+    slowness=1.0,
+    stalled={},
+)
+
 
 def _until(condition):
     with gevent.Timeout(fakes.WAIT_S):
@@ -237,6 +252,61 @@
         assert other.dump()["configuration"]["age_s"] < 1.0
 
 
+def test_a_planner_on_a_weak_host_leaves_its_place(
+    settings, platform, monkeypatch
+):
+    """Load pattern: a weak host was the only one up, then strong ones come."""
+    monkeypatch.setattr(leadership, "SHORTEST_LEAD_S", 0.3)
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    weak_settings = dataclasses.replace(settings, link_bits_per_s=7e6)
+    platform.election.winner = settings.peer_address
+    weak = front_lib.Front(weak_settings, platform=platform)
+    strong = front_lib.Front(_another(settings, "front-2"), platform=platform)
+    with weak.running():
+        _until(lambda: weak.dump()["leads"])
+        gevent.sleep(0.5)
+        assert weak.dump()["leads"]
+        platform.election.down = True
+        with strong.running():
+            strong._link._successor = settings.peer_address
+            _until(lambda: strong.dump()["leads"])
+            _until(lambda: not weak.dump()["leads"])
+
+
+def test_pictures_hold_only_what_is_new(settings, platform):
+    """Load pattern: many fronts, narrow links."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    platform.election.winner = settings.peer_address
+    server = backend_server.BackendServer(
+        id="s",
+        service="model",
+        address="127.0.0.1:1",
+        failure_domain="a",
+        availability=backend_server.Availability.READY,
+        slots=1,
+        accelerator="kind",
+    )
+    platform.documents.put(b"s", server)
+    platform.backend_servers.add("s", b"s")
+    platform.engines.reports[server.address] = _REPORT
+    planner = front_lib.Front(settings, platform=platform)
+    other = front_lib.Front(_another(settings, "front-2"), platform=platform)
+    pictures = []
+    take_in = other._link._take_in
+    other._link._take_in = lambda p: (pictures.append(p), take_in(p))
+    with planner.running(), other.running():
+        _until(lambda: any(picture.servers for picture in pictures))
+        pictures.clear()
+        _until(lambda: len(pictures) >= 4)
+        assert not any(picture.servers for picture in pictures)
+        assert other._state.fleet.layers_of(server) == _REPORT.layers
+        del platform.engines.reports[server.address]
+        _until(lambda: other._link._silent == {"s"})
+        _until(lambda: other._state.trust.excluded("s", now=time.monotonic()))
+
+
 def test_what_refuses_one_front_is_left_out_by_the_others(settings, platform):
     """Load pattern: engines leave while the list is away."""
     platform.documents.put(b"v1", fakes.CONFIGURATION)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -1,7 +1,9 @@
 """Whether this front plans placement and collects the fronts' loads.
 
 Load pattern: the planner is killed, paused or cut off from the store while
-others go on, or the store is away for all. Ownership of one partition in a
+others go on, or the store is away for all; or it runs on a host whose link is
+too narrow for the fronts' and engines' words, and takes all engines for silent.
+Ownership of one partition in a
 group of the store elects the planner; while the store is away, the first front
 in a common order acts as planner. Orders are compare-and-set at the engines,
 so a second planner can do no harm.
@@ -25,6 +27,15 @@
 # the partitions of the others.
 STAND_STEP_S = 0.4
 MOST_STAND_STEPS = 6
+# A planner speaks to all fronts and engines several times a second.
+LEAST_CORES = 0.4
+LEAST_LINK_BITS_PER_S = 40e6
+# Fronts on weaker hosts stand, or act, only if no other one does.
+WEAKER_WAIT_S = 3.0
+# A planner that hears so few of the engines doubts its own link first.
+MOST_SILENT = 0.5
+# Who has just begun to plan does not pass it on yet.
+SHORTEST_LEAD_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -68,17 +79,21 @@
         if confirmation.elected or self._denials >= MOST_DENIALS:
             self._acting = False
 
-    def try_acting(self, *, store_silent_s: float, asked: int) -> bool:
+    def try_acting(
+        self, *, store_silent_s: float, asked: int, strong: bool = True
+    ) -> bool:
         """Leads without an election, if it is this front's turn.
 
         Args:
             store_silent_s: Time since the store last answered, s.
             asked: How many fronts were asked in vain.
+            strong: Whether its host is strong enough for a planner.
 
         Returns:
             Whether the front leads from now on, until the store's next word.
         """
-        if store_silent_s < STORE_AWAY_S + ACT_STEP_S * asked:
+        turn_s = STORE_AWAY_S + ACT_STEP_S * asked
+        if store_silent_s < turn_s + (0.0 if strong else WEAKER_WAIT_S):
             return False
         self.succeed()
         return True
@@ -100,6 +115,11 @@
         if heard_store_at - self._last.at > CONFIRMED_FOR_S:
             self._last = dataclasses.replace(self._last, elected=False)
 
+    def resign(self) -> None:
+        """Leads no longer, until the store elects this front again."""
+        self._acting = False
+        self._last = dataclasses.replace(self._last, elected=False)
+
     @property
     def leads(self) -> bool:
         """Whether this front leads."""
@@ -136,16 +156,46 @@
     return next(iter(rendezvous.rank("planner", set(fronts))), "")
 
 
-def stand_delay_s(fronts: Iterable[str], *, own: str, chance: float) -> float:
+def stand_delay_s(
+    fronts: Iterable[str], *, own: str, chance: float, strong: bool = True
+) -> float:
     """Returns how long the planner must be missing before a front stands, s.
 
     Args:
         fronts: All fronts that were known last; empty after a start.
         own: The front that asks.
         chance: From 0 to 1, spreads fronts that know no others.
+        strong: Whether its host is strong enough for a planner.
     """
     known = set(fronts)
+    weaker_s = 0.0 if strong else WEAKER_WAIT_S
     if not known:
-        return chance * STAND_STEP_S * MOST_STAND_STEPS / 2
+        return weaker_s + chance * STAND_STEP_S * MOST_STAND_STEPS / 2
     place = rendezvous.rank("planner", {*known, own}).index(own)
-    return min(place, MOST_STAND_STEPS) * STAND_STEP_S
+    return weaker_s + min(place, MOST_STAND_STEPS) * STAND_STEP_S
+
+
+def is_strong(*, cores: float, link_bits_per_s: float) -> bool:
+    """Returns whether a host is strong enough for a planner.
+
+    Args:
+        cores: Share of a core that a front may use; more with several cores.
+        link_bits_per_s: Bandwidth of its link, bit/s.
+    """
+    return cores >= LEAST_CORES and link_bits_per_s >= LEAST_LINK_BITS_PER_S
+
+
+def should_pass_on(
+    *, led_s: float, silent: float, strong: bool, stronger_waits: bool
+) -> bool:
+    """Returns whether a planner leaves its place to another front.
+
+    Args:
+        led_s: How long it has planned, s.
+        silent: Share of the engines that it does not hear.
+        strong: Whether its host is strong enough.
+        stronger_waits: Whether a front on a strong host is connected.
+    """
+    if led_s < SHORTEST_LEAD_S:
+        return False
+    return silent > MOST_SILENT or (stronger_waits and not strong)
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -1,3 +1,5 @@
+import pytest
+
 from dotterelgrade_routing import leadership as leadership_lib
 
 
@@ -112,3 +114,49 @@
     assert heir in fronts
     assert heir == leadership_lib.heir(sorted(fronts, reverse=True))
     assert leadership_lib.heir(()) == ""
+
+
+def test_fronts_on_weak_hosts_stand_after_all_others():
+    """Load pattern: a planner behind a link of 7 Mbit/s hears nobody."""
+    fronts = [f"10.0.0.{i}:1" for i in range(42)]
+    weak = leadership_lib.stand_delay_s(
+        fronts, own=fronts[0], chance=0.0, strong=False
+    )
+    latest = max(
+        leadership_lib.stand_delay_s(fronts, own=own, chance=1.0)
+        for own in fronts
+    )
+    assert weak > latest
+    assert not leadership_lib.is_strong(cores=0.27, link_bits_per_s=7e6)
+    assert leadership_lib.is_strong(cores=0.56, link_bits_per_s=350e6)
+
+
+def test_a_front_on_a_weak_host_acts_later():
+    away_s = leadership_lib.STORE_AWAY_S
+    leadership = leadership_lib.Leadership()
+    assert not leadership.try_acting(
+        store_silent_s=away_s, asked=0, strong=False
+    )
+    assert leadership.try_acting(store_silent_s=away_s, asked=0)
+
+
+@pytest.mark.parametrize(
+    ("led_s", "silent", "strong", "stronger_waits", "passes_on"),
+    [
+        (60.0, 0.0, True, True, False),
+        (60.0, 0.9, True, False, True),
+        (60.0, 0.0, False, True, True),
+        (60.0, 0.0, False, False, False),
+        (1.0, 0.9, False, True, False),
+    ],
+)
+def test_a_planner_passes_its_place_on(
+    led_s, silent, strong, stronger_waits, passes_on
+):
+    """Who has just taken over believes the silence, and plans with the rest."""
+    assert passes_on == leadership_lib.should_pass_on(
+        led_s=led_s,
+        silent=silent,
+        strong=strong,
+        stronger_waits=stronger_waits,
+    )
