Give each run of a fleet addresses of its own

Cause: two demos, or a demo beside an experiment, failed with "Address already in use" and a stack trace, since every planned fleet stood on 127.40.*; and `make bench` ended without the ratio to the best baseline that it had computed.

Change: a run owns its network by a listening socket; the demo takes a free one; a taken one is one clear line. `make bench` ends with `ratio N.NNx`.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/bench.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/bench.py
@@ -9,6 +9,7 @@
 
 from dotterelgrade_standins import commands
 from dotterelgrade_standins import experiment
+from dotterelgrade_standins import throughput
 
 # A short set: one seed, the best baseline beside the real policy, few faults.
 _SHORT: dict[str, dict[str, Any]] = {
@@ -52,10 +53,11 @@
     def handle(self) -> int:
         """Runs the set; 2 for a faulty experiment file."""
         started_s = time.monotonic()
+        ratio = 0.0
         for name, changes in _SHORT.items():
             self.line(f"experiment {name}")
             try:
-                experiment.run_one(
+                value = experiment.run_one(
                     name,
                     file=pathlib.Path(self.option("file")),
                     results=pathlib.Path(self.option("results")),
@@ -65,5 +67,7 @@
             except ValueError as error:
                 self.line_error(str(error))
                 return 2
+            ratio = value.get(throughput.RATIO, ratio)
         self.line(f"bench: {time.monotonic() - started_s:.0f} s")
+        self.line(f"ratio {ratio:.2f}x")
         return 0
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/demo.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/demo.py
@@ -17,6 +17,7 @@
 from dotterelgrade_standins import fleet_plan
 from dotterelgrade_standins import fleet_run
 from dotterelgrade_standins import launcher as launcher_lib
+from dotterelgrade_standins import loopback_range
 from dotterelgrade_standins import oracle as oracle_lib
 
 REPLICAS = 2
@@ -239,8 +240,13 @@
     def handle(self) -> int:
         """Runs the demo; 0 when every answer was whole, once and right."""
         contract = pathlib.Path(self.option("contract"))
+        try:
+            settings = demo_settings(contract)
+        except loopback_range.RangeTakenError as error:
+            self.line_error(f"demo failed: {error}")
+            return 1
         plan = fleet_plan.FleetPlan(
-            contract.read_text(encoding="utf-8"), demo_settings(contract)
+            contract.read_text(encoding="utf-8"), settings
         )
         keep = self.option("keep")
         with tempfile.TemporaryDirectory() as scratch:
@@ -282,6 +288,7 @@
     text = contract.read_text(encoding="utf-8")
     full = fleet_plan.FleetPlan(text, fleet_plan.PlanSettings())
     return fleet_plan.PlanSettings(
+        network=loopback_range.free_network(),
         replicas=REPLICAS,
         order_workers=2,
         time_scale=TIME_SCALE,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_plan.py
@@ -184,6 +184,11 @@
         """Hosts of the order workers."""
         return self._order_workers
 
+    @property
+    def network(self) -> str:
+        """First two numbers of every IP number."""
+        return self._settings.network
+
     @property
     def log_host(self) -> str:
         """IP number of the log service."""
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_run.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fleet_run.py
@@ -16,6 +16,7 @@
 from dotterelgrade_standins import evidence as evidence_lib
 from dotterelgrade_standins import fleet_plan
 from dotterelgrade_standins import launcher as launcher_lib
+from dotterelgrade_standins import loopback_range
 from dotterelgrade_standins import oracle as oracle_lib
 
 READY_TIMEOUT_S = 30.0
@@ -171,6 +172,12 @@
         launcher_lib.StartError: A process did not start.
     """
     with contextlib.ExitStack() as stack:
+        try:
+            stack.enter_context(
+                loopback_range.held(loopback_range.owner_range(plan.network))
+            )
+        except loopback_range.RangeTakenError as error:
+            raise FleetError(str(error)) from error
         if directory is None:
             scratch = stack.enter_context(tempfile.TemporaryDirectory())
             directory = pathlib.Path(scratch)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/throughput.py
@@ -13,6 +13,8 @@
 LARGE_FACTOR = 10.0
 LARGE_BASE_SHARE = 0.6
 REFUSED_AT_MOST = 0.01
+# Name of the highest load relative to the best baseline's, in the results.
+RATIO = "ratio_to_best_baseline"
 REAL_POLICY = "predicted"
 
 
@@ -67,7 +69,7 @@
         "overloads": overloads,
         "large_workspace": larges,
         "table": _table(searches, overloads, larges),
-        "ratio_to_best_baseline": _ratio(searches),
+        RATIO: _ratio(searches),
     }
 
 
