--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
 PY := .venv/bin/python
 CONTRACT ?= examples/tabuleiro.contract
 SECONDS ?= 60
+MINUTES ?= 5
 PACKAGES := packages/dotterelgrade packages/dotterelgrade-routing \
 	packages/dotterelgrade-front platform packages/dotterelgrade-entry \
 	packages/dotterelgrade-agent packages/dotterelgrade-standins
 SOURCES := packages platform examples benchmarks
 
-.PHONY: demo test lint format fuzz mutants bench capacity
+.PHONY: demo test lint format fuzz soak mutants bench capacity
 
 .venv/installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv .venv
@@ -32,6 +33,9 @@
 fuzz: .venv/installed
 	$(PY) -m dotterelgrade_standins fuzz --seconds $(SECONDS)
 
+soak: .venv/installed
+	$(PY) -m dotterelgrade_standins soak --minutes $(MINUTES)
+
 mutants: .venv/installed
 	$(PY) -m dotterelgrade_standins mutants
 
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/adapter/test_server_side.py
@@ -0,0 +1,106 @@
+"""What stand-ins write is what the adapter reads."""
+
+import dataclasses
+
+import front_fakes as fakes
+import pytest
+
+from dotterelgrade_front import front_settings
+from dotterelgrade_platform import codec
+from dotterelgrade_platform import headers
+from dotterelgrade_platform import server_side
+from dotterelgrade_platform import settings_file
+from dotterelgrade_platform import store
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import request_facts
+
+_HELD = layer_range.LayerRange(2, 7)
+
+
+def test_a_configuration_survives_the_wire():
+    body = server_side.configuration_body(fakes.CONFIGURATION)
+    assert codec.configuration_of(body).unwrap() == fakes.CONFIGURATION
+
+
+@pytest.mark.parametrize("availability", backend_server.Availability)
+def test_a_list_entry_survives_the_wire(availability):
+    server = backend_server.BackendServer(
+        id="s",
+        service="model",
+        address="10.0.0.1:7",
+        failure_domain="a",
+        availability=availability,
+        slots=3,
+        accelerator="kind",
+        layers=_HELD,
+        started_ms=5,
+    )
+    body = server_side.entry_body(server, beats=9)
+    read = codec.backend_server_of(server_id="s", body=body)
+    assert read.unwrap() == server
+
+
+def test_a_report_survives_the_wire():
+    report = backend_server.EngineReport(
+        layers=_HELD,
+        accelerator="kind",
+        loading=True,
+        orders=4,
+        started_ms=5,
+        waiting=1,
+        running=2,
+        used=3.0,
+        total=9.0,
+        slowness=1.5,
+        stalled={"r": "10.0.0.2:7"},
+    )
+    body = server_side.report_body(report)
+    assert codec.report_of(body).unwrap() == report
+
+
+def test_records_survive_the_wire():
+    records = tuple(
+        platform_port.Record(key=f"k{n}", value=b"v" * n, offset=n)
+        for n in range(3, 6)
+    )
+    body = server_side.records_body(records, end=6, first=1)
+    page = store._records_of(body, 3)
+    assert page == platform_port.Page(records=records, end=6)
+
+
+def test_forwarded_headers_are_read_back():
+    sent = server_side.caller_headers(
+        request_id="r", patience_s=2.0, api_key="k", answer_tokens=40
+    )
+    forwarded = headers.write_request(
+        sent,
+        request_facts.ForwardingOrders(
+            time_left_s=1.5,
+            instance_id="s",
+            workspace="bench",
+            priority=1,
+            resume_after="3",
+        ),
+    )
+    read = server_side.read_forwarded(forwarded)
+    assert read == server_side.Forwarded(
+        request_id="r",
+        time_left_s=1.5,
+        instance_id="s",
+        workspace="bench",
+        api_key_passed_on=False,
+        hops=(),
+        resume_after="3",
+        answer_tokens=40,
+    )
+
+
+def test_settings_are_read_back(settings, tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(settings_file.render(settings))
+    read = settings_file.load(str(path))
+    assert read == dataclasses.replace(
+        settings, metrics_port=front_settings.DEFAULT_METRICS_PORT
+    )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/cli.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/cli.py
@@ -22,6 +22,7 @@
     "slopes": "measure costs per request, token hop, peer and record",
     "capacity": "compute docs/CAPACITY.md from the measured slopes",
     "fuzz": "explore with the oracle for a number of seconds",
+    "soak": "run real fronts under faults and check their promises",
     "mutants": "break one promise at a time and show what finds it",
 }
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
@@ -23,6 +23,7 @@
 
 _TIMEOUT_S = 240.0
 _FAILURE = re.compile(r"^\s*\w*(Error|Failure|Exception)\b")
+_SOAK = ("soak", "--seed", "1", "--minutes", "0")
 _ROOT = pathlib.Path(__file__).parents[4]
 
 
@@ -106,6 +107,9 @@
 def _arguments(check: str) -> list[str]:
     if check.endswith(".py"):
         return ["pytest", "-x", check]
+    if check.startswith(mutants_list.SOAK):
+        only = check.removeprefix(mutants_list.SOAK)
+        return ["dotterelgrade_standins", *_SOAK, "--only", only]
     command = ["fuzz", "--check", "--first", "--only", check]
     return ["dotterelgrade_standins", *command]
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
@@ -15,6 +15,14 @@
 _KEYED_TEST = "packages/dotterelgrade-agent/tests/test_keyed_calls.py"
 _REQUEST_TEST = "packages/dotterelgrade-entry/tests/test_request.py"
 
+_UPSTREAM_TEST = "packages/dotterelgrade/tests/test_http_connection.py"
+_FOLLOWER_TEST = "packages/dotterelgrade-front/tests/test_feed_follower.py"
+_EVENTS_TEST = "packages/dotterelgrade-front/tests/test_event_stream.py"
+_POSITION_TEST = "packages/dotterelgrade-routing/tests/test_feed_position.py"
+_TRUST_TEST = "packages/dotterelgrade-routing/tests/test_trust.py"
+# Runs the real fronts under the faults that are named behind it.
+SOAK = "soak:"
+
 _LAYERS_ONCE = "each layer once, in order"
 _OWN_ANSWER = "the whole answer to its own caller"
 _LEAVING = "a leaving backend server gets no new work"
@@ -34,7 +42,7 @@
         module: Dotted name of the module.
         old: The text, which stands there once.
         new: What replaces it.
-        check: The fuzzing target, or the test file, that must fail.
+        check: The fuzzing target, the test file, or the soak, that must fail.
         also: Further replaced texts, where two checks hold the promise.
     """
 
@@ -332,4 +340,92 @@
         "strict=True\n        )",
         check="fleet",
     ),
+    Mutant(
+        name="front-repeats-unknown",
+        promise=_ONCE,
+        module="dotterelgrade_routing.attempt",
+        old="return repeatable or knowledge <= Knowledge.REFUSED",
+        new="return repeatable or knowledge <= Knowledge.RAN",
+        check=SOAK + "answers_lost,backend_reset",
+    ),
+    Mutant(
+        name="front-promises-unknown",
+        promise=_NOT_RUN,
+        module="dotterelgrade_routing.attempt",
+        old="    if knowledge >= Knowledge.UNKNOWN:",
+        new="    if knowledge > Knowledge.RAN:",
+        check=SOAK + "answers_lost,backend_reset",
+    ),
+    Mutant(
+        name="front-passes-torn-events",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade_front.event_stream",
+        old="whole, self._partial = data[:end], data[end:]",
+        new='whole, self._partial = data, b""',
+        check=_EVENTS_TEST,
+    ),
+    Mutant(
+        name="front-resumes-from-the-start",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade_front.model_stream",
+        old="            resume_after=self._last_id,",
+        new='            resume_after="",',
+        check=SOAK + "answers_lost,backend_crashes",
+    ),
+    Mutant(
+        name="front-passes-the-key-on",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade_platform.headers",
+        old="        PRIORITY,\n        AUTHORIZATION,",
+        new="        PRIORITY,",
+        check=SOAK + "front_reloads",
+    ),
+    Mutant(
+        name="front-stop-cuts",
+        promise=_STOP,
+        module="dotterelgrade_front.front",
+        old="        while self._handler.connections and",
+        new="        while False and",
+        check=SOAK + "front_stopped",
+    ),
+    Mutant(
+        name="front-uses-the-leaving",
+        promise=_LEAVING,
+        module="dotterelgrade_routing.fleet",
+        old="if server.service == service and server.ready",
+        new="if server.service == service",
+        check=SOAK + "backend_leaves",
+    ),
+    Mutant(
+        name="front-mixes-answers",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade.http_connection",
+        old="        if self.complete:\n            return\n        status",
+        new="        status",
+        check=_UPSTREAM_TEST,
+    ),
+    Mutant(
+        name="front-takes-older-versions",
+        promise=_IN_FORCE,
+        module="dotterelgrade_front.beliefs",
+        old="newer.version <= known.version",
+        new="newer.version == known.version",
+        check=_FOLLOWER_TEST,
+    ),
+    Mutant(
+        name="front-trusts-a-lagging-planner",
+        promise=_IN_FORCE,
+        module="dotterelgrade_routing.feed_position",
+        old="if self._end is None or self._told_end != self._end:",
+        new="if self._end is None:",
+        check=_POSITION_TEST,
+    ),
+    Mutant(
+        name="front-old-work-clears-refusals",
+        promise=_LEAVING,
+        module="dotterelgrade_routing.trust",
+        old="if record is None or began_at < record.last_failure:",
+        new="if record is None:",
+        check=_TRUST_TEST,
+    ),
 )
--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -0,0 +1,253 @@
+"""A stand-in of a plain backend server, the base of those that hold layers.
+
+Speaks through `dotterelgrade_platform.server_side`, and runs requests so that
+the evidence of a soak sees them.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import random
+import time
+
+import gevent
+from gevent import server as gevent_server
+from gevent import socket
+
+from dotterelgrade import http_message
+from dotterelgrade_front import answers
+from dotterelgrade_front import client_connection
+from dotterelgrade_platform import server_side
+from dotterelgrade_platform import store as store_names
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import configuration
+from dotterelgrade_standins import fault_proxy
+from dotterelgrade_standins import platform_store
+from dotterelgrade_standins import soak_evidence
+
+_BEAT_S = 0.5
+_LAPSE_S = 1.5
+_WORK_S = 0.02
+OK = 200
+_MISDIRECTED = 421
+_ERROR = 500
+FULL = 503
+
+
+class BackendStandIn:
+    """A plain backend server behind a proxy, with its entry in the list."""
+
+    def __init__(
+        self,
+        server: backend_server.BackendServer,
+        *,
+        store: platform_store.PlatformStore,
+        evidence: soak_evidence.Evidence,
+        rng: random.Random,
+    ) -> None:
+        """Initializes a backend server that is not started.
+
+        Args:
+            server: Its entry; the address is that of its proxy.
+            store: Where it writes its entry.
+            evidence: Takes in what it sees.
+            rng: Draws its mistakes.
+        """
+        self.server = server
+        self.alive = False
+        self.errors = 0.0
+        self.loses_answers = 0.0
+        self.refuses = 0.0
+        self.slowness = 1.0
+        self._store = store
+        self._evidence = evidence
+        self._rng = rng
+        self._socks: set[socket.socket] = set()
+        self._entry = b""
+        self._beats = 0
+        self._down_since = time.monotonic()
+        self.proxy: fault_proxy.FaultProxy | None = None
+
+    def __repr__(self) -> str:
+        """Shows the identifier."""
+        return f"<{type(self).__name__} {self.server.id}>"
+
+    @contextlib.contextmanager
+    def running(self, host: str) -> Iterator[None]:
+        """Serves on a host for the body of the context.
+
+        Args:
+            host: IP number of the server and of its proxy.
+        """
+        inner = gevent_server.StreamServer((host, 0), self._serve)
+        inner.start()
+        self.proxy = fault_proxy.FaultProxy(
+            (host, 0), (host, inner.server_port)
+        )
+        self.server = dataclasses.replace(
+            self.server, address=self.proxy.address
+        )
+        self.alive = True
+        beats = gevent.spawn(self._keep_entry)
+        try:
+            yield
+        finally:
+            beats.kill()
+            self.proxy.stop()
+            inner.stop(timeout=0)
+
+    def crash(self) -> None:
+        """Ends at once; every connection is reset."""
+        self.alive = False
+        self._down_since = time.monotonic()
+        for sock in list(self._socks):
+            sock.close()
+
+    def restart(self) -> None:
+        """Starts again, knowing nothing of before, under a new identifier."""
+        stem, _, number = self.server.id.partition(".")
+        self._withdraw()
+        self.server = dataclasses.replace(
+            self.server,
+            id=f"{stem}.{int(number or 0) + 1}",
+            availability=backend_server.Availability.READY,
+            started_ms=int(time.time() * 1000),
+        )
+        self._entry = b""
+        self.alive = True
+
+    def leave(self) -> None:
+        """Says that it leaves; it serves on for the time of a drain."""
+        self.server = dataclasses.replace(
+            self.server, availability=backend_server.Availability.LEAVING
+        )
+
+    def entry(self) -> backend_server.BackendServer:
+        """Returns its entry as it should stand in the list."""
+        return self.server
+
+    def _keep_entry(self) -> None:
+        while True:
+            if self.alive:
+                self._publish()
+            elif time.monotonic() - self._down_since > _LAPSE_S:
+                self._withdraw()
+            gevent.sleep(_BEAT_S)
+
+    def _publish(self) -> None:
+        body = server_side.entry_body(self.entry(), beats=self._beats)
+        if body == self._entry:
+            return
+        topic = store_names.SERVERS_TOPIC
+        if not self._store.write(topic, self.server.id, body):
+            return
+        self._entry = body
+        if not self.server.ready:
+            self._evidence.drained(self.server.id)
+
+    def _withdraw(self) -> None:
+        topic = store_names.SERVERS_TOPIC
+        if self._entry and self._store.write(topic, self.server.id, b""):
+            self._entry = b""
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        self._socks.add(sock)
+        limits = configuration.ClientLimits()
+        client = client_connection.ClientConnection(sock, limits=limits)
+        try:
+            while self.alive and (request := client.read_request()):
+                if self.alive:
+                    self._answer(client, request)
+        except (
+            client_connection.CallerGoneError,
+            client_connection.BadRequestError,
+        ):
+            pass
+        finally:
+            self._socks.discard(sock)
+            sock.close()
+
+    def _answer(
+        self,
+        client: client_connection.ClientConnection,
+        request: http_message.Request,
+    ) -> None:
+        told = server_side.read_forwarded(request.headers)
+        self._evidence.arrived(told.request_id, self.server.id)
+        if told.instance_id != self.server.id:
+            self.refuse(client, told, _MISDIRECTED)
+        elif self._rng.random() < self.refuses:
+            self.refuse(client, told, FULL)
+        else:
+            with client.watched():
+                self._run(client, request, told)
+
+    def _run(
+        self,
+        client: client_connection.ClientConnection,
+        request: http_message.Request,
+        told: server_side.Forwarded,
+    ) -> None:
+        with self._noted(told) as run:
+            gevent.sleep(_WORK_S * self.slowness)
+            self._evidence.end_run(run)
+            if not self.alive or self._rng.random() < self.loses_answers:
+                raise client_connection.CallerGoneError("answer lost")
+            failed = self._rng.random() < self.errors
+            self._send(
+                client,
+                told,
+                _ERROR if failed else OK,
+                request.body + b" ran",
+                seal=f"{self.server.id}/{told.request_id}",
+            )
+
+    @contextlib.contextmanager
+    def _noted(
+        self, told: server_side.Forwarded
+    ) -> Iterator[soak_evidence.Run]:
+        run = self._evidence.begin_run(
+            told.request_id,
+            self.server.id,
+            workspace=told.workspace,
+            key_passed_on=told.api_key_passed_on,
+        )
+        try:
+            yield run
+        finally:
+            if not run.ended_at:
+                self._evidence.end_run(run)
+
+    def refuse(
+        self,
+        client: client_connection.ClientConnection,
+        told: server_side.Forwarded,
+        status: int,
+        *,
+        culprit: str = "",
+    ) -> None:
+        """Tells a front that its request has not run.
+
+        Args:
+            client: The front's connection.
+            told: What the front said.
+            status: HTTP status.
+            culprit: Address of the stage at fault, or empty.
+        """
+        self._send(client, told, status, b"", not_run=True, culprit=culprit)
+
+    def _send(
+        self,
+        client: client_connection.ClientConnection,
+        told: server_side.Forwarded,
+        status: int,
+        body: bytes,
+        **facts: str | bool,
+    ) -> None:
+        headers = server_side.answer_headers(
+            request_id=told.request_id, **facts
+        )
+        head = http_message.ResponseHead(
+            status=status, reason=b"", headers=headers
+        )
+        answers.send_whole(client, head=head, body=body, close=False)
--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
@@ -0,0 +1,276 @@
+"""A stand-in of a backend server that holds layers of the model.
+
+Engines check the chains that they are given, and make the tokens of a stream
+together; work behind a dead stage stalls, then is cut off.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import time
+
+import gevent
+
+from dotterelgrade import http_message
+from dotterelgrade_front import answers
+from dotterelgrade_front import client_connection
+from dotterelgrade_platform import engines as engine_names
+from dotterelgrade_platform import server_side
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import configuration
+from dotterelgrade_routing import layer_range
+from dotterelgrade_standins import platform_backends
+
+TOKENS_PER_EVENT = 4
+_STEP_S = 0.008
+_LOAD_S = 0.3
+_STALL_S = 2.0
+_POLL_S = 0.02
+_ACCEPTED = 202
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+
+def event_of(body: bytes, number: int) -> bytes:
+    """Returns an event of the answer to a request, wherever it is made."""
+    return b"id: %d\ndata: %s %d\n\n" % (number, body, number)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Stream:
+    hops: tuple[server_side.Hop, ...]
+    incarnations: dict[str, str]
+    waits_for: str = ""
+
+
+class EngineStandIn(platform_backends.BackendStandIn):
+    """A backend server that holds layers and makes streams with others."""
+
+    def __init__(
+        self,
+        server: backend_server.BackendServer,
+        *,
+        engine: configuration.Engine,
+        fleet: dict[str, "EngineStandIn"],
+        **rest: object,
+    ) -> None:
+        """Initializes an engine without layers.
+
+        Args:
+            server: Its entry.
+            engine: Figures of the model.
+            fleet: All engines by their address; it adds itself.
+            **rest: As for `BackendStandIn`.
+        """
+        super().__init__(server, **rest)
+        self._engine = engine
+        self._fleet = fleet
+        self._held: layer_range.LayerRange | None = None
+        self._orders = 0
+        self._loading = False
+        self._streams: dict[str, _Stream] = {}
+        self.late_orders_s = 0.0
+
+    @contextlib.contextmanager
+    def running(self, host: str) -> Iterator[None]:
+        """Serves on a host; see `BackendStandIn.running`."""
+        with super().running(host):
+            self._fleet[self.server.address] = self
+            yield
+
+    def restart(self) -> None:
+        """Starts again without layers; see `BackendStandIn.restart`."""
+        self._held = None
+        self._orders = 0
+        self._loading = False
+        super().restart()
+
+    def entry(self) -> backend_server.BackendServer:
+        """Returns its entry with its layers."""
+        return dataclasses.replace(self.server, layers=self._held)
+
+    def holds(self, layers: layer_range.LayerRange) -> bool:
+        """Returns whether it takes new work on these layers."""
+        held = self._held is not None and self._held.covers(layers)
+        return self.alive and self.server.ready and held
+
+    def _answer(
+        self,
+        client: client_connection.ClientConnection,
+        request: http_message.Request,
+    ) -> None:
+        if request.path == engine_names.REPORT_PATH:
+            self._send_own(
+                client,
+                platform_backends.OK,
+                server_side.report_body(self._report()),
+            )
+        elif request.path == engine_names.ORDER_PATH:
+            self._obey(client, server_side.read_order(request.body))
+        else:
+            super()._answer(client, request)
+
+    def _report(self) -> backend_server.EngineReport:
+        return backend_server.EngineReport(
+            layers=self._held,
+            accelerator=self.server.accelerator,
+            loading=self._loading,
+            orders=self._orders,
+            started_ms=self.server.started_ms,
+            waiting=0,
+            running=len(self._streams),
+            used=0.0,
+            total=1e6,
+            slowness=self.slowness,
+            stalled={
+                request_id: stream.waits_for
+                for request_id, stream in self._streams.items()
+                if stream.waits_for
+            },
+        )
+
+    def _send_own(
+        self,
+        client: client_connection.ClientConnection,
+        status: int,
+        body: bytes = b"",
+    ) -> None:
+        head = http_message.ResponseHead(status=status, reason=b"", headers=[])
+        answers.send_whole(client, head=head, body=body, close=False)
+
+    def _obey(
+        self,
+        client: client_connection.ClientConnection,
+        order: server_side.Order,
+    ) -> None:
+        if order.layers is None:
+            self._send_own(client, self._reroute(order))
+        elif self.late_orders_s:
+            gevent.spawn_later(self.late_orders_s, self._place, order)
+            raise client_connection.CallerGoneError("order left unanswered")
+        else:
+            self._send_own(client, self._place(order))
+
+    def _place(self, order: server_side.Order) -> int:
+        if order.accepted != self._orders or self._loading or not self.alive:
+            return _CONFLICT
+        kind = self._engine.accelerator(self.server.accelerator)
+        if len(order.layers) > self._engine.most_layers(kind):
+            self._evidence.broken("memory", "", f"{self} {order.layers}")
+        self._orders += 1
+        self._loading = True
+        self._held = None
+        gevent.spawn_later(_LOAD_S, self._load, order.layers, self.server.id)
+        return _ACCEPTED
+
+    def _load(self, layers: layer_range.LayerRange, server_id: str) -> None:
+        if self.alive and self.server.id == server_id:
+            self._held = layers
+            self._loading = False
+
+    def _reroute(self, order: server_side.Order) -> int:
+        stream = self._streams.get(order.request_id)
+        if stream is None:
+            return _NOT_FOUND
+        if self._culprit(order.hops[1:]):
+            return _CONFLICT
+        self._check_chain(order.request_id, order.hops)
+        stream.hops = order.hops
+        stream.incarnations = self._incarnations(order.hops)
+        return platform_backends.OK
+
+    def _culprit(self, hops: tuple[server_side.Hop, ...]) -> str:
+        """Returns the address of a stage that refuses, or empty."""
+        for hop in hops:
+            engine = self._fleet.get(hop.address)
+            if engine is None or not engine.holds(hop.layers):
+                return hop.address
+        return ""
+
+    def _check_chain(
+        self, request_id: str, hops: tuple[server_side.Hop, ...]
+    ) -> None:
+        position = 0
+        for hop in hops:
+            if hop.layers.first != position:
+                break
+            position = hop.layers.end
+        addresses = {hop.address for hop in hops}
+        whole = position == self._engine.layers
+        if not whole or len(addresses) < len(hops):
+            self._evidence.broken("layers", request_id, f"{hops}")
+
+    def _incarnations(
+        self, hops: tuple[server_side.Hop, ...]
+    ) -> dict[str, str]:
+        return {h.address: self._fleet[h.address].server.id for h in hops}
+
+    def _run(
+        self,
+        client: client_connection.ClientConnection,
+        request: http_message.Request,
+        told: server_side.Forwarded,
+    ) -> None:
+        culprit = self._culprit(told.hops)
+        if culprit:
+            self.refuse(client, told, platform_backends.FULL, culprit=culprit)
+            return
+        stream = _Stream(
+            hops=told.hops, incarnations=self._incarnations(told.hops)
+        )
+        self._streams[told.request_id] = stream
+        try:
+            with self._noted(told):
+                self._check_chain(told.request_id, told.hops)
+                self._make_events(client, request, told, stream)
+        finally:
+            self._streams.pop(told.request_id, None)
+
+    def _make_events(
+        self,
+        client: client_connection.ClientConnection,
+        request: http_message.Request,
+        told: server_side.Forwarded,
+        stream: _Stream,
+    ) -> None:
+        headers = server_side.answer_headers(
+            request_id=told.request_id,
+            seal=f"{self.server.id}/{told.request_id}",
+        )
+        head = http_message.ResponseHead(
+            status=platform_backends.OK, reason=b"", headers=headers
+        )
+        data = answers.stream_head(head, close=False)
+        last = int(told.answer_tokens) // TOKENS_PER_EVENT
+        for number in range(int(told.resume_after or 0) + 1, last + 1):
+            self._make_token(stream)
+            event = event_of(request.body, number)
+            if self._rng.random() < self.loses_answers:
+                client.write(data + answers.chunk(event[: len(event) // 2]))
+                raise client_connection.CallerGoneError("broken off")
+            client.write(data + answers.chunk(event))
+            data = b""
+        client.write(data + answers.LAST_CHUNK)
+
+    def _make_token(self, stream: _Stream) -> None:
+        stalled_at = time.monotonic()
+        while self.alive:
+            stream.waits_for = self._lost_stage(stream)
+            if not stream.waits_for:
+                factors = [
+                    self._fleet[hop.address].slowness for hop in stream.hops
+                ]
+                gevent.sleep(_STEP_S * sum(factors))
+                return
+            if time.monotonic() - stalled_at > _STALL_S:
+                break
+            gevent.sleep(_POLL_S)
+        raise client_connection.CallerGoneError("cut off")
+
+    def _lost_stage(self, stream: _Stream) -> str:
+        for hop in stream.hops:
+            engine = self._fleet[hop.address]
+            known = stream.incarnations[hop.address]
+            if not engine.alive or engine.server.id != known:
+                return hop.address
+        return ""
--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_store.py
@@ -0,0 +1,178 @@
+"""A stand-in of the platform's metadata store, in memory.
+
+Speaks through `dotterelgrade_platform.server_side`, which knows the names.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import enum
+import time
+
+import gevent
+from gevent import event
+
+from dotterelgrade_platform import server_side
+from dotterelgrade_platform import store as store_names
+from dotterelgrade_routing import platform_port
+from dotterelgrade_standins import web
+
+_POLL_S = 0.02
+_LONGEST_SILENCE_S = 30.0
+_GONE = 410
+_UNAVAILABLE = 503
+
+
+class Outage(enum.Enum):
+    """How the store is away."""
+
+    SILENT = "silent"
+    BUSY = "busy"
+    RESET = "reset"
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Topic:
+    records: list[platform_port.Record] = dataclasses.field(
+        default_factory=list
+    )
+    first: int = 0
+    news: event.Event = dataclasses.field(default_factory=event.Event)
+
+    @property
+    def end(self) -> int:
+        return len(self.records)
+
+
+class PlatformStore:
+    """Topics with the newest record of each key, and one group."""
+
+    def __init__(self) -> None:
+        """Initializes an empty store that works."""
+        self._topics: dict[str, _Topic] = {}
+        self._members: dict[str, float] = {}
+        self._generation = 0
+        self._plan_topic = ""
+        self.outage: Outage | None = None
+        self.delay_s = 0.0
+        self.loses_answers = False
+
+    def __repr__(self) -> str:
+        """Shows the topics."""
+        return f"<PlatformStore {sorted(self._topics)}>"
+
+    def write(self, topic: str, key: str, value: bytes) -> bool:
+        """Writes a record, as operators and backend servers do.
+
+        Returns:
+            Whether it was acknowledged.
+        """
+        if self.outage is not None:
+            return False
+        found = self._topic(topic)
+        found.records.append(
+            platform_port.Record(key=key, value=value, offset=found.end)
+        )
+        found.news.set()
+        found.news.clear()
+        return True
+
+    def forget_history(self) -> None:
+        """Deletes all records but the newest of each key."""
+        for topic in self._topics.values():
+            topic.first = topic.end
+
+    @contextlib.contextmanager
+    def serving(self, host: str) -> Iterator[tuple[str, int]]:
+        """Serves the store for the body of the context.
+
+        Args:
+            host: IP number to listen on.
+
+        Yields:
+            Host and port.
+        """
+        app = web.JsonApp()
+        app.route("GET", store_names.READ_PATH, self._faulty(self._read))
+        app.route("GET", store_names.NEWEST_PATH, self._faulty(self._newest))
+        app.route("POST", store_names.JOIN_PATH, self._faulty(self._join))
+        app.route("GET", store_names.OWNERS_PATH, self._faulty(self._owners))
+        app.route("POST", store_names.LEAVE_PATH, self._faulty(self._leave))
+        with web.serving(app, host=host, port=0) as server:
+            yield host, server.server_port
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+    def _faulty(self, handler: web.Handler) -> web.Handler:
+        def handle(call: web.Call) -> object:
+            self._fail_if_away()
+            gevent.sleep(self.delay_s)
+            answer = handler(call)
+            self._fail_if_away()
+            if self.loses_answers:
+                raise web.DropConnectionError
+            return answer
+
+        return handle
+
+    def _fail_if_away(self) -> None:
+        if self.outage is Outage.BUSY:
+            raise web.HttpError(_UNAVAILABLE, {})
+        if self.outage is Outage.RESET:
+            raise web.DropConnectionError
+        if self.outage is Outage.SILENT:
+            gevent.sleep(_LONGEST_SILENCE_S)
+            raise web.DropConnectionError
+
+    def _read(self, call: web.Call) -> bytes:
+        query = server_side.read_query(call.query)
+        topic = self._topic(query.topic)
+        if query.start < topic.first:
+            raise web.HttpError(_GONE, {})
+        until = time.monotonic() + query.wait_s
+        while topic.end <= query.start and time.monotonic() < until:
+            topic.news.wait(_POLL_S)
+            self._fail_if_away()
+        return server_side.records_body(
+            topic.records[query.start :], end=topic.end, first=topic.first
+        )
+
+    def _newest(self, call: web.Call) -> bytes:
+        topic = self._topic(server_side.read_query(call.query).topic)
+        newest = {record.key: record for record in topic.records}
+        kept = [record for record in newest.values() if record.value]
+        return server_side.newest_body(kept, end=topic.end)
+
+    def _join(self, call: web.Call) -> bytes:
+        join = server_side.read_join(call.body)
+        before = self._owner()
+        if join.member not in self._members:
+            self._generation += 1
+        self._members[join.member] = time.monotonic() + join.ttl_ms / 1000
+        self._plan_topic = join.topics[0]
+        owner = self._owner()
+        if owner != before:
+            self._generation += 1
+        return server_side.membership_body(
+            topic=self._plan_topic,
+            generation=self._generation,
+            owned=owner == join.member,
+        )
+
+    def _owners(self, _: web.Call) -> bytes:
+        return server_side.owners_body(
+            topic=self._plan_topic, member=self._owner()
+        )
+
+    def _leave(self, call: web.Call) -> object:
+        self._members.pop(server_side.read_leave(call.body), None)
+        self._generation += 1
+        return {}
+
+    def _owner(self) -> str | None:
+        now = time.monotonic()
+        for member, until in list(self._members.items()):
+            if until < now:
+                del self._members[member]
+        return next(iter(self._members), None)
--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_callers.py
@@ -0,0 +1,351 @@
+"""Callers of a soak: they judge each answer that they get."""
+
+import dataclasses
+import itertools
+import time
+
+import gevent
+
+from dotterelgrade import http_connection
+from dotterelgrade import http_message
+from dotterelgrade_platform import server_side
+from dotterelgrade_standins import platform_engines
+from dotterelgrade_standins import soak_evidence
+from dotterelgrade_standins import soak_fleet
+
+_PATIENCE_S = 8.0
+_CONNECT_TIMEOUT_S = 1.0
+_READY_EVERY_S = 0.5
+_READY_TIMEOUT_S = 0.4
+_MOST_PAUSE_S = 0.15
+_LEAVES_AFTER_S = 0.1
+_PROMISES = frozenset({408, 421, 429, 503})
+_DENIALS = frozenset({401, 403, 404})
+_NOT_FOUND = 404
+_UNAUTHORIZED = 401
+_ids = itertools.count(1)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """A kind of request.
+
+    Attributes:
+        path: Its path; the first part is the name of its route.
+        weight: How often it is made, relative to the others.
+        events: Events of the answer; 0 for plain ones.
+        key: The caller's key.
+        leaves: Whether the caller leaves early.
+    """
+
+    path: str
+    weight: float
+    events: int = 0
+    key: str = soak_fleet.KEY
+    leaves: bool = False
+
+
+PLANS = (
+    Plan(path="/stream/a", weight=6, events=20),
+    Plan(path="/stream/b", weight=2, events=50),
+    Plan(path="/stream/c", weight=1, events=50, leaves=True),
+    Plan(path="/stream/d", weight=1, events=120),
+    Plan(path="/safe/a", weight=4),
+    Plan(path="/unsafe/a", weight=6),
+    Plan(path="/changing/a", weight=2),
+    Plan(path="/safe/b", weight=0.5, key="no-such-key"),
+    Plan(path="/nowhere/a", weight=0.5),
+)
+
+
+class Rotation:
+    """Which fronts are ready, as a balancer sees them."""
+
+    def __init__(self, fleet: soak_fleet.Fleet) -> None:
+        """Initializes a rotation in which no front is ready yet.
+
+        Args:
+            fleet: The fleet.
+        """
+        self._fleet = fleet
+        self._misses = {front.name: 2 for front in fleet.fronts}
+
+    def __repr__(self) -> str:
+        """Shows the checks that failed in a row."""
+        return f"<Rotation {self._misses}>"
+
+    def run(self) -> None:
+        """Checks all fronts until the greenlet is killed."""
+        while True:
+            gevent.joinall(
+                [gevent.spawn(self._check, f) for f in self._fleet.fronts]
+            )
+            gevent.sleep(_READY_EVERY_S)
+
+    def choose(self) -> soak_fleet.FrontProcess:
+        """Returns a front that is ready, or any if none is."""
+        fronts = self._fleet.fronts
+        ready = [f for f in fronts if self._misses[f.name] < 2]
+        return self._fleet.rng.choice(ready or fronts)
+
+    def all_ready(self) -> bool:
+        """Returns whether every front is ready."""
+        return not any(self._misses.values())
+
+    def _check(self, front: soak_fleet.FrontProcess) -> None:
+        try:
+            head, _ = http_connection.call(
+                front.settings.ready_address,
+                method=b"GET",
+                target=b"/ready",
+                connect_timeout_s=_READY_TIMEOUT_S,
+                timeout_s=_READY_TIMEOUT_S,
+            )
+            good = head.status == 200
+        except (
+            http_connection.ConnectError,
+            http_connection.BrokenConnectionError,
+            http_connection.AnswerTimeoutError,
+        ):
+            good = False
+        self._misses[front.name] = 0 if good else self._misses[front.name] + 1
+
+
+class Caller:
+    """Makes one request after another, over connections that it keeps."""
+
+    def __init__(self, fleet: soak_fleet.Fleet, rotation: Rotation) -> None:
+        """Initializes a caller.
+
+        Args:
+            fleet: The fleet.
+            rotation: Chooses its fronts.
+        """
+        self._fleet = fleet
+        self._evidence = fleet.evidence
+        self._rotation = rotation
+        self._kept: dict[str, http_connection.HttpConnection] = {}
+
+    def __repr__(self) -> str:
+        """Shows the open connections."""
+        return f"<Caller {sorted(self._kept)}>"
+
+    def run(self) -> None:
+        """Calls until the greenlet is killed."""
+        while True:
+            gevent.sleep(self._fleet.rng.random() * _MOST_PAUSE_S)
+            self._call(self._fleet.rng.choices(PLANS, _WEIGHTS)[0])
+
+    def _call(self, plan: Plan) -> None:
+        front = self._front()
+        connection = self._connection(front)
+        if connection is None:
+            self._evidence.outcomes["no connection"] += 1
+            return
+        sent = self._note_sent(plan, front)
+        try:
+            self._exchange(connection, plan, sent)
+        except http_connection.AnswerTimeoutError:
+            self._drop(front, connection)
+            self._evidence.outcomes["no answer in time"] += 1
+        except http_connection.BrokenConnectionError as error:
+            self._drop(front, connection)
+            sent.ended_at = time.monotonic()
+            self._evidence.outcomes["broken off"] += 1
+            self._judge_broken(sent, str(error))
+
+    def _front(self) -> soak_fleet.FrontProcess:
+        """Keeps to open connections for as long as the process exists."""
+        kept = [f for f in self._fleet.fronts if f.name in self._kept]
+        if kept and self._fleet.rng.random() < 0.7:
+            return self._fleet.rng.choice(kept)
+        return self._rotation.choose()
+
+    def _connection(
+        self, front: soak_fleet.FrontProcess
+    ) -> http_connection.HttpConnection | None:
+        known = self._kept.get(front.name)
+        if known is not None:
+            return known
+        try:
+            made = http_connection.connect(
+                front.settings.callers_address, timeout_s=_CONNECT_TIMEOUT_S
+            )
+        except http_connection.ConnectError:
+            return None
+        self._kept[front.name] = made
+        return made
+
+    def _drop(
+        self,
+        front: soak_fleet.FrontProcess,
+        connection: http_connection.HttpConnection,
+    ) -> None:
+        self._kept.pop(front.name, None)
+        connection.close()
+
+    def _note_sent(
+        self, plan: Plan, front: soak_fleet.FrontProcess
+    ) -> soak_evidence.Sent:
+        name = plan.path.split("/")[1]
+        routes = {r.name: r for r in soak_fleet.STEADY_ROUTES}
+        steady = routes.get(name)
+        sent = soak_evidence.Sent(
+            request_id=f"r{next(_ids)}",
+            front=front.name,
+            once=steady is not None
+            and not (steady.idempotent or steady.resumable),
+            allowed=steady is not None and plan.key == soak_fleet.KEY,
+            workspace=soak_fleet.WORKSPACE,
+            timeout_s=soak_fleet.CHANGING_ROUTE.timeout_s,
+            sent_at=time.monotonic(),
+        )
+        self._evidence.sent[sent.request_id] = sent
+        return sent
+
+    def _exchange(
+        self,
+        connection: http_connection.HttpConnection,
+        plan: Plan,
+        sent: soak_evidence.Sent,
+    ) -> None:
+        body = sent.request_id.encode()
+        tokens = plan.events * platform_engines.TOKENS_PER_EVENT
+        connection.send(
+            method=b"POST",
+            target=plan.path.encode(),
+            headers=[
+                (b"host", soak_fleet.HOST.encode()),
+                *server_side.caller_headers(
+                    request_id=sent.request_id,
+                    patience_s=_PATIENCE_S,
+                    api_key=plan.key,
+                    answer_tokens=tokens,
+                ),
+            ],
+            body=body,
+            timeout_s=1.0,
+        )
+        sent.sent_at = time.monotonic()
+        until = sent.sent_at + _PATIENCE_S
+        if plan.leaves:
+            until = sent.sent_at + _LEAVES_AFTER_S
+        try:
+            head = connection.read_head(until=until)
+            data = self._read_body(connection, until, plan, body)
+        except http_connection.AnswerTimeoutError:
+            if plan.leaves:
+                sent.left_at = time.monotonic()
+            raise
+        sent.ended_at = time.monotonic()
+        self._judge(plan, sent, head, data)
+        self._keep(head, sent, connection)
+
+    def _read_body(
+        self,
+        connection: http_connection.HttpConnection,
+        until: float,
+        plan: Plan,
+        body: bytes,
+    ) -> bytes:
+        """Returns the whole body; checks events as they come."""
+        whole = b"".join(
+            platform_engines.event_of(body, n)
+            for n in range(1, plan.events + 1)
+        )
+        data = b""
+        while piece := connection.read_piece(until=until):
+            data += piece
+            stream = plan.events and data.startswith(b"id:")
+            if stream and not whole.startswith(data):
+                self._evidence.broken("order", body.decode(), repr(piece))
+        return data
+
+    def _keep(
+        self,
+        head: http_message.ResponseHead,
+        sent: soak_evidence.Sent,
+        connection: http_connection.HttpConnection,
+    ) -> None:
+        found = http_message.by_name(head.headers)
+        if found.get(b"connection", b"").lower() == b"close":
+            self._kept.pop(sent.front, None)
+            connection.close()
+
+    def _judge(
+        self,
+        plan: Plan,
+        sent: soak_evidence.Sent,
+        head: http_message.ResponseHead,
+        data: bytes,
+    ) -> None:
+        self._evidence.outcomes[str(head.status)] += 1
+        seal = server_side.seal_of(head.headers)
+        if head.status in _PROMISES:
+            self._evidence.promise(sent, head.status)
+        elif head.status in _DENIALS and not seal:
+            self._judge_denial(plan, sent, head.status)
+        elif head.status < 300:
+            sent.succeeded = True
+            self._judge_success(plan, sent, seal, data)
+
+    def _judge_success(
+        self, plan: Plan, sent: soak_evidence.Sent, seal: str, data: bytes
+    ) -> None:
+        request_id = sent.request_id
+        server_id, _, answered = seal.partition("/")
+        runs = self._evidence.runs.get(request_id, ())
+        if answered != request_id or server_id not in {
+            run.server_id for run in runs
+        }:
+            self._evidence.broken("mixed", request_id, f"seal {seal!r}")
+        body = request_id.encode()
+        expected = body + b" ran"
+        if plan.events:
+            expected = b"".join(
+                platform_engines.event_of(body, n)
+                for n in range(1, plan.events + 1)
+            )
+        if data != expected:
+            self._evidence.broken("mixed", request_id, f"{data[-60:]!r}")
+        if plan.key != soak_fleet.KEY:
+            self._evidence.broken("key", request_id, "served without a key")
+        if plan.path.startswith("/changing/"):
+            self._judge_changing(sent, served=True)
+
+    def _judge_denial(
+        self, plan: Plan, sent: soak_evidence.Sent, status: int
+    ) -> None:
+        if plan.path.startswith("/changing/") and status == _NOT_FOUND:
+            self._judge_changing(sent, served=False)
+            return
+        expected = _NOT_FOUND
+        if plan.key != soak_fleet.KEY:
+            expected = _UNAUTHORIZED
+        if sent.allowed or status != expected:
+            self._evidence.broken("denied", sent.request_id, f"{status}")
+
+    def _judge_changing(
+        self, sent: soak_evidence.Sent, *, served: bool
+    ) -> None:
+        """Checks that the newest configuration is in force."""
+        fleet = self._fleet
+        since = fleet.changed_at
+        if sent.sent_at < since + soak_evidence.APPLY_S:
+            return
+        if not self._evidence.in_touch(sent.front, since, sent.ended_at):
+            return
+        if served != fleet.changing:
+            self._evidence.broken(
+                "configuration", sent.request_id, f"version {fleet.version}"
+            )
+
+    def _judge_broken(self, sent: soak_evidence.Sent, reason: str) -> None:
+        """A calm front that has read a request must answer it."""
+        ran = bool(self._evidence.runs.get(sent.request_id))
+        now = time.monotonic()
+        if ran and self._evidence.in_touch(sent.front, sent.sent_at, now):
+            self._evidence.broken("lost", sent.request_id, reason)
+
+
+_WEIGHTS = [plan.weight for plan in PLANS]
--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_evidence.py
@@ -0,0 +1,256 @@
+"""What callers and backend servers saw of a soak, and which promises broke."""
+
+import collections
+import dataclasses
+import time
+
+# Rules with a time bound hold only where nothing was disturbed for so long.
+STABILITY_S = 3.0
+DRAIN_S = 2.0
+APPLY_S = 2.0
+TIMEOUT_SLACK_S = 0.5
+LEFT_SLACK_S = 0.5
+# Share of late answers, and of abandoned work that goes on, that is borne.
+MOST_UNANSWERED = 0.5
+MOST_ABANDONED = 0.25
+LEAST_SAMPLES = 4
+# Of the requests sent this long after the last fault, a quarter must succeed.
+RECOVER_S = 12.0
+LEAST_RECOVERED = 0.25
+EVERYWHERE = "everywhere"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Violation:
+    """A promise that was broken.
+
+    Attributes:
+        rule: Short name of the promise.
+        at_s: Time since the start of the run, s.
+        request_id: The request, or empty.
+        detail: What was seen.
+    """
+
+    rule: str
+    at_s: float
+    request_id: str
+    detail: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class Sent:
+    """One attempt of a caller.
+
+    Attributes:
+        request_id: Its identifier.
+        front: Name of the front that it was sent to.
+        once: Whether it may run at most once.
+        allowed: Whether route and key are in force throughout.
+        workspace: The only workspace for which it may run.
+        timeout_s: Longest time that its route allows, s.
+        sent_at: Monotonic time at which it was sent whole, s.
+        ended_at: Monotonic time of its end, s, or 0 while it waits.
+        succeeded: Whether it ended with a whole success.
+        left_at: Monotonic time at which its caller left, s, or 0.
+        promised: Whether its caller was told that it has not run.
+    """
+
+    request_id: str
+    front: str
+    once: bool
+    allowed: bool
+    workspace: str
+    timeout_s: float
+    sent_at: float
+    ended_at: float = 0.0
+    succeeded: bool = False
+    left_at: float = 0.0
+    promised: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class Run:
+    """One run of a request at a backend server.
+
+    Attributes:
+        server_id: The backend server.
+        began_at: Monotonic time, s.
+        ended_at: Monotonic time, s, or 0 while it runs.
+    """
+
+    server_id: str
+    began_at: float
+    ended_at: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Disturbance:
+    where: str
+    began_at: float
+    ended_at: float = float("inf")
+
+
+class Evidence:
+    """Collects what was seen; `violations` holds what must not happen."""
+
+    def __init__(self) -> None:
+        """Initializes the evidence of a run that starts now."""
+        self._started_at = time.monotonic()
+        self._disturbances: list[_Disturbance] = []
+        self._draining: dict[str, float] = {}
+        self.sent: dict[str, Sent] = {}
+        self.runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.faults: collections.Counter[str] = collections.Counter()
+        self.violations: list[Violation] = []
+
+    def __repr__(self) -> str:
+        """Shows how much was seen."""
+        return f"<Evidence {len(self.sent)} sent, {self.violations}>"
+
+    def broken(self, rule: str, request_id: str, detail: str) -> None:
+        """Notes a promise that was broken."""
+        self.violations.append(
+            Violation(
+                rule=rule,
+                at_s=round(time.monotonic() - self._started_at, 2),
+                request_id=request_id,
+                detail=detail,
+            )
+        )
+
+    def disturb(
+        self, where: str = EVERYWHERE, *, began_at: float | None = None
+    ) -> _Disturbance:
+        """Notes that a front, or all, are disturbed until `calm` is called.
+
+        Args:
+            where: Name of a front, or everywhere.
+            began_at: Monotonic time, s; by default now.
+        """
+        if began_at is None:
+            began_at = time.monotonic()
+        found = _Disturbance(where=where, began_at=began_at)
+        self._disturbances.append(found)
+        return found
+
+    def calm(self, disturbance: _Disturbance) -> None:
+        """Notes the end of a disturbance."""
+        disturbance.ended_at = time.monotonic()
+
+    def in_touch(self, front: str, start: float, end: float) -> bool:
+        """Returns whether a front was undisturbed in and before a span."""
+        return not any(
+            d.where in (front, EVERYWHERE)
+            and d.began_at < end
+            and d.ended_at > start - STABILITY_S
+            for d in self._disturbances
+        )
+
+    def drained(self, server_id: str) -> None:
+        """Notes that the store has taken in that a server leaves."""
+        self._draining[server_id] = time.monotonic()
+
+    def arrived(self, request_id: str, server_id: str) -> None:
+        """Notes a request at a backend server, run or not."""
+        self._check_drain(request_id, server_id)
+
+    def begin_run(
+        self,
+        request_id: str,
+        server_id: str,
+        *,
+        workspace: str,
+        key_passed_on: bool,
+    ) -> Run:
+        """Notes that a backend server begins to work on a request."""
+        run = Run(server_id=server_id, began_at=time.monotonic())
+        runs = self.runs[request_id]
+        runs.append(run)
+        sent = self.sent.get(request_id)
+        if sent is None:
+            self.broken("unasked", request_id, f"runs at {server_id}")
+            return run
+        if key_passed_on or workspace != sent.workspace:
+            self.broken("workspace", request_id, f"{workspace!r}")
+        if sent.once and len(runs) > 1:
+            self.broken("twice", request_id, f"{runs}")
+        if sent.promised:
+            self.broken("promise", request_id, "runs after 'not run'")
+        return run
+
+    def end_run(self, run: Run) -> None:
+        """Notes that a backend server has ended its work."""
+        run.ended_at = time.monotonic()
+
+    def promise(self, sent: Sent, status: int) -> None:
+        """Notes an answer that says that the request has not run."""
+        sent.promised = True
+        if sent.once and self.runs.get(sent.request_id):
+            self.broken("promise", sent.request_id, f"{status} after a run")
+
+    def conclude(self) -> None:
+        """Checks what can be judged only at the end."""
+        self._check_timeouts()
+        self._check_abandoned()
+
+    def check_recovery(self, since: float) -> None:
+        """Checks the requests that were sent after the recovery."""
+        late = [
+            s
+            for s in self.sent.values()
+            if s.sent_at > since and s.allowed and not s.left_at
+        ]
+        served = sum(s.succeeded for s in late)
+        if len(late) < LEAST_SAMPLES or served < LEAST_RECOVERED * len(late):
+            self.broken("recover", "", f"{served} of {len(late)} served")
+
+    def _check_drain(self, request_id: str, server_id: str) -> None:
+        drained_at = self._draining.get(server_id)
+        sent = self.sent.get(request_id)
+        if drained_at is None or sent is None:
+            return
+        now = time.monotonic()
+        if now < drained_at + DRAIN_S:
+            return
+        if self.in_touch(sent.front, drained_at, now):
+            self.broken("drain", request_id, f"reaches {server_id}")
+
+    def _check_timeouts(self) -> None:
+        now = time.monotonic()
+        reached = [
+            s
+            for s in self.sent.values()
+            if not s.left_at
+            and now - s.sent_at > s.timeout_s + TIMEOUT_SLACK_S
+            and self.in_touch(s.front, s.sent_at, s.sent_at + s.timeout_s)
+            and (not s.ended_at or s.ended_at - s.sent_at >= s.timeout_s)
+        ]
+        late = [
+            s
+            for s in reached
+            if not s.ended_at
+            or s.ended_at - s.sent_at > s.timeout_s + TIMEOUT_SLACK_S
+        ]
+        if len(late) > max(LEAST_SAMPLES, MOST_UNANSWERED * len(reached)):
+            self.broken("timeout", late[0].request_id, f"{len(late)} late")
+
+    def _check_abandoned(self) -> None:
+        left = [
+            s
+            for s in self.sent.values()
+            if s.left_at
+            and self.in_touch(s.front, s.left_at, s.left_at + LEFT_SLACK_S)
+        ]
+        working = [s for s in left if self._works_on(s)]
+        if len(working) > max(LEAST_SAMPLES, MOST_ABANDONED * len(left)):
+            self.broken(
+                "gone", working[0].request_id, f"{len(working)} of {len(left)}"
+            )
+
+    def _works_on(self, sent: Sent) -> bool:
+        until = sent.left_at + LEFT_SLACK_S
+        return any(
+            run.began_at < until and (not run.ended_at or run.ended_at > until)
+            for run in self.runs.get(sent.request_id, ())
+        )
--- /dev/null
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
@@ -0,0 +1,333 @@
+"""The fleet of a soak: stand-ins in this process, real fronts beside it."""
+
+from collections.abc import Iterator, Sequence
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import gevent
+from gevent import subprocess
+
+from dotterelgrade_front import front_settings
+from dotterelgrade_platform import server_side
+from dotterelgrade_platform import settings_file
+from dotterelgrade_platform import store as store_names
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import configuration
+from dotterelgrade_standins import fault_proxy
+from dotterelgrade_standins import loopback_range
+from dotterelgrade_standins import platform_backends
+from dotterelgrade_standins import platform_engines
+from dotterelgrade_standins import platform_store
+from dotterelgrade_standins import soak_evidence
+
+DOMAINS = ("recife-a", "olinda-c")
+HOST = "shop.example"
+KEY = "key-of-bench"
+WORKSPACE = "bench"
+GRACE_S = 5.0
+ENGINE = configuration.Engine(
+    layers=12,
+    layer_mb=100,
+    token_layer_bytes=500,
+    step_s=0.01,
+    read_tokens_per_s=1e5,
+    load_s=0.5,
+    loads_at_once=4,
+    usual_prompt_tokens=100,
+    usual_answer_tokens=60,
+    accelerators=(
+        configuration.Accelerator(
+            name="kind", memory_mb=1_000, step_factor=1.0, read_factor=1.0
+        ),
+    ),
+)
+_MODULE = "dotterelgrade_platform"
+_CALLERS_PORT = 7_001
+_READY_PORT = 7_002
+_PEER_PORT = 7_003
+_STORE_LINK_HOST = 2
+_FIRST_FRONT_HOST = 50
+_FIRST_BACKEND_HOST = 100
+_STORE_HOST = 1
+_LONGEST_STOP_S = GRACE_S + 5.0
+
+
+def route(name: str, service: str, **rest: object) -> configuration.Route:
+    """Returns a route of the soak, reached at `/NAME/`."""
+    flags = {"idempotent": False, "streaming": False, "resumable": False}
+    return configuration.Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        services=(configuration.ServiceWeight(service=service, weight=1.0),),
+        **{**flags, **rest},
+        timeout_s=6.0,
+        objective_s=0.5,
+        longest_pause_s=0.25,
+        priority=1,
+        max_attempts=3,
+        public=False,
+    )
+
+
+STEADY_ROUTES = (
+    route("safe", "plain", idempotent=True),
+    route("unsafe", "plain"),
+    route("stream", "model", streaming=True, resumable=True),
+)
+CHANGING_ROUTE = route("changing", "plain", idempotent=True)
+
+
+class FrontProcess:
+    """One real front as a process of its own."""
+
+    def __init__(
+        self,
+        settings: front_settings.FrontSettings,
+        *,
+        directory: pathlib.Path,
+    ) -> None:
+        """Initializes a front that is not started.
+
+        Args:
+            settings: Its settings.
+            directory: Where its settings file and its log are kept.
+        """
+        self.settings = settings
+        self._settings_path = directory / f"{settings.node}.toml"
+        self._log_path = directory / f"{settings.node}.log"
+        self._settings_path.write_text(settings_file.render(settings))
+        self._child: subprocess.Popen | None = None
+
+    def __repr__(self) -> str:
+        """Shows the name and the process."""
+        return f"<FrontProcess {self.name}>"
+
+    @property
+    def name(self) -> str:
+        """Name of its host."""
+        return self.settings.node
+
+    @property
+    def runs(self) -> bool:
+        """Whether the process exists."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Starts the process."""
+        path = str(self._settings_path)
+        environment = {**os.environ, settings_file.PATH_VARIABLE: path}
+        with self._log_path.open("ab") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", _MODULE, "serve"],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, if the process exists."""
+        if self.runs:
+            self._child.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends the process at once, also while it is paused."""
+        self.signal(signal.SIGKILL)
+        if self._child is not None:
+            self._child.wait()
+
+    def stop(self) -> bool:
+        """Stops the process gracefully; returns whether it ended in time."""
+        self.signal(signal.SIGTERM)
+        try:
+            self._child.wait(timeout=_LONGEST_STOP_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return False
+        return True
+
+
+@dataclasses.dataclass(kw_only=True)
+class Fleet:
+    """Everything that runs in a soak.
+
+    Attributes:
+        store: The platform's store.
+        store_link: The fronts' link to it. All use one, since they take its
+            address for the name of the deployment.
+        fronts: The real programs.
+        plain: Backend servers of the plain service.
+        engines: Backend servers of the model.
+        evidence: What was seen.
+        rng: Draws faults and callers.
+        version: Version of the configuration that was written last.
+        changing: Whether that version holds the changing route.
+        changed_at: Monotonic time at which it was acknowledged, s.
+    """
+
+    store: platform_store.PlatformStore
+    store_link: fault_proxy.FaultProxy
+    fronts: list[FrontProcess]
+    plain: list[platform_backends.BackendStandIn]
+    engines: list[platform_engines.EngineStandIn]
+    evidence: soak_evidence.Evidence
+    rng: random.Random
+    version: int = 0
+    changing: bool = False
+    changed_at: float = float("-inf")
+
+    @property
+    def backends(self) -> Sequence[platform_backends.BackendStandIn]:
+        """All backend servers."""
+        return [*self.plain, *self.engines]
+
+    def write_configuration(self, *, changing: bool) -> bool:
+        """Writes the next version; returns whether it was acknowledged.
+
+        Args:
+            changing: Whether it holds the changing route.
+        """
+        extra = (CHANGING_ROUTE,) if changing else ()
+        body = server_side.configuration_body(
+            configuration.Configuration(
+                version=self.version + 1,
+                routes=(*STEADY_ROUTES, *extra),
+                services=(
+                    configuration.Service(
+                        name="plain", max_connections=500, engine=None
+                    ),
+                    configuration.Service(
+                        name="model", max_connections=500, engine=ENGINE
+                    ),
+                ),
+                limits=configuration.ClientLimits(),
+                workspaces=(
+                    configuration.Workspace(
+                        name=WORKSPACE, api_keys=(KEY,), priority=None
+                    ),
+                ),
+            )
+        )
+        topic = store_names.CONFIGURATION_TOPIC
+        key = store_names.CONFIGURATION_KEY
+        if not self.store.write(topic, key, body):
+            return False
+        self.version += 1
+        self.changing = changing
+        self.changed_at = time.monotonic()
+        return True
+
+
+@contextlib.contextmanager
+def running(
+    *, fronts: int, engines: int, directory: pathlib.Path, rng: random.Random
+) -> Iterator[Fleet]:
+    """Runs a fleet for the body of the context.
+
+    Args:
+        fronts: How many real fronts.
+        engines: How many engines in each failure domain.
+        directory: Where settings files and logs are kept.
+        rng: Draws faults and callers.
+
+    Raises:
+        loopback_range.RangeTakenError: There are no free addresses.
+    """
+    with contextlib.ExitStack() as stack:
+        own = stack.enter_context(loopback_range.reserved())
+        store = platform_store.PlatformStore()
+        target = stack.enter_context(store.serving(own.host(_STORE_HOST)))
+        link = fault_proxy.FaultProxy((own.host(_STORE_LINK_HOST), 0), target)
+        stack.callback(link.stop)
+        fleet = Fleet(
+            store=store,
+            store_link=link,
+            fronts=[],
+            plain=[],
+            engines=[],
+            evidence=soak_evidence.Evidence(),
+            rng=rng,
+        )
+        fleet.write_configuration(changing=False)
+        _start_backends(fleet, own, stack, engines)
+        for number in range(fronts):
+            settings = _front_settings(own, number, link.address)
+            front = FrontProcess(settings, directory=directory)
+            front.start()
+            stack.callback(front.kill)
+            fleet.fronts.append(front)
+        yield fleet
+        _stop_fronts(fleet)
+
+
+def _start_backends(
+    fleet: Fleet,
+    own: loopback_range.LoopbackRange,
+    stack: contextlib.ExitStack,
+    engines: int,
+) -> None:
+    by_address: dict[str, platform_engines.EngineStandIn] = {}
+    shared = {
+        "store": fleet.store,
+        "evidence": fleet.evidence,
+        "rng": fleet.rng,
+    }
+    for domain in DOMAINS:
+        for number in range(2):
+            entry = _entry(f"plain-{domain}-{number}", "plain", domain)
+            backend = platform_backends.BackendStandIn(entry, **shared)
+            fleet.plain.append(backend)
+        for number in range(engines):
+            entry = _entry(f"engine-{domain}-{number}", "model", domain)
+            engine = platform_engines.EngineStandIn(
+                entry, engine=ENGINE, fleet=by_address, **shared
+            )
+            fleet.engines.append(engine)
+    for number, backend in enumerate(fleet.backends):
+        host = own.host(_FIRST_BACKEND_HOST + number)
+        stack.enter_context(backend.running(host))
+
+
+def _entry(
+    server_id: str, service: str, domain: str
+) -> backend_server.BackendServer:
+    return backend_server.BackendServer(
+        id=server_id,
+        service=service,
+        address="",
+        failure_domain=domain,
+        availability=backend_server.Availability.READY,
+        slots=64,
+        accelerator="kind" if service == "model" else "",
+        started_ms=int(time.time() * 1000),
+    )
+
+
+def _front_settings(
+    own: loopback_range.LoopbackRange, number: int, store_address: str
+) -> front_settings.FrontSettings:
+    host = own.host(_FIRST_FRONT_HOST + number)
+    return front_settings.FrontSettings(
+        node=f"front-{number}",
+        host=host,
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        callers_address=f"{host}:{_CALLERS_PORT}",
+        ready_address=f"{host}:{_READY_PORT}",
+        peer_port=_PEER_PORT,
+        store_address=store_address,
+        grace_s=GRACE_S,
+    )
+
+
+def _stop_fronts(fleet: Fleet) -> None:
+    stops = {front: gevent.spawn(front.stop) for front in fleet.fronts}
+    gevent.joinall(list(stops.values()))
+    for front, stopped in stops.items():
+        if not stopped.value:
+            fleet.evidence.broken("stop", "", f"{front} did not end in time")
--- a/packages/dotterelgrade-standins/tests/test_mutants.py
+++ b/packages/dotterelgrade-standins/tests/test_mutants.py
@@ -6,6 +6,7 @@
 from dotterelgrade_standins import fuzz
 from dotterelgrade_standins import mutants
 from dotterelgrade_standins import mutants_list
+from dotterelgrade_standins import soak_faults
 
 _ROOT = pathlib.Path(__file__).parents[3]
 
@@ -22,6 +23,9 @@
         assert old != new
     if mutant.check.endswith(".py"):
         assert (_ROOT / mutant.check).is_file()
+    elif mutant.check.startswith(mutants_list.SOAK):
+        faults = mutant.check.removeprefix(mutants_list.SOAK).split(",")
+        assert set(faults) <= set(soak_faults.names())
     else:
         assert mutant.check in fuzz.targets()
 
