--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_future.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_future.py
@@ -11,7 +11,6 @@
 _HEARTBEAT_BYTES = 60
 _HEARTBEAT_S = 10.0
 _READERS_PER_DOMAIN = 3
-_HOST_CHANGES_PER_DAY = 71 + 2_600
 _HOSTS_POLL_S = 60.0
 _SECONDS_PER_DAY = 86_400
 
@@ -40,6 +39,10 @@
   needs a question by failure domain, or for the changes alone, from the
   platform. Changes are {changes:.2g} a second, and are handed on like contract
   records.
+- **Replaced hosts.** {replaced_per_day:,.0f} hosts are replaced a day,
+  {replaced:.2g} a second, in proportion entries and agents. A new entry dials
+  {links:,} agents, a new agent is dialled by {agent_links:,.0f} entries:
+  {handshakes:.2g} handshakes a second in the whole fleet.
 - **Placement.** Every worker renews what it holds, so that the records outlive
   the log's retention, and every agent reads every record: {placement:,.1f}
   records a second to {workers:,} agents. Snapshots of the placement, as the
@@ -79,6 +82,15 @@
     return _READERS_PER_DOMAIN * size.failure_domains
 
 
+def _handshakes_per_s(model: capacity_model.Model) -> float:
+    """Returns connections that replaced hosts open anew, over the fleet."""
+    size = model.size
+    per_process_s = size.hosts_replaced_per_day / _SECONDS_PER_DAY
+    entries = per_process_s * size.entries / size.processes
+    agents = per_process_s * size.workers / size.processes
+    return entries * model.links_per_entry + agents * model.links_per_agent
+
+
 def compute(model: capacity_model.Model) -> Future:
     """Returns the figures for a model."""
     size = model.size
@@ -112,6 +124,9 @@
     record = model.last("contract", "bytes_per_record")
     list_bytes = size.processes * model.last("host_list", "bytes_per_host")
     per_process = size.changes_per_s + 1 / capacity_model.LONG_POLL_S
+    host_changes_per_s = (
+        size.hosts_replaced_per_day + size.hosts_added_per_day
+    ) / _SECONDS_PER_DAY
     return _TEXT.format(
         links=model.links_per_entry,
         reports=model.busy_reports_per_s,
@@ -133,7 +148,11 @@
         poll_now_s=1 / model.entry_hosts_polls_per_s,
         poll_s=_HOSTS_POLL_S,
         list_kb=future.host_list_kb_per_s,
-        changes=_HOST_CHANGES_PER_DAY / _SECONDS_PER_DAY,
+        changes=host_changes_per_s,
+        replaced_per_day=size.hosts_replaced_per_day,
+        replaced=size.hosts_replaced_per_day / _SECONDS_PER_DAY,
+        handshakes=_handshakes_per_s(model),
+        agent_links=model.links_per_agent,
         placement=model.placements_per_s,
         workers=size.workers,
     )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_model.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity_model.py
@@ -37,6 +37,8 @@
         workspaces: Workspaces.
         models: Models in steady use.
         changes_per_day: Changes of configuration.
+        hosts_replaced_per_day: Hosts that end and come back at another address.
+        hosts_added_per_day: Hosts that join for good.
         first_token_s: Bound on the first token, s.
         between_tokens_s: Bound between two tokens, s.
         stages: Stages of a chain; assumed.
@@ -53,6 +55,8 @@
     workspaces: int = 350
     models: int = 26
     changes_per_day: float = 67_000.0
+    hosts_replaced_per_day: float = 2_600.0
+    hosts_added_per_day: float = 71.0
     first_token_s: float = 0.34
     between_tokens_s: float = 0.025
     stages: int = 3
