Part the planner's side of the exchange from the fronts' side

A pure move: planner_hub.py holds the planner's side; what follows the feeds is named in feed_follower.py; one report for three test files.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -1,6 +1,6 @@
 """Follows a feed of the store through its outages."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import logging
 import random
 import time
@@ -8,6 +8,7 @@
 
 import gevent
 
+from dotterelgrade_front import peer_frames
 from dotterelgrade_routing import feed_position
 from dotterelgrade_routing import platform_port
 
@@ -190,3 +191,6 @@
                 extra={"feed": repr(self._feed), "reason": reason},
             )
         self._sink.outage()
+
+
+Followers = Mapping[peer_frames.FeedName, FeedFollower]
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -25,6 +25,7 @@
 from dotterelgrade_front import front_state
 from dotterelgrade_front import peer_frames
 from dotterelgrade_front import planner as planner_lib
+from dotterelgrade_front import planner_hub
 from dotterelgrade_front import planner_link
 from dotterelgrade_front import request_handler
 from dotterelgrade_routing import leadership as leadership_lib
@@ -65,7 +66,7 @@
         self._state = front_state.FrontState(settings, platform=platform)
         self._handler = request_handler.RequestHandler(self._state)
         self._planner = planner_lib.Planner(self._state)
-        self._hub = planner_link.PlannerHub(self._state, planner=self._planner)
+        self._hub = planner_hub.PlannerHub(self._state, planner=self._planner)
         self._identity = handshake.Identity(
             process=str(uuid.uuid4()),
             role=greetings.Role.ENTRY,
@@ -206,7 +207,7 @@
         ready = self._state.ready
         return (200 if ready else 503), {"ready": ready}
 
-    def _make_followers(self) -> planner_link.Followers:
+    def _make_followers(self) -> feed_follower.Followers:
         platform, state = self._state.platform, self._state
         names = peer_frames.FeedName
         return {
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -1,20 +1,15 @@
-"""The exchange of loads between a front and the front that plans."""
+"""A front's side of the exchange of loads with the front that plans."""
 
-import collections
-from collections.abc import Mapping
 import time
 
 import gevent
-from gevent import event
 
 from dotterelgrade import errors
-from dotterelgrade import frame_codec
 from dotterelgrade import handshake
 from dotterelgrade import wire
 from dotterelgrade_front import feed_follower
 from dotterelgrade_front import front_state
 from dotterelgrade_front import peer_frames
-from dotterelgrade_front import planner as planner_lib
 from dotterelgrade_routing import fleet
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership as leadership_lib
@@ -24,225 +19,13 @@
 EXCHANGE_S = 0.25
 # A planner that stays silent for so long is given up.
 SILENCE_S = 1.5
-# A front is counted for so long after its last word, for the retry budget.
-_FRONT_COUNTS_S = 10.0
 _LONGEST_PAUSE_S = 2.0
 # A front that never heard the store tells this.
 _LONGEST_SILENCE_S = 1e6
-# Fronts learn of an election within two renewals of their leases.
-_ELECTION_SETTLES_S = 0.7
-# A planner that leaves waits so long for its last word to be sent.
-_LAST_WORD_S = 0.05
 # A planner sends its first picture within this time.
 _FIRST_PICTURE_S = 1.2
 
 
-_Rows = Mapping[str, peer_frames.SeenServer]
-Followers = Mapping[peer_frames.FeedName, feed_follower.FeedFollower]
-
-
-class PlannerHub:
-    """Collects the fronts' loads and tells each what the others hold."""
-
-    def __init__(
-        self,
-        state: front_state.FrontState,
-        *,
-        planner: planner_lib.Planner,
-    ) -> None:
-        """Initializes a hub without fronts.
-
-        Args:
-            state: Shared by the front's greenlets.
-            planner: Watches the engines.
-        """
-        self._state = state
-        self._planner = planner
-        self._leads = event.Event()
-        self._followers: Followers = {}
-        self._links: dict[wire.Connection, peer_frames.FrontLoad] = {}
-        self._told: dict[wire.Connection, _Rows] = {}
-        self._heard_at: dict[str, float] = {}
-
-    def __repr__(self) -> str:
-        """Shows how many fronts are connected."""
-        return f"<PlannerHub {len(self._links)} fronts>"
-
-    @property
-    def heard_store_at(self) -> float:
-        """Monotonic time at which any front last heard the store, s."""
-        now = time.monotonic()
-        heard = (now - load.store_silent_s for load in self._links.values())
-        return max(heard, default=float("-inf"))
-
-    @property
-    def refusing(self) -> frozenset[str]:
-        """Backend servers that refuse though they report room."""
-        own = self._state.trust.refusing_ids(now=time.monotonic())
-        return own.union(*(load.refusing for load in self._links.values()))
-
-    def serve(self, connection: wire.Connection) -> None:
-        """Takes in the loads of one front until its connection ends.
-
-        Args:
-            connection: The connection to the front.
-        """
-        if self._state.leaving or not self._leads_soon():
-            connection.close("not the planner")
-            return
-        try:
-            for frame in connection:
-                if isinstance(frame, peer_frames.FrontLoad):
-                    self._links[connection] = frame
-                    self._heard_at[_address_of(connection)] = time.monotonic()
-                    self._planner.suspect(frame.excluded)
-        finally:
-            self._links.pop(connection, None)
-            self._told.pop(connection, None)
-
-    def relay_from(self, followers: Followers) -> None:
-        """Takes in what follows the feeds of the store."""
-        self._followers = followers
-
-    def pass_on(
-        self,
-        feed: peer_frames.FeedName,
-        start: int,
-        page: platform_port.Page,
-    ) -> None:
-        """Sends records that were read to all fronts, if this one plans.
-
-        Args:
-            feed: The feed.
-            start: Offset from which on the page holds all records.
-            page: The records.
-        """
-        if not self._leads.is_set():
-            return
-        frame = frame_codec.encode(
-            peer_frames.RelayedRecords(
-                feed=feed, start=start, end=page.end, records=[*page.records]
-            )
-        )
-        for connection in list(self._links):
-            connection.send_encoded(frame)
-
-    @property
-    def has_fronts(self) -> bool:
-        """Whether any front is connected."""
-        return bool(self._links)
-
-    @property
-    def stronger_waits(self) -> bool:
-        """Whether a front on a strong host is connected."""
-        return any(load.strong for load in self._links.values())
-
-    def note_leads(self, leads: bool, *, passes_on: bool = False) -> None:
-        """Takes in whether this front plans.
-
-        Args:
-            leads: Whether it plans from now on.
-            passes_on: Whether it leaves its place to another one.
-        """
-        for follower in self._followers.values():
-            follower.set_relaying(leads)
-        if leads:
-            self._leads.set()
-            return
-        self._leads.clear()
-        if self._state.leaving:
-            self._hand_over("leaving")
-        elif passes_on:
-            self._hand_over("hears too few, or runs on a weak host")
-        for connection in list(self._links):
-            connection.close("no longer the planner")
-
-    def _hand_over(self, reason: str) -> None:
-        """Names the front that plans from now on to all others."""
-        strong = [link for link, load in self._links.items() if load.strong]
-        heir = leadership_lib.heir(
-            _address_of(link) for link in strong or self._links
-        )
-        if not heir:
-            return
-        self._state.decisions.record(
-            "planner_handed_over", reason=reason, planner=heir
-        )
-        for connection in self._links:
-            connection.send(peer_frames.Successor(planner=heir))
-        # A close may overtake what is still to be sent.
-        gevent.sleep(_LAST_WORD_S)
-
-    def _leads_soon(self) -> bool:
-        """Waits a moment for this front's own election to be known."""
-        return self._leads.wait(_ELECTION_SETTLES_S)
-
-    def tell(self) -> None:
-        """Sends every front its picture, and updates the own one."""
-        fronts = self._known_fronts()
-        servers = self._seen_servers()
-        refusing = sorted(self.refusing)
-        feeds = self._told_feeds()
-        totals: collections.Counter[str] = collections.Counter(
-            self._state.load.own
-        )
-        for load in self._links.values():
-            totals.update(load.reserved)
-        for connection, load in list(self._links.items()):
-            told = self._told.get(connection, {})
-            self._told[connection] = servers
-            connection.send(
-                peer_frames.FleetPicture(
-                    reserved=_without(totals, load.reserved),
-                    servers=[
-                        row
-                        for server_id, row in servers.items()
-                        if told.get(server_id) != row
-                    ],
-                    fronts=fronts,
-                    refusing=refusing,
-                    feeds=feeds,
-                )
-            )
-        self._state.load.set_others(_without(totals, self._state.load.own))
-        self._state.set_fronts(fronts)
-
-    def _told_feeds(self) -> list[peer_frames.FeedTold]:
-        now = time.monotonic()
-        return [
-            peer_frames.FeedTold(
-                feed=name, end=follower.end, age_s=now - follower.heard_at
-            )
-            for name, follower in self._followers.items()
-            if follower.end is not None
-        ]
-
-    def _known_fronts(self) -> list[str]:
-        now = time.monotonic()
-        for address, at in list(self._heard_at.items()):
-            if now - at > _FRONT_COUNTS_S:
-                del self._heard_at[address]
-        return sorted({self._state.settings.peer_address, *self._heard_at})
-
-    def _seen_servers(self) -> _Rows:
-        rows = {}
-        for server in self._state.fleet.servers:
-            seen = self._planner.watched(server)
-            if seen is None or seen.report is None:
-                continue
-            layers = seen.report.layers or layer_range.LayerRange(0, 0)
-            rows[server.id] = peer_frames.SeenServer(
-                id=server.id,
-                started_ms=seen.report.started_ms,
-                first=layers.first,
-                end=layers.end,
-                slowness=round(seen.report.slowness, 1),
-                loading=seen.report.loading,
-                silent=seen.silent,
-            )
-        return rows
-
-
 class PlannerLink:
     """A front's connection to the front that plans."""
 
@@ -252,7 +35,7 @@
         *,
         identity: handshake.Identity,
         leadership: leadership_lib.Leadership,
-        followers: Followers,
+        followers: feed_follower.Followers,
     ) -> None:
         """Initializes a link that is not connected.
 
@@ -462,18 +245,3 @@
         for server_id in self._silent:
             if not state.trust.excluded(server_id, now=now):
                 state.note_failure(server_id, reason="silent to the planner")
-
-
-def _address_of(connection: wire.Connection) -> str:
-    return f"{connection.peer.host}:{connection.peer.port}"
-
-
-def _without(
-    totals: collections.Counter[str], own: dict[str, float]
-) -> dict[str, float]:
-    rest = {}
-    for server_id, total in totals.items():
-        left = total - own.get(server_id, 0.0)
-        if left >= 1.0:
-            rest[server_id] = left
-    return rest
--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -308,6 +308,20 @@
     return script
 
 
+REPORT = backend_server.EngineReport(
+    layers=None,
+    accelerator="kind",
+    loading=False,
+    orders=0,
+    started_ms=0,
+    waiting=0,
+    running=0,
+    used=0,
+    total=1e6,
+    slowness=1.0,
+    stalled={},
+)
+
 ENGINE = configuration.Engine(
     layers=8,
     layer_mb=100,
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -14,19 +14,7 @@
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership
 
-_REPORT = backend_server.EngineReport(
-    layers=layer_range.LayerRange(0, 8),
-    accelerator="kind",
-    loading=False,
-    orders=0,
-    started_ms=0,
-    waiting=0,
-    running=0,
-    used=0,
-    total=1e6,
-    slowness=1.0,
-    stalled={},
-)
+_REPORT = dataclasses.replace(fakes.REPORT, layers=layer_range.LayerRange(0, 8))
 
 
 def _until(condition):
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -5,7 +5,6 @@
 import gevent
 import pytest
 
-from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import trust
@@ -30,20 +29,7 @@
 
 
 def _report(**rest):
-    report = backend_server.EngineReport(
-        layers=None,
-        accelerator="kind",
-        loading=False,
-        orders=1,
-        started_ms=0,
-        waiting=0,
-        running=1,
-        used=0,
-        total=1e6,
-        slowness=1.0,
-        stalled={},
-    )
-    return dataclasses.replace(report, **rest)
+    return dataclasses.replace(fakes.REPORT, orders=1, running=1, **rest)
 
 
 def _add_chains(front, first_scripts, other_scripts):
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -10,20 +10,6 @@
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import platform_port
 
-_EMPTY = backend_server.EngineReport(
-    layers=None,
-    accelerator="kind",
-    loading=False,
-    orders=0,
-    started_ms=0,
-    waiting=0,
-    running=0,
-    used=0,
-    total=1e6,
-    slowness=1.0,
-    stalled={},
-)
-
 
 @pytest.fixture
 def planner(front, monkeypatch):
@@ -43,7 +29,7 @@
             front.state.fleet.get(server_id), accelerator="kind"
         )
         front.state.fleet.put(server)
-        engines.reports[server.address] = _EMPTY
+        engines.reports[server.address] = fakes.REPORT
     return engines
 
 
@@ -59,7 +45,7 @@
     """A late order must not undo a newer one."""
     engines = _add_engines(front, count=1)
     address = front.state.fleet.get("e0").address
-    engines.reports[address] = dataclasses.replace(_EMPTY, orders=7)
+    engines.reports[address] = dataclasses.replace(fakes.REPORT, orders=7)
     planner.tick()
     assert [orders for _, _, orders in engines.placed] == [7]
 
@@ -80,7 +66,7 @@
     engines.outcome = platform_port.OrderOutcome.CONFLICT
     planner.tick()
     address = front.state.fleet.get("e0").address
-    engines.reports[address] = dataclasses.replace(_EMPTY, orders=3)
+    engines.reports[address] = dataclasses.replace(fakes.REPORT, orders=3)
     planner.tick()
     assert [orders for _, _, orders in engines.placed] == [0, 3]
 
@@ -113,7 +99,9 @@
     engines = _add_engines(front, count=1)
     server = front.state.fleet.get("e0")
     held = layer_range.LayerRange(0, 8)
-    engines.reports[server.address] = dataclasses.replace(_EMPTY, layers=held)
+    engines.reports[server.address] = dataclasses.replace(
+        fakes.REPORT, layers=held
+    )
     planner.tick()
     service = fakes.CONFIGURATION.service("model")
     (chain,) = front.state.chains.offer(service).chains
@@ -124,7 +112,7 @@
     """Lets an engine report layers."""
     server = front.state.fleet.get(server_id)
     engines.reports[server.address] = dataclasses.replace(
-        _EMPTY, layers=layer_range.LayerRange(*layers)
+        fakes.REPORT, layers=layer_range.LayerRange(*layers)
     )
     return server.address
 
@@ -137,7 +125,7 @@
     engines.placed.clear()
     for number in range(1, 5):
         address = front.state.fleet.get(f"e{number}").address
-        engines.reports[address] = _EMPTY
+        engines.reports[address] = fakes.REPORT
     planner.tick()
     planner.tick(refusing={"e0"})
     held = [layers for _, layers, _ in engines.placed]
