--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_relay_machine.py
@@ -0,0 +1,131 @@
+"""A feed that is read, passed on, torn and deleted in any order.
+
+Whatever comes in which order: a follower that stands at an offset holds what
+all records before it say, and no word of the planner covers a gap.
+"""
+
+import random
+import time
+
+import front_fakes as fakes
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from dotterelgrade_front import feed_follower
+from dotterelgrade_routing import platform_port
+
+_KEYS = ("a", "b", "c")
+
+
+class _Folded:
+    """A sink that keeps the newest value of each key."""
+
+    def __init__(self):
+        self.values = {}
+
+    def whole(self, page):
+        self.values = {r.key: r.value for r in page.records}
+
+    def change(self, record):
+        if record.value:
+            self.values[record.key] = record.value
+        else:
+            self.values.pop(record.key, None)
+
+    def contact(self, *, heard_at):
+        del heard_at
+
+    def outage(self):
+        pass
+
+
+class RelayMachine(stateful.RuleBasedStateMachine):
+    """One follower, the store, and a planner that passes records on."""
+
+    def __init__(self):
+        super().__init__()
+        self.feed = fakes.FakeFeed()
+        self.sink = _Folded()
+        self.follower = feed_follower.FeedFollower(
+            self.feed,
+            sink=self.sink,
+            rng=random.Random(1),
+            count=lambda _: None,
+        )
+        self.pages = []
+
+    @stateful.initialize()
+    def the_first_read(self):
+        self.follower._read()
+
+    @stateful.rule(
+        records=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(_KEYS),
+                strategies.sampled_from([b"", b"1", b"2", b"3"]),
+            ),
+            min_size=1,
+            max_size=3,
+        )
+    )
+    def the_store_takes_in_records(self, records):
+        for key, value in records:
+            self.feed.add(key, value)
+
+    @stateful.rule()
+    def the_follower_reads(self):
+        if self.follower.end == len(self.feed.records):
+            return
+        try:
+            self.follower._read()
+        except platform_port.RecordsExpiredError:
+            self.follower._position.reset()
+            self.follower._read()
+
+    @stateful.rule(data=strategies.data(), late=strategies.booleans())
+    def the_planner_passes_a_page_on(self, data, late):
+        end = len(self.feed.records)
+        start = data.draw(strategies.integers(max(0, end - 4), end))
+        page = platform_port.Page(
+            records=tuple(self.feed.records[start:end]), end=end
+        )
+        if late:
+            self.pages.append((start, page))
+        else:
+            self.follower.take_in(start, page)
+
+    @stateful.precondition(lambda self: self.pages)
+    @stateful.rule(data=strategies.data())
+    def a_late_page_arrives(self, data):
+        index = data.draw(strategies.integers(0, len(self.pages) - 1))
+        self.follower.take_in(*self.pages.pop(index))
+
+    @stateful.rule(end=strategies.integers(0, 20))
+    def the_planner_tells_how_far_it_is(self, end):
+        now = time.monotonic()
+        self.follower.note_told(end=end, heard_at=now)
+        covered = self.follower._position.covered_s(now=now) > 0
+        assert covered == (self.follower.end == end)
+
+    @stateful.rule()
+    def history_is_deleted(self):
+        self.feed.first = len(self.feed.records)
+
+    @stateful.invariant()
+    def the_follower_holds_what_its_offset_says(self):
+        if self.follower.end is None:
+            return
+        expected = {}
+        for record in self.feed.records[: self.follower.end]:
+            if record.value:
+                expected[record.key] = record.value
+            else:
+                expected.pop(record.key, None)
+        assert self.sink.values == expected
+
+
+TestRelay = RelayMachine.TestCase
+TestRelay.settings = hypothesis.settings(
+    max_examples=80, stateful_step_count=30, derandomize=True, deadline=None
+)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
@@ -17,6 +17,11 @@
 
 _UPSTREAM_TEST = "packages/dotterelgrade/tests/test_http_connection.py"
 _FOLLOWER_TEST = "packages/dotterelgrade-front/tests/test_feed_follower.py"
+_PLACEMENT_RUNS = (
+    "packages/dotterelgrade-routing/tests/test_placement_machine.py"
+)
+_RELAY_RUNS = "packages/dotterelgrade-front/tests/test_relay_machine.py"
+_ATTEMPT_RUNS = "packages/dotterelgrade-routing/tests/test_attempt_machine.py"
 _EVENTS_TEST = "packages/dotterelgrade-front/tests/test_event_stream.py"
 _POSITION_TEST = "packages/dotterelgrade-routing/tests/test_feed_position.py"
 _TRUST_TEST = "packages/dotterelgrade-routing/tests/test_trust.py"
@@ -428,4 +433,36 @@
         new="if record is None:",
         check=_TRUST_TEST,
     ),
+    Mutant(
+        name="plan-moves-both-holders",
+        promise=_LAYERS_ONCE,
+        module="dotterelgrade_routing.placement",
+        old="            kept.remove(candidate)\n",
+        new="",
+        check=_PLACEMENT_RUNS,
+    ),
+    Mutant(
+        name="relay-accepts-gaps",
+        promise=_IN_FORCE,
+        module="dotterelgrade_routing.feed_position",
+        old="return self._end is not None and start <= self._end",
+        new="return self._end is not None",
+        check=_RELAY_RUNS,
+    ),
+    Mutant(
+        name="relay-repeats-old-records",
+        promise=_IN_FORCE,
+        module="dotterelgrade_front.feed_follower",
+        old="            if record.offset >= self._position.end:\n",
+        new="            if True:\n",
+        check=_RELAY_RUNS,
+    ),
+    Mutant(
+        name="attempt-forgets-the-worst-try",
+        promise=_NOT_RUN,
+        module="dotterelgrade_routing.attempt",
+        old="return max(tries, default=Knowledge.NEVER_SENT)",
+        new="return min(tries, default=Knowledge.NEVER_SENT)",
+        check=_ATTEMPT_RUNS,
+    ),
 )
