Count no request that was meant for an incarnation before

The fronts' logs: each of them went to the entry `plain-recife-a-1` at the same address, got 421 and was served elsewhere. That entry was of an incarnation that ended while the store was away; the stand-in dropped the write that removes it, so it stood in the list for good. And the check counted requests that get 421, which the platform's rules don't count.

Ruled out: the fronts (each had taken in that .1 leaves within 0.2 s, and sent it nothing after that).

Change: an ended incarnation's entry is removed once the store is back; requests for another incarnation don't count as arrivals.

A front still tries such an entry once for each request until it lapses, which costs a refusal of a millisecond: not mended, listed.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -64,6 +64,7 @@
         self._rng = rng
         self._socks: set[socket.socket] = set()
         self._entry = b""
+        self._lapsed: set[str] = set()
         self._beats = 0
         self._down_since = time.monotonic()
         self.proxy: fault_proxy.FaultProxy | None = None
@@ -106,7 +107,8 @@
     def restart(self) -> None:
         """Starts again, knowing nothing of before, under a new identifier."""
         stem, _, number = self.server.id.partition(".")
-        self._withdraw()
+        if self._entry:
+            self._lapsed.add(self.server.id)
         self.server = dataclasses.replace(
             self.server,
             id=f"{stem}.{int(number or 0) + 1}",
@@ -128,12 +130,18 @@
 
     def _keep_entry(self) -> None:
         while True:
+            self._withdraw_lapsed()
             if self.alive:
                 self._publish()
-            elif time.monotonic() - self._down_since > _LAPSE_S:
-                self._withdraw()
+            elif self._entry and self._down_for_s > _LAPSE_S:
+                self._lapsed.add(self.server.id)
+                self._entry = b""
             gevent.sleep(_BEAT_S)
 
+    @property
+    def _down_for_s(self) -> float:
+        return time.monotonic() - self._down_since
+
     def _publish(self) -> None:
         body = server_side.entry_body(self.entry(), beats=self._beats)
         if body == self._entry:
@@ -145,10 +153,12 @@
         if not self.server.ready:
             self._evidence.drained(self.server.id)
 
-    def _withdraw(self) -> None:
+    def _withdraw_lapsed(self) -> None:
+        """Removes entries of incarnations that ended, once the store works."""
         topic = store_names.SERVERS_TOPIC
-        if self._entry and self._store.write(topic, self.server.id, b""):
-            self._entry = b""
+        for server_id in list(self._lapsed):
+            if self._store.write(topic, server_id, b""):
+                self._lapsed.discard(server_id)
 
     def _serve(self, sock: socket.socket, _: object) -> None:
         self._socks.add(sock)
@@ -173,10 +183,12 @@
         request: http_message.Request,
     ) -> None:
         told = server_side.read_forwarded(request.headers)
-        self._evidence.arrived(told.request_id, self.server.id)
         if told.instance_id != self.server.id:
+            # It was meant for the incarnation before, and does not count.
             self.refuse(client, told, _MISDIRECTED)
-        elif self._rng.random() < self.refuses:
+            return
+        self._evidence.arrived(told.request_id, self.server.id)
+        if self._rng.random() < self.refuses:
             self.refuse(client, told, FULL)
         else:
             with client.watched():
--- /dev/null
+++ b/packages/dotterelgrade-standins/tests/test_platform_backends.py
@@ -0,0 +1,104 @@
+import random
+import time
+
+import gevent
+import pytest
+
+from dotterelgrade import http_connection
+from dotterelgrade_platform import server_side
+from dotterelgrade_platform import store as store_names
+from dotterelgrade_routing import backend_server
+from dotterelgrade_standins import platform_backends
+from dotterelgrade_standins import platform_store
+from dotterelgrade_standins import soak_evidence
+
+
+@pytest.fixture
+def store():
+    return platform_store.PlatformStore()
+
+
+@pytest.fixture
+def evidence():
+    return soak_evidence.Evidence()
+
+
+@pytest.fixture
+def backend(store, evidence):
+    server = backend_server.BackendServer(
+        id="s",
+        service="plain",
+        address="",
+        failure_domain="a",
+        availability=backend_server.Availability.READY,
+        slots=4,
+        started_ms=1,
+    )
+    made = platform_backends.BackendStandIn(
+        server, store=store, evidence=evidence, rng=random.Random(1)
+    )
+    with made.running("127.0.0.1"):
+        yield made
+
+
+def _ask(backend, instance):
+    headers = server_side.caller_headers(
+        request_id="r", patience_s=1.0, api_key="k"
+    )
+    head, _ = http_connection.call(
+        backend.server.address,
+        method=b"POST",
+        target=b"/x",
+        headers=[
+            *headers,
+            (server_side.INSTANCE_HEADER, instance.encode()),
+        ],
+        body=b"r",
+        timeout_s=2.0,
+    )
+    return head.status
+
+
+def _listed(store):
+    found = {}
+    for record in store._topic(store_names.SERVERS_TOPIC).records:
+        found[record.key] = record.value
+    return {key for key, value in found.items() if value}
+
+
+def _until(condition):
+    with gevent.Timeout(5.0):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def test_a_request_for_the_incarnation_before_counts_as_none(
+    backend, evidence, monkeypatch
+):
+    """Soak seed 223: it gets 421, though the new incarnation leaves."""
+    monkeypatch.setattr(soak_evidence, "DRAIN_S", 0.0)
+    monkeypatch.setattr(soak_evidence, "STABILITY_S", 0.0)
+    evidence.drained("s")
+    evidence.sent["r"] = soak_evidence.Sent(
+        request_id="r",
+        front="f",
+        once=True,
+        allowed=True,
+        workspace="",
+        timeout_s=1.0,
+        sent_at=time.monotonic(),
+    )
+    assert _ask(backend, "other") == 421
+    assert not evidence.violations
+    assert not evidence.runs
+
+
+def test_an_entry_lapses_once_the_store_is_back(backend, store):
+    """Soak seed 223: a restart beside an outage left two entries for good."""
+    _until(lambda: _listed(store) == {"s"})
+    store.outage = platform_store.Outage.BUSY
+    backend.crash()
+    backend.restart()
+    gevent.sleep(0.1)
+    store.outage = None
+    _until(lambda: _listed(store) == {"s.1"})
