Say once what the change said twice

From reading the whole change again; behaviour stays as it is.

- The front answered `/ready` by a copy of what the admin application answers under `/readyz`; it routes to that handler.
- The split of messages.py left its alias for frozen classes in both halves; it stands in `frame_codec`.
- `stream_repair` worked out what a chain sends between domains in two places.
- Taking in a picture was one function of forty lines with one loop twice.
- The pause after news was a minimum of two values of which one was the other.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -157,8 +157,12 @@
             return
         if start is not None and self._pass_on is not None:
             self._pass_on(start, page)
-        longest_s = RELAYING_GATHER_S if self._relaying else self._gather_s
-        gevent.sleep(min(self._gather_s, longest_s))
+        gevent.sleep(self._pause_after_news_s())
+
+    def _pause_after_news_s(self) -> float:
+        if self._relaying:
+            return min(self._gather_s, RELAYING_GATHER_S)
+        return self._gather_s
 
     def _wait_s(self) -> float:
         if self._lost_at is not None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -193,7 +193,7 @@
     @contextlib.contextmanager
     def _serving_admin(self) -> Iterator[None]:
         app = admin.AdminApp(self)
-        app.route("GET", "ready", self._ready)
+        app.route("GET", "ready", app.ready)
         ready_host, ready_port = _host_port(self._settings.ready_address)
         with (
             wsgi.serving(app, host=ready_host, port=ready_port),
@@ -203,10 +203,6 @@
         ):
             yield
 
-    def _ready(self, _: str, __: dict[str, str]) -> tuple[int, Any]:
-        ready = self._state.ready
-        return (200 if ready else 503), {"ready": ready}
-
     def _make_followers(self) -> feed_follower.Followers:
         platform, state = self._state.platform, self._state
         names = peer_frames.FeedName
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -1,5 +1,6 @@
 """A front's side of the exchange of loads with the front that plans."""
 
+from collections.abc import Iterable
 import time
 
 import gevent
@@ -209,39 +210,47 @@
 
     def _take_in(self, picture: peer_frames.FleetPicture) -> None:
         state = self._state
-        self._picture_at = time.monotonic()
+        now = time.monotonic()
+        self._picture_at = now
         state.load.set_others(picture.reserved)
         state.set_fronts(picture.fronts)
-        now = time.monotonic()
         for told in picture.feeds:
             self._followers[told.feed].note_told(
                 end=told.end, heard_at=now - told.age_s
             )
+        for seen in picture.servers:
+            self._take_in_server(seen, now)
         # Who found it out tries again; word of it must not go in circles.
         own = state.trust.refusing_ids(now=now)
-        for server_id in set(picture.refusing) - own:
-            if not state.trust.excluded(server_id, now=now):
-                state.note_failure(
-                    server_id, reason="refuses other fronts", firm=False
-                )
-        for seen in picture.servers:
-            if seen.silent:
-                self._silent.add(seen.id)
-                continue
-            self._silent.discard(seen.id)
-            layers = None
-            if seen.end > seen.first:
-                layers = layer_range.LayerRange(seen.first, seen.end)
-            state.fleet.observe(
-                seen.id,
-                fleet.Observation(
-                    layers=layers,
-                    started_ms=seen.started_ms,
-                    slowness=seen.slowness,
-                    loading=seen.loading,
-                    at=now,
-                ),
-            )
-        for server_id in self._silent:
-            if not state.trust.excluded(server_id, now=now):
-                state.note_failure(server_id, reason="silent to the planner")
+        self._leave_out(
+            set(picture.refusing) - own, "refuses other fronts", firm=False
+        )
+        self._leave_out(self._silent, "silent to the planner", firm=True)
+
+    def _take_in_server(self, seen: peer_frames.SeenServer, now: float) -> None:
+        if seen.silent:
+            self._silent.add(seen.id)
+            return
+        self._silent.discard(seen.id)
+        layers = None
+        if seen.end > seen.first:
+            layers = layer_range.LayerRange(seen.first, seen.end)
+        self._state.fleet.observe(
+            seen.id,
+            fleet.Observation(
+                layers=layers,
+                started_ms=seen.started_ms,
+                slowness=seen.slowness,
+                loading=seen.loading,
+                at=now,
+            ),
+        )
+
+    def _leave_out(
+        self, server_ids: Iterable[str], reason: str, *, firm: bool
+    ) -> None:
+        """Leaves out those of some backend servers that are not out yet."""
+        trust = self._state.trust
+        for server_id in server_ids:
+            if not trust.excluded(server_id, now=time.monotonic()):
+                self._state.note_failure(server_id, reason=reason, firm=firm)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -17,6 +17,7 @@
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import link_budget
 from dotterelgrade_routing import platform_port
 
 # Silence after which the first stage is asked what it waits for; a stream that
@@ -75,22 +76,25 @@
         tokens: float,
     ) -> bool:
         """Returns whether the links between domains bear a chain."""
-        service = self._call.service
-        bits = service.engine.crossing_bits(
-            tokens=tokens, crossings=chain.crossings
-        )
-        return not bits or self._state.links(service).affords(bits)
+        bits = self._crossing_bits(chain, tokens)
+        return not bits or self._links.affords(bits)
 
     def note_crossings(
         self, chain: chain_choice.Chain, *, tokens: float
     ) -> None:
         """Counts what a chain sends between failure domains."""
-        service = self._call.service
-        bits = service.engine.crossing_bits(
+        bits = self._crossing_bits(chain, tokens)
+        if bits:
+            self._links.spend(bits)
+
+    @property
+    def _links(self) -> link_budget.LinkBudget:
+        return self._state.links(self._call.service)
+
+    def _crossing_bits(self, chain: chain_choice.Chain, tokens: float) -> float:
+        return self._call.service.engine.crossing_bits(
             tokens=tokens, crossings=chain.crossings
         )
-        if bits:
-            self._state.links(service).spend(bits)
 
     def check(self, chain: chain_choice.Chain, address: str) -> None:
         """Asks a backend server that refused a stage what it holds now.
--- a/packages/dotterelgrade-front/tests/adapter/test_server_side.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_server_side.py
@@ -99,7 +99,7 @@
 
 def test_settings_are_read_back(settings, tmp_path):
     path = tmp_path / "local.toml"
-    path.write_text(settings_file.render(settings))
+    path.write_text(server_side.settings_text(settings))
     read = settings_file.load(str(path))
     assert read == dataclasses.replace(
         settings, metrics_port=front_settings.DEFAULT_METRICS_PORT
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
@@ -102,7 +102,7 @@
         self.settings = settings
         self._settings_path = directory / f"{settings.node}.toml"
         self._log_path = directory / f"{settings.node}.log"
-        self._settings_path.write_text(settings_file.render(settings))
+        self._settings_path.write_text(server_side.settings_text(settings))
         self._child: subprocess.Popen | None = None
 
     def __repr__(self) -> str:
--- a/packages/dotterelgrade/src/dotterelgrade/admin.py
+++ b/packages/dotterelgrade/src/dotterelgrade/admin.py
@@ -48,7 +48,7 @@
         self._routes: dict[tuple[str, str], Handler] = {}
         self.route("GET", "state", lambda _, __: (200, process.dump()))
         self.route("GET", "healthz", lambda _, __: (200, {"healthy": True}))
-        self.route("GET", "readyz", self._ready)
+        self.route("GET", "readyz", self.ready)
         self.route("GET", "journal", self._journal)
         self.route("GET", "explain", self._explain)
 
@@ -63,7 +63,8 @@
         """
         self._routes[(method, name)] = handler
 
-    def _ready(self, _: str, __: dict[str, str]) -> tuple[int, Any]:
+    def ready(self, _: str, __: dict[str, str]) -> tuple[int, Any]:
+        """Answers whether the process takes new work; a `Handler`."""
         ready = self._process.is_ready
         return (200 if ready else 503), {"ready": ready}
 
--- a/packages/dotterelgrade/src/dotterelgrade/frame_codec.py
+++ b/packages/dotterelgrade/src/dotterelgrade/frame_codec.py
@@ -5,6 +5,8 @@
 milliseconds relative to receipt, since hosts do not share a clock.
 """
 
+from collections.abc import Callable
+import dataclasses
 from typing import Any, TypeVar
 
 import msgpack
@@ -16,6 +18,11 @@
 _FRAMES: dict[str, type] = {}
 _PACKER = msgpack.Packer()
 
+# Makes a class a frozen data class whose fields are named when it is made.
+frozen: Callable[[type[_T]], type[_T]] = dataclasses.dataclass(
+    frozen=True, kw_only=True
+)
+
 
 def frame(cls: type[_T]) -> type[_T]:
     """Registers a frozen data class as a frame."""
--- a/packages/dotterelgrade/src/dotterelgrade/greetings.py
+++ b/packages/dotterelgrade/src/dotterelgrade/greetings.py
@@ -1,19 +1,11 @@
 """Frames by which two processes open and end a connection."""
 
-from collections.abc import Callable
-import dataclasses
 import enum
-from typing import TypeVar
 
 from dotterelgrade import frame_codec
 
 PROTOCOL_VERSION = 1
 
-_T = TypeVar("_T")
-_frozen: Callable[[type[_T]], type[_T]] = dataclasses.dataclass(
-    frozen=True, kw_only=True
-)
-
 
 class Role(enum.StrEnum):
     """The role of a process."""
@@ -23,7 +15,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Hello:
     """Opens a connection in both directions.
 
@@ -47,7 +39,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Proof:
     """Proves knowledge of the shared key: HMAC-SHA256 over both nonces."""
 
@@ -55,7 +47,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Goodbye:
     """Says why the sender closes the connection."""
 
--- a/packages/dotterelgrade/src/dotterelgrade/messages.py
+++ b/packages/dotterelgrade/src/dotterelgrade/messages.py
@@ -4,19 +4,12 @@
 clock; see `frame_codec` for their form on the wire.
 """
 
-from collections.abc import Callable
 import dataclasses
 import enum
-from typing import TypeVar
 
 from dotterelgrade import errors
 from dotterelgrade import frame_codec
 
-_T = TypeVar("_T")
-_frozen: Callable[[type[_T]], type[_T]] = dataclasses.dataclass(
-    frozen=True, kw_only=True
-)
-
 
 class ProcessState(enum.StrEnum):
     """The life cycle of a process as its peers see it."""
@@ -26,7 +19,7 @@
     LEAVING = "leaving"
 
 
-@_frozen
+@frame_codec.frozen
 class BackendReport:
     """The load of one backend server.
 
@@ -69,7 +62,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Report:
     """A heartbeat with the load of every backend server of an agent.
 
@@ -87,7 +80,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Ping:
     """Asks for a `Pong` with the same sequence number."""
 
@@ -95,14 +88,14 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Pong:
     """Answers a `Ping`."""
 
     sequence: int
 
 
-@_frozen
+@frame_codec.frozen
 class Hop:
     """Where a stage sends its outputs: the next agent's backend server."""
 
@@ -112,7 +105,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Admit:
     """Asks an agent to reserve a slot for one stage of a request.
 
@@ -152,7 +145,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Admitted:
     """The slot is reserved; nothing has run.
 
@@ -170,7 +163,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Refused:
     """The stage was not admitted and nothing of it ran or will run."""
 
@@ -184,7 +177,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Rewire:
     """Moves a surviving stage to a higher attempt after a stage was replaced.
 
@@ -200,7 +193,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Rewired:
     """Answers `Rewire`.
 
@@ -220,7 +213,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Replay:
     """Asks a stage to send its buffered outputs to its next hop."""
 
@@ -228,7 +221,7 @@
     attempt: int
 
 
-@_frozen
+@frame_codec.frozen
 class Step:
     """Inputs of one stage for consecutive positions.
 
@@ -249,14 +242,14 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Steps:
     """A batch of steps between two neighbours."""
 
     steps: tuple[Step, ...]
 
 
-@_frozen
+@frame_codec.frozen
 class Token:
     """A token sampled by the last stage, at its position in the sequence."""
 
@@ -267,7 +260,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Tokens:
     """A batch of tokens for one entry."""
 
@@ -275,7 +268,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class StageFailed:
     """A stage cannot go on with a request.
 
@@ -295,7 +288,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Release:
     """Ends a request at an agent: finished, cancelled or given up."""
 
@@ -305,7 +298,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Call:
     """A call to a plain service.
 
@@ -337,7 +330,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class CallReply:
     """The whole answer of a plain service.
 
@@ -357,7 +350,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class CallFailed:
     """A call to a plain service has no answer.
 
@@ -377,14 +370,14 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class RecordsWanted:
     """Asks a peer for contract records after an offset, in a log outage."""
 
     after_offset: int
 
 
-@_frozen
+@frame_codec.frozen
 class RelayedRecord:
     """One record of the contract stream with the offset the log gave it."""
 
@@ -393,7 +386,7 @@
 
 
 @frame_codec.frame
-@_frozen
+@frame_codec.frozen
 class Records:
     """Contract records in order, relayed from peer to peer.
 
