Search for free addresses in one place

- `local_fleet` had its own search for a free block of loopback addresses, and `loopback_range` searched twice more; `first_free` serves all three.
A fleet that finds none raises RangeTakenError instead of OSError; nobody caught either.
- The soak's callers built the whole expected answer in two places, and dropped connections in two.
- A run at a stand-in ends with its context, so that nobody has to ask whether it has ended; a counter that never counted is gone; a method that only called another one is that one.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/local_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/local_fleet.py
@@ -4,7 +4,6 @@
 import contextlib
 import hashlib
 import itertools
-import socket
 import time
 from typing import Any
 import uuid
@@ -28,6 +27,7 @@
 from dotterelgrade_standins import engine as engine_lib
 from dotterelgrade_standins import hosts_service
 from dotterelgrade_standins import log_service
+from dotterelgrade_standins import loopback_range
 from dotterelgrade_standins import shaper
 
 KEY = "key-bench"
@@ -37,8 +37,7 @@
 DOMAINS = ("recife-a", "olinda-c")
 ENTRIES = len(DOMAINS)
 _SHARED_KEY = "k" * 16
-_BLOCKS = range(1, 250)
-_RESERVATION = (254, 17_999)
+_RANGES = tuple(f"127.50.{block}" for block in range(1, 250))
 _ENGINE_PORT = 17_700
 _SERVICE_PORT = 17_800
 _POLL_S = 0.02
@@ -73,21 +72,6 @@
         return result.Success(self._service.entries())
 
 
-@contextlib.contextmanager
-def _free_block() -> Iterator[int]:
-    """Reserves a block of addresses that no other fleet of this host uses."""
-    host, port = _RESERVATION
-    for block in _BLOCKS:
-        try:
-            held = socket.create_server((f"127.50.{block}.{host}", port))
-        except OSError:
-            continue
-        with held:
-            yield block
-        return
-    raise OSError("every block of addresses is in use")
-
-
 class Member:
     """One process slot: an entry or an agent, running or not."""
 
@@ -146,7 +130,7 @@
             stack: Owns everything that listens.
         """
         self._stack = stack
-        self._block = stack.enter_context(_free_block())
+        self._range = stack.enter_context(loopback_range.first_free(_RANGES))
         self._numbers = itertools.count(1)
         self.log = log_service.LogService()
         self.log.set_faults(appends_per_s=1e9)
@@ -177,7 +161,7 @@
         return [*self.entries, *self.agents, *self.orders]
 
     def _slot(self, name: str, domain: str) -> Member:
-        host = f"127.50.{self._block}.{next(self._numbers)}"
+        host = self._range.host(next(self._numbers))
         return Member(name, host, domain)
 
     def _engine_slot(self, stage: int, domain: str) -> Member:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/loopback_range.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/loopback_range.py
@@ -1,6 +1,6 @@
 """Loopback addresses that one run has for itself."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 import contextlib
 import random
 import socket
@@ -33,6 +33,11 @@
         """Shows the range."""
         return f"<LoopbackRange {self._prefix}.0/24>"
 
+    @property
+    def prefix(self) -> str:
+        """The first three numbers, with dots between them."""
+        return self._prefix
+
     def host(self, number: int) -> str:
         """Returns an address of the range.
 
@@ -65,16 +70,17 @@
 
 
 @contextlib.contextmanager
-def reserved() -> Iterator[LoopbackRange]:
-    """Owns some free range for the body of the context.
+def first_free(prefixes: Iterable[str]) -> Iterator[LoopbackRange]:
+    """Owns the first free one of some ranges for the body of the context.
+
+    Args:
+        prefixes: The first three numbers of each, in order of preference.
 
     Raises:
-        RangeTakenError: Every range that was tried is in use.
+        RangeTakenError: All of them are in use.
     """
-    rng = random.SystemRandom()
-    for _ in range(_TRIES):
-        prefix = f"127.{rng.choice(_RANGES)}.{rng.randint(1, 254)}"
-        with contextlib.ExitStack() as stack:
+    with contextlib.ExitStack() as stack:
+        for prefix in prefixes:
             try:
                 stack.enter_context(held(prefix))
             except RangeTakenError:
@@ -84,19 +90,25 @@
     raise RangeTakenError("no free range of loopback addresses")
 
 
+def reserved() -> contextlib.AbstractContextManager[LoopbackRange]:
+    """Owns some free range; see `first_free`."""
+    rng = random.SystemRandom()
+    return first_free(
+        f"127.{rng.choice(_RANGES)}.{rng.randint(1, 254)}"
+        for _ in range(_TRIES)
+    )
+
+
 def free_network() -> str:
     """Returns the first two numbers of a network that no run owns now.
 
     Raises:
         RangeTakenError: Every network is in use.
     """
-    numbers = list(_NETWORKS)
-    random.SystemRandom().shuffle(numbers)
-    for number in numbers:
-        network = f"127.{number}"
-        with contextlib.suppress(RangeTakenError), held(owner_range(network)):
-            return network
-    raise RangeTakenError("no free network of loopback addresses")
+    networks = [f"127.{number}" for number in _NETWORKS]
+    random.SystemRandom().shuffle(networks)
+    with first_free(map(owner_range, networks)) as owned:
+        return owned.prefix.rpartition(".")[0]
 
 
 def owner_range(network: str) -> str:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -65,7 +65,6 @@
         self._socks: set[socket.socket] = set()
         self._entry = b""
         self._lapsed: set[str] = set()
-        self._beats = 0
         self._down_since = time.monotonic()
         self.proxy: fault_proxy.FaultProxy | None = None
 
@@ -143,7 +142,7 @@
         return time.monotonic() - self._down_since
 
     def _publish(self) -> None:
-        body = server_side.entry_body(self.entry(), beats=self._beats)
+        body = server_side.entry_body(self.entry())
         if body == self._entry:
             return
         topic = store_names.SERVERS_TOPIC
@@ -200,24 +199,21 @@
         request: http_message.Request,
         told: server_side.Forwarded,
     ) -> None:
-        with self._noted(told) as run:
+        with self._noted(told):
             gevent.sleep(_WORK_S * self.slowness)
-            self._evidence.end_run(run)
-            if not self.alive or self._rng.random() < self.loses_answers:
-                raise client_connection.CallerGoneError("answer lost")
-            failed = self._rng.random() < self.errors
-            self._send(
-                client,
-                told,
-                _ERROR if failed else OK,
-                request.body + b" ran",
-                seal=f"{self.server.id}/{told.request_id}",
-            )
+        if not self.alive or self._rng.random() < self.loses_answers:
+            raise client_connection.CallerGoneError("answer lost")
+        failed = self._rng.random() < self.errors
+        self._send(
+            client,
+            told,
+            _ERROR if failed else OK,
+            request.body + b" ran",
+            seal=f"{self.server.id}/{told.request_id}",
+        )
 
     @contextlib.contextmanager
-    def _noted(
-        self, told: server_side.Forwarded
-    ) -> Iterator[soak_evidence.Run]:
+    def _noted(self, told: server_side.Forwarded) -> Iterator[None]:
         run = self._evidence.begin_run(
             told.request_id,
             self.server.id,
@@ -225,10 +221,9 @@
             key_passed_on=told.api_key_passed_on,
         )
         try:
-            yield run
+            yield
         finally:
-            if not run.ended_at:
-                self._evidence.end_run(run)
+            self._evidence.end_run(run)
 
     def refuse(
         self,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_callers.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_callers.py
@@ -146,10 +146,10 @@
         try:
             self._exchange(connection, plan, sent)
         except http_connection.AnswerTimeoutError:
-            self._drop(front, connection)
+            self._drop(front.name, connection)
             self._evidence.outcomes["no answer in time"] += 1
         except http_connection.BrokenConnectionError as error:
-            self._drop(front, connection)
+            self._drop(front.name, connection)
             sent.ended_at = time.monotonic()
             self._evidence.outcomes["broken off"] += 1
             self._judge_broken(sent, str(error))
@@ -177,11 +177,9 @@
         return made
 
     def _drop(
-        self,
-        front: soak_fleet.FrontProcess,
-        connection: http_connection.HttpConnection,
+        self, front: str, connection: http_connection.HttpConnection
     ) -> None:
-        self._kept.pop(front.name, None)
+        self._kept.pop(front, None)
         connection.close()
 
     def _note_sent(
@@ -249,10 +247,7 @@
         body: bytes,
     ) -> bytes:
         """Returns the whole body; checks events as they come."""
-        whole = b"".join(
-            platform_engines.event_of(body, n)
-            for n in range(1, plan.events + 1)
-        )
+        whole = _whole_answer(plan, body)
         data = b""
         while piece := connection.read_piece(until=until):
             data += piece
@@ -269,8 +264,7 @@
     ) -> None:
         found = http_message.by_name(head.headers)
         if found.get(b"connection", b"").lower() == b"close":
-            self._kept.pop(sent.front, None)
-            connection.close()
+            self._drop(sent.front, connection)
 
     def _judge(
         self,
@@ -299,14 +293,7 @@
             run.server_id for run in runs
         }:
             self._evidence.broken("mixed", request_id, f"seal {seal!r}")
-        body = request_id.encode()
-        expected = body + b" ran"
-        if plan.events:
-            expected = b"".join(
-                platform_engines.event_of(body, n)
-                for n in range(1, plan.events + 1)
-            )
-        if data != expected:
+        if data != _whole_answer(plan, request_id.encode()):
             self._evidence.broken("mixed", request_id, f"{data[-60:]!r}")
         if plan.key != soak_fleet.KEY:
             self._evidence.broken("key", request_id, "served without a key")
@@ -348,4 +335,13 @@
             self._evidence.broken("lost", sent.request_id, reason)
 
 
+def _whole_answer(plan: Plan, body: bytes) -> bytes:
+    if not plan.events:
+        return body + b" ran"
+    return b"".join(
+        platform_engines.event_of(body, number)
+        for number in range(1, plan.events + 1)
+    )
+
+
 _WEIGHTS = [plan.weight for plan in PLANS]
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_evidence.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_evidence.py
@@ -153,7 +153,15 @@
 
     def arrived(self, request_id: str, server_id: str) -> None:
         """Notes a request at a backend server, run or not."""
-        self._check_drain(request_id, server_id)
+        drained_at = self._draining.get(server_id)
+        sent = self.sent.get(request_id)
+        if drained_at is None or sent is None:
+            return
+        now = time.monotonic()
+        if now < drained_at + DRAIN_S:
+            return
+        if self.in_touch(sent.front, drained_at, now):
+            self.broken("drain", request_id, f"reaches {server_id}")
 
     def begin_run(
         self,
@@ -205,17 +213,6 @@
         if len(late) < LEAST_SAMPLES or served < LEAST_RECOVERED * len(late):
             self.broken("recover", "", f"{served} of {len(late)} served")
 
-    def _check_drain(self, request_id: str, server_id: str) -> None:
-        drained_at = self._draining.get(server_id)
-        sent = self.sent.get(request_id)
-        if drained_at is None or sent is None:
-            return
-        now = time.monotonic()
-        if now < drained_at + DRAIN_S:
-            return
-        if self.in_touch(sent.front, drained_at, now):
-            self.broken("drain", request_id, f"reaches {server_id}")
-
     def _check_timeouts(self) -> None:
         now = time.monotonic()
         reached = [
