End streams that send bytes but no events, and endless framing

Cause: what waits for an answer counted any bytes as progress, so an engine that stalls but sends a byte now and then held a stream until the route's timeout; trailers or a chunk's head without end kept a connection busy for as long. Ruled out: a head without end (bounded at 64 KiB already), an event without end (1 MiB), slow but sound streams being cut (a test shows that they are not). Change: only whole events are progress; at most 64 KiB between two pieces of a body.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -202,7 +202,8 @@
             )
             if not piece:
                 break
-            self._pass_on(head, piece)
+            if self._pass_on(head, piece):
+                waits.note_progress()
         if self._splitter.partial:
             raise upstream.TryFailedError(
                 attempt.Knowledge.UNKNOWN, "ended within an event"
@@ -234,10 +235,11 @@
         )
         return f"answered_{head.status // 100}xx"
 
-    def _pass_on(self, head: http_message.ResponseHead, piece: bytes) -> None:
+    def _pass_on(self, head: http_message.ResponseHead, piece: bytes) -> bool:
+        """Passes whole events on; returns whether there were any."""
         events = self._splitter.feed(piece)
         if not events.count:
-            return
+            return False
         data = answers.chunk(events.data)
         if not self._head_sent:
             data = self._encoded_head(head) + data
@@ -247,6 +249,7 @@
         self._head_sent = True
         self._events += events.count
         self._last_id = events.last_id or self._last_id
+        return True
 
     def _encoded_head(self, head: http_message.ResponseHead) -> bytes:
         kept = head.end_to_end()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -194,11 +194,22 @@
         """
         self._repair = repair
         self._chain = chain
+        self._progress_at = time.monotonic()
+        self._look_at = self._progress_at + _SUSPICIOUS_SILENCE_S
 
     def __repr__(self) -> str:
         """Shows the first stage."""
         return f"<Waits for {self._chain.first.server_id}>"
 
+    def note_progress(self) -> None:
+        """Takes in that a whole event has arrived.
+
+        Bytes that are no event are no progress: a stalled backend server may
+        send some now and then.
+        """
+        self._progress_at = time.monotonic()
+        self._look_at = self._progress_at + _SUSPICIOUS_SILENCE_S
+
     def until_heard(self, read: Callable[[float], _Heard]) -> _Heard:
         """Calls a read until it returns, giving up after a long silence.
 
@@ -208,19 +219,17 @@
         Raises:
             upstream.TryFailedError: The backend servers stayed silent.
         """
-        started = time.monotonic()
         while True:
-            now = time.monotonic()
-            until = min(now + _SUSPICIOUS_SILENCE_S, self._repair.until)
+            if time.monotonic() >= self._look_at:
+                self._look_into(time.monotonic() - self._progress_at)
+                self._look_at = time.monotonic() + _SUSPICIOUS_SILENCE_S
             try:
-                return read(until)
+                return read(min(self._look_at, self._repair.until))
             except http_connection.AnswerTimeoutError as error:
-                silent_s = time.monotonic() - started
                 if time.monotonic() >= self._repair.until:
                     raise upstream.TryFailedError(
                         attempt.Knowledge.UNKNOWN, "out of time"
                     ) from error
-                self._look_into(silent_s)
 
     def _look_into(self, silent_s: float) -> None:
         culprit = self._repair.culprit(self._chain)
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -165,6 +165,33 @@
     assert (status, body) == (200, _events(1, 4))
 
 
+def _dribbling(sock, _):
+    """Sends bytes that are no event, as long as anybody listens."""
+    while True:
+        sock.sendall(b"1\r\n:\r\n")
+        gevent.sleep(0.05)
+
+
+def test_a_stream_with_bytes_but_no_events_goes_on_elsewhere(front):
+    """Load pattern: an engine stalls but sends a byte now and then."""
+    stuck = fakes.streaming(1, 2, after=_dribbling, end=False)
+    script = _resuming(stuck, last=4)
+    _add_chains(front, [script], [script])
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 4))
+
+
+def test_a_slow_but_sound_stream_is_not_cut(front):
+    """Load pattern: each event takes longer than a silence looked into."""
+    slow = fakes.streaming(1, 4, pause_s=0.4)
+    first, other = _add_chains(front, [slow], [slow])
+    for backend in (first, other):
+        front.state.platform.engines.reports[backend.address] = _report()
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 4))
+    assert len(first.arrivals) + len(other.arrivals) == 1
+
+
 def test_a_failure_whose_body_does_not_come_ends_in_time(front):
     def stuck(sock, arrival):
         sock.sendall(b"HTTP/1.1 400 Bad\r\ncontent-length: 9\r\n\r\n")
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -12,6 +12,8 @@
 
 _RECEIVE_BYTES = 65_536
 _LARGEST_HEAD_BYTES = 65_536
+# Bytes between two pieces of a body are a chunk's head, or trailers.
+_MOST_FRAMING_BYTES = 65_536
 # A silent peer is noticed within about three seconds, also in a long wait.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
@@ -177,11 +179,15 @@
 
         Raises:
             AnswerTimeoutError: Nothing arrived until then.
-            BrokenConnectionError: The answer ended too early.
+            BrokenConnectionError: The answer ended too early, or bytes that
+                are no body don't end.
         """
         answer = self._answer
+        received = 0
         while not answer.pieces and not answer.complete:
-            self._receive(until)
+            received += self._receive(until)
+            if received > _MOST_FRAMING_BYTES and not answer.pieces:
+                raise BrokenConnectionError(f"{self._address}: endless framing")
         piece = b"".join(answer.pieces)
         answer.pieces.clear()
         return piece
--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -115,6 +115,25 @@
         _call(serve(script))
 
 
+@pytest.mark.parametrize(
+    ("start", "filler"),
+    [
+        (b"transfer-encoding: chunked\r\n\r\n0\r\n", b"a: b\r\n"),
+        (b"transfer-encoding: chunked\r\n\r\n2;", b"x"),
+        (b"transfer-encoding: chunked\r\n\r\n0000", b"0"),
+    ],
+)
+def test_bytes_without_end_between_pieces_are_refused(serve, start, filler):
+    """Load pattern: trailers or a chunk's head that never end."""
+
+    def script(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\n" + start + filler * 400_000)
+        gevent.sleep(5)
+
+    with pytest.raises(http_connection.BrokenConnectionError):
+        _call(serve(script))
+
+
 def test_a_large_body_is_refused(serve):
     def script(sock):
         sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n")
