Elect the planner by a claim on a term in the store

Each member that joined or left the group moved the partition that elects; strong hosts lost it in turn until a weak one had it, which took 31 engines for silent and laid the plan without them. Ruled out: slow starts of single hosts (the losers were connected and well). Change: a term is a record of a topic, appended at a known end. One claim wins, the others read who it was; a term ends only when its planner did not answer who claims the next one. A planner that starts again finds its own term and goes on without an election. Leases, joins and leaves are gone.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -43,8 +43,8 @@
 _GATHER_SERVERS_S = 0.4
 # A request may be on its way on a connection that is younger than this.
 _IDLE_BEFORE_CLOSE_S = 0.3
-# The leases' renewals; three may be lost.
-_RENEWALS_PER_LEASE = 3.0
+# How often a front looks whether it is its turn to claim a term.
+_CLAIM_CHECK_S = 0.1
 
 
 class Front:
@@ -76,7 +76,7 @@
             # Tells deployments apart; hosts share no secret.
             shared_key=hashlib.sha256(settings.store_address.encode()).digest(),
         )
-        self._leadership = leadership_lib.Leadership()
+        self._leadership = leadership_lib.Leadership(settings.peer_address)
         self._followers = self._make_followers()
         self._hub.relay_from(self._followers)
         self._link = planner_link.PlannerLink(
@@ -87,6 +87,7 @@
         )
         self._led = False
         self._led_since = float("-inf")
+        self._asked_at = float("-inf")
         self._chance = self._state.rng.random()
         self._callers = gevent_server.StreamServer(
             _host_port(settings.callers_address),
@@ -240,58 +241,49 @@
     def _tasks(self) -> list[Any]:
         return [
             *(follower.run for follower in self._followers.values()),
-            self._renew_lease,
+            self._hold_term,
             self._plan,
             self._exchange,
             self._settle,
         ]
 
-    def _renew_lease(self) -> None:
-        """Stands for election while no planner is known.
-
-        Members that come and go move the partitions of the others, so a front
-        stands only after the store has named no planner that answers.
-        """
-        pause_s = self._settings.lease_s / _RENEWALS_PER_LEASE
-        member = False
+    def _hold_term(self) -> None:
+        """Claims a term where no planner answers, and keeps the own one."""
         while True:
-            stands = self._led or self._link.vacant_s > self._stand_delay_s()
-            if stands and not self._state.leaving:
-                member = True
-                self._stand()
-            elif member:
-                member = False
-                self._resign()
-            gevent.sleep(pause_s * (0.8 + 0.4 * self._state.rng.random()))
-
-    def _stand_delay_s(self) -> float:
-        return leadership_lib.stand_delay_s(
+            gevent.sleep(_CLAIM_CHECK_S * (0.5 + self._state.rng.random()))
+            now = time.monotonic()
+            if self._state.leaving:
+                continue
+            asked_s = now - self._asked_at
+            if self._led and asked_s < leadership_lib.CONFIRM_EVERY_S:
+                continue
+            if self._led or self._may_claim(now):
+                self._ask_for_term(now)
+
+    def _may_claim(self, now: float) -> bool:
+        delay_s = leadership_lib.claim_delay_s(
             self._state.fronts,
             own=self._settings.peer_address,
             chance=self._chance,
             strong=self._settings.strong,
         )
+        return self._leadership.should_claim(delay_s=delay_s, now=now)
 
-    def _stand(self) -> None:
-        asked_at = time.monotonic()
+    def _ask_for_term(self, now: float) -> None:
+        """Reads the newest term, and claims the next one if it may."""
+        election = self._state.platform.election
+        self._asked_at = now
         try:
-            elected = self._state.platform.election.join(
-                self._settings.peer_address
-            )
+            term = election.current()
+            self._leadership.note_term(term, at=now)
+            if not self._may_claim(now):
+                return
+            claimed = election.claim(self._settings.peer_address, after=term)
         except platform_port.StoreError:
             # The follower of the store logs its outage.
             return
-        self._leadership.confirm(
-            leadership_lib.Confirmation(elected=elected, at=asked_at)
-        )
-
-    def _resign(self) -> None:
-        self._leadership.confirm(
-            leadership_lib.Confirmation(elected=False, at=time.monotonic())
-        )
-        # Without the store the lease simply ends.
-        with contextlib.suppress(platform_port.StoreError):
-            self._state.platform.election.leave(self._settings.peer_address)
+        if claimed is not None:
+            self._leadership.note_term(claimed, at=now)
 
     def _plan(self) -> None:
         """Plans and tells the fronts while this front leads."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -5,8 +5,6 @@
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 
-# Shorter leases cost more calls; a planner's death is noticed in this time.
-SHORTEST_LEASE_S = 2.0
 DEFAULT_METRICS_PORT = 9464
 
 
@@ -23,7 +21,6 @@
         peer_port: TCP port for the other fronts.
         metrics_port: TCP port for metrics and the state dump.
         store_address: `IP:PORT` of the platform's store.
-        lease_s: Silence after which the planner's lease ends, s.
         most_connections: File descriptors of the process.
         cores: Processor time that it may use, s for each second.
         link_bits_per_s: Bandwidth of the host's link, bit/s.
@@ -42,7 +39,6 @@
     peer_port: int
     metrics_port: int = DEFAULT_METRICS_PORT
     store_address: str
-    lease_s: float = SHORTEST_LEASE_S
     most_connections: int = 1024
     cores: float = 1.0
     link_bits_per_s: float = 1e9
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -19,7 +19,7 @@
 
 # A front is counted for so long after its last word, for the retry budget.
 _FRONT_COUNTS_S = 10.0
-# Fronts learn of an election within two renewals of their leases.
+# Fronts may read of a claim before who made it has begun to plan.
 _ELECTION_SETTLES_S = 0.7
 # A planner that leaves waits so long for its last word to be sent.
 _LAST_WORD_S = 0.05
@@ -146,16 +146,16 @@
     def _hand_over(self, reason: str) -> None:
         """Names the front that plans from now on to all others."""
         strong = [link for link, load in self._links.items() if load.strong]
-        heir = leadership_lib.heir(
+        successor = leadership_lib.successor(
             _address_of(link) for link in strong or self._links
         )
-        if not heir:
+        if not successor:
             return
         self._state.decisions.record(
-            "planner_handed_over", reason=reason, planner=heir
+            "planner_handed_over", reason=reason, planner=successor
         )
         for connection in self._links:
-            connection.send(peer_frames.Successor(planner=heir))
+            connection.send(peer_frames.Successor(planner=successor))
         # A close may overtake what is still to be sent.
         gevent.sleep(_LAST_WORD_S)
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -53,7 +53,6 @@
         self._pause_s = EXCHANGE_S
         self._planner = ""
         self._successor = ""
-        self._vacant_since: float | None = None
         self._picture_at = float("-inf")
         self._silent: set[str] = set()
 
@@ -66,13 +65,6 @@
         """Whether a planner has told its picture lately."""
         return time.monotonic() - self._picture_at <= SILENCE_S
 
-    @property
-    def vacant_s(self) -> float:
-        """How long the store has named no planner that answers, s."""
-        if self._vacant_since is None:
-            return 0.0
-        return time.monotonic() - self._vacant_since
-
     def run_once(self) -> None:
         """Finds the planner and exchanges loads until the link ends."""
         own = self._state.settings.peer_address
@@ -86,17 +78,21 @@
             # A question would wait for its timeout.
             self._find_without_store(own)
             return
+        asked_at = time.monotonic()
         try:
-            member = self._state.platform.election.elected()
+            term = self._state.platform.election.current()
         except platform_port.StoreError:
             # The follower of the store logs its outage.
             self._find_without_store(own)
             return
-        if member and member != own and self._exchange(member):
-            self._vacant_since = None
+        self._leadership.note_term(term, at=asked_at)
+        if self._leadership.leads:
+            gevent.sleep(EXCHANGE_S)
+            return
+        other = term.planner not in ("", own)
+        if other and self._exchange(term.planner):
             return
-        if self._vacant_since is None:
-            self._vacant_since = time.monotonic()
+        self._leadership.note_unanswered(now=time.monotonic())
         self._rest()
 
     def _succeed(self) -> None:
@@ -176,7 +172,7 @@
                 "planner_found", reason="tells its picture", planner=member
             )
         self._planner = member
-        self._vacant_since = None
+        self._leadership.note_answered()
         self._pause_s = EXCHANGE_S
 
     def _send_loads(self, connection: wire.Connection) -> None:
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -21,7 +21,6 @@
 budget_slack = 400
 [platform]
 address = "10.200.1.7:8223"
-ttl_min_ms = 1000
 """
 
 
@@ -32,7 +31,6 @@
     assert settings.failure_domain == "a"
     assert settings.peer_address == "10.1.0.40:7340"
     assert settings.retry_slack == 400
-    assert settings.lease_s == 2.0
 
 
 def test_the_environment_names_the_file(tmp_path, monkeypatch):
--- a/packages/dotterelgrade-front/tests/adapter/test_store.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_store.py
@@ -128,27 +128,40 @@
         feed.newest()
 
 
-@pytest.mark.parametrize(
-    ("parts", "elected"),
-    [([["plan", 0, 0], ["plan", 1, 0]], True), ([["plan", 3, 0]], False)],
-)
-def test_the_first_partition_elects(stub, client, parts, elected):
-    answer = json.dumps({"generation": 3, "ttl_ms": 2000, "parts": parts})
-    stub.answers["/log-join"] = [(200, answer.encode())]
-    election = store.PartitionElection(
-        client, group="g", topic="plan", lease_s=2.0
-    )
-    assert election.join("me") == elected
-    election.join("me")
-    assert json.loads(stub.calls[0][2])["generation"] == 0
-    assert json.loads(stub.calls[1][2])["generation"] == 3
-
-
-def test_the_elected_member_is_found(stub, client):
-    rows = [["plan", 1, "other", 0], ["plan", 0, "leader", 0]]
-    answer = json.dumps({"generation": 3, "parts": rows}).encode()
-    stub.answers["/log-owners"] = [(200, answer)]
-    election = store.PartitionElection(
-        client, group="g", topic="plan", lease_s=2.0
-    )
-    assert election.elected() == "leader"
+def test_the_newest_record_names_the_planner(stub, client):
+    stub.answers["/log-newest"] = [(200, _page([_item("p", b"me", 6)], end=7))]
+    election = store.AppendElection(client, topic="keyed.t")
+    assert election.current() == platform_port.Term(number=7, planner="me")
+
+
+def test_without_a_record_nobody_plans(stub, client):
+    stub.answers["/log-newest"] = [(404, b"")]
+    election = store.AppendElection(client, topic="keyed.t")
+    assert election.current() == platform_port.Term(number=0, planner="")
+
+
+def test_a_term_is_claimed_where_the_last_one_ends(stub, client):
+    stub.answers["/log-append"] = [(200, b'{"offset": 7, "end": 8}')]
+    election = store.AppendElection(client, topic="keyed.t")
+    before = platform_port.Term(number=7, planner="other")
+    claimed = election.claim("me", after=before)
+    assert claimed == platform_port.Term(number=8, planner="me")
+    _, query, body = stub.calls[0]
+    assert "at=7" in query
+    (record,) = store.split_records(body, offset=7)
+    assert (record.value, record.offset) == (b"me", 7)
+
+
+def test_a_claim_that_comes_second_wins_nothing(stub, client):
+    stub.answers["/log-append"] = [(412, b'{"end": 9}')]
+    election = store.AppendElection(client, topic="keyed.t")
+    before = platform_port.Term(number=7, planner="other")
+    assert election.claim("me", after=before) is None
+
+
+@pytest.mark.parametrize("status", [429, 503, 507])
+def test_a_claim_without_an_answer_is_an_error(stub, client, status):
+    stub.answers["/log-append"] = [(status, b"")]
+    election = store.AppendElection(client, topic="keyed.t")
+    with pytest.raises(platform_port.StoreError):
+        election.claim("me", after=platform_port.Term(number=0, planner=""))
--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -134,30 +134,38 @@
 
 
 class FakeElection:
-    """Elects whom the test names."""
+    """Gives terms out, to nobody but the winner if the test names one."""
 
     def __init__(self):
-        self.winner = None
-        self.left = []
-        self.joined = set()
+        self.term = platform_port.Term(number=0, planner="")
+        self.claims = []
         self.down = False
 
+    @property
+    def winner(self):
+        return self.term.planner
+
+    @winner.setter
+    def winner(self, member):
+        self.term = platform_port.Term(
+            number=self.term.number + 1, planner=member
+        )
+
     def _answer(self):
         if self.down:
             raise platform_port.StoreError("down")
 
-    def join(self, member):
-        self._answer()
-        self.joined.add(member)
-        return member == self.winner
-
-    def elected(self):
+    def current(self):
         self._answer()
-        return self.winner
+        return self.term
 
-    def leave(self, member):
+    def claim(self, member, *, after):
         self._answer()
-        self.left.append(member)
+        self.claims.append(member)
+        if after.number != self.term.number:
+            return None
+        self.winner = member
+        return self.term
 
 
 class FakeDocuments:
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -69,7 +69,7 @@
     platform = running._state.platform
     platform.configurations.add("config", b"v1")
     _until(lambda: running.is_ready)
-    _until(lambda: platform.election.joined)
+    _until(lambda: platform.election.claims)
 
     def slow(sock, arrival):
         gevent.sleep(0.6)
@@ -98,8 +98,10 @@
     assert fakes.read_answer(sock)[0] == 200
     drain.join(fakes.WAIT_S)
     assert drain.ready()
-    _until(lambda: platform.election.left)
-    assert set(platform.election.left) == {settings.peer_address}
+    assert not running.dump()["leads"]
+    claims = len(platform.election.claims)
+    gevent.sleep(0.5)
+    assert len(platform.election.claims) == claims
     backend.stop()
 
 
@@ -141,10 +143,10 @@
         _until(lambda: planner._state.load.used("s") == 70.0)
 
 
-def test_a_front_that_comes_back_does_not_stand_against_a_planner(
+def test_a_front_that_comes_back_does_not_claim_against_a_planner(
     settings, platform
 ):
-    """Joining the group would move the planner's partition."""
+    """A claim would end the planner's term."""
     platform.documents.put(b"v1", fakes.CONFIGURATION)
     platform.configurations.add("config", b"v1")
     platform.election.winner = settings.peer_address
@@ -152,12 +154,12 @@
     planner = front_lib.Front(settings, platform=platform)
     with planner.running():
         _until(lambda: planner.dump()["leads"])
-        platform.election.joined.clear()
+        platform.election.claims.clear()
         other = front_lib.Front(other_settings, platform=platform)
         with other.running():
             _until(lambda: other._state.fronts)
             gevent.sleep(1.0)
-            assert other_settings.peer_address not in platform.election.joined
+            assert not platform.election.claims
 
 
 def test_the_store_goes_away_with_the_planner(settings, platform):
@@ -240,6 +242,36 @@
         assert other.dump()["configuration"]["age_s"] < 1.0
 
 
+def test_many_fronts_that_start_together_elect_one_that_stays(
+    settings, platform, monkeypatch
+):
+    """Load pattern: all processes start within a moment of each other."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    fronts = [
+        front_lib.Front(_another(settings, f"front-{n}"), platform=platform)
+        for n in range(8)
+    ]
+    changes = []
+    for front in fronts:
+        note = front._note_lead
+        monkeypatch.setattr(
+            front,
+            "_note_lead",
+            lambda leads, *, passes_on, front=front, note=note: (
+                leads != front._led and changes.append((front, leads)),
+                note(leads, passes_on=passes_on),
+            ),
+        )
+    with contextlib.ExitStack() as stack:
+        for front in fronts:
+            stack.enter_context(front.running())
+        _until(lambda: all(f._led or f._link.fresh for f in fronts))
+        gevent.sleep(2.5)
+        assert [leads for _, leads in changes] == [True]
+        assert platform.election.term.number == 1
+
+
 def test_a_planner_on_a_weak_host_leaves_its_place(
     settings, platform, monkeypatch
 ):
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -2,35 +2,37 @@
 
 Load pattern: the planner is killed, paused or cut off from the store while
 others go on, or the store is away for all; or it runs on a host whose link is
-too narrow for the fronts' and engines' words, and takes all engines for silent.
-Ownership of one partition in a
-group of the store elects the planner; while the store is away, the first front
-in a common order acts as planner. Orders are compare-and-set at the engines,
-so a second planner can do no harm.
+too narrow for the reports of fronts and engines, and takes all engines for
+silent; or all processes start at once, and each of them could plan.
+
+A term is claimed by compare-and-set in the store, so that one front wins and
+stays planner until it does not answer; a planner that starts again finds its
+own term and goes on. While the store is away, the first front in a common order
+acts as planner. Orders are compare-and-set at the engines, so a second planner
+can do no harm.
 """
 
 from collections.abc import Iterable
-import dataclasses
 
 from dotterelgrade import rendezvous
+from dotterelgrade_routing import platform_port
 
 # A planner steps down when others have heard the store for so long after it
-# was last confirmed; reads and renewals are a second or two apart.
+# was last confirmed; it asks the store every second.
 CONFIRMED_FOR_S = 3.5
 # The store counts as away after this silence; each front that others come
 # before waits longer, so that an earlier one has begun to act.
 STORE_AWAY_S = 3.0
 ACT_STEP_S = 1.0
-# An election takes a few renewals of the lease.
-MOST_DENIALS = 4
-# Fronts stand for election one after another, since each further member moves
-# the partitions of the others.
-STAND_STEP_S = 0.4
-MOST_STAND_STEPS = 6
+# A planner asks the store this often whether its term is the newest.
+CONFIRM_EVERY_S = 1.0
+# Fronts claim a term one after another, since each claim has a price.
+CLAIM_STEP_S = 0.4
+MOST_CLAIM_STEPS = 6
 # A planner speaks to all fronts and engines several times a second.
 LEAST_CORES = 0.4
 LEAST_LINK_BITS_PER_S = 40e6
-# Fronts on weaker hosts stand, or act, only if no other one does.
+# Fronts on weaker hosts claim, or act, only if no other one does.
 WEAKER_WAIT_S = 3.0
 # A planner that hears so few of the engines doubts its own link first.
 MOST_SILENT = 0.5
@@ -38,46 +40,85 @@
 SHORTEST_LEAD_S = 5.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Confirmation:
-    """What the store last said.
-
-    Attributes:
-        elected: Whether this front owns the partition.
-        at: Monotonic time at which the question was sent, s.
-    """
-
-    elected: bool
-    at: float
-
-
 class Leadership:
-    """Decides from the store's word and the other fronts' reach of it.
+    """Decides from the store's terms and the other fronts' reach of it.
 
-    An elected planner leads on while neither it nor any front that is
-    connected to it reaches the store.
+    A planner leads on while neither it nor any front that is connected to it
+    reaches the store.
     """
 
-    def __init__(self) -> None:
-        """Initializes a front that is not elected."""
-        self._last = Confirmation(elected=False, at=float("-inf"))
+    def __init__(self, own: str) -> None:
+        """Initializes a front that knows no term.
+
+        Args:
+            own: `IP:PORT` of this front.
+        """
+        self._own = own
+        self._term: platform_port.Term | None = None
+        self._confirmed_at = float("-inf")
+        self._elected = False
         self._acting = False
-        self._denials = 0
+        self._resigned: int | None = None
+        self._unanswered: int | None = None
+        self._vacant_since: float | None = None
 
     def __repr__(self) -> str:
-        """Shows the last confirmation."""
-        return f"<Leadership {self._last}>"
+        """Shows the term and why this front leads."""
+        reason = "acting" if self._acting else "elected"
+        return f"<Leadership {self._term} {reason if self.leads else ''}>"
 
-    def confirm(self, confirmation: Confirmation) -> None:
-        """Takes in the store's word.
+    @property
+    def leads(self) -> bool:
+        """Whether this front leads."""
+        return self._acting or self._elected
 
-        Who acts goes on until it is elected, or until the store has said
-        several times that it is not: somebody else is then.
+    def note_term(self, term: platform_port.Term, *, at: float) -> None:
+        """Takes in the newest term.
+
+        Who acts goes on until another front has claimed a term.
+
+        Args:
+            term: As the store has it.
+            at: Monotonic time at which the store was asked, s.
         """
-        self._last = confirmation
-        self._denials = 0 if confirmation.elected else self._denials + 1
-        if confirmation.elected or self._denials >= MOST_DENIALS:
+        if self._term is None or term.number != self._term.number:
             self._acting = False
+        self._term = term
+        own = term.planner == self._own
+        self._elected = own and term.number != self._resigned
+        if self._elected:
+            self._confirmed_at = at
+            self._acting = False
+            self._vacant_since = None
+
+    def note_unanswered(self, *, now: float) -> None:
+        """Takes in that the planner of the newest term did not answer."""
+        number = None if self._term is None else self._term.number
+        if self._vacant_since is None or number != self._unanswered:
+            self._vacant_since = now
+        self._unanswered = number
+
+    def note_answered(self) -> None:
+        """Takes in that a planner sends its snapshots."""
+        self._vacant_since = None
+
+    def should_claim(self, *, delay_s: float, now: float) -> bool:
+        """Returns whether this front claims the next term.
+
+        Only the term whose planner did not answer is ended: a newer one has
+        a planner that nobody has asked yet.
+
+        Args:
+            delay_s: How long the planner must be missing, s.
+            now: Monotonic time, s.
+        """
+        if self._term is None or self._elected:
+            return False
+        if self._acting:
+            return True
+        if self._vacant_since is None or self._unanswered != self._term.number:
+            return False
+        return now - self._vacant_since >= delay_s
 
     def try_acting(
         self, *, store_silent_s: float, asked: int, strong: bool = True
@@ -90,7 +131,8 @@
             strong: Whether its host is strong enough for a planner.
 
         Returns:
-            Whether the front leads from now on, until the store's next word.
+            Whether the front leads from now on, until another one claims a
+            term.
         """
         turn_s = STORE_AWAY_S + ACT_STEP_S * asked
         if store_silent_s < turn_s + (0.0 if strong else WEAKER_WAIT_S):
@@ -101,29 +143,25 @@
     def succeed(self) -> None:
         """Leads without an election, since the planner that leaves said so."""
         self._acting = True
-        self._denials = 0
 
     def note_others(self, *, heard_store_at: float) -> None:
         """Takes in when a connected front last heard the store.
 
         A planner that the store has not confirmed since long before steps
-        down, and stays down until the store elects it again.
+        down, and stays down until the store confirms its term again.
 
         Args:
             heard_store_at: Monotonic time, s; the latest of all fronts.
         """
-        if heard_store_at - self._last.at > CONFIRMED_FOR_S:
-            self._last = dataclasses.replace(self._last, elected=False)
+        if heard_store_at - self._confirmed_at > CONFIRMED_FOR_S:
+            self._elected = False
 
     def resign(self) -> None:
-        """Leads no longer, until the store elects this front again."""
+        """Leads no longer, until this front claims another term."""
         self._acting = False
-        self._last = dataclasses.replace(self._last, elected=False)
-
-    @property
-    def leads(self) -> bool:
-        """Whether this front leads."""
-        return self._acting or self._last.elected
+        self._elected = False
+        if self._term is not None:
+            self._resigned = self._term.number
 
 
 def successors(
@@ -147,7 +185,7 @@
     return tuple(before)
 
 
-def heir(fronts: Iterable[str]) -> str:
+def successor(fronts: Iterable[str]) -> str:
     """Returns the front that plans after one that leaves, or empty.
 
     Args:
@@ -156,10 +194,10 @@
     return next(iter(rendezvous.rank("planner", set(fronts))), "")
 
 
-def stand_delay_s(
+def claim_delay_s(
     fronts: Iterable[str], *, own: str, chance: float, strong: bool = True
 ) -> float:
-    """Returns how long the planner must be missing before a front stands, s.
+    """Returns how long the planner must be missing before a front claims.
 
     Args:
         fronts: All fronts that were known last; empty after a start.
@@ -170,9 +208,9 @@
     known = set(fronts)
     weaker_s = 0.0 if strong else WEAKER_WAIT_S
     if not known:
-        return weaker_s + chance * STAND_STEP_S * MOST_STAND_STEPS / 2
+        return weaker_s + chance * CLAIM_STEP_S * MOST_CLAIM_STEPS / 2
     place = rendezvous.rank("planner", {*known, own}).index(own)
-    return weaker_s + min(place, MOST_STAND_STEPS) * STAND_STEP_S
+    return weaker_s + min(place, MOST_CLAIM_STEPS) * CLAIM_STEP_S
 
 
 def is_strong(*, cores: float, link_bits_per_s: float) -> bool:
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -78,28 +78,42 @@
         """
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Term:
+    """One planner's time in office, as the store has it.
+
+    Attributes:
+        number: Grows with each claim.
+        planner: `IP:PORT` of the front that claimed it, or empty before the
+            first claim.
+    """
+
+    number: int
+    planner: str
+
+
 class Election(Protocol):
-    """Elects one member of a group."""
+    """Decides between fronts that claim the next term."""
 
-    def join(self, member: str) -> bool:
-        """Joins or stays; returns whether the member is elected.
+    def current(self) -> Term:
+        """Returns the newest term.
 
         Raises:
             StoreError: There was no usable answer.
         """
 
-    def elected(self) -> str | None:
-        """Returns the elected member, if any.
+    def claim(self, member: str, *, after: Term) -> Term | None:
+        """Claims the term after a given one.
 
-        Raises:
-            StoreError: There was no usable answer.
-        """
+        Args:
+            member: `IP:PORT` of the front that claims it.
+            after: The term that must still be the newest one.
 
-    def leave(self, member: str) -> None:
-        """Leaves the group.
+        Returns:
+            The claimed term, or None if another front was quicker.
 
         Raises:
-            StoreError: There was no usable answer.
+            StoreError: There was no usable answer; it may have been claimed.
         """
 
 
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -1,17 +1,71 @@
 import pytest
 
 from dotterelgrade_routing import leadership as leadership_lib
+from dotterelgrade_routing import platform_port
+
+_OWN = "10.0.0.1:1"
+_OTHER = "10.0.0.2:1"
+
+
+def _term(number, planner):
+    return platform_port.Term(number=number, planner=planner)
 
 
 def _elected(at):
-    leadership = leadership_lib.Leadership()
-    leadership.confirm(leadership_lib.Confirmation(elected=True, at=at))
+    leadership = leadership_lib.Leadership(_OWN)
+    leadership.note_term(_term(1, _OWN), at=at)
+    return leadership
+
+
+def _unanswered(number, planner, *, now):
+    """A front that asked the planner of a term in vain."""
+    leadership = leadership_lib.Leadership(_OWN)
+    leadership.note_term(_term(number, planner), at=now)
+    leadership.note_unanswered(now=now)
     return leadership
 
 
 def test_only_the_elected_front_leads():
-    assert not leadership_lib.Leadership().leads
+    assert not leadership_lib.Leadership(_OWN).leads
+    assert _elected(0.0).leads
+    leadership = _elected(0.0)
+    leadership.note_term(_term(2, _OTHER), at=1.0)
+    assert not leadership.leads
+
+
+def test_a_planner_that_starts_again_goes_on():
+    """Load pattern: all processes are killed and start at once."""
     assert _elected(0.0).leads
+    other = leadership_lib.Leadership(_OTHER)
+    other.note_term(_term(1, _OWN), at=0.0)
+    assert not other.should_claim(delay_s=0.0, now=60.0)
+
+
+def test_a_term_ends_only_when_its_planner_does_not_answer():
+    leadership = _unanswered(4, _OTHER, now=10.0)
+    assert not leadership.should_claim(delay_s=0.5, now=10.4)
+    assert leadership.should_claim(delay_s=0.5, now=10.5)
+    leadership.note_answered()
+    assert not leadership.should_claim(delay_s=0.5, now=20.0)
+
+
+def test_a_newer_term_is_not_ended_before_its_planner_was_asked():
+    """Load pattern: many fronts find the planner dead at once."""
+    leadership = _unanswered(4, _OTHER, now=10.0)
+    leadership.note_term(_term(5, "10.0.0.3:1"), at=10.4)
+    assert not leadership.should_claim(delay_s=0.0, now=60.0)
+    leadership.note_unanswered(now=61.0)
+    assert leadership.should_claim(delay_s=0.0, now=61.0)
+
+
+def test_who_resigned_does_not_lead_again_in_that_term():
+    leadership = _elected(0.0)
+    leadership.resign()
+    assert not leadership.leads
+    leadership.note_term(_term(1, _OWN), at=1.0)
+    assert not leadership.leads
+    leadership.note_term(_term(2, _OWN), at=2.0)
+    assert leadership.leads
 
 
 def test_a_planner_that_is_cut_off_alone_steps_down():
@@ -22,13 +76,13 @@
     assert not leadership.leads
 
 
-def test_who_stepped_down_stays_down_until_the_store_elects_it():
+def test_who_stepped_down_stays_down_until_the_store_confirms_it():
     """The other fronts leave it, so nobody reaches the store any more."""
     leadership = _elected(0.0)
     leadership.note_others(heard_store_at=10.0)
     leadership.note_others(heard_store_at=float("-inf"))
     assert not leadership.leads
-    leadership.confirm(leadership_lib.Confirmation(elected=True, at=11.0))
+    leadership.note_term(_term(1, _OWN), at=11.0)
     assert leadership.leads
 
 
@@ -40,11 +94,11 @@
     assert leadership.leads
 
 
-def test_fronts_stand_one_after_another():
-    """Load pattern: the planner is lost, and every front would stand."""
+def test_fronts_claim_one_after_another():
+    """Load pattern: the planner is lost, and every front would claim."""
     fronts = [f"10.0.0.{i}:1" for i in range(42)]
     delays = sorted(
-        leadership_lib.stand_delay_s(fronts, own=own, chance=0.5)
+        leadership_lib.claim_delay_s(fronts, own=own, chance=0.5)
         for own in fronts
     )
     assert delays[0] == 0.0
@@ -54,27 +108,29 @@
 
 def test_while_the_store_is_away_a_front_may_act_until_its_return():
     """Load pattern: the store goes silent just after an election."""
-    leadership = leadership_lib.Leadership()
+    leadership = leadership_lib.Leadership(_OWN)
     away_s = leadership_lib.STORE_AWAY_S
+    leadership.note_term(_term(3, _OTHER), at=0.0)
     assert not leadership.try_acting(store_silent_s=away_s - 0.1, asked=0)
     assert not leadership.try_acting(store_silent_s=away_s, asked=1)
     assert not leadership.leads
     assert leadership.try_acting(store_silent_s=away_s, asked=0)
     assert leadership.leads
-    for denials in range(leadership_lib.MOST_DENIALS):
-        assert leadership.leads, denials
-        leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
+    leadership.note_term(_term(4, _OTHER), at=1.0)
     assert not leadership.leads
 
 
-def test_who_acts_goes_on_until_it_is_elected():
+def test_who_acts_goes_on_until_it_has_claimed_a_term():
     """Load pattern: a crash comes just as the store returns."""
-    leadership = leadership_lib.Leadership()
+    leadership = leadership_lib.Leadership(_OWN)
+    leadership.note_term(_term(3, _OTHER), at=0.0)
     assert leadership.try_acting(store_silent_s=60.0, asked=0)
-    leadership.confirm(leadership_lib.Confirmation(elected=False, at=1.0))
+    leadership.note_term(_term(3, _OTHER), at=1.0)
     assert leadership.leads
-    leadership.confirm(leadership_lib.Confirmation(elected=True, at=2.0))
+    assert leadership.should_claim(delay_s=60.0, now=1.0)
+    leadership.note_term(_term(4, _OWN), at=2.0)
     assert leadership.leads
+    assert not leadership.should_claim(delay_s=0.0, now=3.0)
 
 
 def test_fronts_agree_who_acts():
@@ -103,27 +159,27 @@
 
 def test_who_is_named_by_a_planner_that_leaves_leads_at_once():
     """Load pattern: the planner is stopped while the store is away."""
-    leadership = leadership_lib.Leadership()
+    leadership = leadership_lib.Leadership(_OWN)
     leadership.succeed()
     assert leadership.leads
 
 
-def test_all_fronts_name_the_same_heir():
+def test_all_fronts_name_the_same_successor():
     fronts = {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
-    heir = leadership_lib.heir(fronts)
-    assert heir in fronts
-    assert heir == leadership_lib.heir(sorted(fronts, reverse=True))
-    assert leadership_lib.heir(()) == ""
+    named = leadership_lib.successor(fronts)
+    assert named in fronts
+    assert named == leadership_lib.successor(sorted(fronts, reverse=True))
+    assert leadership_lib.successor(()) == ""
 
 
-def test_fronts_on_weak_hosts_stand_after_all_others():
+def test_fronts_on_weak_hosts_claim_after_all_others():
     """Load pattern: a planner behind a link of 7 Mbit/s hears nobody."""
     fronts = [f"10.0.0.{i}:1" for i in range(42)]
-    weak = leadership_lib.stand_delay_s(
+    weak = leadership_lib.claim_delay_s(
         fronts, own=fronts[0], chance=0.0, strong=False
     )
     latest = max(
-        leadership_lib.stand_delay_s(fronts, own=own, chance=1.0)
+        leadership_lib.claim_delay_s(fronts, own=own, chance=1.0)
         for own in fronts
     )
     assert weak > latest
@@ -133,7 +189,7 @@
 
 def test_a_front_on_a_weak_host_acts_later():
     away_s = leadership_lib.STORE_AWAY_S
-    leadership = leadership_lib.Leadership()
+    leadership = leadership_lib.Leadership(_OWN)
     assert not leadership.try_acting(
         store_silent_s=away_s, asked=0, strong=False
     )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_store.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_store.py
@@ -20,6 +20,7 @@
 _POLL_S = 0.02
 _LONGEST_SILENCE_S = 30.0
 _GONE = 410
+_OTHER_END = 412
 _UNAVAILABLE = 503
 
 
@@ -45,14 +46,11 @@
 
 
 class PlatformStore:
-    """Topics with the newest record of each key, and one group."""
+    """Topics with the newest record of each key."""
 
     def __init__(self) -> None:
         """Initializes an empty store that works."""
         self._topics: dict[str, _Topic] = {}
-        self._members: dict[str, float] = {}
-        self._generation = 0
-        self._plan_topic = ""
         self.outage: Outage | None = None
         self.delay_s = 0.0
         self.loses_answers = False
@@ -95,9 +93,7 @@
         app = web.JsonApp()
         app.route("GET", store_names.READ_PATH, self._faulty(self._read))
         app.route("GET", store_names.NEWEST_PATH, self._faulty(self._newest))
-        app.route("POST", store_names.JOIN_PATH, self._faulty(self._join))
-        app.route("GET", store_names.OWNERS_PATH, self._faulty(self._owners))
-        app.route("POST", store_names.LEAVE_PATH, self._faulty(self._leave))
+        app.route("POST", store_names.APPEND_PATH, self._faulty(self._append))
         with web.serving(app, host=host, port=0) as server:
             yield host, server.server_port
 
@@ -144,35 +140,12 @@
         kept = [record for record in newest.values() if record.value]
         return server_side.newest_body(kept, end=topic.end)
 
-    def _join(self, call: web.Call) -> bytes:
-        join = server_side.read_join(call.body)
-        before = self._owner()
-        if join.member not in self._members:
-            self._generation += 1
-        self._members[join.member] = time.monotonic() + join.ttl_ms / 1000
-        self._plan_topic = join.topics[0]
-        owner = self._owner()
-        if owner != before:
-            self._generation += 1
-        return server_side.membership_body(
-            topic=self._plan_topic,
-            generation=self._generation,
-            owned=owner == join.member,
-        )
-
-    def _owners(self, _: web.Call) -> bytes:
-        return server_side.owners_body(
-            topic=self._plan_topic, member=self._owner()
-        )
-
-    def _leave(self, call: web.Call) -> object:
-        self._members.pop(server_side.read_leave(call.body), None)
-        self._generation += 1
-        return {}
-
-    def _owner(self) -> str | None:
-        now = time.monotonic()
-        for member, until in list(self._members.items()):
-            if until < now:
-                del self._members[member]
-        return next(iter(self._members), None)
+    def _append(self, call: web.Call) -> bytes:
+        append = server_side.read_append(call.query, call.body)
+        topic = self._topic(append.topic)
+        offset = topic.end
+        if append.at is not None and append.at != offset:
+            raise web.HttpError(_OTHER_END, {})
+        for record in append.records:
+            self.write(append.topic, record.key, record.value)
+        return server_side.appended_body(offset=offset, end=topic.end)
--- a/packages/dotterelgrade-standins/tests/test_platform_store.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_store.py
@@ -57,18 +57,25 @@
         feed.read(start=0, wait_s=0)
 
 
-def test_one_member_is_elected_until_it_leaves_or_lapses(client):
+def test_one_of_two_claims_of_a_term_wins(client):
     def election():
-        return store_client.PartitionElection(
-            client, group="g", topic="t", lease_s=0.3
-        )
+        return store_client.AppendElection(client, topic="keyed.t")
 
     one, other = election(), election()
-    assert one.join("one")
-    assert not other.join("other")
-    assert other.elected() == "one"
-    one.leave("one")
-    assert other.join("other")
-    gevent.sleep(0.4)
-    assert one.join("one")
-    assert other.elected() == "one"
+    before = one.current()
+    assert before == platform_port.Term(number=0, planner="")
+    claimed = one.claim("one", after=before)
+    assert claimed == other.current()
+    assert other.claim("other", after=before) is None
+    assert other.claim("other", after=claimed).planner == "other"
+    assert one.current().planner == "other"
+
+
+def test_a_claim_whose_answer_is_lost_holds(store, client):
+    """Load pattern: the store carries a call out and its answer is lost."""
+    election = store_client.AppendElection(client, topic="keyed.t")
+    store.loses_answers = True
+    with pytest.raises(platform_port.StoreError):
+        election.claim("one", after=platform_port.Term(number=0, planner=""))
+    store.loses_answers = False
+    assert election.current().planner == "one"
