Draw chains by price and fill, and offer chains around the first one

A chain of step 3.7 ms at fill 0.85 still cost less than one of 9.4 ms at 0.4. Of 138 engines 99 were never a first stage. Ruled out: reading capacity (0.4 of what three a100 read), no room (1,300 usual requests fit, 200 to 400 were in flight). Change: price = step / (1 - fill)^2, a front draws with chances by price^-3, its own failure domain first; up to three chains a domain over different holders; the search is within one domain unless it lacks a layer.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -3,6 +3,11 @@
 Load pattern: callers press beyond what the backend servers' memory holds, or
 a part of the chains is broken. A request that would only push out others is
 refused at once, with the time until memory is likely to be free.
+
+A stage that is nearly full lets requests wait, since reservations are estimates
+and dozens of fronts decide from one snapshot of them. The price of a chain
+rises with its fill as in a queue, and each front draws among the chains by
+their prices, so that the cheapest one is not taken by all at once.
 """
 
 from collections.abc import Mapping, Sequence
@@ -21,8 +26,14 @@
 REPAIR_S = 2.5
 SHORTEST_RETRY_S = 0.25
 LONGEST_RETRY_S = 3.0
-# How strongly a chain's fill counts against its speed.
-FILL_WEIGHT = 2.0
+# The price of a chain grows with this power of 1 / (free share).
+FILL_POWER = 2.0
+LEAST_FREE = 0.02
+# A chain in another failure domain loads the links between them.
+FOREIGN_FACTOR = 1.25
+# Chances fall with this power of the price. With more, dozens of fronts take
+# the same chain; with less, a slow chain gets as much as a quick one.
+SPREAD_POWER = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -58,6 +69,8 @@
     answer_tokens: float,
     load: load_picture.LoadPicture,
     memory: Mapping[str, float],
+    failure_domain: str,
+    chance: float,
     begun: bool = False,
 ) -> Admitted | Refused:
     """Chooses a chain for a request, or refuses it.
@@ -68,16 +81,21 @@
         answer_tokens: Tokens that it is expected to produce.
         load: Reservations at the backend servers.
         memory: Memory for requests by backend server, tokens times layers.
+        failure_domain: Where this front runs.
+        chance: From 0 to 1, drawn for this request.
         begun: Whether the caller has had events already.
     """
     most_fill = MOST_FILL_BEGUN if begun else MOST_FILL
     if not chains:
         return Refused(reason="no chain", retry_after_s=REPAIR_S)
-    ranked = [
+    all_chains = [
         Admitted(chain=chain, fill=fill_with(chain, tokens, load, memory))
         for chain in chains
     ]
-    best = min(ranked, key=lambda a: _price(a))
+    with_room = [a for a in all_chains if a.fill <= MOST_FILL]
+    if with_room:
+        return _draw(with_room, failure_domain, chance)
+    best = min(all_chains, key=lambda a: a.fill)
     if best.fill <= most_fill:
         return best
     # Memory is freed as answers end; half of one is left on average.
@@ -88,6 +106,21 @@
     )
 
 
+def _draw(
+    offers: Sequence[Admitted], failure_domain: str, chance: float
+) -> Admitted:
+    """Returns one of several offers, a cheaper one with a better chance."""
+    weights = [
+        _price(offer, failure_domain) ** -SPREAD_POWER for offer in offers
+    ]
+    left = chance * sum(weights)
+    for offer, weight in zip(offers, weights, strict=True):
+        left -= weight
+        if left < 0:
+            return offer
+    return offers[-1]
+
+
 def fill_with(
     chain: chain_choice.Chain,
     tokens: float,
@@ -102,7 +135,8 @@
     )
 
 
-def _price(admitted: Admitted) -> float:
-    over = max(0.0, admitted.fill - MOST_FILL)
-    fill = min(admitted.fill, 1.0)
-    return admitted.chain.step_s * (1 + FILL_WEIGHT * fill) + over
+def _price(offer: Admitted, failure_domain: str) -> float:
+    free = max(1.0 - offer.fill, LEAST_FREE)
+    foreign = offer.chain.first.failure_domain != failure_domain
+    factor = FOREIGN_FACTOR if foreign else 1.0
+    return factor * max(offer.chain.step_s, 1e-6) / free**FILL_POWER
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
@@ -24,8 +24,8 @@
 # Requests that a stage is expected to hold beside those known, so that one
 # with little room is avoided before it is full.
 EXPECTED_REQUESTS = 8.0
-# Below this pressure of its fullest stage a chain needs no second one.
-PRESSED = 0.4
+# Chains that are offered for each failure domain.
+MOST_CHAINS = 3
 # Beyond this fill a stage is used only if no other one holds its layers.
 FULL = 0.9
 FULL_S = 0.05
@@ -135,8 +135,10 @@
 ) -> list[Chain]:
     """Returns the chains that a request may choose from.
 
-    For each preferred failure domain these are the cheapest chain, and the
-    cheapest one around its fullest stage, which takes over in a burst.
+    For each failure domain these are the cheapest chain, and further ones over
+    other backend servers where layers are held more than once. A domain is
+    left only if it lacks a layer, so that the search grows with the largest
+    domain and not with the fleet.
 
     Args:
         engine: Figures of the model.
@@ -147,29 +149,43 @@
     """
     found: dict[tuple[Stage, ...], Chain] = {}
     for domain in sorted({h.failure_domain for h in holders}):
-        chain = cheapest(engine, holders, preferred_domain=domain)
-        if chain is None:
-            continue
-        found.setdefault(chain.stages, chain)
-        around = _around_tightest(engine, holders, chain, domain)
-        if around is not None:
-            found.setdefault(around.stages, around)
+        local = [h for h in holders if h.failure_domain == domain]
+        if layer_range.gaps(engine.whole(), [h.layers for h in local]):
+            local = list(holders)
+        for chain in _several(engine, local, domain):
+            found.setdefault(chain.stages, chain)
     return list(found.values())
 
 
-def _around_tightest(
-    engine: configuration.Engine,
-    holders: Sequence[Holder],
-    chain: Chain,
-    domain: str,
-) -> Chain | None:
-    by_id = {holder.server_id: holder for holder in holders}
-    used = [by_id[stage.server_id] for stage in chain.stages]
-    tightest = max(used, key=lambda h: h.pressure)
-    if tightest.pressure < PRESSED:
-        return None
-    rest = [holder for holder in holders if holder is not tightest]
-    return cheapest(engine, rest, preferred_domain=domain)
+def _several(
+    engine: configuration.Engine, holders: Sequence[Holder], domain: str
+) -> list[Chain]:
+    """Returns the cheapest chain, then the cheapest ones around its stages."""
+    chains: list[Chain] = []
+    left = list(holders)
+    while len(chains) < MOST_CHAINS:
+        chain = cheapest(engine, left, preferred_domain=domain)
+        if chain is None:
+            break
+        chains.append(chain)
+        around = _around(chain, left)
+        if len(around) == len(left):
+            break
+        left = around
+    return chains
+
+
+def _around(chain: Chain, holders: Sequence[Holder]) -> list[Holder]:
+    """Leaves out the stages of a chain whose layers others hold as well."""
+    left = list(holders)
+    used = {stage.server_id for stage in chain.stages}
+    for holder in holders:
+        if holder.server_id not in used:
+            continue
+        rest = [other for other in left if other is not holder]
+        if not layer_range.gaps(holder.layers, [h.layers for h in rest]):
+            left = rest
+    return left
 
 
 def cheapest(
