Use idle accelerators of large domains for room, but for a reserve

Ruled out: a lower room for each stage (the plan of a replica is unchanged). Change: what is free beyond two backend servers of a group goes where the holders' room is least. Plans of sites with domains of up to 15 engines don't change (the tests on them hold).

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -2,8 +2,9 @@
 
 Load pattern: all backend servers start empty at once, single ones crash and
 come back empty, leave for good or join. Every failure domain that can holds a
-whole replica; what is lost is loaded again on backend servers that are free,
-and what is held already moves only to close a gap.
+whole replica, then each layer twice; what is free beyond a reserve adds room
+where there is least. What is lost is loaded again on backend servers that are
+free, and what is held already moves only to close a gap.
 """
 
 from collections.abc import Collection, Sequence
@@ -19,7 +20,8 @@
 # Worth of a second holder of a layer, in step factors, if the first one holds
 # the whole model; the more a backend server holds, the longer its loss lasts.
 REDUNDANCY_WORTH = 32.0
-
+# Backend servers of a group that stay empty, to take what others lose.
+RESERVE = 2
 
 # Refusals by more than this share of a group have a common cause, such as the
 # load of callers; then all stay in the plan.
@@ -245,21 +247,34 @@
     """Places free backend servers where they speed up or double layers."""
     holders = [c for c in group if c.layers is not None]
     orders = []
+    idle = []
     for candidate in sorted(free, key=lambda c: c.accelerator.step_factor):
         layers = _most_useful(engine, holders, candidate)
         if layers is None:
+            idle.append(candidate)
             continue
-        orders.append(
-            Placement(
-                server_id=candidate.server_id,
-                layers=layers,
-                reason="reinforcement",
-            )
-        )
+        orders.append(_order(candidate, layers, reason="reinforcement"))
+        holders.append(dataclasses.replace(candidate, layers=layers))
+    for candidate in idle[RESERVE:]:
+        layers = _with_least_room(engine, holders, candidate)
+        if layers is None:
+            continue
+        orders.append(_order(candidate, layers, reason="more room"))
         holders.append(dataclasses.replace(candidate, layers=layers))
     return orders
 
 
+def _order(
+    candidate: placement_policies.Candidate,
+    layers: layer_range.LayerRange,
+    *,
+    reason: str,
+) -> Placement:
+    return Placement(
+        server_id=candidate.server_id, layers=layers, reason=reason
+    )
+
+
 def _most_useful(
     engine: configuration.Engine,
     holders: Sequence[placement_policies.Candidate],
@@ -282,6 +297,27 @@
     return layer_range.LayerRange(best, best + size)
 
 
+def _with_least_room(
+    engine: configuration.Engine,
+    holders: Sequence[placement_policies.Candidate],
+    candidate: placement_policies.Candidate,
+) -> layer_range.LayerRange | None:
+    """Returns the layers whose holders together have the least room."""
+    size = placement_policies.layers_with_room(
+        engine, candidate.accelerator, _median_room(engine, holders)
+    )
+    if size <= 0:
+        return None
+    room = [0.0] * engine.layers
+    for holder in holders:
+        tokens = engine.room_tokens(holder.accelerator, len(holder.layers))
+        for layer in range(holder.layers.first, holder.layers.end):
+            room[layer] += tokens
+    starts = range(engine.layers - size + 1)
+    first = min(starts, key=lambda start: sum(room[start : start + size]))
+    return layer_range.LayerRange(first, first + size)
+
+
 def _median_room(
     engine: configuration.Engine,
     holders: Sequence[placement_policies.Candidate],
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -105,6 +105,27 @@
     assert all(s.layers is not None for s in placed)
 
 
+def test_a_large_domain_uses_all_but_a_reserve(engine, make_domain):
+    """Load pattern: a domain holds twice what two replicas need."""
+    servers = _settled(engine, make_domain("a", fast=2, small=11, slow=30))
+    idle = [s for s in servers if s.layers is None]
+    assert len(idle) == placement.RESERVE
+    for layer in range(engine.layers):
+        here = [
+            s
+            for s in servers
+            if s.layers and s.layers.first <= layer < s.layers.end
+        ]
+        assert len(here) >= 3, layer
+
+
+def test_the_reserve_takes_what_is_lost(engine, make_domain):
+    servers = _settled(engine, make_domain("a", fast=2, small=11, slow=30))
+    largest = max(servers, key=lambda s: len(s.layers or ()))
+    left = _settled(engine, [s for s in servers if s is not largest])
+    assert not _gaps(engine, left)
+
+
 def test_small_domains_share_a_replica(engine, make_domain):
     servers = [
         *make_domain("a", fast=0, small=5, slow=2),
