--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -26,6 +26,8 @@
 ACT_STEP_S = 1.0
 # A planner asks the store this often whether its term is the newest.
 CONFIRM_EVERY_S = 1.0
+# A claim whose answer was lost is found out, and planning begun, in this time.
+SETTLES_S = 1.5
 # Fronts claim a term one after another, since each claim has a price.
 CLAIM_STEP_S = 0.4
 MOST_CLAIM_STEPS = 6
@@ -60,6 +62,7 @@
         self._acting = False
         self._resigned: int | None = None
         self._unanswered: int | None = None
+        self._answered: int | None = None
         self._vacant_since: float | None = None
 
     def __repr__(self) -> str:
@@ -101,6 +104,8 @@
     def note_answered(self) -> None:
         """Takes in that a planner sends its snapshots."""
         self._vacant_since = None
+        if self._term is not None:
+            self._answered = self._term.number
 
     def should_claim(self, *, delay_s: float, now: float) -> bool:
         """Returns whether this front claims the next term.
@@ -118,6 +123,9 @@
             return True
         if self._vacant_since is None or self._unanswered != self._term.number:
             return False
+        if self._term.planner and self._answered != self._term.number:
+            # Its planner may not know yet that its claim was accepted.
+            delay_s += SETTLES_S
         return now - self._vacant_since >= delay_s
 
     def try_acting(
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -42,11 +42,16 @@
         self.pieces: collections.deque[bytes] = collections.deque()
         self.complete = False
         self.framed = False
+        self.surplus = False
+        self.keeps_alive = False
         self.headers: http_message.Headers = []
         self.parser: httptools.HttpResponseParser | None = None
         self._reason = b""
         self._bodiless = bodiless
 
+    def on_message_begin(self) -> None:
+        self.surplus = self.surplus or self.complete
+
     def on_status(self, reason: bytes) -> None:
         self._reason += reason
 
@@ -79,8 +84,9 @@
             self.pieces.append(piece)
 
     def on_message_complete(self) -> None:
-        if self.head is not None:
+        if self.head is not None and not self.complete:
             self.complete = True
+            self.keeps_alive = self.parser.should_keep_alive()
 
 
 class HttpConnection:
@@ -107,10 +113,60 @@
         """Whether any byte of the current answer has arrived."""
         return self._heard
 
+    @property
+    def reusable(self) -> bool:
+        """Whether a further request may follow the last one.
+
+        Only behind a whole answer of known length, after which the peer has
+        sent nothing and does not want to close.
+        """
+        answer = self._answer
+        if answer is None or not answer.complete or answer.surplus:
+            return False
+        return answer.framed and answer.keeps_alive and self._quiet()
+
     def close(self) -> None:
         """Closes the connection at once."""
         self._sock.close()
 
+    def exchange(
+        self,
+        *,
+        method: bytes,
+        target: bytes,
+        headers: http_message.Headers,
+        body: bytes = b"",
+        timeout_s: float,
+        most_bytes: int,
+    ) -> tuple[http_message.ResponseHead, bytes]:
+        """Sends a whole request and waits for its whole answer.
+
+        Args:
+            method: Method of the request.
+            target: Path and query.
+            headers: Further headers beside host and length.
+            body: Body of the request.
+            timeout_s: Longest time for the answer, s.
+            most_bytes: Largest body that is accepted.
+
+        Returns:
+            The head and the body of the answer.
+
+        Raises:
+            BrokenConnectionError: There was no whole answer.
+            AnswerTimeoutError: There was no answer in time.
+        """
+        until = time.monotonic() + timeout_s
+        self.send(
+            method=method,
+            target=target,
+            headers=[(b"host", self._address.encode()), *headers],
+            body=body,
+            timeout_s=timeout_s,
+        )
+        head = self.read_head(until=until)
+        return head, self.read_body(until=until, most_bytes=most_bytes)
+
     def send(
         self,
         *,
@@ -230,8 +286,20 @@
                 raise BrokenConnectionError(
                     f"{self._address}: {error}"
                 ) from error
+            self._answer.surplus = True
         return len(data)
 
+    def _quiet(self) -> bool:
+        """Returns whether neither bytes nor the end wait to be read."""
+        self._sock.settimeout(0.0)
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def _end(self) -> None:
         answer = self._answer
         if answer.head is not None and not answer.framed:
@@ -326,15 +394,12 @@
         BrokenConnectionError: There was no whole answer.
         AnswerTimeoutError: There was no answer in time.
     """
-    all_headers = [(b"host", address.encode()), *(headers or [])]
     with opened(address, timeout_s=connect_timeout_s) as connection:
-        until = time.monotonic() + timeout_s
-        connection.send(
+        return connection.exchange(
             method=method,
             target=target,
-            headers=all_headers,
+            headers=headers or [],
             body=body,
             timeout_s=timeout_s,
+            most_bytes=most_bytes,
         )
-        head = connection.read_head(until=until)
-        return head, connection.read_body(until=until, most_bytes=most_bytes)
--- a/packages/dotterelgrade/src/dotterelgrade/wire.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wire.py
@@ -174,12 +174,10 @@
 
     def _write_loop(self) -> None:
         try:
-            while True:
-                self._wakeup.wait()
-                self._wakeup.clear()
+            while self._outbox or not self._closed:
                 if not self._outbox:
-                    if self._closed:
-                        break
+                    self._wakeup.wait()
+                    self._wakeup.clear()
                     continue
                 chunk = b"".join(self._outbox)
                 self._outbox.clear()
--- a/packages/dotterelgrade/tests/test_wire.py
+++ b/packages/dotterelgrade/tests/test_wire.py
@@ -44,6 +44,23 @@
     connection.close("done")
 
 
+def test_a_close_right_behind_a_frame_ends_the_stream_at_once():
+    """Load pattern: a planner sends its last snapshots and steps down."""
+
+    def handle(connection):
+        connection.send(messages.Pong(sequence=1))
+        connection.close("stepped down")
+        gevent.sleep(wire.HANDSHAKE_TIMEOUT_S)
+
+    identity = _identity("127.0.9.1", port=17401)
+    with wire.listening(handle, identity=identity):
+        own = _identity("127.0.9.2")
+        connection = wire.dial("127.0.9.1", 17401, identity=own)
+        with gevent.Timeout(wire.HANDSHAKE_TIMEOUT_S / 2):
+            assert [frame.sequence for frame in connection] == [1]
+        assert connection.close_reason == "peer closed"
+
+
 def test_wrong_key_is_refused(server):
     with pytest.raises(errors.DotterelgradeError) as caught:
         wire.dial(
