Patch a failure domain under pressure from others

Change: where all chains of a domain have a stage over half pressed, chains over all domains are offered as well.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
@@ -24,6 +24,8 @@
 # Requests that a stage is expected to hold beside those known, so that one
 # with little room is avoided before it is full.
 EXPECTED_REQUESTS = 8.0
+# Beyond this pressure of its stages a domain's chains are patched by others.
+PRESSED = 0.5
 # Chains that are offered for each failure domain.
 MOST_CHAINS = 3
 # Beyond this fill a stage is used only if no other one holds its layers.
@@ -137,8 +139,8 @@
 
     For each failure domain these are the cheapest chain, and further ones over
     other backend servers where layers are held more than once. A domain is
-    left only if it lacks a layer, so that the search grows with the largest
-    domain and not with the fleet.
+    left only if it lacks a layer or is under pressure, so that the search
+    mostly grows with the largest domain and not with the fleet.
 
     Args:
         engine: Figures of the model.
@@ -150,13 +152,23 @@
     found: dict[tuple[Stage, ...], Chain] = {}
     for domain in sorted({h.failure_domain for h in holders}):
         local = [h for h in holders if h.failure_domain == domain]
-        if layer_range.gaps(engine.whole(), [h.layers for h in local]):
-            local = list(holders)
-        for chain in _several(engine, local, domain):
+        chains = _several(engine, local, domain)
+        if not chains or _pressed(chains, local):
+            chains += _several(engine, holders, domain)
+        for chain in chains:
             found.setdefault(chain.stages, chain)
     return list(found.values())
 
 
+def _pressed(chains: Sequence[Chain], holders: Sequence[Holder]) -> bool:
+    """Returns whether each of the chains has a stage under pressure."""
+    pressure = {holder.server_id: holder.pressure for holder in holders}
+    return all(
+        max(pressure[stage.server_id] for stage in chain.stages) > PRESSED
+        for chain in chains
+    )
+
+
 def _several(
     engine: configuration.Engine, holders: Sequence[Holder], domain: str
 ) -> list[Chain]:
--- a/packages/dotterelgrade-routing/tests/test_chain_choice.py
+++ b/packages/dotterelgrade-routing/tests/test_chain_choice.py
@@ -76,6 +76,18 @@
     assert ids == [["fast", "rest"], ["double", "rest"]]
 
 
+def test_a_full_part_is_patched_from_another_domain(engine, make_holder):
+    """Load pattern: callers press, and one stage of a domain is full."""
+    holders = [
+        make_holder("a1", 0, 40),
+        make_holder("a2", 40, 80, used=9.5e5),
+        make_holder("b1", 0, 40, domain="b", used=9.5e5),
+        make_holder("b2", 40, 80, domain="b"),
+    ]
+    ids = [_ids(c) for c in chain_choice.candidates(engine, holders)]
+    assert ["a1", "b2"] in ids
+
+
 def test_a_lost_part_is_patched_from_another_domain(engine, make_holder):
     holders = [
         make_holder("a1", 0, 30, domain="a"),
