Let a front spend most of its retries at once

Change: 0.7 of the part as capacity, 0.1 as steady rate, 0.4 of the earned share; a window of 10 s holds 0.8 of the part (0.8 before).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -20,8 +20,12 @@
 from dotterelgrade_routing import trust as trust_lib
 
 _JOURNAL_CAPACITY = 2_000
-# The parts of the fronts are estimates; the rest covers a wrong count of them.
-_BUDGET_SAFETY = 0.4
+# Retries that a front may spend in a window, as parts of what it is due: most
+# of the slack at once, since a crash breaks many streams together, and little
+# of it steadily. The rest covers a wrong count of the fronts and restarts.
+_BURST_PART = 0.7
+_STEADY_PART = 0.1
+_EARNED_PART = 0.4
 # Until the other fronts are known, one front takes the part of one in so many.
 _UNKNOWN_FRONTS = 16
 
@@ -181,7 +185,7 @@
         """Returns the retry budget of a service."""
         if service not in self._budgets:
             self._budgets[service] = retry_budget.RetryBudget(
-                share=self._settings.retry_ratio * _BUDGET_SAFETY,
+                share=self._settings.retry_ratio * _EARNED_PART,
                 rate_per_s=self._retry_rate_per_s(),
                 capacity=self._retry_capacity(),
             )
@@ -262,10 +266,13 @@
         self._trust.note_busy(server_id, now=time.monotonic())
 
     def _retry_capacity(self) -> float:
-        part = self._settings.retry_slack / (
-            len(self._fronts) or _UNKNOWN_FRONTS
-        )
-        return max(1.0, part * _BUDGET_SAFETY)
+        return max(1.0, self._retry_slack() * _BURST_PART)
 
     def _retry_rate_per_s(self) -> float:
-        return self._retry_capacity() / self._settings.retry_window_s
+        steady = self._retry_slack() * _STEADY_PART
+        return steady / self._settings.retry_window_s
+
+    def _retry_slack(self) -> float:
+        """Returns this front's part of the retries beside the earned ones."""
+        fronts = len(self._fronts) or _UNKNOWN_FRONTS
+        return self._settings.retry_slack / fronts
