--- a/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
@@ -43,7 +43,7 @@
         self._state.belief.read_at = heard_at
 
     def outage(self) -> None:
-        """Keeps the belief; its age tells of the outage."""
+        """Keeps the belief; its age shows the outage."""
 
     def _adopt(self, newer: object, *, offset: int) -> None:
         state = self._state
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -8,7 +8,7 @@
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import layer_range
-from dotterelgrade_routing import load_picture
+from dotterelgrade_routing import reservations
 from dotterelgrade_routing import trust as trust_lib
 
 # Reservations change with every request; chains follow them this often.
@@ -47,7 +47,7 @@
         *,
         fleet: fleet_lib.Fleet,
         trust: trust_lib.Trust,
-        load: load_picture.LoadPicture,
+        load: reservations.Reservations,
     ) -> None:
         """Initializes an empty directory.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -22,7 +22,7 @@
 RELAYING_GATHER_S = 0.1
 _FIRST_PAUSE_S = 0.15
 _LONGEST_PAUSE_S = 0.8
-# Word of the planner may come while a read begins.
+# A relayed record may come while a read begins.
 _SHORTEST_REST_S = 0.01
 
 
@@ -130,14 +130,14 @@
                 self._sink.change(record)
         self._position.advance(page.end)
 
-    def note_told(self, *, end: int, heard_at: float) -> None:
+    def note_relayed(self, *, end: int, heard_at: float) -> None:
         """Takes in how far the planner is and when it heard the store.
 
         Args:
             end: Offset behind its last record.
             heard_at: Monotonic time, s.
         """
-        self._position.note_told(end=end, heard_at=heard_at)
+        self._position.note_relayed(end=end, heard_at=heard_at)
         if self._position.covered_s(now=time.monotonic()) > 0:
             self._note_contact(heard_at)
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -286,7 +286,7 @@
             self._leadership.note_term(claimed, at=now)
 
     def _plan(self) -> None:
-        """Plans and tells the fronts while this front leads."""
+        """Plans and informs the fronts while this front leads."""
         while True:
             self._leadership.note_others(
                 heard_store_at=self._hub.heard_store_at
@@ -303,7 +303,7 @@
             self._note_lead(leads, passes_on=passes_on)
             if leads:
                 self._planner.tick(refusing=self._hub.refusing)
-                self._hub.tell()
+                self._hub.send_snapshots()
             gevent.sleep(planner_lib.TICK_S)
 
     def _note_lead(self, leads: bool, *, passes_on: bool) -> None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -14,8 +14,8 @@
 from dotterelgrade_routing import configuration as configuration_lib
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import link_budget
-from dotterelgrade_routing import load_picture
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import reservations
 from dotterelgrade_routing import retry_budget
 from dotterelgrade_routing import trust as trust_lib
 
@@ -63,7 +63,7 @@
         self._belief = Belief()
         self._fleet = fleet_lib.Fleet()
         self._trust = trust_lib.Trust()
-        self._load = load_picture.LoadPicture()
+        self._load = reservations.Reservations()
         self._rng = random.Random()
         self._decisions = decision_log.DecisionLog(
             journal=journal.Journal(capacity=_JOURNAL_CAPACITY)
@@ -112,7 +112,7 @@
         return self._trust
 
     @property
-    def load(self) -> load_picture.LoadPicture:
+    def load(self) -> reservations.Reservations:
         """Memory that requests in flight hold."""
         return self._load
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -16,7 +16,7 @@
 
 @frame_codec.frame
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class FeedTold:
+class FeedProgress:
     """How far the planner has followed a feed.
 
     Attributes:
@@ -51,11 +51,11 @@
 @frame_codec.frame
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class FrontLoad:
-    """What a front tells the planner.
+    """What a front reports to the planner.
 
     Attributes:
         reserved: Reserved memory by backend server, tokens times layers.
-        excluded: Backend servers that it leaves out of choice.
+        excluded: Backend servers that it excludes.
         refusing: Those of them that refuse though they report room.
         store_silent_s: Time since the store last answered it, s.
         strong: Whether its host is strong enough for a planner.
@@ -94,13 +94,13 @@
 
 @frame_codec.frame
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class FleetPicture:
-    """What the planner tells a front.
+class FleetSnapshot:
+    """What the planner sends to a front.
 
     Attributes:
         reserved: Reserved memory of all other fronts together.
         servers: Engines whose reports say something new since the last
-            picture that was sent over the connection.
+            snapshot that was sent over the connection.
         fronts: `IP:PORT` of all fronts, the planner included.
         refusing: Engines that refuse requests though they report room.
         feeds: How far the planner has followed the store.
@@ -110,13 +110,13 @@
     servers: list[SeenServer]
     fronts: list[str]
     refusing: list[str]
-    feeds: list[FeedTold]
+    feeds: list[FeedProgress]
 
 
 @frame_codec.frame
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Successor:
-    """A planner's last word before it leaves.
+    """A planner's final message before it leaves.
 
     Attributes:
         planner: `IP:PORT` of the front that plans from now on.
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -26,7 +26,7 @@
 _BUSY_REPORT_EVERY_S = 0.3
 # An engine that did not answer so often in a row is left out of the plan.
 _SILENT_REPORTS = 2
-# Fronts tell whom they leave out a few times in this time.
+# Fronts report whom they exclude a few times in this time.
 _SUSPECTED_S = 1.0
 # An order that shows no effect after this time is sent anew.
 _ORDER_LASTS_S = 3.0
@@ -109,7 +109,7 @@
         return f"<Planner {len(self._watched)} engines>"
 
     def suspect(self, server_ids: list[str]) -> None:
-        """Has engines asked at once that a front leaves out of choice."""
+        """Has engines asked at once that a front excludes."""
         self._suspects.update(server_ids)
 
     def watched(self, server: backend_server.BackendServer) -> Watched | None:
@@ -183,7 +183,7 @@
         seen.misses = 0
         seen.report = report
         if report.started_ms != server.started_ms:
-            # Another incarnation than the list knows; the list will tell.
+            # Another incarnation than the list knows; the list will show it.
             return
         if state.note_report(server.id, report):
             state.decisions.record(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -17,18 +17,18 @@
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
 
-# A front is counted for so long after its last word, for the retry budget.
+# A front is counted for so long after its last report, for the retry budget.
 _FRONT_COUNTS_S = 10.0
 # Fronts may read of a claim before who made it has begun to plan.
 _ELECTION_SETTLES_S = 0.7
-# A planner that leaves waits so long for its last word to be sent.
-_LAST_WORD_S = 0.05
+# A planner that leaves waits so long for its final message to be sent.
+_FINAL_MESSAGE_S = 0.05
 
 _Rows = Mapping[str, peer_frames.SeenServer]
 
 
 class PlannerHub:
-    """Collects the fronts' loads and tells each what the others hold."""
+    """Collects the fronts' loads and sends each what the others hold."""
 
     def __init__(
         self,
@@ -47,7 +47,7 @@
         self._leads = event.Event()
         self._followers: feed_follower.Followers = {}
         self._links: dict[wire.Connection, peer_frames.FrontLoad] = {}
-        self._told: dict[wire.Connection, _Rows] = {}
+        self._sent: dict[wire.Connection, _Rows] = {}
         self._heard_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
@@ -84,7 +84,7 @@
                     self._planner.suspect(frame.excluded)
         finally:
             self._links.pop(connection, None)
-            self._told.pop(connection, None)
+            self._sent.pop(connection, None)
 
     def relay_from(self, followers: feed_follower.Followers) -> None:
         """Takes in what follows the feeds of the store."""
@@ -157,28 +157,28 @@
         for connection in self._links:
             connection.send(peer_frames.Successor(planner=successor))
         # A close may overtake what is still to be sent.
-        gevent.sleep(_LAST_WORD_S)
+        gevent.sleep(_FINAL_MESSAGE_S)
 
     def _leads_soon(self) -> bool:
         """Waits a moment for this front's own election to be known."""
         return self._leads.wait(_ELECTION_SETTLES_S)
 
-    def tell(self) -> None:
-        """Sends every front its picture, and updates the own one."""
+    def send_snapshots(self) -> None:
+        """Sends every front its snapshot, and updates the own one."""
         fronts = self._known_fronts()
         servers = self._seen_servers()
         refusing = sorted(self.refusing)
-        feeds = self._told_feeds()
+        feeds = self._feed_progress()
         totals: collections.Counter[str] = collections.Counter(
             self._state.load.own
         )
         for load in self._links.values():
             totals.update(load.reserved)
         for connection, load in list(self._links.items()):
-            told = self._told.get(connection, {})
-            self._told[connection] = servers
+            told = self._sent.get(connection, {})
+            self._sent[connection] = servers
             connection.send(
-                peer_frames.FleetPicture(
+                peer_frames.FleetSnapshot(
                     reserved=_without(totals, load.reserved),
                     servers=[
                         row
@@ -193,10 +193,10 @@
         self._state.load.set_others(_without(totals, self._state.load.own))
         self._state.set_fronts(fronts)
 
-    def _told_feeds(self) -> list[peer_frames.FeedTold]:
+    def _feed_progress(self) -> list[peer_frames.FeedProgress]:
         now = time.monotonic()
         return [
-            peer_frames.FeedTold(
+            peer_frames.FeedProgress(
                 feed=name, end=follower.end, age_s=now - follower.heard_at
             )
             for name, follower in self._followers.items()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -16,15 +16,15 @@
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
 
-# Loads change with each request; a picture this old is good enough.
+# Loads change with each request; a snapshot this old is good enough.
 EXCHANGE_S = 0.25
 # A planner that stays silent for so long is given up.
 SILENCE_S = 1.5
 _LONGEST_PAUSE_S = 2.0
-# A front that never heard the store tells this.
+# A front that never heard the store reports this.
 _LONGEST_SILENCE_S = 1e6
-# A planner sends its first picture within this time.
-_FIRST_PICTURE_S = 1.2
+# A planner sends its first snapshot within this time.
+_FIRST_SNAPSHOT_S = 1.2
 
 
 class PlannerLink:
@@ -53,7 +53,7 @@
         self._pause_s = EXCHANGE_S
         self._planner = ""
         self._successor = ""
-        self._picture_at = float("-inf")
+        self._snapshot_at = float("-inf")
         self._silent: set[str] = set()
 
     def __repr__(self) -> str:
@@ -62,8 +62,8 @@
 
     @property
     def fresh(self) -> bool:
-        """Whether a planner has told its picture lately."""
-        return time.monotonic() - self._picture_at <= SILENCE_S
+        """Whether a planner has sent its snapshot lately."""
+        return time.monotonic() - self._snapshot_at <= SILENCE_S
 
     def run_once(self) -> None:
         """Finds the planner and exchanges loads until the link ends."""
@@ -142,12 +142,12 @@
                 "planner_unreachable", reason=str(error), planner=member
             )
             return False
-        told_before = self._picture_at
+        heard_before = self._snapshot_at
         self._silent.clear()
         sender = gevent.spawn(self._send_loads, connection)
         try:
             for frame in connection:
-                if isinstance(frame, peer_frames.FleetPicture):
+                if isinstance(frame, peer_frames.FleetSnapshot):
                     self._note_planner(member)
                     self._take_in(frame)
                 elif isinstance(frame, peer_frames.RelayedRecords):
@@ -158,8 +158,8 @@
             sender.kill()
             connection.close("exchange ended")
         self._state.load.assume_others(fronts=len(self._state.fronts))
-        told = self._picture_at > told_before
-        self._picture_at = float("-inf")
+        told = self._snapshot_at > heard_before
+        self._snapshot_at = float("-inf")
         if told:
             self._state.decisions.record(
                 "planner_lost", reason=connection.close_reason, planner=member
@@ -169,7 +169,7 @@
     def _note_planner(self, member: str) -> None:
         if not self.fresh or member != self._planner:
             self._state.decisions.record(
-                "planner_found", reason="tells its picture", planner=member
+                "planner_found", reason="sends snapshots", planner=member
             )
         self._planner = member
         self._leadership.note_answered()
@@ -180,10 +180,10 @@
         connected_at = time.monotonic()
         while connection.is_open:
             now = time.monotonic()
-            heard_at = max(self._picture_at, connected_at)
+            heard_at = max(self._snapshot_at, connected_at)
             limit_s = SILENCE_S
-            if self._picture_at < connected_at:
-                limit_s = _FIRST_PICTURE_S
+            if self._snapshot_at < connected_at:
+                limit_s = _FIRST_SNAPSHOT_S
             if now - heard_at > limit_s:
                 connection.close("planner silent")
                 return
@@ -204,24 +204,24 @@
         page = platform_port.Page(records=tuple(frame.records), end=frame.end)
         self._followers[frame.feed].take_in(frame.start, page)
 
-    def _take_in(self, picture: peer_frames.FleetPicture) -> None:
+    def _take_in(self, snapshot: peer_frames.FleetSnapshot) -> None:
         state = self._state
         now = time.monotonic()
-        self._picture_at = now
-        state.load.set_others(picture.reserved)
-        state.set_fronts(picture.fronts)
-        for told in picture.feeds:
-            self._followers[told.feed].note_told(
+        self._snapshot_at = now
+        state.load.set_others(snapshot.reserved)
+        state.set_fronts(snapshot.fronts)
+        for told in snapshot.feeds:
+            self._followers[told.feed].note_relayed(
                 end=told.end, heard_at=now - told.age_s
             )
-        for seen in picture.servers:
+        for seen in snapshot.servers:
             self._take_in_server(seen, now)
-        # Who found it out tries again; word of it must not go in circles.
+        # Who found it out tries again; its own report must not come back to it.
         own = state.trust.refusing_ids(now=now)
-        self._leave_out(
-            set(picture.refusing) - own, "refuses other fronts", firm=False
+        self._exclude(
+            set(snapshot.refusing) - own, "refuses other fronts", firm=False
         )
-        self._leave_out(self._silent, "silent to the planner", firm=True)
+        self._exclude(self._silent, "silent to the planner", firm=True)
 
     def _take_in_server(self, seen: peer_frames.SeenServer, now: float) -> None:
         if seen.silent:
@@ -242,10 +242,10 @@
             ),
         )
 
-    def _leave_out(
+    def _exclude(
         self, server_ids: Iterable[str], reason: str, *, firm: bool
     ) -> None:
-        """Leaves out those of some backend servers that are not out yet."""
+        """Excludes those of some backend servers that are not excluded yet."""
         trust = self._state.trust
         for server_id in server_ids:
             if not trust.excluded(server_id, now=time.monotonic()):
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -14,7 +14,7 @@
 import dataclasses
 
 from dotterelgrade_routing import chain_choice
-from dotterelgrade_routing import load_picture
+from dotterelgrade_routing import reservations
 
 # Reservations are estimates; the rest absorbs answers longer than expected.
 MOST_FILL = 0.95
@@ -67,7 +67,7 @@
     *,
     tokens: float,
     answer_tokens: float,
-    load: load_picture.LoadPicture,
+    load: reservations.Reservations,
     memory: Mapping[str, float],
     failure_domain: str,
     chance: float,
@@ -124,7 +124,7 @@
 def fill_with(
     chain: chain_choice.Chain,
     tokens: float,
-    load: load_picture.LoadPicture,
+    load: reservations.Reservations,
     memory: Mapping[str, float],
 ) -> float:
     """Returns the fill of a chain's fullest stage with one more request."""
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
@@ -1,4 +1,4 @@
-"""How far a feed was followed, and whether the planner's word of it suffices.
+"""How far a feed was followed, and whether what the planner relays suffices.
 
 Load pattern: every change of the list of backend servers wakes a waiting read
 of each front, and each read has a price. One front reads for all and passes
@@ -7,7 +7,7 @@
 """
 
 # A change of the configuration must be in force within 2 s, also where the
-# front that reads for all is lost just after its last word.
+# front that reads for all is lost just after its last message.
 RELAY_VALID_S = 1.1
 
 
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         """Initializes a feed of which nothing is known."""
         self._end: int | None = None
-        self._told_end = -1
+        self._relayed_end = -1
         self._heard_at = float("-inf")
 
     def __repr__(self) -> str:
@@ -41,18 +41,18 @@
         """Returns whether records from an offset on leave no gap."""
         return self._end is not None and start <= self._end
 
-    def note_told(self, *, end: int, heard_at: float) -> None:
+    def note_relayed(self, *, end: int, heard_at: float) -> None:
         """Takes in how far the planner is.
 
         Args:
             end: Offset behind its last record.
             heard_at: Monotonic time at which it last heard the store, s.
         """
-        self._told_end = end
+        self._relayed_end = end
         self._heard_at = heard_at
 
     def covered_s(self, *, now: float) -> float:
-        """Returns how long the planner's word still suffices, s, or 0."""
-        if self._end is None or self._told_end != self._end:
+        """Returns how long what the planner relayed still suffices, s, or 0."""
+        if self._end is None or self._relayed_end != self._end:
             return 0.0
         return max(0.0, self._heard_at + RELAY_VALID_S - now)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -175,7 +175,7 @@
 def successors(
     fronts: Iterable[str], *, own: str, planner: str
 ) -> tuple[str, ...]:
-    """Returns whom to ask for a picture while the store is away.
+    """Returns whom to ask for a snapshot while the store is away.
 
     Args:
         fronts: All fronts that were known last.
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/load_picture.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/reservations.py
@@ -1,7 +1,7 @@
 """Memory that requests in flight hold at each backend server.
 
 Load pattern: each front sees a part of the callers; without the others'
-requests it would fill a backend server beyond its memory. While nobody tells
+requests it would fill a backend server beyond its memory. While nobody reports
 what the others hold, they are taken to hold as much as this one. Reservations
 count tokens times layers.
 """
@@ -12,11 +12,11 @@
 from dotterelgrade_routing import chain_choice
 
 
-class LoadPicture:
-    """Own reservations, and those of the other fronts as last told."""
+class Reservations:
+    """Own reservations, and those of the other fronts as last reported."""
 
     def __init__(self) -> None:
-        """Initializes an empty picture."""
+        """Initializes an empty snapshot."""
         self._own: dict[str, float] = {}
         self._others: Mapping[str, float] = {}
         self._alike = 0
@@ -24,7 +24,7 @@
 
     def __repr__(self) -> str:
         """Shows the number of requests in flight."""
-        return f"<LoadPicture {self._in_flight} in flight>"
+        return f"<Reservations {self._in_flight} in flight>"
 
     @property
     def own(self) -> Mapping[str, float]:
@@ -42,7 +42,7 @@
         self._alike = 0
 
     def assume_others(self, *, fronts: int) -> None:
-        """Takes in that nobody tells what the others hold.
+        """Takes in that nobody reports what the others hold.
 
         Args:
             fronts: How many fronts there are, this one included.
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
@@ -4,7 +4,7 @@
 requests while its health answer says otherwise. Trust comes from what
 requests show; exclusion grows while failures go on, and ends by real work.
 One that is leaving refuses every request while its report still shows layers
-and room; during an outage of the list nothing else tells that it leaves.
+and room; during an outage of the list nothing else shows that it leaves.
 A connection that broke may be a crash, or one answer that was lost; such a
 backend server is passed over only while there are others. When most lose
 answers at once, they are used all the same.
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/plots.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/plots.py
@@ -17,7 +17,7 @@
 
     Args:
         value: What the experiment returned.
-        path: Where to write the picture.
+        path: Where to write the snapshot.
 
     Returns:
         Whether the experiment has a plot.
