--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -119,11 +119,11 @@
 
 def test_layers_of_an_engine_that_refuses_are_placed_elsewhere(front, planner):
     """Load pattern: engines leave while the list is away."""
-    engines = _add_engines(front, count=3)
+    engines = _add_engines(front, count=4)
     _hold(front, engines, "e0", 0, 8)
     planner.tick()
     engines.placed.clear()
-    for number in range(1, 3):
+    for number in range(1, 4):
         address = front.state.fleet.get(f"e{number}").address
         engines.reports[address] = fakes.REPORT
     planner.tick()
