--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -54,6 +54,7 @@
     """What a front reports to the planner.
 
     Attributes:
+        number: Grows with each report of a front.
         reserved: Reserved memory by backend server, tokens times layers.
         excluded: Backend servers that it excludes.
         refusing: Those of them that refuse though they report room.
@@ -61,6 +62,7 @@
         strong: Whether its host is strong enough for a planner.
     """
 
+    number: int
     reserved: dict[str, float]
     excluded: list[str]
     refusing: list[str]
@@ -97,22 +99,38 @@
 class FleetSnapshot:
     """What the planner sends to a front.
 
+    The same bytes go to all fronts, so that the work doesn't grow with fronts
+    times engines; only a front that has just connected gets another one.
+
     Attributes:
-        reserved: Reserved memory of all other fronts together.
+        reserved: Reserved memory of all fronts together, tokens times layers.
         servers: Engines whose reports say something new since the last
             snapshot that was sent over the connection.
-        fronts: `IP:PORT` of all fronts, the planner included.
+        fronts: `IP:PORT` of all fronts, the planner included; empty if they
+            are the same as before.
         refusing: Engines that refuse requests though they report room.
         feeds: How far the planner has followed the store.
     """
 
-    reserved: dict[str, float]
+    reserved: dict[str, int]
     servers: list[SeenServer]
     fronts: list[str]
     refusing: list[str]
     feeds: list[FeedProgress]
 
 
+@frame_codec.frame
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReportCounted:
+    """Says which report of a front the next snapshot contains.
+
+    Attributes:
+        number: Number of the report.
+    """
+
+    number: int
+
+
 @frame_codec.frame
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Successor:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Mapping
+import dataclasses
 import time
 
 import gevent
@@ -24,7 +25,16 @@
 # A planner that leaves waits so long for its final message to be sent.
 _FINAL_MESSAGE_S = 0.05
 
-_Rows = Mapping[str, peer_frames.SeenServer]
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Sent:
+    """What a snapshot said of fronts and engines."""
+
+    fronts: list[str]
+    servers: Mapping[str, peer_frames.SeenServer]
+
+
+_NOTHING = _Sent(fronts=[], servers={})
 
 
 class PlannerHub:
@@ -47,7 +57,8 @@
         self._leads = event.Event()
         self._followers: feed_follower.Followers = {}
         self._links: dict[wire.Connection, peer_frames.FrontLoad] = {}
-        self._sent: dict[wire.Connection, _Rows] = {}
+        self._sent = _NOTHING
+        self._in_step: set[wire.Connection] = set()
         self._heard_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
@@ -84,7 +95,7 @@
                     self._planner.suspect(frame.excluded)
         finally:
             self._links.pop(connection, None)
-            self._sent.pop(connection, None)
+            self._in_step.discard(connection)
 
     def relay_from(self, followers: feed_follower.Followers) -> None:
         """Takes in what follows the feeds of the store."""
@@ -164,34 +175,49 @@
         return self._leads.wait(_ELECTION_SETTLES_S)
 
     def send_snapshots(self) -> None:
-        """Sends every front its snapshot, and updates the own one."""
-        fronts = self._known_fronts()
-        servers = self._seen_servers()
-        refusing = sorted(self.refusing)
-        feeds = self._feed_progress()
-        totals: collections.Counter[str] = collections.Counter(
-            self._state.load.own
-        )
+        """Sends all fronts one snapshot, and updates the own one."""
+        totals = self._totals()
+        before, self._sent = self._sent, self._now()
+        changes = self._encoded(totals, since=before)
+        whole = b""
+        for connection, load in list(self._links.items()):
+            connection.send(peer_frames.ReportCounted(number=load.number))
+            if connection in self._in_step:
+                connection.send_encoded(changes)
+                continue
+            whole = whole or self._encoded(totals, since=_NOTHING)
+            connection.send_encoded(whole)
+            self._in_step.add(connection)
+        own = self._state.load.report()
+        self._state.load.set_totals(totals, counted=own.number)
+        self._state.set_fronts(self._sent.fronts)
+
+    def _totals(self) -> dict[str, int]:
+        """Returns what all fronts have reserved, this one included."""
+        totals = collections.Counter(self._state.load.own)
         for load in self._links.values():
             totals.update(load.reserved)
-        for connection, load in list(self._links.items()):
-            told = self._sent.get(connection, {})
-            self._sent[connection] = servers
-            connection.send(
-                peer_frames.FleetSnapshot(
-                    reserved=_without(totals, load.reserved),
-                    servers=[
-                        row
-                        for server_id, row in servers.items()
-                        if told.get(server_id) != row
-                    ],
-                    fronts=fronts,
-                    refusing=refusing,
-                    feeds=feeds,
-                )
+        return {name: round(total) for name, total in totals.items()}
+
+    def _now(self) -> "_Sent":
+        return _Sent(fronts=self._known_fronts(), servers=self._seen_servers())
+
+    def _encoded(self, totals: dict[str, int], *, since: "_Sent") -> bytes:
+        """Encodes a snapshot with what is new since another one."""
+        now = self._sent
+        return frame_codec.encode(
+            peer_frames.FleetSnapshot(
+                reserved=totals,
+                servers=[
+                    row
+                    for server_id, row in now.servers.items()
+                    if since.servers.get(server_id) != row
+                ],
+                fronts=[] if now.fronts == since.fronts else now.fronts,
+                refusing=sorted(self.refusing),
+                feeds=self._feed_progress(),
             )
-        self._state.load.set_others(_without(totals, self._state.load.own))
-        self._state.set_fronts(fronts)
+        )
 
     def _feed_progress(self) -> list[peer_frames.FeedProgress]:
         now = time.monotonic()
@@ -210,7 +236,7 @@
                 del self._heard_at[address]
         return sorted({self._state.settings.peer_address, *self._heard_at})
 
-    def _seen_servers(self) -> _Rows:
+    def _seen_servers(self) -> dict[str, peer_frames.SeenServer]:
         rows = {}
         for server in self._state.fleet.servers:
             seen = self._planner.watched(server)
@@ -231,14 +257,3 @@
 
 def _address_of(connection: wire.Connection) -> str:
     return f"{connection.peer.host}:{connection.peer.port}"
-
-
-def _without(
-    totals: collections.Counter[str], own: dict[str, float]
-) -> dict[str, float]:
-    rest = {}
-    for server_id, total in totals.items():
-        left = total - own.get(server_id, 0.0)
-        if left >= 1.0:
-            rest[server_id] = left
-    return rest
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -54,6 +54,7 @@
         self._planner = ""
         self._successor = ""
         self._snapshot_at = float("-inf")
+        self._counted = 0
         self._silent: set[str] = set()
 
     def __repr__(self) -> str:
@@ -150,6 +151,8 @@
                 if isinstance(frame, peer_frames.FleetSnapshot):
                     self._note_planner(member)
                     self._take_in(frame)
+                elif isinstance(frame, peer_frames.ReportCounted):
+                    self._counted = frame.number
                 elif isinstance(frame, peer_frames.RelayedRecords):
                     self._take_in_records(frame)
                 elif isinstance(frame, peer_frames.Successor):
@@ -187,9 +190,11 @@
             if now - heard_at > limit_s:
                 connection.close("planner silent")
                 return
+            report = state.load.report()
             connection.send(
                 peer_frames.FrontLoad(
-                    reserved=dict(state.load.own),
+                    number=report.number,
+                    reserved=dict(report.reserved),
                     excluded=sorted(state.trust.excluded_ids(now=now)),
                     refusing=sorted(state.trust.refusing_ids(now=now)),
                     store_silent_s=min(
@@ -208,8 +213,9 @@
         state = self._state
         now = time.monotonic()
         self._snapshot_at = now
-        state.load.set_others(snapshot.reserved)
-        state.set_fronts(snapshot.fronts)
+        state.load.set_totals(snapshot.reserved, counted=self._counted)
+        if snapshot.fronts:
+            state.set_fronts(snapshot.fronts)
         for told in snapshot.feeds:
             self._followers[told.feed].note_relayed(
                 end=told.end, heard_at=now - told.age_s
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/reservations.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/reservations.py
@@ -8,9 +8,26 @@
 
 from collections.abc import Iterator, Mapping
 import contextlib
+import dataclasses
 
 from dotterelgrade_routing import chain_choice
 
+# Reports that may be on their way before totals that contain one come back.
+_KEPT_REPORTS = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """Own reservations at one moment.
+
+    Attributes:
+        number: Grows with each report.
+        reserved: Reservations by backend server.
+    """
+
+    number: int
+    reserved: Mapping[str, float]
+
 
 class Reservations:
     """Own reservations, and those of the other fronts as last reported."""
@@ -21,6 +38,8 @@
         self._others: Mapping[str, float] = {}
         self._alike = 0
         self._in_flight = 0
+        self._reports: dict[int, Report] = {}
+        self._last_number = 0
 
     def __repr__(self) -> str:
         """Shows the number of requests in flight."""
@@ -41,6 +60,28 @@
         self._others = others
         self._alike = 0
 
+    def report(self) -> Report:
+        """Returns the own reservations as they are now, to be sent."""
+        self._last_number += 1
+        report = Report(number=self._last_number, reserved=dict(self._own))
+        self._reports[report.number] = report
+        self._reports.pop(report.number - _KEPT_REPORTS, None)
+        return report
+
+    def set_totals(self, totals: Mapping[str, float], *, counted: int) -> None:
+        """Takes in the reservations of all fronts together.
+
+        The totals are the same for all fronts; each takes out its own part.
+
+        Args:
+            totals: Reservations by backend server.
+            counted: Number of the own report that they contain.
+        """
+        report = self._reports.get(counted)
+        own = {} if report is None else report.reserved
+        rest = ((name, t - own.get(name, 0.0)) for name, t in totals.items())
+        self.set_others({name: left for name, left in rest if left >= 1.0})
+
     def assume_others(self, *, fronts: int) -> None:
         """Takes in that nobody reports what the others hold.
 
--- a/packages/dotterelgrade-routing/tests/test_reservations.py
+++ b/packages/dotterelgrade-routing/tests/test_reservations.py
@@ -38,3 +38,33 @@
         assert load.used("s") == used
     load.set_others({})
     assert load.used("s") == 0.0
+
+
+def test_totals_of_all_fronts_count_the_own_part_once():
+    """Load pattern: dozens of fronts get the same totals."""
+    load = reservations.Reservations()
+    with load.reserved(_CHAIN, tokens=100):
+        first = load.report()
+        with load.reserved(_CHAIN, tokens=50):
+            # What was reserved after the report is not in the totals.
+            totals = {name: part + 300 for name, part in first.reserved.items()}
+            load.set_totals(totals, counted=first.number)
+            for name in totals:
+                assert load.used(name) == load.own[name] + 300
+
+
+def test_totals_without_the_own_report_count_it_once_more():
+    """A front that has just connected; it is counted twice for a moment."""
+    load = reservations.Reservations()
+    with load.reserved(_CHAIN, tokens=100):
+        totals = dict(load.own)
+        load.set_totals(totals, counted=0)
+        for name, own in totals.items():
+            assert load.used(name) == 2 * own
+
+
+def test_old_reports_are_forgotten():
+    load = reservations.Reservations()
+    for _ in range(1_000):
+        load.report()
+    assert len(load._reports) < 50
