Hand planning over when the store is lost, and move streams past whole groups

(2) 85 of 222 moves of running streams ended in conflict: the new way went over another engine of the group that had crashed together; the answer names it, which was not read. Ruled out: the planner's own link (it heard its fronts all the while). Change: who steps down for want of the store names a successor that reaches it; a stage that can't take a moved stream is passed over and the next way tried, four at most. Before, after: two new tests fail, then pass (planner without the store: nobody named within 7 s; stream past an unfit stage).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -300,6 +300,7 @@
             if passes_on and self._hub.has_fronts:
                 self._leadership.resign()
             leads = self._leadership.leads and not self._state.leaving
+            passes_on = passes_on or self._leadership.cut_off
             self._note_lead(leads, passes_on=passes_on)
             if leads:
                 self._planner.tick(refusing=self._hub.refusing)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -150,15 +150,19 @@
         if self._state.leaving:
             self._hand_over("leaving")
         elif passes_on:
-            self._hand_over("hears too few, or runs on a weak host")
+            self._hand_over("hears too few or not the store, or is weak")
         for connection in list(self._links):
             connection.close("no longer the planner")
 
     def _hand_over(self, reason: str) -> None:
         """Names the front that plans from now on to all others."""
-        strong = [link for link, load in self._links.items() if load.strong]
         successor = leadership_lib.successor(
-            _address_of(link) for link in strong or self._links
+            leadership_lib.Candidate(
+                address=_address_of(link),
+                strong=load.strong,
+                store_silent_s=load.store_silent_s,
+            )
+            for link, load in self._links.items()
         )
         if not successor:
             return
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -26,6 +26,8 @@
 # A moved stream goes on when its new stages have read all tokens so far;
 # reports that lag still name the stage that it has left.
 _MOVED_SILENCE_S = 0.7
+# A group may have crashed of which only one member is known to be at fault.
+_MOST_MOVES = 4
 # Callers leave after about two seconds without an event.
 _LONGEST_SILENCE_S = 1.5
 
@@ -150,33 +152,57 @@
         Returns:
             The new chain, or None if the request can't be moved.
         """
-        state, call = self._state, self._call
         if culprit == chain.first.address:
             return None
-        other = state.chains.behind(call.service, chain.first)
+        for _ in range(_MOST_MOVES):
+            other = self._way_around(chain)
+            if other is None:
+                return None
+            answer = self._move(chain, other, culprit)
+            if answer.moved:
+                return other
+            if answer.culprit in ("", chain.first.address):
+                return None
+            self._pass_over(answer.culprit)
+        return None
+
+    def _way_around(
+        self, chain: chain_choice.Chain
+    ) -> chain_choice.Chain | None:
+        """Returns another chain with the same first stage, if links bear it."""
+        other = self._state.chains.behind(self._call.service, chain.first)
         if other is None or other.stages == chain.stages:
             return None
         # The new stages read all tokens so far.
-        if not self.affords(other, tokens=self._tokens):
-            return None
+        return other if self.affords(other, tokens=self._tokens) else None
+
+    def _move(
+        self,
+        chain: chain_choice.Chain,
+        other: chain_choice.Chain,
+        culprit: str,
+    ) -> platform_port.RerouteAnswer:
         self.note_crossings(other, tokens=self._tokens)
-        outcome = state.platform.engines.reroute(
+        answer = self._state.platform.engines.reroute(
             chain.first.address,
-            request_id=call.request_id,
+            request_id=self._call.request_id,
             stages=other.stages,
         )
-        state.decisions.record(
+        self._state.decisions.record(
             "rerouted",
             reason=f"held up by {culprit}",
-            request_id=call.request_id,
-            outcome=outcome.value,
+            request_id=self._call.request_id,
+            outcome=answer.outcome.value,
+            refused_by=answer.culprit,
             events=self._count_events(),
         )
-        accepted = (
-            platform_port.OrderOutcome.ACCEPTED,
-            platform_port.OrderOutcome.DONE,
-        )
-        return other if outcome in accepted else None
+        return answer
+
+    def _pass_over(self, address: str) -> None:
+        """Passes over a stage that could not take a moved request."""
+        server = self._state.fleet.by_address(address)
+        if server is not None:
+            self._state.note_busy(server.id)
 
     def culprit(self, chain: chain_choice.Chain) -> str:
         """Returns the address of whoever holds the request up, or empty."""
--- a/packages/dotterelgrade-front/tests/adapter/test_codec.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_codec.py
@@ -166,3 +166,16 @@
     assert report.orders == 2
     assert report.slowness == 3.0
     assert report.stalled == {"r": "10.0.0.2:80"}
+
+
+@pytest.mark.parametrize(
+    ("body", "culprit"),
+    [
+        (b'{"address": "10.0.0.1:1"}', "10.0.0.1:1"),
+        (b"{}", ""),
+        (b"", ""),
+        (b'{"address": 4}', ""),
+    ],
+)
+def test_a_refused_order_may_name_who_is_at_fault(body, culprit):
+    assert codec.culprit_of(body) == culprit
--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -75,6 +75,7 @@
         self.reports = {}
         self.placed = []
         self.rerouted = []
+        self.unfit = set()
         self.outcome = platform_port.OrderOutcome.ACCEPTED
 
     def report(self, address):
@@ -88,7 +89,14 @@
 
     def reroute(self, address, *, request_id, stages):
         self.rerouted.append((address, request_id, stages))
-        return self.outcome
+        culprit = next(
+            (s.address for s in stages if s.address in self.unfit), ""
+        )
+        if culprit:
+            return platform_port.RerouteAnswer(
+                outcome=platform_port.OrderOutcome.CONFLICT, culprit=culprit
+            )
+        return platform_port.RerouteAnswer(outcome=self.outcome)
 
 
 class FakeFeed:
@@ -400,6 +408,8 @@
     def __init__(self, settings, platform):
         self.state = front_state.FrontState(settings, platform=platform)
         self.state.belief.configuration = CONFIGURATION
+        # Of several chains the first one is drawn.
+        self.state.rng.random = lambda: 0.0
         self.handler = request_handler.RequestHandler(self.state)
         self._server = gevent_server.StreamServer(
             ("127.0.0.1", 0), self.handler.serve_connection
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -190,6 +190,32 @@
         _until(lambda: not fronts[2].dump()["leads"])
 
 
+def test_a_planner_that_loses_the_store_names_the_next_one(settings, platform):
+    """Load pattern: the store turns some hosts away and serves the others."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    platform.election.winner = settings.peer_address
+    own = dataclasses.replace(
+        platform,
+        configurations=fakes.FakeFeed(),
+        backend_servers=fakes.FakeFeed(),
+        election=fakes.FakeElection(),
+    )
+    own.configurations.records = platform.configurations.records
+    own.election.winner = settings.peer_address
+    planner = front_lib.Front(settings, platform=own)
+    other = front_lib.Front(_another(settings, "front-2"), platform=platform)
+    with planner.running(), other.running():
+        _until(lambda: planner._led and other._link.fresh)
+        for part in (own.configurations, own.backend_servers, own.election):
+            part.down = True
+        with gevent.Timeout(2 * leadership.CONFIRMED_FOR_S):
+            while not other._led:
+                gevent.sleep(0.01)
+        _until(lambda: not planner._led)
+        _until(lambda: platform.election.winner != settings.peer_address)
+
+
 def test_a_planner_that_leaves_names_the_next_one(settings, platform):
     """Load pattern: the planner is stopped while the store is away."""
     platform.documents.put(b"v1", fakes.CONFIGURATION)
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -189,6 +189,34 @@
     assert len(engines.rerouted) == 1
 
 
+def test_a_stage_that_can_not_take_a_moved_stream_is_passed_over(front):
+    """Load pattern: several joined engines go dark, one is known of."""
+
+    def held_up(sock, arrival):
+        while len(front.state.platform.engines.rerouted) < 2:
+            gevent.sleep(0.01)
+        data = fakes.event_bytes(3)
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+    first = front.add(
+        "a1",
+        fakes.streaming(1, 2, after=held_up),
+        service="model",
+        layers=(0, 4),
+    )
+    dark = front.add("a2", fakes.silent, service="model", layers=(4, 8))
+    for name in ("a3", "a4"):
+        front.add(name, fakes.silent, service="model", layers=(4, 8))
+    engines = front.state.platform.engines
+    engines.reports[first.address] = _report(stalled={"r1": dark.address})
+    engines.unfit = {front.state.fleet.get("a3").address}
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 3))
+    assert len(first.arrivals) == 1
+    last = engines.rerouted[-1][2]
+    assert [s.server_id for s in last] == ["a1", "a4"]
+
+
 def test_a_stream_that_can_not_be_moved_goes_on_elsewhere(front):
     front.state.platform.engines.outcome = platform_port.OrderOutcome.CONFLICT
     stuck = fakes.streaming(1, 2, after=fakes.silent, end=False)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -13,6 +13,7 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 
 from dotterelgrade import rendezvous
 from dotterelgrade_routing import platform_port
@@ -75,6 +76,14 @@
         """Whether this front leads."""
         return self._acting or self._elected
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether it stepped down only since it can't reach the store."""
+        if self._term is None or self._elected or self._acting:
+            return False
+        own = self._term.planner == self._own
+        return own and self._term.number != self._resigned
+
     def note_term(self, term: platform_port.Term, *, at: float) -> None:
         """Takes in the newest term.
 
@@ -193,13 +202,39 @@
     return tuple(before)
 
 
-def successor(fronts: Iterable[str]) -> str:
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Candidate:
+    """A front that could plan.
+
+    Attributes:
+        address: `IP:PORT`.
+        strong: Whether its host is strong enough for a planner.
+        store_silent_s: Time since the store last answered it, s.
+    """
+
+    address: str
+    strong: bool
+    store_silent_s: float
+
+
+def successor(candidates: Iterable[Candidate]) -> str:
     """Returns the front that plans after one that leaves, or empty.
 
+    Those that reach the store come first, then those on strong hosts.
+
     Args:
-        fronts: Those that stay and can be reached.
+        candidates: Those that stay and can be reached.
     """
-    return next(iter(rendezvous.rank("planner", set(fronts))), "")
+    by_address = {c.address: c for c in candidates}
+    ranked = rendezvous.rank("planner", by_address)
+    return min(
+        ranked,
+        key=lambda address: (
+            by_address[address].store_silent_s > CONFIRMED_FOR_S,
+            not by_address[address].strong,
+        ),
+        default="",
+    )
 
 
 def claim_delay_s(
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -127,6 +127,24 @@
     UNKNOWN = "unknown"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RerouteAnswer:
+    """How the first stage answered an order to use other stages.
+
+    Attributes:
+        outcome: Whether the request is moved.
+        culprit: `IP:PORT` of the stage that can't take it, or empty.
+    """
+
+    outcome: OrderOutcome
+    culprit: str = ""
+
+    @property
+    def moved(self) -> bool:
+        """Whether the request uses the other stages."""
+        return self.outcome in (OrderOutcome.ACCEPTED, OrderOutcome.DONE)
+
+
 class Engines(Protocol):
     """Calls to engines beside the requests."""
 
@@ -158,7 +176,7 @@
         *,
         request_id: str,
         stages: tuple[chain_choice.Stage, ...],
-    ) -> OrderOutcome:
+    ) -> RerouteAnswer:
         """Orders the first stage of a running request to use other stages.
 
         Args:
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -174,14 +174,45 @@
     assert leadership.leads
 
 
+def _candidate(address, *, strong=True, store_silent_s=0.2):
+    return leadership_lib.Candidate(
+        address=address, strong=strong, store_silent_s=store_silent_s
+    )
+
+
 def test_all_fronts_name_the_same_successor():
-    fronts = {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+    fronts = [_candidate(f"10.0.0.{number}:1") for number in range(1, 4)]
     named = leadership_lib.successor(fronts)
-    assert named in fronts
-    assert named == leadership_lib.successor(sorted(fronts, reverse=True))
+    assert named in {front.address for front in fronts}
+    assert named == leadership_lib.successor(reversed(fronts))
     assert leadership_lib.successor(()) == ""
 
 
+def test_a_successor_reaches_the_store_and_is_strong():
+    """Load pattern: the store turns some hosts away, the planner's too."""
+    fronts = [
+        _candidate("10.0.0.1:1", store_silent_s=9.0),
+        _candidate("10.0.0.2:1", strong=False),
+        _candidate("10.0.0.3:1"),
+        _candidate("10.0.0.4:1", store_silent_s=9.0, strong=False),
+    ]
+    order = []
+    while fronts:
+        named = leadership_lib.successor(fronts)
+        order.append(named[7])
+        fronts = [front for front in fronts if front.address != named]
+    assert order == ["3", "2", "1", "4"]
+
+
+def test_only_who_lost_the_store_passes_its_place_on():
+    leadership = _elected(0.0)
+    assert not leadership.cut_off
+    leadership.note_others(heard_store_at=10.0)
+    assert leadership.cut_off
+    leadership.note_term(_term(2, _OTHER), at=11.0)
+    assert not leadership.cut_off
+
+
 def test_fronts_on_weak_hosts_claim_after_all_others():
     """Load pattern: a planner behind a link of 7 Mbit/s hears nobody."""
     fronts = [f"10.0.0.{i}:1" for i in range(42)]
