--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -14,9 +14,9 @@
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import placement_policies
 
-# The list shows backend servers that start together within about two seconds;
+# The list shows backend servers that start together within about three seconds;
 # a group without any layer waits until no further one has joined for so long.
-FORMING_QUIET_S = 0.8
+FORMING_QUIET_S = 1.6
 # Worth of a second holder of a layer, in step factors, if the first one holds
 # the whole model; the more a backend server holds, the longer its loss lasts.
 REDUNDANCY_WORTH = 32.0
