Give tests ports of their own, and mutants to the new decisions

Cause: a test that starts eight fronts failed once in eight runs with address in use: the port it had probed was given to an outgoing connection meanwhile. Change: ports below the kernel's range for those, each once. After: all six are found by their tests.

--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import socket as std_socket
 
 import gevent
@@ -23,10 +24,17 @@
 WAIT_S = 5.0
 
 
+# Below the ports that the kernel gives to outgoing connections.
+_PORTS = itertools.cycle(range(12_000, 32_000))
+
+
 def free_port():
-    with std_socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a port that nobody listens on, a different one each time."""
+    for port in _PORTS:
+        with std_socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError("no free port")
 
 
 class FakeHeaders:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants_list.py
@@ -28,6 +28,12 @@
 # Runs the real fronts under the faults that are named behind it.
 SOAK = "soak:"
 
+_LEADERSHIP_TEST = "packages/dotterelgrade-routing/tests/test_leadership.py"
+_ADMISSION_TEST = "packages/dotterelgrade-routing/tests/test_admission.py"
+_PLACEMENT_TEST = "packages/dotterelgrade-routing/tests/test_placement.py"
+_RESERVATIONS_TEST = "packages/dotterelgrade-routing/tests/test_reservations.py"
+_KEPT_TEST = "packages/dotterelgrade/tests/test_kept_connections.py"
+_STREAM_TEST = "packages/dotterelgrade-front/tests/test_model_stream.py"
 _LAYERS_ONCE = "each layer once, in order"
 _OWN_ANSWER = "the whole answer to its own caller"
 _LEAVING = "a leaving backend server gets no new work"
@@ -35,6 +41,7 @@
 _ONCE = "a non-idempotent call runs at most once"
 _NOT_RUN = "`not_run` means not run"
 _IN_FORCE = "accepted lines stay in force"
+_ENOUGH_ROOM = "who is let in finds room"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -465,4 +472,52 @@
         new="return min(tries, default=Knowledge.NEVER_SENT)",
         check=_ATTEMPT_RUNS,
     ),
+    Mutant(
+        name="term-ended-before-its-planner-was-asked",
+        promise=_LEAVING,
+        module="dotterelgrade_routing.leadership",
+        old=" or self._unanswered != self._term.number:",
+        new=":",
+        check=_LEADERSHIP_TEST,
+    ),
+    Mutant(
+        name="chains-all-drawn-alike",
+        promise=_ENOUGH_ROOM,
+        module="dotterelgrade_routing.admission",
+        old="free = max(1.0 - offer.fill, LEAST_FREE)",
+        new="free = 1.0",
+        check=_ADMISSION_TEST,
+    ),
+    Mutant(
+        name="no-reserve",
+        promise=_ENOUGH_ROOM,
+        module="dotterelgrade_routing.placement",
+        old="for candidate in idle[RESERVE:]:",
+        new="for candidate in idle:",
+        check=_PLACEMENT_TEST,
+    ),
+    Mutant(
+        name="own-part-counted-twice",
+        promise=_ENOUGH_ROOM,
+        module="dotterelgrade_routing.reservations",
+        old="own = {} if report is None else report.reserved",
+        new="own = {}",
+        check=_RESERVATIONS_TEST,
+    ),
+    Mutant(
+        name="kept-connection-with-surplus-bytes",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade.http_connection",
+        old="return answer.framed and answer.keeps_alive and self._quiet()",
+        new="return answer.framed and answer.keeps_alive",
+        check=_KEPT_TEST,
+    ),
+    Mutant(
+        name="bytes-count-as-events",
+        promise=_OWN_ANSWER,
+        module="dotterelgrade_front.model_stream",
+        old="            if self._pass_on(head, piece):\n",
+        new="            if self._pass_on(head, piece) or True:\n",
+        check=_STREAM_TEST,
+    ),
 )
