Say from a log why streams were late

Change: the line of a finished stream names its bounds, longest pause, moves and tries; lateness sums them up by cause. Opening a log is shared with explain.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/explain_command.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/explain_command.py
@@ -1,16 +1,16 @@
 """The command that tells the story of one request from a log."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 import contextlib
 import json
-import sys
-from typing import Any, ClassVar, TextIO
+from typing import Any, ClassVar
 
 from cleo import helpers
 from returns import result
 
 from dotterelgrade import console
 from dotterelgrade import errors
+from dotterelgrade_front import log_file
 
 _HIDDEN = frozenset({"time", "level", "logger", "event", "process", "role"})
 
@@ -31,10 +31,10 @@
         """Reads the log."""
         request_id = self.argument("request")
         try:
-            with _opened(self.argument("log")) as lines:
+            with log_file.opened(self.argument("log")) as lines:
                 found = decisions_on(request_id, lines)
         except OSError as error:
-            return _not_found(f"cannot read the log: {error}")
+            return log_file.unreadable(error)
         if not found:
             return _not_found(f"the log holds no line on {request_id!r}")
         text = "\n".join(_told(line) for line in found)
@@ -63,15 +63,6 @@
     return found
 
 
-@contextlib.contextmanager
-def _opened(path: str | None) -> Iterator[TextIO]:
-    if path is None:
-        yield sys.stdin
-        return
-    with open(path, encoding="utf-8", errors="replace") as file:
-        yield file
-
-
 def _told(line: dict[str, Any]) -> str:
     details = "  ".join(
         f"{name}={value}" for name, value in line.items() if name not in _HIDDEN
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -60,6 +60,7 @@
         self._stalls = stalls
         self._tokens = tokens
         self._count_events = count_events
+        self._moves = 0
 
     def __repr__(self) -> str:
         """Shows the request."""
@@ -69,6 +70,11 @@
         """Returns what waits for the answer of a chain."""
         return Waits(self, chain)
 
+    @property
+    def moves(self) -> int:
+        """How often the running request was moved to other stages."""
+        return self._moves
+
     @property
     def until(self) -> float:
         """Monotonic time after which nobody waits, s."""
@@ -160,6 +166,7 @@
                 return None
             answer = self._move(chain, other, culprit)
             if answer.moved:
+                self._moves += 1
                 return other
             if answer.culprit in ("", chain.first.address):
                 return None
