--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -45,6 +45,38 @@
     return first, other
 
 
+def _add_held_up(front, *, others, until):
+    """A chain a1, a2 that falls silent after two events, and other stages.
+
+    The third event comes when a condition holds; the first stage blames a2.
+    """
+
+    def held_up(sock, arrival):
+        while not until():
+            gevent.sleep(0.01)
+        data = fakes.event_bytes(3)
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+    first = front.add(
+        "a1",
+        fakes.streaming(1, 2, after=held_up),
+        service="model",
+        layers=(0, 4),
+    )
+    for name in ("a2", *others):
+        front.add(
+            name,
+            fakes.silent,
+            service="model",
+            layers=(4, 8),
+            failure_domain=name[0],
+        )
+    dark = front.state.fleet.get("a2").address
+    engines = front.state.platform.engines
+    engines.reports[first.address] = _report(stalled={"r1": dark})
+    return first, engines
+
+
 def test_a_stream_passes_event_by_event(front):
     backend = front.add(
         "a1", fakes.streaming(1, 5), service="model", layers=(0, 8)
@@ -125,64 +157,25 @@
 
 def test_a_held_up_stream_is_moved_to_other_stages(front):
     """Load pattern: a stage in the middle of a chain goes dark."""
-
-    def held_up(sock, arrival):
-        while not front.state.platform.engines.rerouted:
-            gevent.sleep(0.01)
-        data = fakes.event_bytes(3)
-        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
-
-    front.add(
-        "a1",
-        fakes.streaming(1, 2, after=held_up),
-        service="model",
-        layers=(0, 4),
-    )
-    dark = front.add("a2", fakes.silent, service="model", layers=(4, 8))
-    front.add(
-        "b2",
-        fakes.silent,
-        service="model",
-        layers=(4, 8),
-        failure_domain="b",
-    )
-    engines = front.state.platform.engines
-    first = front.state.fleet.get("a1").address
-    engines.reports[first] = _report(stalled={"r1": dark.address})
+    moved = front.state.platform.engines.rerouted
+    first, engines = _add_held_up(front, others=["b2"], until=lambda: moved)
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert (status, body) == (200, _events(1, 3))
     ((address, request_id, stages),) = engines.rerouted
-    assert (address, request_id) == (first, "r1")
+    assert (address, request_id) == (first.address, "r1")
     assert [s.server_id for s in stages] == ["a1", "b2"]
 
 
 def test_a_moved_stream_is_not_given_up_by_a_late_report(front):
     """Load pattern: a crash; reports lag, and new stages read the prompt."""
+    moved = front.state.platform.engines.rerouted
 
-    def held_up(sock, arrival):
-        while not front.state.platform.engines.rerouted:
-            gevent.sleep(0.01)
-        gevent.sleep(0.4)
-        data = fakes.event_bytes(3)
-        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+    def read_again():
+        if moved:
+            gevent.sleep(0.4)
+        return moved
 
-    first = front.add(
-        "a1",
-        fakes.streaming(1, 2, after=held_up),
-        service="model",
-        layers=(0, 4),
-    )
-    dark = front.add("a2", fakes.silent, service="model", layers=(4, 8))
-    for name in ("b2", "c2"):
-        front.add(
-            name,
-            fakes.silent,
-            service="model",
-            layers=(4, 8),
-            failure_domain=name[0],
-        )
-    engines = front.state.platform.engines
-    engines.reports[first.address] = _report(stalled={"r1": dark.address})
+    first, engines = _add_held_up(front, others=["b2", "c2"], until=read_again)
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert (status, body) == (200, _events(1, 3))
     assert len(first.arrivals) == 1
@@ -191,30 +184,15 @@
 
 def test_a_stage_that_can_not_take_a_moved_stream_is_passed_over(front):
     """Load pattern: several joined engines go dark, one is known of."""
-
-    def held_up(sock, arrival):
-        while len(front.state.platform.engines.rerouted) < 2:
-            gevent.sleep(0.01)
-        data = fakes.event_bytes(3)
-        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
-
-    first = front.add(
-        "a1",
-        fakes.streaming(1, 2, after=held_up),
-        service="model",
-        layers=(0, 4),
+    moved = front.state.platform.engines.rerouted
+    first, engines = _add_held_up(
+        front, others=["a3", "a4"], until=lambda: len(moved) == 2
     )
-    dark = front.add("a2", fakes.silent, service="model", layers=(4, 8))
-    for name in ("a3", "a4"):
-        front.add(name, fakes.silent, service="model", layers=(4, 8))
-    engines = front.state.platform.engines
-    engines.reports[first.address] = _report(stalled={"r1": dark.address})
     engines.unfit = {front.state.fleet.get("a3").address}
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert (status, body) == (200, _events(1, 3))
     assert len(first.arrivals) == 1
-    last = engines.rerouted[-1][2]
-    assert [s.server_id for s in last] == ["a1", "a4"]
+    assert [s.server_id for s in moved[-1][2]] == ["a1", "a4"]
 
 
 def test_a_stream_that_can_not_be_moved_goes_on_elsewhere(front):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
@@ -19,12 +19,15 @@
 from cleo.helpers import option
 
 from dotterelgrade_standins import commands
-from dotterelgrade_standins import mutants_list
+from dotterelgrade_standins import entry_mutants
+from dotterelgrade_standins import front_mutants
+from dotterelgrade_standins import mutant as mutant_lib
 
 _TIMEOUT_S = 240.0
 _FAILURE = re.compile(r"^\s*\w*(Error|Failure|Exception)\b")
 _SOAK = ("soak", "--seed", "1", "--minutes", "0")
 _ROOT = pathlib.Path(__file__).parents[4]
+ALL = (*entry_mutants.MUTANTS, *front_mutants.MUTANTS)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -38,13 +41,13 @@
         spent_s: Duration of the check, s.
     """
 
-    mutant: mutants_list.Mutant
+    mutant: mutant_lib.Mutant
     is_found: bool
     reason: str
     spent_s: float
 
 
-def run(mutant: mutants_list.Mutant) -> Verdict:
+def run(mutant: mutant_lib.Mutant) -> Verdict:
     """Breaks a promise in a copy and runs the check that must find it.
 
     Args:
@@ -70,7 +73,7 @@
     )
 
 
-def _write_copy(mutant: mutants_list.Mutant, folder: pathlib.Path) -> None:
+def _write_copy(mutant: mutant_lib.Mutant, folder: pathlib.Path) -> None:
     package, _, name = mutant.module.partition(".")
     source = pathlib.Path(__import__(package).__file__).parent
     shutil.copytree(
@@ -86,7 +89,7 @@
     target.write_text(text, encoding="utf-8")
 
 
-def _check(mutant: mutants_list.Mutant, folder: str) -> tuple[bool, str]:
+def _check(mutant: mutant_lib.Mutant, folder: str) -> tuple[bool, str]:
     try:
         done = subprocess.run(
             [sys.executable, "-m", *_arguments(mutant.check)],
@@ -107,8 +110,8 @@
 def _arguments(check: str) -> list[str]:
     if check.endswith(".py"):
         return ["pytest", "-x", check]
-    if check.startswith(mutants_list.SOAK):
-        only = check.removeprefix(mutants_list.SOAK)
+    if check.startswith(mutant_lib.SOAK):
+        only = check.removeprefix(mutant_lib.SOAK)
         return ["dotterelgrade_standins", *_SOAK, "--only", only]
     command = ["fuzz", "--check", "--first", "--only", check]
     return ["dotterelgrade_standins", *command]
@@ -140,11 +143,7 @@
             0 when every mutant was found, 1 otherwise.
         """
         names = self.option("only")
-        chosen = [
-            mutant
-            for mutant in mutants_list.MUTANTS
-            if not names or mutant.name in names
-        ]
+        chosen = [mutant for mutant in ALL if not names or mutant.name in names]
         jobs = int(self.option("jobs") or 3)
         # Tests of one file use fixed addresses, so they run one at a time.
         tests = [mutant for mutant in chosen if mutant.check.endswith(".py")]
