--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -175,7 +175,7 @@
                 "planner_found", reason="sends snapshots", planner=member
             )
         self._planner = member
-        self._leadership.note_answered()
+        self._leadership.note_answered(member)
         self._pause_s = EXCHANGE_S
 
     def _send_loads(self, connection: wire.Connection) -> None:
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -63,7 +63,7 @@
         self._acting = False
         self._resigned: int | None = None
         self._unanswered: int | None = None
-        self._answered: int | None = None
+        self._answered = ""
         self._vacant_since: float | None = None
 
     def __repr__(self) -> str:
@@ -110,11 +110,14 @@
             self._vacant_since = now
         self._unanswered = number
 
-    def note_answered(self) -> None:
-        """Takes in that a planner sends its snapshots."""
+    def note_answered(self, planner: str) -> None:
+        """Takes in that a planner sends its snapshots.
+
+        Args:
+            planner: `IP:PORT`; its term may not have been read yet.
+        """
         self._vacant_since = None
-        if self._term is not None:
-            self._answered = self._term.number
+        self._answered = planner
 
     def should_claim(self, *, delay_s: float, now: float) -> bool:
         """Returns whether this front claims the next term.
@@ -132,7 +135,7 @@
             return True
         if self._vacant_since is None or self._unanswered != self._term.number:
             return False
-        if self._term.planner and self._answered != self._term.number:
+        if self._term.planner not in ("", self._answered):
             # Its planner may not know yet that its claim was accepted.
             delay_s += SETTLES_S
         return now - self._vacant_since >= delay_s
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -21,7 +21,7 @@
     """A front whose planner answered, and then does so no longer."""
     leadership = leadership_lib.Leadership(_OWN)
     leadership.note_term(_term(number, planner), at=now)
-    leadership.note_answered()
+    leadership.note_answered(planner)
     leadership.note_unanswered(now=now)
     return leadership
 
@@ -46,7 +46,7 @@
     leadership = _unanswered(4, _OTHER, now=10.0)
     assert not leadership.should_claim(delay_s=0.5, now=10.4)
     assert leadership.should_claim(delay_s=0.5, now=10.5)
-    leadership.note_answered()
+    leadership.note_answered(_OTHER)
     assert not leadership.should_claim(delay_s=0.5, now=20.0)
 
 
@@ -61,6 +61,17 @@
     assert leadership.should_claim(delay_s=0.0, now=61.0 + settles_s)
 
 
+def test_a_successor_that_answered_is_replaced_as_soon_as_it_is_lost():
+    """Load pattern: a planner hands over, and its successor is killed."""
+    leadership = _unanswered(4, _OTHER, now=10.0)
+    successor = "10.0.0.3:1"
+    # It sends snapshots before this front has read of its term.
+    leadership.note_answered(successor)
+    leadership.note_term(_term(5, successor), at=20.0)
+    leadership.note_unanswered(now=20.0)
+    assert leadership.should_claim(delay_s=0.0, now=20.0)
+
+
 def test_the_first_term_is_claimed_without_waiting_for_anybody():
     leadership = leadership_lib.Leadership(_OWN)
     leadership.note_term(_term(0, ""), at=0.0)
