Send away a front that connects as the planner steps down

Change: a load that arrives after the step down ends its connection. Before, after: the new test fails, then passes. Whether it was the whole cause is being tried in a loop of that test with traces.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -89,6 +89,10 @@
             return
         try:
             for frame in connection:
+                if not self._leads.is_set():
+                    # It connected just before this front stepped down.
+                    connection.close("no longer the planner")
+                    return
                 if isinstance(frame, peer_frames.FrontLoad):
                     self._links[connection] = frame
                     self._heard_at[_address_of(connection)] = time.monotonic()
