--- /dev/null
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -0,0 +1,182 @@
+"""Fakes at the platform port of a front, for tests."""
+
+from gevent import event
+from returns import result
+
+from dotterelgrade import errors
+from dotterelgrade import http_message
+from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import request_facts
+
+
+class FakeHeaders:
+    """Header names of these tests."""
+
+    def read_request(self, headers):
+        found = http_message.by_name(headers)
+        patience = found.get(b"patience-ms")
+        return request_facts.RequestFacts(
+            request_id=found.get(b"request-id", b"").decode(),
+            patience_s=None if patience is None else int(patience) / 1000,
+            api_key=found.get(b"key", b"").decode(),
+            prompt_tokens=10,
+            most_answer_tokens=10,
+            expected_answer_tokens=None,
+            last_event_id=found.get(b"after", b"").decode(),
+        )
+
+    def write_request(self, headers, orders):
+        kept = [(n, v) for n, v in headers if n not in (b"key", b"after")]
+        chain = ",".join(f"{s.server_id}={s.layers!r}" for s in orders.stages)
+        kept += [
+            (b"left-ms", str(int(orders.time_left_s * 1000)).encode()),
+            (b"instance", orders.instance_id.encode()),
+            (b"workspace", orders.workspace.encode()),
+            (b"chain", chain.encode()),
+            (b"after", orders.resume_after.encode()),
+        ]
+        return kept
+
+    def read_answer(self, *, status, headers):
+        found = http_message.by_name(headers)
+        return request_facts.AnswerFacts(
+            request_id=found.get(b"request-id", b"").decode(),
+            sealed=b"seal" in found,
+            not_run=b"not-run" in found,
+            misdirected=status == 421,
+            culprit=found.get(b"culprit", b"").decode(),
+        )
+
+
+class FakeEngines:
+    """Answers reports from a table and notes orders."""
+
+    def __init__(self):
+        self.reports = {}
+        self.placed = []
+        self.rerouted = []
+        self.unfit = set()
+        self.outcome = platform_port.OrderOutcome.ACCEPTED
+
+    def report(self, address):
+        if address not in self.reports:
+            raise platform_port.EngineUnreachableError(address)
+        return self.reports[address]
+
+    def place(self, address, *, layers, orders):
+        self.placed.append((address, layers, orders))
+        return self.outcome
+
+    def reroute(self, address, *, request_id, stages):
+        self.rerouted.append((address, request_id, stages))
+        culprit = next(
+            (s.address for s in stages if s.address in self.unfit), ""
+        )
+        if culprit:
+            return platform_port.RerouteAnswer(
+                outcome=platform_port.OrderOutcome.CONFLICT, culprit=culprit
+            )
+        return platform_port.RerouteAnswer(outcome=self.outcome)
+
+
+class FakeFeed:
+    """Records that a test adds; fails while `down`."""
+
+    def __init__(self):
+        self.records = []
+        self.down = False
+        self.first = 0
+        self.reads = 0
+        self._changed = event.Event()
+
+    def add(self, key, value):
+        self.records.append(
+            platform_port.Record(key=key, value=value, offset=len(self.records))
+        )
+        self._changed.set()
+        self._changed.clear()
+
+    def newest(self):
+        self._answer()
+        newest = {record.key: record for record in self.records}
+        return platform_port.Page(
+            records=tuple(r for r in newest.values() if r.value),
+            end=len(self.records),
+        )
+
+    def read(self, *, start, wait_s):
+        self._answer()
+        if start < self.first:
+            raise platform_port.RecordsExpiredError("gone")
+        if start >= len(self.records):
+            self._changed.wait(min(wait_s, 0.05))
+            self._answer()
+        return platform_port.Page(
+            records=tuple(self.records[start:]), end=len(self.records)
+        )
+
+    def _answer(self):
+        self.reads += 1
+        if self.down:
+            raise platform_port.StoreError("down")
+
+
+class FakeElection:
+    """Gives terms out, to nobody but the winner if the test names one."""
+
+    def __init__(self):
+        self.term = platform_port.Term(number=0, planner="")
+        self.claims = []
+        self.down = False
+
+    @property
+    def winner(self):
+        return self.term.planner
+
+    @winner.setter
+    def winner(self, member):
+        self.term = platform_port.Term(
+            number=self.term.number + 1, planner=member
+        )
+
+    def _answer(self):
+        if self.down:
+            raise platform_port.StoreError("down")
+
+    def current(self):
+        self._answer()
+        return self.term
+
+    def claim(self, member, *, after):
+        self._answer()
+        self.claims.append(member)
+        if after.number != self.term.number:
+            return None
+        self.winner = member
+        return self.term
+
+
+class FakeDocuments:
+    """Decodes a record by looking its bytes up."""
+
+    def __init__(self):
+        self.known = {}
+
+    def put(self, name, value):
+        self.known[name] = value
+        return name
+
+    def configuration_of(self, body):
+        return self._find(body)
+
+    def backend_server_of(self, *, server_id, body):
+        return self._find(body)
+
+    def _find(self, body):
+        if body not in self.known:
+            return result.Failure(
+                errors.Error(
+                    kind=errors.ErrorKind.RECORD_INVALID, message="unknown"
+                )
+            )
+        return result.Success(self.known[body])
