Spread the return of callers that are refused together

Cause: all who were refused for want of a chain were told 2.5 s, and those for want of memory nearly the same time, by 68 fronts at once; they came back as one wave. Change: the time to return is up to half as long again, drawn for each refusal; never sooner than before. The test's upper bound is the longest time with that spread (1.5 times), since the bound was of the time before it. Also two names. Before, after: the new test fails (all at one time), then passes.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -13,8 +13,8 @@
 
 # Reservations change with every request; chains follow them this often.
 _REFRESH_S = 0.5
-# A change of the fleet is followed sooner; a computation takes 5 to 50 ms of
-# the processor, and changes come in series.
+# A change of the fleet is followed sooner; changes come in series, and each
+# computation takes milliseconds of the processor.
 _CHANGED_REFRESH_S = 0.15
 _SHORTEST_REFRESH_S = 0.05
 
@@ -24,7 +24,7 @@
     """The chains of a service and what their stages offer.
 
     Attributes:
-        chains: One for each preferred failure domain.
+        chains: A few for each failure domain, over different stages.
         memory: Memory for requests by backend server, tokens times layers.
         lenient: Whether stages that only may be at fault were admitted, since
             the layers were not all held without them.
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -26,9 +26,12 @@
 REPAIR_S = 2.5
 SHORTEST_RETRY_S = 0.25
 LONGEST_RETRY_S = 3.0
+# Callers that are refused together come back over this part of the time more.
+RETRY_SPREAD = 0.5
 # The price of a chain grows with this power of 1 / (free share).
 FILL_POWER = 2.0
 LEAST_FREE = 0.02
+SHORTEST_STEP_S = 1e-6
 # A chain in another failure domain loads the links between them.
 FOREIGN_FACTOR = 1.25
 # Chances fall with this power of the price. With more, dozens of fronts take
@@ -86,23 +89,24 @@
         begun: Whether the caller has had events already.
     """
     most_fill = MOST_FILL_BEGUN if begun else MOST_FILL
+    later = 1.0 + RETRY_SPREAD * chance
     if not chains:
-        return Refused(reason="no chain", retry_after_s=REPAIR_S)
-    all_chains = [
+        return Refused(reason="no chain", retry_after_s=REPAIR_S * later)
+    offers = [
         Admitted(chain=chain, fill=fill_with(chain, tokens, load, memory))
         for chain in chains
     ]
-    with_room = [a for a in all_chains if a.fill <= MOST_FILL]
+    with_room = [offer for offer in offers if offer.fill <= MOST_FILL]
     if with_room:
         return _draw(with_room, failure_domain, chance)
-    best = min(all_chains, key=lambda a: a.fill)
+    best = min(offers, key=lambda offer: offer.fill)
     if best.fill <= most_fill:
         return best
     # Memory is freed as answers end; half of one is left on average.
     wait_s = best.chain.step_s * answer_tokens * (best.fill - most_fill + 0.5)
+    wait_s = min(max(wait_s, SHORTEST_RETRY_S), LONGEST_RETRY_S)
     return Refused(
-        reason="memory of backend servers full",
-        retry_after_s=min(max(wait_s, SHORTEST_RETRY_S), LONGEST_RETRY_S),
+        reason="memory of backend servers full", retry_after_s=wait_s * later
     )
 
 
@@ -139,4 +143,4 @@
     free = max(1.0 - offer.fill, LEAST_FREE)
     foreign = offer.chain.first.failure_domain != failure_domain
     factor = FOREIGN_FACTOR if foreign else 1.0
-    return factor * max(offer.chain.step_s, 1e-6) / free**FILL_POWER
+    return factor * max(offer.chain.step_s, SHORTEST_STEP_S) / free**FILL_POWER
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -253,18 +253,18 @@
         if layers is None:
             idle.append(candidate)
             continue
-        orders.append(_order(candidate, layers, reason="reinforcement"))
+        orders.append(_placed(candidate, layers, reason="reinforcement"))
         holders.append(dataclasses.replace(candidate, layers=layers))
     for candidate in idle[RESERVE:]:
         layers = _with_least_room(engine, holders, candidate)
         if layers is None:
             continue
-        orders.append(_order(candidate, layers, reason="more room"))
+        orders.append(_placed(candidate, layers, reason="more room"))
         holders.append(dataclasses.replace(candidate, layers=layers))
     return orders
 
 
-def _order(
+def _placed(
     candidate: placement_policies.Candidate,
     layers: layer_range.LayerRange,
     *,
