--- a/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
@@ -75,19 +75,29 @@
         """
         self._state = state
         self._offsets: dict[str, int] = {}
+        self._era: int | None = None
 
     def whole(self, page: platform_port.Page) -> None:
         """Takes in the newest records; what they lack has left."""
+        copied = self._era is not None and page.era > self._era
+        self._era = page.era
+        if copied:
+            # Offsets are given out again.
+            self._offsets.clear()
+            self._state.fleet.note_copy(now=time.monotonic())
         present = {record.key for record in page.records if record.value}
         for server in self._state.fleet.servers:
             known_at = self._offsets.get(server.id, -1)
             if server.id not in present and known_at < page.end:
                 self._remove(server.id)
         for record in page.records:
-            self.change(record)
+            self._take_in(record, copied=copied)
 
     def change(self, record: platform_port.Record) -> None:
         """Takes in one record."""
+        self._take_in(record, copied=False)
+
+    def _take_in(self, record: platform_port.Record, *, copied: bool) -> None:
         if record.offset < self._offsets.get(record.key, -1):
             return
         self._offsets[record.key] = record.offset
@@ -99,7 +109,7 @@
             server_id=record.key, body=record.value
         )
         if isinstance(decoded, result.Success):
-            self._put(decoded.unwrap())
+            self._put(decoded.unwrap(), copied=copied)
             return
         self._state.decisions.record(
             "backend_server_rejected",
@@ -116,16 +126,22 @@
         """Takes in that the store did not answer."""
         self._state.fleet.note_outage()
 
-    def _put(self, server: backend_server.BackendServer) -> None:
+    def _put(
+        self, server: backend_server.BackendServer, *, copied: bool
+    ) -> None:
         state = self._state
         known = state.fleet.get(server.id)
-        if not state.fleet.put(server):
+        if copied:
+            changed = state.fleet.put_copied(server, now=time.monotonic())
+        else:
+            changed = state.fleet.put(server)
+        if not changed:
             return
         if known is None or known.started_ms != server.started_ms:
             state.trust.forgive(server.id)
         state.decisions.record(
             "backend_server_changed",
-            reason="list entry",
+            reason="older copy of the list" if copied else "list entry",
             server=server.id,
             address=server.address,
             availability=server.availability.value,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -7,6 +7,7 @@
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import fleet as fleet_lib
+from dotterelgrade_routing import holdoff
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import reservations
 from dotterelgrade_routing import trust as trust_lib
@@ -48,6 +49,7 @@
         fleet: fleet_lib.Fleet,
         trust: trust_lib.Trust,
         load: reservations.Reservations,
+        holdoffs: holdoff.Holdoffs,
     ) -> None:
         """Initializes an empty directory.
 
@@ -55,10 +57,12 @@
             fleet: The backend servers.
             trust: Which of them are left out.
             load: Their reservations.
+            holdoffs: Which of them want nothing for a while.
         """
         self._fleet = fleet
         self._trust = trust
         self._load = load
+        self._holdoffs = holdoffs
         self._offers: dict[str, Offer] = {}
 
     def __repr__(self) -> str:
@@ -68,12 +72,13 @@
     def offer(self, service: configuration.Service) -> Offer:
         """Returns the chains of a model service.
 
-        Between two computations those with an excluded stage are left out.
+        Between two computations those with an excluded stage, or with one that
+        takes no new work by now, are left out.
         """
         now = time.monotonic()
         known = self._offers.get(service.name)
         if known is not None and now - known.computed_at < self._valid_s(known):
-            usable = self._without_excluded(known, now)
+            usable = self._without_excluded(service, known, now)
             just_now = now - known.computed_at < _SHORTEST_REFRESH_S
             if usable.chains or just_now:
                 return usable
@@ -86,14 +91,18 @@
             return _REFRESH_S
         return _CHANGED_REFRESH_S
 
-    def _without_excluded(self, known: Offer, now: float) -> Offer:
+    def _without_excluded(
+        self, service: configuration.Service, known: Offer, now: float
+    ) -> Offer:
         excluded = self._trust.excluded_ids(now=now, only_firm=known.lenient)
-        if not excluded:
-            return known
+        taking = {server.id for server in self._taking(service, now)}
         usable = tuple(
             chain
             for chain in known.chains
-            if not any(stage.server_id in excluded for stage in chain.stages)
+            if all(
+                stage.server_id in taking and stage.server_id not in excluded
+                for stage in chain.stages
+            )
         )
         return dataclasses.replace(known, chains=usable)
 
@@ -158,13 +167,19 @@
     ) -> list[chain_choice.Holder]:
         excluded = self._trust.excluded_ids(now=now, only_firm=only_firm)
         holders = []
-        for server in self._fleet.ready(service.name):
+        for server in self._taking(service, now):
             if server.id not in excluded:
                 holder = self._holder(service.engine, server)
                 if holder is not None:
                     holders.append(holder)
         return holders
 
+    def _taking(
+        self, service: configuration.Service, now: float
+    ) -> list[backend_server.BackendServer]:
+        """Returns the backend servers that take new work from this front."""
+        return self._holdoffs.free(self._fleet.ready(service.name), now=now)
+
     def _holder(
         self,
         engine: configuration.Engine,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -11,6 +11,7 @@
 from dotterelgrade_front import peer_frames
 from dotterelgrade_routing import feed_position
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import store_era
 
 _LOG = logging.getLogger(__name__)
 
@@ -94,6 +95,11 @@
         """Monotonic time at which the store last answered, s."""
         return self._heard_at
 
+    @property
+    def era(self) -> int:
+        """Era of the store to which the offset belongs."""
+        return self._position.era
+
     def set_relaying(self, relaying: bool) -> None:
         """Takes in whether this front reads for all."""
         self._relaying = relaying
@@ -101,6 +107,7 @@
     def run(self) -> None:
         """Follows the feed until the greenlet is killed."""
         while True:
+            self._enter_era(self._feed.era)
             covered_s = self._position.covered_s(now=time.monotonic())
             if covered_s > 0 and not self._relaying:
                 gevent.sleep(max(covered_s, _SHORTEST_REST_S))
@@ -123,21 +130,26 @@
             start: Offset from which on the page holds all records.
             page: The records.
         """
-        if not self._position.continues(start):
+        self._enter_era(page.era)
+        if not self._position.continues(start, era=page.era):
             return
         for record in page.records:
             if record.offset >= self._position.end:
                 self._sink.change(record)
-        self._position.advance(page.end)
+        self._position.advance(page.end, era=page.era)
 
-    def note_relayed(self, *, end: int, heard_at: float) -> None:
+    def note_relayed(
+        self, *, end: int, heard_at: float, era: int = store_era.UNCOUNTED
+    ) -> None:
         """Takes in how far the planner is and when it heard the store.
 
         Args:
             end: Offset behind its last record.
             heard_at: Monotonic time, s.
+            era: Era of the store to which the offset belongs.
         """
-        self._position.note_relayed(end=end, heard_at=heard_at)
+        self._enter_era(era)
+        self._position.note_relayed(end=end, heard_at=heard_at, era=era)
         if self._position.covered_s(now=time.monotonic()) > 0:
             self._note_contact(heard_at)
 
@@ -146,19 +158,42 @@
         if start is None:
             page = self._feed.newest()
             self._note_answer()
-            self._sink.whole(page)
+            self._enter_era(page.era)
+            if page.era == self._position.era:
+                self._sink.whole(page)
         else:
             page = self._feed.read(start=start, wait_s=self._wait_s())
             self._note_answer()
-            for record in page.records:
-                self._sink.change(record)
-        self._position.advance(page.end)
-        if not page.records:
+            if self._position.continues(start, era=page.era):
+                for record in page.records:
+                    self._sink.change(record)
+        known = self._position.advance(page.end, era=page.era)
+        if not known or not page.records:
+            # Records of another era are read anew, from the newest on.
             return
         if start is not None and self._pass_on is not None:
             self._pass_on(start, page)
         gevent.sleep(self._pause_after_news_s())
 
+    def _enter_era(self, era: int) -> None:
+        """Drops the position if the store came back from a copy since."""
+        before, end = self._position.era, self._position.end
+        if not self._position.enter(era):
+            return
+        if before == store_era.UNCOUNTED and end is None:
+            # The first answer of all.
+            return
+        self._count("era_risen")
+        _LOG.warning(
+            "store_era_risen",
+            extra={
+                "feed": repr(self._feed),
+                "era": era,
+                "era_before": before,
+                "dropped_end": end,
+            },
+        )
+
     def _pause_after_news_s(self) -> float:
         if self._relaying:
             return min(self._gather_s, RELAYING_GATHER_S)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -289,7 +289,8 @@
         """Plans and informs the fronts while this front leads."""
         while True:
             self._leadership.note_others(
-                heard_store_at=self._hub.heard_store_at
+                heard_store_at=self._hub.heard_store_at,
+                own_heard_at=self._state.belief.read_at,
             )
             passes_on = self._led and leadership_lib.should_pass_on(
                 led_s=time.monotonic() - self._led_since,
@@ -316,7 +317,11 @@
             "planner_elected" if leads else "planner_stepped_down",
             reason=repr(self._leadership),
         )
-        self._hub.note_leads(leads, passes_on=passes_on)
+        successor = self._hub.note_leads(
+            leads, passes_on=passes_on, ended=self._leadership.term
+        )
+        if successor:
+            self._link.follow(successor)
         if not leads:
             self._state.load.assume_others(fronts=len(self._state.fronts))
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -18,6 +18,11 @@
         self._store = self._metrics.counter(
             "front_store_reads", "Reads of the store by result.", ("result",)
         )
+        self._notices = self._metrics.counter(
+            "front_server_notices",
+            "What backend servers said of themselves in answers.",
+            ("notice",),
+        )
         self._in_flight = self._metrics.gauge(
             "front_requests_in_flight", "Requests that are worked on."
         )
@@ -50,6 +55,10 @@
         """Counts a read of the store."""
         self._store.labels(result).inc()
 
+    def count_notice(self, notice: str) -> None:
+        """Counts that a backend server said that it leaves or is full."""
+        self._notices.labels(notice).inc()
+
     def set_in_flight(self, requests: int) -> None:
         """Notes how many requests are worked on."""
         self._in_flight.set(requests)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -1,5 +1,6 @@
 """Carries a model request from admission to the last event."""
 
+import functools
 import time
 
 from dotterelgrade import http_connection
@@ -115,6 +116,7 @@
             failure_domain=state.settings.failure_domain,
             chance=state.rng.random(),
             begun=self._head_sent,
+            held_off_s=state.first_free_s(call.service.name),
         )
         inputs = {
             "fleet_version": offer.fleet_version,
@@ -189,9 +191,14 @@
         call = self._call
         names = self._state.platform.headers
         waits = self._repair.waits(chain)
+        asked = self._state.fleet.get(chain.first.server_id)
         head, facts = waits.until_heard(
             lambda until: upstream.own_answer(
-                call, connection, headers=names, until=until
+                call,
+                connection,
+                headers=names,
+                until=until,
+                note=functools.partial(self._state.note_answer, asked),
             )
         )
         if head.status >= 300:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -22,11 +22,13 @@
     Attributes:
         feed: The feed.
         end: Offset behind its last record.
+        era: Era of the store to which the offset belongs.
         age_s: Time since the store last answered it, s.
     """
 
     feed: FeedName
     end: int
+    era: int
     age_s: float
 
 
@@ -39,12 +41,14 @@
         feed: The feed.
         start: Offset from which on no record is left out.
         end: Offset behind the last record.
+        era: Era of the store to which the offsets belong.
         records: In order of their offsets.
     """
 
     feed: FeedName
     start: int
     end: int
+    era: int
     records: list[platform_port.Record]
 
 
@@ -58,6 +62,8 @@
         reserved: Reserved memory by backend server, tokens times layers.
         excluded: Backend servers that it excludes.
         refusing: Those of them that refuse though they report room.
+        leaving: Those that said that they leave, with the start of the process
+            that said so, ms since the epoch.
         store_silent_s: Time since the store last answered it, s.
         strong: Whether its host is strong enough for a planner.
     """
@@ -66,6 +72,7 @@
     reserved: dict[str, float]
     excluded: list[str]
     refusing: list[str]
+    leaving: dict[str, int]
     store_silent_s: float
     strong: bool
 
@@ -109,6 +116,8 @@
         fronts: `IP:PORT` of all fronts, the planner included; empty if they
             are the same as before.
         refusing: Engines that refuse requests though they report room.
+        leaving: Backend servers that said that they leave, with the start of
+            the process that said so, ms since the epoch.
         feeds: How far the planner has followed the store.
     """
 
@@ -116,6 +125,7 @@
     servers: list[SeenServer]
     fronts: list[str]
     refusing: list[str]
+    leaving: dict[str, int]
     feeds: list[FeedProgress]
 
 
@@ -138,6 +148,8 @@
 
     Attributes:
         planner: `IP:PORT` of the front that plans from now on.
+        ended: The newest term that the planner has read, or None.
     """
 
     planner: str
+    ended: platform_port.Term | None
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -1,6 +1,7 @@
 """Carries a call to a plain service from choice to answer."""
 
 import collections
+import functools
 import time
 
 from dotterelgrade import http_connection
@@ -57,6 +58,7 @@
         Raises:
             client_connection.CallerGoneError: The caller left.
         """
+        state = self._state
         reason = "no backend server"
         while call.left_s > 0:
             server = self._choose(call)
@@ -78,7 +80,11 @@
                 bodiless=call.request.method == b"HEAD",
             )
             return f"answered_{head.status // 100}xx"
-        error = call.failure(reason)
+        error = call.failure(
+            reason,
+            retry_after_s=state.first_free_s(call.service.name)
+            or call_lib.DEFAULT_RETRY_AFTER_S,
+        )
         answers.send_error(
             client, error, request_id=call.request_id, close=close
         )
@@ -90,7 +96,7 @@
         state = self._state
         candidates = [
             server
-            for server in state.fleet.ready(call.service.name)
+            for server in state.usable(call.service.name)
             if call.may_go_to(server.id)
         ]
         return service_choice.choose(
@@ -117,6 +123,7 @@
                     connection,
                     headers=names,
                     until=self._patience_until(call),
+                    note=functools.partial(state.note_answer, server),
                 )
                 body = connection.read_body(
                     until=call.until, most_bytes=_LARGEST_BODY_BYTES
@@ -166,7 +173,7 @@
         excluded = self._state.trust.excluded_ids(now=time.monotonic())
         return any(
             server.id not in seen and server.id not in excluded
-            for server in self._state.fleet.ready(call.service.name)
+            for server in self._state.usable(call.service.name)
         )
 
     def _note(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -159,6 +159,8 @@
                 seen.suspected_at = now
             if urgent or suspected:
                 every_s = _BUSY_REPORT_EVERY_S
+            if self._state.held_off(server):
+                continue
             if now - seen.asked_at >= every_s and not seen.asking:
                 seen.asked_at = now
                 seen.asking = True
@@ -178,6 +180,9 @@
             if seen.silent and not was_silent:
                 state.note_failure(server.id, reason=f"silent: {error}")
             return
+        except platform_port.EngineFullError as error:
+            state.note_holdoff(server, error.retry_after)
+            return
         finally:
             seen.asking = False
         seen.misses = 0
@@ -240,7 +245,7 @@
             failure_domain=server.failure_domain,
             accelerator=kind,
             layers=seen.wanted if pending else seen.report.layers,
-            movable=seen.movable(now=now),
+            movable=seen.movable(now=now) and not self._state.held_off(server),
             known_s=now - seen.known_at,
         )
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -97,6 +97,7 @@
                     self._links[connection] = frame
                     self._heard_at[_address_of(connection)] = time.monotonic()
                     self._planner.suspect(frame.excluded)
+                    self._state.note_all_leaving(frame.leaving)
         finally:
             self._links.pop(connection, None)
             self._in_step.discard(connection)
@@ -122,7 +123,11 @@
             return
         frame = frame_codec.encode(
             peer_frames.RelayedRecords(
-                feed=feed, start=start, end=page.end, records=[*page.records]
+                feed=feed,
+                start=start,
+                end=page.end,
+                era=page.era,
+                records=[*page.records],
             )
         )
         for connection in list(self._links):
@@ -138,27 +143,40 @@
         """Whether a front on a strong host is connected."""
         return any(load.strong for load in self._links.values())
 
-    def note_leads(self, leads: bool, *, passes_on: bool = False) -> None:
+    def note_leads(
+        self,
+        leads: bool,
+        *,
+        passes_on: bool = False,
+        ended: platform_port.Term | None = None,
+    ) -> str:
         """Takes in whether this front plans.
 
         Args:
             leads: Whether it plans from now on.
             passes_on: Whether it leaves its place to another one.
+            ended: The term that ends, if it is known.
+
+        Returns:
+            `IP:PORT` of the front that was named to plan, or empty.
         """
         for follower in self._followers.values():
             follower.set_relaying(leads)
         if leads:
             self._leads.set()
-            return
+            return ""
         self._leads.clear()
+        successor = ""
         if self._state.leaving:
-            self._hand_over("leaving")
+            successor = self._hand_over("leaving", ended)
         elif passes_on:
-            self._hand_over("hears too few or not the store, or is weak")
+            reason = "hears too few or not the store, or is weak"
+            successor = self._hand_over(reason, ended)
         for connection in list(self._links):
             connection.close("no longer the planner")
+        return successor
 
-    def _hand_over(self, reason: str) -> None:
+    def _hand_over(self, reason: str, ended: platform_port.Term | None) -> str:
         """Names the front that plans from now on to all others."""
         successor = leadership_lib.successor(
             leadership_lib.Candidate(
@@ -169,14 +187,17 @@
             for link, load in self._links.items()
         )
         if not successor:
-            return
+            return ""
         self._state.decisions.record(
             "planner_handed_over", reason=reason, planner=successor
         )
         for connection in self._links:
-            connection.send(peer_frames.Successor(planner=successor))
+            connection.send(
+                peer_frames.Successor(planner=successor, ended=ended)
+            )
         # A close may overtake what is still to be sent.
         gevent.sleep(_FINAL_MESSAGE_S)
+        return successor
 
     def _leads_soon(self) -> bool:
         """Waits a moment for this front's own election to be known."""
@@ -224,6 +245,7 @@
                 ],
                 fronts=[] if now.fronts == since.fronts else now.fronts,
                 refusing=sorted(self.refusing),
+                leaving=self._state.fleet.leaving,
                 feeds=self._feed_progress(),
             )
         )
@@ -232,7 +254,10 @@
         now = time.monotonic()
         return [
             peer_frames.FeedProgress(
-                feed=name, end=follower.end, age_s=now - follower.heard_at
+                feed=name,
+                end=follower.end,
+                era=follower.era,
+                age_s=now - follower.heard_at,
             )
             for name, follower in self._followers.items()
             if follower.end is not None
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -53,6 +53,7 @@
         self._pause_s = EXCHANGE_S
         self._planner = ""
         self._successor = ""
+        self._ended: platform_port.Term | None = None
         self._snapshot_at = float("-inf")
         self._counted = 0
         self._silent: set[str] = set()
@@ -66,6 +67,10 @@
         """Whether a planner has sent its snapshot lately."""
         return time.monotonic() - self._snapshot_at <= SILENCE_S
 
+    def follow(self, successor: str) -> None:
+        """Takes in whom this front has named to plan in its place."""
+        self._successor = successor
+
     def run_once(self) -> None:
         """Finds the planner and exchanges loads until the link ends."""
         own = self._state.settings.peer_address
@@ -99,7 +104,7 @@
     def _succeed(self) -> None:
         if self._state.leaving:
             return
-        self._leadership.succeed()
+        self._leadership.succeed(self._ended)
         self._state.decisions.record(
             "planner_acting", reason=f"named by {self._planner}"
         )
@@ -157,6 +162,7 @@
                     self._take_in_records(frame)
                 elif isinstance(frame, peer_frames.Successor):
                     self._successor = frame.planner
+                    self._ended = frame.ended
         finally:
             sender.kill()
             connection.close("exchange ended")
@@ -197,6 +203,7 @@
                     reserved=dict(report.reserved),
                     excluded=sorted(state.trust.excluded_ids(now=now)),
                     refusing=sorted(state.trust.refusing_ids(now=now)),
+                    leaving=state.fleet.leaving,
                     store_silent_s=min(
                         state.store_silent_s, _LONGEST_SILENCE_S
                     ),
@@ -206,7 +213,9 @@
             gevent.sleep(EXCHANGE_S)
 
     def _take_in_records(self, frame: peer_frames.RelayedRecords) -> None:
-        page = platform_port.Page(records=tuple(frame.records), end=frame.end)
+        page = platform_port.Page(
+            records=tuple(frame.records), end=frame.end, era=frame.era
+        )
         self._followers[frame.feed].take_in(frame.start, page)
 
     def _take_in(self, snapshot: peer_frames.FleetSnapshot) -> None:
@@ -218,8 +227,9 @@
             state.set_fronts(snapshot.fronts)
         for told in snapshot.feeds:
             self._followers[told.feed].note_relayed(
-                end=told.end, heard_at=now - told.age_s
+                end=told.end, heard_at=now - told.age_s, era=told.era
             )
+        state.note_all_leaving(snapshot.leaving)
         for seen in snapshot.servers:
             self._take_in_server(seen, now)
         # Who found it out tries again; its own report must not come back to it.
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_watch.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_watch.py
@@ -45,6 +45,9 @@
         Returns:
             The address, or empty when nobody is known to be at fault.
         """
+        server = self._state.fleet.get(first.server_id)
+        if server is not None and self._state.held_off(server):
+            return ""
         report = self.report(first.address)
         if report is None:
             return first.address
@@ -66,5 +69,15 @@
             report = self._state.platform.engines.report(address)
         except platform_port.EngineUnreachableError:
             report = None
+        except platform_port.EngineFullError as error:
+            self._note_full(address, error)
+            report = previous
         self._seen[address] = _Seen(report=report, at=time.monotonic())
         return report
+
+    def _note_full(
+        self, address: str, error: platform_port.EngineFullError
+    ) -> None:
+        server = self._state.fleet.by_address(address)
+        if server is not None:
+            self._state.note_holdoff(server, error.retry_after)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -115,7 +115,8 @@
             address: `IP:PORT` of the backend server.
         """
         server = self._state.fleet.by_address(address)
-        if server is None:
+        if server is None or self._state.held_off(server):
+            # Who is full and said for how long is not asked again.
             return
         report = self._stalls.report(address)
         if report is None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -1,6 +1,6 @@
 """One try of a call at one backend server."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import contextlib
 import dataclasses
 
@@ -119,6 +119,7 @@
     *,
     headers: platform_port.HeaderNames,
     until: float,
+    note: Callable[[request_facts.AnswerFacts], None],
 ) -> tuple[http_message.ResponseHead, request_facts.AnswerFacts]:
     """Waits for the head of the answer to this call.
 
@@ -127,6 +128,8 @@
         connection: Where it was sent.
         headers: Reads the headers.
         until: Monotonic time at which to give up, s.
+        note: Takes in what the backend server says of itself, also where it
+            refuses.
 
     Returns:
         The head with what it says.
@@ -137,6 +140,7 @@
     """
     head = connection.read_head(until=until)
     facts = headers.read_answer(status=head.status, headers=head.headers)
+    note(facts)
     if facts.not_run:
         raise TryFailedError(
             attempt.Knowledge.REFUSED,
--- a/packages/dotterelgrade-front/tests/adapter/test_server_side.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_server_side.py
@@ -66,8 +66,9 @@
         for n in range(3, 6)
     )
     body = server_side.records_body(records, end=6, first=1)
-    page = store._records_of(body, 3)
-    assert page == platform_port.Page(records=records, end=6)
+    answer = store.Answer(status=200, body=body, era=2)
+    page = store._records_of(answer, 3)
+    assert page == platform_port.Page(records=records, end=6, era=2)
 
 
 def test_forwarded_headers_are_read_back():
--- a/packages/dotterelgrade-front/tests/adapter/test_store.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_store.py
@@ -21,8 +21,12 @@
         path = environ["PATH_INFO"]
         self.calls.append((path, environ["QUERY_STRING"], body))
         answers = self.answers[path]
-        status, answer = answers.pop(0) if len(answers) > 1 else answers[0]
-        start_response(f"{status} X", [("Content-Length", str(len(answer)))])
+        status, answer, *era = (
+            answers.pop(0) if len(answers) > 1 else answers[0]
+        )
+        headers = [("Content-Length", str(len(answer)))]
+        headers += [("Store-Era", value) for value in era]
+        start_response(f"{status} X", headers)
         return [answer]
 
 
@@ -165,3 +169,64 @@
     election = store.AppendElection(client, topic="keyed.t")
     with pytest.raises(platform_port.StoreError):
         election.claim("me", after=platform_port.Term(number=0, planner=""))
+
+
+def test_every_answer_shows_the_era(stub, client):
+    """Load pattern: only an append, or a refusal, comes after the return."""
+    feed = store.KeyedFeed(client, topic="t")
+    election = store.AppendElection(client, topic="keyed.t")
+    stub.answers["/log-read"] = [(200, _read(5, 0), "3")]
+    assert feed.read(start=5, wait_s=0.1).era == 3
+    stub.answers["/log-append"] = [(412, b'{"end": 9}', "4")]
+    election.claim("me", after=platform_port.Term(number=0, planner=""))
+    assert feed.era == 4
+    stub.answers["/log-newest"] = [(503, b"", "5")]
+    with pytest.raises(platform_port.StoreError):
+        feed.newest()
+    assert feed.era == 5
+    stub.answers["/log-read"] = [(410, b"{}", "6")]
+    with pytest.raises(platform_port.RecordsExpiredError):
+        feed.read(start=5, wait_s=0.1)
+    assert feed.era == 6
+
+
+def test_a_late_answer_of_an_ended_era_is_no_answer(stub, client):
+    feed = store.KeyedFeed(client, topic="t")
+    stub.answers["/log-read"] = [
+        (200, _read(5, 0), "4"),
+        (200, _read(9, 0), "3"),
+    ]
+    feed.read(start=5, wait_s=0.1)
+    with pytest.raises(platform_port.StoreError):
+        feed.read(start=5, wait_s=0.1)
+    assert feed.era == 4
+
+
+def test_pages_of_two_eras_are_not_put_together(stub, client):
+    stub.answers["/log-newest"] = [
+        (200, _page([_item("a", b"1", 4)], end=9, more=True), "1"),
+        (200, _page([_item("b", b"2", 3)], end=4), "2"),
+    ]
+    feed = store.KeyedFeed(client, topic="keyed.x")
+    with pytest.raises(platform_port.StoreError):
+        feed.newest()
+    assert feed.newest().era == 2
+
+
+@pytest.mark.parametrize("era", ["", "-1", "1.5", "x", "9" * 30])
+def test_a_malformed_era_changes_nothing(stub, client, era):
+    feed = store.KeyedFeed(client, topic="t")
+    stub.answers["/log-read"] = [
+        (200, _read(5, 0), "2"),
+        (200, _read(5, 0), era),
+    ]
+    feed.read(start=5, wait_s=0.1)
+    assert feed.read(start=5, wait_s=0.1).era == 2
+
+
+def test_a_term_bears_the_era_in_which_it_was_claimed(stub, client):
+    election = store.AppendElection(client, topic="keyed.t")
+    stub.answers["/log-append"] = [(200, b'{"offset": 7, "end": 8}', "2")]
+    before = platform_port.Term(number=7, planner="other", era=1)
+    claimed = election.claim("me", after=before)
+    assert claimed == platform_port.Term(number=8, planner="me", era=2)
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -45,6 +45,8 @@
             not_run=b"not-run" in found,
             misdirected=status == 421,
             culprit=found.get(b"culprit", b"").decode(),
+            leaving=b"leaving" in found,
+            retry_after=found.get(b"retry-after", b"").decode(),
         )
 
 
@@ -84,6 +86,7 @@
 
     def __init__(self):
         self.records = []
+        self.era = 0
         self.down = False
         self.first = 0
         self.reads = 0
@@ -96,12 +99,20 @@
         self._changed.set()
         self._changed.clear()
 
+    def restore(self, *, end):
+        """Comes back from a copy that holds the records before an offset."""
+        del self.records[end:]
+        self.era += 1
+        self._changed.set()
+        self._changed.clear()
+
     def newest(self):
         self._answer()
         newest = {record.key: record for record in self.records}
         return platform_port.Page(
             records=tuple(r for r in newest.values() if r.value),
             end=len(self.records),
+            era=self.era,
         )
 
     def read(self, *, start, wait_s):
@@ -111,8 +122,12 @@
         if start >= len(self.records):
             self._changed.wait(min(wait_s, 0.05))
             self._answer()
+        if start > len(self.records):
+            raise platform_port.RecordsExpiredError("beyond the end")
         return platform_port.Page(
-            records=tuple(self.records[start:]), end=len(self.records)
+            records=tuple(self.records[start:]),
+            end=len(self.records),
+            era=self.era,
         )
 
     def _answer(self):
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -282,3 +282,51 @@
     answer = front.ask("/stream/x", method="POST", body=b"p")
     assert answer[0] == int(status.split()[0])
     assert answer[2] == b"why"
+
+
+def _saying(rows, status=b"503 Full"):
+    return fakes.answering(b"", status, b"not-run: 1\r\n" + rows)
+
+
+def test_a_first_stage_that_leaves_takes_no_new_stream(front):
+    """Load pattern: an engine leaves; its running streams go on."""
+    leaver, other = _add_chains(
+        front, [_saying(b"leaving: 1\r\n")], [fakes.streaming(1, 2)]
+    )
+    for _ in range(3):
+        assert front.ask("/stream/x", method="POST", body=b"p")[0] == 200
+    assert (len(leaver.arrivals), len(other.arrivals)) == (1, 3)
+
+
+def test_a_later_stage_that_leaves_is_in_no_new_chain(front):
+    first, engines = _add_held_up(front, others=["b2"], until=lambda: True)
+    front.state.fleet.note_leaving("a2", started_ms=0)
+    front.ask("/stream/x", method="POST", body=b"p")
+    assert b"b2" in first.arrivals[0].headers[b"chain"]
+
+
+def test_a_full_first_stage_is_neither_asked_nor_blamed(front):
+    """Load pattern: an engine is full and names the time of a return."""
+    full, other = _add_chains(
+        front, [_saying(b"retry-after: 5\r\n")], [fakes.streaming(1, 2)]
+    )
+    reports = front.state.platform.engines.reports
+    reports[full.address] = _report()
+    for _ in range(3):
+        assert front.ask("/stream/x", method="POST", body=b"p")[0] == 200
+    assert len(full.arrivals) == 1
+    assert not front.state.trust.refusing_ids(now=time.monotonic())
+
+
+def test_callers_are_told_when_the_first_full_engine_is_free(front):
+    full = front.add(
+        "a1",
+        _saying(b"retry-after: 2\r\n"),
+        service="model",
+        layers=(0, 8),
+    )
+    for _ in range(3):
+        status, headers, _ = front.ask("/stream/x", method="POST", body=b"p")
+        assert status == 503
+        assert 0 < float(headers[b"retry-after"]) <= 2.0
+    assert len(full.arrivals) == 1
--- a/packages/dotterelgrade-front/tests/test_plain_call.py
+++ b/packages/dotterelgrade-front/tests/test_plain_call.py
@@ -1,4 +1,5 @@
 import dataclasses
+import time
 
 import front_fakes as fakes
 import gevent
@@ -221,3 +222,93 @@
 
     front.add("s", late)
     assert front.ask("/safe/x")[0] == 200
+
+
+def _refusing_for(text):
+    """A script that turns a request away and names the time of a return."""
+    rows = b"not-run: 1\r\nretry-after: " + text + b"\r\n"
+    return fakes.answering(b"", b"503 Full", rows)
+
+
+def test_a_full_server_gets_nothing_until_its_time_is_over(front):
+    """Load pattern: callers press on while a backend server is full."""
+    full = front.add("full", _refusing_for(b"0.6"), fakes.answering())
+    for _ in range(6):
+        status, headers, _ = front.ask("/safe/x")
+        assert status == 503
+        assert 0.0 < float(headers[b"retry-after"]) <= 0.6
+    assert len(full.arrivals) == 1
+    gevent.sleep(0.6)
+    assert front.ask("/safe/x")[0] == 200
+
+
+def test_a_full_server_loses_no_trust(front):
+    front.add("full", _refusing_for(b"5"))
+    front.add("s", fakes.answering())
+    for _ in range(4):
+        assert front.ask("/safe/x")[0] == 200
+    assert not front.state.trust.excluded_ids(now=time.monotonic())
+
+
+@pytest.mark.parametrize(
+    "text", [b"soon", b"-3", b"Fri, 04 Dec 2026 10:00:00 GMT", b"nan"]
+)
+def test_a_malformed_time_is_logged_and_harms_nobody(front, text):
+    server = front.add("s", _refusing_for(text), fakes.answering())
+    assert front.ask("/safe/x")[0] == 503
+    assert front.ask("/safe/x")[0] == 200
+    assert len(server.arrivals) == 2
+    names = [row.decision for row in front.state.decisions.journal.latest(50)]
+    assert "retry_after_rejected" in names
+
+
+@pytest.mark.parametrize(
+    ("status", "rows"),
+    [
+        (b"200 OK", b"seal: 1\r\n"),
+        (b"404 No", b"seal: 1\r\n"),
+        (b"503 Full", b"not-run: 1\r\n"),
+    ],
+)
+def test_who_says_that_it_leaves_gets_nothing_more(front, status, rows):
+    """Load pattern: a backend server leaves while the store is away."""
+    leaver = front.add(
+        "leaver", fakes.answering(b"", status, rows + b"leaving: 1\r\n")
+    )
+    front.ask("/safe/x")
+    front.add("s", fakes.answering())
+    for _ in range(5):
+        assert front.ask("/safe/x")[0] == 200
+    assert len(leaver.arrivals) == 1
+
+
+def test_the_next_start_at_the_address_is_used(front):
+    leaver = front.add(
+        "s",
+        fakes.answering(b"", b"200 OK", b"seal: 1\r\nleaving: 1\r\n"),
+        fakes.answering(),
+    )
+    front.ask("/safe/x")
+    assert front.ask("/safe/x")[0] == 503
+    again = front.state.fleet.get("s")
+    front.state.fleet.put(
+        dataclasses.replace(
+            again,
+            started_ms=again.started_ms + 1,
+            availability=backend_server.Availability.READY,
+        )
+    )
+    assert front.ask("/safe/x")[0] == 200
+    assert len(leaver.arrivals) == 2
+
+
+def test_another_incarnation_that_leaves_marks_nobody(front):
+    """A backend server at a reused address answers for another one."""
+    server = front.add(
+        "s",
+        fakes.answering(b"", b"421 No", b"not-run: 1\r\nleaving: 1\r\n"),
+        fakes.answering(),
+    )
+    front.ask("/safe/x")
+    assert front.ask("/safe/x")[0] == 200
+    assert len(server.arrivals) == 2
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -170,3 +170,30 @@
     for _ in range(4):
         planner.tick()
     assert len(engines.placed) == 1
+
+
+def test_the_layers_of_one_that_leaves_are_ordered_elsewhere(front, planner):
+    """Load pattern: an engine says in a report that it leaves."""
+    engines = _add_engines(front, count=3)
+    planner.tick()
+    address, layers, _ = engines.placed[0]
+    engines.reports[address] = dataclasses.replace(
+        fakes.REPORT, layers=layers, orders=1, leaving=True
+    )
+    engines.placed.clear()
+    planner.tick()
+    planner.tick()
+    others = [at for at, _, _ in engines.placed]
+    assert others
+    assert address not in others
+
+
+def test_a_full_engine_is_not_asked_for_reports(front, planner):
+    engines = _add_engines(front, count=1)
+    server = front.state.fleet.get("e0")
+    front.state.note_holdoff(server, "30")
+    asked = []
+    engines.report = lambda at: asked.append(at)
+    planner.tick()
+    assert not asked
+    assert planner.watched(server).misses == 0
--- a/packages/dotterelgrade-front/tests/test_planner_hub.py
+++ b/packages/dotterelgrade-front/tests/test_planner_hub.py
@@ -9,6 +9,7 @@
     reserved={},
     excluded=[],
     refusing=[],
+    leaving={},
     store_silent_s=0.0,
     strong=True,
 )
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -75,6 +75,7 @@
     failure_domain: str,
     chance: float,
     begun: bool = False,
+    held_off_s: float = 0.0,
 ) -> Admitted | Refused:
     """Chooses a chain for a request, or refuses it.
 
@@ -87,9 +88,15 @@
         failure_domain: Where this front runs.
         chance: From 0 to 1, drawn for this request.
         begun: Whether the caller has had events already.
+        held_off_s: Time until the first full backend server may be asked again,
+            s, or 0 if none asked to be left alone.
     """
     most_fill = MOST_FILL_BEGUN if begun else MOST_FILL
     later = 1.0 + RETRY_SPREAD * chance
+    if not chains and held_off_s:
+        return Refused(
+            reason="backend servers full", retry_after_s=held_off_s * later
+        )
     if not chains:
         return Refused(reason="no chain", retry_after_s=REPAIR_S * later)
     offers = [
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/backend_server.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/backend_server.py
@@ -46,6 +46,10 @@
         """Whether it takes new work."""
         return self.availability is Availability.READY
 
+    def as_leaving(self) -> "BackendServer":
+        """Returns the entry of one that takes no new work any more."""
+        return dataclasses.replace(self, availability=Availability.LEAVING)
+
     @property
     def incarnation(self) -> tuple[str, int]:
         """Tells one start of the process from the next."""
@@ -69,6 +73,7 @@
         slowness: Duration of its work relative to the usual one.
         stalled: Addresses of backend servers that block its requests, by the
             identifier of the request.
+        leaving: Whether it says that it leaves.
     """
 
     layers: layer_range.LayerRange | None
@@ -82,6 +87,7 @@
     total: float
     slowness: float
     stalled: dict[str, str]
+    leaving: bool = False
 
     def explains_refusal(
         self, layers: layer_range.LayerRange, *, tokens: float, slots: int
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/fleet.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/fleet.py
@@ -4,7 +4,8 @@
 servers crash and leave. What is known holds during an outage; an entry that
 lapsed meanwhile counts as gone only when it is still missing some time after
 the list's return. An entry that is removed while the list is well is gone at
-once.
+once. A list that comes back from an older copy brings back backend servers that
+have left; they stay out until they prove to be there.
 """
 
 from collections.abc import Iterable
@@ -15,6 +16,12 @@
 
 # Live backend servers are back in the list within about two seconds.
 RETURN_GRACE_S = 2.3
+# The list drops a backend server that is silent for three heartbeats; what an
+# older copy brings back and the list still has then is there.
+COPY_EXPIRY_S = 5.0
+# Incarnations that leave or have left are remembered, since an older copy of
+# the list does not know of it.
+_MOST_REMEMBERED = 4096
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -36,6 +43,14 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Withheld:
+    """An entry of an older copy whose backend server had left."""
+
+    server: backend_server.BackendServer
+    since: float
+
+
 class Fleet:
     """Every known backend server, with rules for what may be forgotten."""
 
@@ -44,6 +59,9 @@
         self._servers: dict[str, backend_server.BackendServer] = {}
         self._observations: dict[str, Observation] = {}
         self._missing_since: dict[str, float] = {}
+        self._leaving: dict[str, int] = {}
+        self._departed: dict[str, int] = {}
+        self._withheld: dict[str, _Withheld] = {}
         self._outage = False
         self._returned_at = float("-inf")
         self._version = 0
@@ -101,7 +119,10 @@
             Whether anything changed.
         """
         self._missing_since.pop(server.id, None)
+        self._withheld.pop(server.id, None)
         known = self._servers.get(server.id)
+        if self._leaving.get(server.id) == server.started_ms:
+            server = server.as_leaving()
         if known == server:
             return False
         self._servers[server.id] = server
@@ -110,6 +131,60 @@
         self._version += 1
         return True
 
+    def put_copied(
+        self, server: backend_server.BackendServer, *, now: float
+    ) -> bool:
+        """Takes in an entry of a list that came back from an older copy.
+
+        What was learned since goes on to hold: layers, that an incarnation
+        leaves or has left, and that it was replaced by a later one.
+
+        Args:
+            server: The entry.
+            now: Monotonic time, s.
+
+        Returns:
+            Whether anything changed.
+        """
+        self._missing_since.pop(server.id, None)
+        known = self._servers.get(server.id)
+        if known is not None and known.started_ms >= server.started_ms:
+            return False
+        if self._departed.get(server.id, -1) >= server.started_ms:
+            self._withheld[server.id] = _Withheld(server=server, since=now)
+            return False
+        return self.put(server)
+
+    def note_copy(self, *, now: float) -> None:
+        """Takes in that the list came back from an older copy."""
+        self._outage = False
+        self._returned_at = now
+
+    def note_leaving(self, server_id: str, *, started_ms: int) -> bool:
+        """Takes in that an incarnation said itself that it leaves.
+
+        Args:
+            server_id: The backend server.
+            started_ms: Start of the process that said so, ms since the epoch.
+
+        Returns:
+            Whether that is news.
+        """
+        server = self._servers.get(server_id)
+        if server is None or server.started_ms != started_ms:
+            return False
+        _remember(self._leaving, server_id, started_ms)
+        return self.put(server)
+
+    @property
+    def leaving(self) -> dict[str, int]:
+        """Starts of those that said that they leave, by identifier."""
+        return {
+            server_id: started_ms
+            for server_id, started_ms in self._leaving.items()
+            if server_id in self._servers
+        }
+
     def remove(self, server_id: str, *, now: float) -> bool:
         """Takes in that an entry has left the list.
 
@@ -121,6 +196,7 @@
             Whether the backend server is gone; after an outage of the list it
             may be only missing yet.
         """
+        self._withheld.pop(server_id, None)
         if server_id not in self._servers:
             return False
         if self._unsettled(now):
@@ -161,6 +237,7 @@
         Returns:
             The backend servers that are gone.
         """
+        self._readmit(now)
         if self._unsettled(now) or not self._missing_since:
             return []
         gone = list(self._missing_since)
@@ -188,6 +265,12 @@
         self._version += 1
         return True
 
+    def _readmit(self, now: float) -> None:
+        """Takes in entries of an older copy that the list did not drop."""
+        for row in list(self._withheld.values()):
+            if now - row.since >= COPY_EXPIRY_S:
+                self.put(row.server)
+
     def _unsettled(self, now: float) -> bool:
         return self._outage or now - self._returned_at < RETURN_GRACE_S
 
@@ -207,8 +290,19 @@
     def _forget(self, server_id: str) -> None:
         self._missing_since.pop(server_id, None)
         self._observations.pop(server_id, None)
-        if self._servers.pop(server_id, None) is not None:
-            self._version += 1
+        server = self._servers.pop(server_id, None)
+        if server is None:
+            return
+        self._version += 1
+        _remember(self._departed, server_id, server.started_ms)
+
+
+def _remember(starts: dict[str, int], server_id: str, started_ms: int) -> None:
+    """Notes an incarnation, and forgets the one that was noted first."""
+    starts.pop(server_id, None)
+    starts[server_id] = started_ms
+    if len(starts) > _MOST_REMEMBERED:
+        del starts[next(iter(starts))]
 
 
 def _same_for_routing(one: Observation, other: Observation) -> bool:
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -10,6 +10,10 @@
 own term and goes on. While the store is away, the first front in a common order
 acts as planner. Orders are compare-and-set at the engines, so a second planner
 can do no harm.
+
+A store that comes back from an older copy gives numbers of terms out again, so
+a term belongs to an era of the store. A planner whose term is gone with what
+was written since claims the next one at once, and plans on meanwhile.
 """
 
 from collections.abc import Iterable
@@ -21,6 +25,9 @@
 # A planner steps down when others have heard the store for so long after it
 # was last confirmed; it asks the store every second.
 CONFIRMED_FOR_S = 3.5
+# It steps down sooner if it does not hear the store at all any more: what it
+# plans with is then older than what the others know.
+HEARD_FOR_S = 1.25
 # The store counts as away after this silence; each front that others come
 # before waits longer, so that an earlier one has begun to act.
 STORE_AWAY_S = 3.0
@@ -61,8 +68,10 @@
         self._confirmed_at = float("-inf")
         self._elected = False
         self._acting = False
-        self._resigned: int | None = None
-        self._unanswered: int | None = None
+        self._succeeds: platform_port.Term | None = None
+        self._cut_off = False
+        self._resigned: tuple[int, int] | None = None
+        self._unanswered: tuple[int, int] | None = None
         self._answered = ""
         self._vacant_since: float | None = None
 
@@ -76,39 +85,56 @@
         """Whether this front leads."""
         return self._acting or self._elected
 
+    @property
+    def term(self) -> platform_port.Term | None:
+        """The newest term that this front has read."""
+        return self._term
+
     @property
     def cut_off(self) -> bool:
         """Whether it stepped down only since it can't reach the store."""
-        if self._term is None or self._elected or self._acting:
-            return False
-        own = self._term.planner == self._own
-        return own and self._term.number != self._resigned
+        return self._cut_off and not self.leads
 
     def note_term(self, term: platform_port.Term, *, at: float) -> None:
         """Takes in the newest term.
 
-        Who acts goes on until another front has claimed a term.
+        Who acts goes on until another front has claimed a term after the one
+        that ended. A planner whose own term is missing in a new era of the
+        store acts until it has claimed the next one, unless another front has.
 
         Args:
             term: As the store has it.
             at: Monotonic time at which the store was asked, s.
         """
-        if self._term is None or term.number != self._term.number:
-            self._acting = False
-        self._term = term
+        if self._term is not None and term.rank < self._term.rank:
+            # An answer that was late; terms only grow.
+            return
         own = term.planner == self._own
-        self._elected = own and term.number != self._resigned
+        self._acting = self._acts_on(term, own=own)
+        self._cut_off = self._cut_off and own
+        self._term = term
+        self._elected = own and term.rank != self._resigned
         if self._elected:
             self._confirmed_at = at
-            self._acting = False
+            self._acting = self._cut_off = False
             self._vacant_since = None
 
+    def _acts_on(self, term: platform_port.Term, *, own: bool) -> bool:
+        """Returns whether this front acts although a term was read."""
+        known = self._term
+        if known is not None and term.era > known.era:
+            # A smaller number is what the copy held; others were claimed since.
+            return self.leads and not own and term.number < known.number
+        if self._succeeds is not None and term.rank <= self._succeeds.rank:
+            return self._acting
+        return self._acting and known is not None and term.rank == known.rank
+
     def note_unanswered(self, *, now: float) -> None:
         """Takes in that the planner of the newest term did not answer."""
-        number = None if self._term is None else self._term.number
-        if self._vacant_since is None or number != self._unanswered:
+        rank = None if self._term is None else self._term.rank
+        if self._vacant_since is None or rank != self._unanswered:
             self._vacant_since = now
-        self._unanswered = number
+        self._unanswered = rank
 
     def note_answered(self, planner: str) -> None:
         """Takes in that a planner sends its snapshots.
@@ -133,7 +159,7 @@
             return False
         if self._acting:
             return True
-        if self._vacant_since is None or self._unanswered != self._term.number:
+        if self._vacant_since is None or self._unanswered != self._term.rank:
             return False
         if self._term.planner not in ("", self._answered):
             # Its planner may not know yet that its claim was accepted.
@@ -160,28 +186,44 @@
         self.succeed()
         return True
 
-    def succeed(self) -> None:
-        """Leads without an election, since the planner that leaves said so."""
+    def succeed(self, ended: platform_port.Term | None = None) -> None:
+        """Leads without an election, since the planner that leaves said so.
+
+        Args:
+            ended: The term that ends, or None if it is not known. This front
+                may not have read of it yet; only a later one ends its acting.
+        """
+        self._succeeds = ended
         self._acting = True
+        self._cut_off = False
 
-    def note_others(self, *, heard_store_at: float) -> None:
+    def note_others(
+        self, *, heard_store_at: float, own_heard_at: float = float("inf")
+    ) -> None:
         """Takes in when a connected front last heard the store.
 
-        A planner that the store has not confirmed since long before steps
-        down, and stays down until the store confirms its term again.
+        A planner that itself has not heard it since long before steps down; so
+        does one that hears it, but whose term it does not confirm. Both stay
+        down until their term is confirmed again.
 
         Args:
-            heard_store_at: Monotonic time, s; the latest of all fronts.
+            heard_store_at: Monotonic time, s; the latest of all others.
+            own_heard_at: Monotonic time at which this front heard it, s.
         """
-        if heard_store_at - self._confirmed_at > CONFIRMED_FOR_S:
+        deaf = heard_store_at - own_heard_at > HEARD_FOR_S
+        unconfirmed = heard_store_at - self._confirmed_at > CONFIRMED_FOR_S
+        if (deaf and self.leads) or (unconfirmed and self._elected):
+            self._cut_off = True
             self._elected = False
+            self._acting = self._acting and not deaf
 
     def resign(self) -> None:
         """Leads no longer, until this front claims another term."""
         self._acting = False
         self._elected = False
+        self._cut_off = False
         if self._term is not None:
-            self._resigned = self._term.number
+            self._resigned = self._term.rank
 
 
 def successors(
@@ -223,7 +265,8 @@
 def successor(candidates: Iterable[Candidate]) -> str:
     """Returns the front that plans after one that leaves, or empty.
 
-    Those that reach the store come first, then those on strong hosts.
+    Those that reach the store come first, then those on strong hosts; one that
+    has not heard it for a moment may be as cut off as the one that leaves.
 
     Args:
         candidates: Those that stay and can be reached.
@@ -233,7 +276,7 @@
     return min(
         ranked,
         key=lambda address: (
-            by_address[address].store_silent_s > CONFIRMED_FOR_S,
+            by_address[address].store_silent_s > HEARD_FOR_S,
             not by_address[address].strong,
         ),
         default="",
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -13,6 +13,7 @@
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import request_facts
+from dotterelgrade_routing import store_era
 
 
 class StoreError(Exception):
@@ -27,6 +28,24 @@
     """An engine gave no answer in time."""
 
 
+class EngineFullError(Exception):
+    """An engine wants no question for a while."""
+
+    def __init__(self, retry_after: str) -> None:
+        """Initializes the exception.
+
+        Args:
+            retry_after: For how long, as the engine wrote it.
+        """
+        super().__init__(f"full, retry after {retry_after}")
+        self._retry_after = retry_after
+
+    @property
+    def retry_after(self) -> str:
+        """For how long it wants nothing, as the engine wrote it."""
+        return self._retry_after
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Record:
     """One record of a feed.
@@ -49,15 +68,21 @@
     Attributes:
         records: In order of their offsets.
         end: Offset behind the last record.
+        era: Era of the store to which the offsets belong.
     """
 
     records: tuple[Record, ...]
     end: int
+    era: int = store_era.UNCOUNTED
 
 
 class Feed(Protocol):
     """Records of which only the newest of each key matters."""
 
+    @property
+    def era(self) -> int:
+        """The newest era that any answer of the store has shown."""
+
     def newest(self) -> Page:
         """Returns the newest record of each key.
 
@@ -83,13 +108,20 @@
     """One planner's time in office, as the store has it.
 
     Attributes:
-        number: Grows with each claim.
+        number: Grows with each claim of one era; given out again in the next.
         planner: `IP:PORT` of the front that claimed it, or empty before the
             first claim.
+        era: Era of the store in which it was read or claimed.
     """
 
     number: int
     planner: str
+    era: int = store_era.UNCOUNTED
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Orders terms; the later era comes before the larger number."""
+        return (self.era, self.number)
 
 
 class Election(Protocol):
@@ -153,6 +185,7 @@
 
         Raises:
             EngineUnreachableError: There was no usable answer.
+            EngineFullError: It asked not to be asked for a while.
         """
 
     def place(
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/request_facts.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/request_facts.py
@@ -59,6 +59,9 @@
         not_run: Whether it states that the request has not run.
         misdirected: Whether another one has its address or its layers.
         culprit: Address of the backend server at fault, or empty.
+        leaving: Whether the backend server says that it leaves.
+        retry_after: How long a full backend server wants nothing, as it wrote
+            it, or empty.
     """
 
     request_id: str
@@ -66,3 +69,5 @@
     not_run: bool
     misdirected: bool
     culprit: str
+    leaving: bool = False
+    retry_after: str = ""
--- a/packages/dotterelgrade-routing/tests/test_admission.py
+++ b/packages/dotterelgrade-routing/tests/test_admission.py
@@ -207,3 +207,18 @@
         raise KeyError
     assert load.in_flight == 0
     assert not load.own
+
+
+def test_without_a_chain_the_first_full_server_names_the_return():
+    """Load pattern: all backend servers asked to be left alone."""
+    refused = admission.decide(
+        [],
+        tokens=10,
+        answer_tokens=5,
+        load=reservations.Reservations(),
+        memory={},
+        failure_domain="a",
+        chance=0.0,
+        held_off_s=1.5,
+    )
+    assert refused.retry_after_s == 1.5
--- a/packages/dotterelgrade-routing/tests/test_feed_position.py
+++ b/packages/dotterelgrade-routing/tests/test_feed_position.py
@@ -52,3 +52,27 @@
     assert position.end == 5
     position.reset()
     assert position.end is None
+
+
+def test_offsets_of_two_eras_are_never_compared():
+    """Load pattern: the store comes back from a copy that is seconds old."""
+    position = _at(5)
+    assert position.enter(1)
+    assert position.end is None
+    assert not position.advance(9, era=0)
+    assert position.advance(3, era=1)
+    assert position.end == 3
+    assert not position.continues(3, era=0)
+    assert position.continues(3, era=1)
+    assert not position.enter(1)
+    assert not position.enter(0)
+
+
+def test_a_planner_of_another_era_covers_nothing():
+    position = _at(5)
+    position.enter(1)
+    position.advance(5, era=1)
+    position.note_relayed(end=5, heard_at=10.0, era=0)
+    assert position.covered_s(now=10.0) == 0.0
+    position.note_relayed(end=5, heard_at=10.0, era=1)
+    assert position.covered_s(now=10.0) > 0.0
--- a/packages/dotterelgrade-routing/tests/test_fleet.py
+++ b/packages/dotterelgrade-routing/tests/test_fleet.py
@@ -143,3 +143,89 @@
     max_examples=60, stateful_step_count=30, deadline=None
 )
 TestFollowedList = FollowedList.TestCase
+
+
+def _restored(*servers, now=10.0):
+    """A fleet whose list came back from a copy with these entries."""
+    fleet = fleet_lib.Fleet()
+    for server in servers:
+        fleet.put(server)
+    fleet.note_copy(now=now)
+    return fleet
+
+
+def test_a_copy_brings_no_server_back_that_has_left(make_server):
+    """Load pattern: a backend server leaves, then the store goes back."""
+    gone = make_server("s", started_ms=7)
+    fleet = fleet_lib.Fleet()
+    fleet.put(gone)
+    fleet.remove("s", now=9.0)
+    fleet.note_copy(now=10.0)
+    assert not fleet.put_copied(gone, now=10.0)
+    assert fleet.get("s") is None
+    fleet.remove("s", now=12.0)
+    fleet.settle(now=60.0)
+    assert fleet.get("s") is None
+
+
+def test_who_only_lapsed_is_back_when_the_list_goes_on_to_have_it(make_server):
+    lapsed = make_server("s", started_ms=7)
+    fleet = fleet_lib.Fleet()
+    fleet.put(lapsed)
+    fleet.remove("s", now=9.0)
+    fleet.note_copy(now=10.0)
+    fleet.put_copied(lapsed, now=10.0)
+    fleet.settle(now=10.0 + fleet_lib.COPY_EXPIRY_S)
+    assert fleet.get("s") == lapsed
+
+
+def test_a_new_record_brings_a_server_back_at_once(make_server):
+    server = make_server("s", started_ms=7)
+    fleet = fleet_lib.Fleet()
+    fleet.put(server)
+    fleet.remove("s", now=9.0)
+    fleet.note_copy(now=10.0)
+    fleet.put_copied(server, now=10.0)
+    assert fleet.put(server)
+    assert fleet.ready("model") == [server]
+
+
+def test_a_copy_undoes_neither_a_drain_nor_a_restart(make_server):
+    leaving = backend_server.Availability.LEAVING
+    fleet = _restored(
+        make_server("drains", availability=leaving, started_ms=1),
+        make_server("restarted", started_ms=5),
+    )
+    fleet.put_copied(make_server("drains", started_ms=1), now=10.0)
+    fleet.put_copied(make_server("restarted", started_ms=4), now=10.0)
+    assert fleet.get("drains").availability is leaving
+    assert fleet.get("restarted").started_ms == 5
+
+
+def test_what_the_copy_lacks_stays_until_it_could_be_back(make_server):
+    fleet = _restored(make_server("s"), now=10.0)
+    assert not fleet.remove("s", now=10.0)
+    assert fleet.settle(now=10.0 + fleet_lib.RETURN_GRACE_S) == ["s"]
+
+
+def test_who_says_that_it_leaves_takes_no_new_work(make_server):
+    """Load pattern: a backend server leaves while the list is away."""
+    fleet = fleet_lib.Fleet()
+    entry = make_server("s", started_ms=7)
+    fleet.put(entry)
+    assert not fleet.note_leaving("s", started_ms=6)
+    assert fleet.note_leaving("s", started_ms=7)
+    assert not fleet.note_leaving("s", started_ms=7)
+    assert fleet.ready("model") == []
+    fleet.put(entry)
+    assert fleet.ready("model") == []
+    assert fleet.leaving == {"s": 7}
+
+
+def test_another_start_at_the_same_id_is_free_of_the_mark(make_server):
+    fleet = fleet_lib.Fleet()
+    fleet.put(make_server("s", started_ms=7))
+    fleet.note_leaving("s", started_ms=7)
+    again = make_server("s", started_ms=8)
+    fleet.put(again)
+    assert fleet.ready("model") == [again]
--- a/packages/dotterelgrade-routing/tests/test_leadership.py
+++ b/packages/dotterelgrade-routing/tests/test_leadership.py
@@ -268,3 +268,65 @@
         strong=strong,
         stronger_waits=stronger_waits,
     )
+
+
+def _term_of(era, number, planner):
+    return platform_port.Term(number=number, planner=planner, era=era)
+
+
+def test_a_successor_acts_for_the_term_that_ends():
+    """Load pattern: the store turns the planner away; its successor does not
+    know yet of the term that ends."""
+    leadership = leadership_lib.Leadership(_OWN)
+    leadership.note_term(_term(1, "10.0.0.3:1"), at=0.0)
+    leadership.succeed(_term(2, _OTHER))
+    leadership.note_term(_term(2, _OTHER), at=1.0)
+    assert leadership.leads
+    assert leadership.should_claim(delay_s=60.0, now=1.0)
+    leadership.note_term(_term(3, "10.0.0.3:1"), at=2.0)
+    assert not leadership.leads
+
+
+def test_who_hears_the_store_no_longer_steps_down_while_others_do():
+    """Load pattern: the store turns the planner away and serves the others."""
+    heard_s = leadership_lib.HEARD_FOR_S
+    leadership = _elected(0.0)
+    leadership.note_others(heard_store_at=heard_s, own_heard_at=0.0)
+    assert leadership.leads
+    leadership.note_others(heard_store_at=heard_s + 0.1, own_heard_at=0.0)
+    assert not leadership.leads
+    assert leadership.cut_off
+
+
+def test_who_acts_beside_fronts_that_reach_the_store_steps_down():
+    leadership = leadership_lib.Leadership(_OWN)
+    assert leadership.try_acting(store_silent_s=60.0, asked=0)
+    leadership.note_others(heard_store_at=10.0, own_heard_at=0.0)
+    assert not leadership.leads
+    assert leadership.cut_off
+
+
+def test_a_planner_claims_again_what_the_store_has_lost():
+    """Load pattern: the store goes back to before the planner's claim."""
+    leadership = leadership_lib.Leadership(_OWN)
+    leadership.note_term(_term_of(1, 5, _OWN), at=0.0)
+    leadership.note_term(_term_of(2, 4, _OTHER), at=1.0)
+    assert leadership.leads
+    assert leadership.should_claim(delay_s=60.0, now=1.0)
+    leadership.note_term(_term_of(2, 5, _OWN), at=1.1)
+    assert leadership.leads
+    assert not leadership.should_claim(delay_s=0.0, now=1.2)
+
+
+def test_two_planners_of_one_number_do_not_both_go_on():
+    leadership = leadership_lib.Leadership(_OWN)
+    leadership.note_term(_term_of(1, 5, _OWN), at=0.0)
+    leadership.note_term(_term_of(2, 5, _OTHER), at=1.0)
+    assert not leadership.leads
+
+
+def test_a_late_answer_about_an_older_term_changes_nothing():
+    leadership = leadership_lib.Leadership(_OWN)
+    leadership.note_term(_term(5, _OWN), at=1.0)
+    leadership.note_term(_term(4, _OTHER), at=0.5)
+    assert leadership.leads
