--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
@@ -43,6 +43,7 @@
         self._link = link
         self._tools = tools
         self._avoid: set[str] = set()
+        self._only_full = False
 
     def __repr__(self) -> str:
         """Shows the request and what it avoids."""
@@ -68,8 +69,9 @@
             The chain, or why the request was not run.
         """
         failure: errors.Error | None = None
-        for number in range(_MAX_TRIES):
-            if number and not self._tools.budget.spend():
+        tries = 0
+        while tries < _MAX_TRIES:
+            if tries and not self._tools.budget.spend():
                 self.record("retry_denied", reason="retry budget is spent")
                 break
             planned = self._tools.admission.enter(self._request, self.plan)
@@ -80,9 +82,20 @@
             if isinstance(outcome, result.Success):
                 return outcome
             failure = outcome.failure()
+            if not self._may_race_again:
+                tries += 1
         assert failure is not None
         return result.Failure(failure)
 
+    @property
+    def _may_race_again(self) -> bool:
+        """Whether the last chain was only full, and there is time to wait.
+
+        Other entries took the slots that were free. Going for the next one is
+        no retry: the queue lets one request go for each that becomes free.
+        """
+        return self._only_full and self._request.time_to_bound_s > 0
+
     def plan(
         self, inside_part: float = planner_lib.INSIDE_PART
     ) -> result.Result[planner_lib.Chain, errors.Error]:
@@ -160,6 +173,9 @@
             message="an agent did not answer the admission",
             retry_after_s=retry_after.DEFAULT_S,
         )
+        self._only_full = not replies.missing and all(
+            _tells_it_is_full(refused) for refused in replies.refused.values()
+        )
         for index in replies.missing:
             self.blame(self._link.stages[index], "no answer to an admission")
         for index, refused in replies.refused.items():
--- a/packages/dotterelgrade-entry/tests/test_pipeline.py
+++ b/packages/dotterelgrade-entry/tests/test_pipeline.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import gevent
 import pytest
 
@@ -214,3 +216,52 @@
     with pytest.raises(ValueError, match="expected one of"):
         cell.start_entry(policy="best")
     assert entry_settings.EntrySettings.policy == "predicted"
+
+
+def test_a_lost_race_for_a_free_slot_uses_up_no_try(cell, helpers):
+    """Load pattern: several entries go for each slot that becomes free."""
+    lost = []
+
+    def race(agent, connection, frame):
+        if isinstance(frame, messages.Admit) and len(lost) < 8:
+            lost.append(frame)
+            full = dataclasses.replace(agent.report, slots_free=0)
+            connection.send(
+                messages.Refused(
+                    request_id=frame.request_id,
+                    attempt=frame.attempt,
+                    stage=frame.stage,
+                    kind="no_capacity",
+                    message="engine has no free slot",
+                    report=full,
+                )
+            )
+            # Another slot becomes free, and the report wakes who waits.
+            gevent.spawn_later(0.03, _report, agent, connection)
+        elif isinstance(frame, messages.Admit):
+            connection.send(agent.admitted(frame))
+        for step in getattr(frame, "steps", ()):
+            end = step.position + len(step.inputs)
+            token = messages.Token(
+                request_id=step.request_id,
+                attempt=step.attempt,
+                position=end,
+                token=end,
+            )
+            connection.send(messages.Tokens(tokens=(token,)))
+
+    def _report(agent, connection):
+        connection.send(
+            messages.Report(
+                state=messages.ProcessState.READY,
+                contract_offset=0,
+                backends=(agent.report,),
+            )
+        )
+
+    cell.start_fake_agent(0, helpers.LAYERS - 1, race)
+    entry = cell.start_entry()
+    cell.wait_for(entry, engines=1)
+    answer = cell.complete(entry, PROMPT, max_tokens=2)
+    assert answer.status == 200, answer.body
+    assert len(lost) == 8
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -159,17 +159,19 @@
             page = self._feed.newest()
             self._note_answer()
             self._enter_era(page.era)
-            if page.era == self._position.era:
-                self._sink.whole(page)
+            if page.era != self._position.era:
+                return
+            self._sink.whole(page)
         else:
             page = self._feed.read(start=start, wait_s=self._wait_s())
             self._note_answer()
-            if self._position.continues(start, era=page.era):
-                for record in page.records:
-                    self._sink.change(record)
-        known = self._position.advance(page.end, era=page.era)
-        if not known or not page.records:
-            # Records of another era are read anew, from the newest on.
+            if not self._position.continues(start, era=page.era):
+                # The position was dropped meanwhile; all is read anew.
+                return
+            for record in page.records:
+                self._sink.change(record)
+        self._position.advance(page.end, era=page.era)
+        if not page.records:
             return
         if start is not None and self._pass_on is not None:
             self._pass_on(start, page)
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -215,3 +215,78 @@
         )
 
     return make
+
+
+def test_a_copy_brings_no_older_configuration_back(follow):
+    """Load pattern: the store comes back from a copy, seconds old."""
+    feed = _versions(follow)
+    feed.add("config", b"v1")
+    feed.add("config", b"v2")
+    _until(lambda: follow.configuration is not None)
+    feed.restore(end=1)
+    reads = feed.reads
+    _until(lambda: feed.reads > reads + 3)
+    assert follow.configuration.version == 2
+    feed.add("config", b"v3")
+    _until(lambda: follow.configuration.version == 3)
+
+
+def test_a_record_at_an_offset_given_out_again_is_read(follow, make_entry):
+    feed = follow.platform.backend_servers
+    for name in ("kept", "lost", "new"):
+        make_entry(follow, name)
+    feed.add("kept", b"kept")
+    feed.add("lost", b"lost")
+    _until(lambda: follow.fleet.get("lost") is not None)
+    feed.restore(end=1)
+    feed.add("new", b"new")
+    _until(lambda: follow.fleet.get("new") is not None)
+    assert follow.fleet.get("kept") is not None
+    # It may be back within the time that live servers take after an outage.
+    assert follow.fleet.get("lost") is not None
+
+
+def test_a_server_that_left_stays_out_after_a_copy(follow, make_entry):
+    feed = follow.platform.backend_servers
+    make_entry(follow, "s")
+    feed.add("s", b"s")
+    _until(lambda: follow.fleet.get("s") is not None)
+    feed.add("s", b"")
+    _until(lambda: follow.fleet.get("s") is None)
+    feed.restore(end=1)
+    reads = feed.reads
+    _until(lambda: feed.reads > reads + 3)
+    assert follow.fleet.get("s") is None
+
+
+def test_what_a_planner_of_an_ended_era_passes_on_is_not_taken_in(
+    front, follower
+):
+    feed, follower = follower
+    feed.add("config", b"v1")
+    feed.restore(end=1)
+    running = gevent.spawn(follower.run)
+    _until(lambda: follower.end == 1)
+    page = platform_port.Page(
+        records=(platform_port.Record(key="config", value=b"v2", offset=1),),
+        end=2,
+        era=0,
+    )
+    follower.take_in(1, page)
+    assert front.state.configuration.version == 1
+    assert follower.end == 1
+    running.kill()
+
+
+def test_a_front_that_has_the_old_era_reads_the_new_one_itself(front, follower):
+    """Load pattern: the planner saw the store's return before this front."""
+    feed, follower = follower
+    feed.add("config", b"v1")
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    _until(lambda: follower.end == 2)
+    feed.restore(end=1)
+    feed.add("config", b"v3")
+    follower.note_relayed(end=2, heard_at=time.monotonic(), era=feed.era)
+    _until(lambda: front.state.configuration.version == 3)
+    running.kill()
--- a/packages/dotterelgrade-front/tests/test_relay_machine.py
+++ b/packages/dotterelgrade-front/tests/test_relay_machine.py
@@ -75,7 +75,8 @@
 
     @stateful.rule()
     def the_follower_reads(self):
-        if self.follower.end == len(self.feed.records):
+        up_to_date = self.follower.end == len(self.feed.records)
+        if up_to_date and self.follower.era == self.feed.era:
             return
         try:
             self.follower._read()
@@ -88,7 +89,9 @@
         end = len(self.feed.records)
         start = data.draw(strategies.integers(max(0, end - 4), end))
         page = platform_port.Page(
-            records=tuple(self.feed.records[start:end]), end=end
+            records=tuple(self.feed.records[start:end]),
+            end=end,
+            era=self.feed.era,
         )
         if late:
             self.pages.append((start, page))
@@ -104,17 +107,23 @@
     @stateful.rule(end=strategies.integers(0, 20))
     def the_planner_tells_how_far_it_is(self, end):
         now = time.monotonic()
-        self.follower.note_relayed(end=end, heard_at=now)
+        self.follower.note_relayed(end=end, heard_at=now, era=self.feed.era)
         covered = self.follower._position.covered_s(now=now) > 0
         assert covered == (self.follower.end == end)
 
+    @stateful.rule(data=strategies.data())
+    def the_store_comes_back_from_a_copy(self, data):
+        end = data.draw(strategies.integers(0, len(self.feed.records)))
+        self.feed.restore(end=end)
+        self.feed.first = min(self.feed.first, end)
+
     @stateful.rule()
     def history_is_deleted(self):
         self.feed.first = len(self.feed.records)
 
     @stateful.invariant()
     def the_follower_holds_what_its_offset_says(self):
-        if self.follower.end is None:
+        if self.follower.end is None or self.follower.era != self.feed.era:
             return
         expected = {}
         for record in self.feed.records[: self.follower.end]:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -59,12 +59,14 @@
         self.loses_answers = 0.0
         self.refuses = 0.0
         self.slowness = 1.0
+        self.full_until = float("-inf")
         self._store = store
         self._evidence = evidence
         self._rng = rng
         self._socks: set[socket.socket] = set()
         self._entry = b""
         self._lapsed: set[str] = set()
+        self._withdrawn: set[str] = set()
         self._down_since = time.monotonic()
         self.proxy: fault_proxy.FaultProxy | None = None
 
@@ -123,6 +125,11 @@
             self.server, availability=backend_server.Availability.LEAVING
         )
 
+    def write_again(self) -> None:
+        """Writes once more what a store that lost it had acknowledged."""
+        self._entry = b""
+        self._lapsed |= self._withdrawn
+
     def entry(self) -> backend_server.BackendServer:
         """Returns its entry as it should stand in the list."""
         return self.server
@@ -158,6 +165,7 @@
         for server_id in list(self._lapsed):
             if self._store.write(topic, server_id, b""):
                 self._lapsed.discard(server_id)
+                self._withdrawn.add(server_id)
 
     def _serve(self, sock: socket.socket, _: object) -> None:
         self._socks.add(sock)
@@ -187,7 +195,13 @@
             self.refuse(client, told, _MISDIRECTED)
             return
         self._evidence.arrived(told.request_id, self.server.id)
-        if self._rng.random() < self.refuses:
+        wait_s = self.full_until - time.monotonic()
+        if wait_s > 0:
+            self._evidence.held_off(
+                told.request_id, self.server.id, until=self.full_until
+            )
+            self.refuse(client, told, FULL, retry_after_s=wait_s)
+        elif self._rng.random() < self.refuses:
             self.refuse(client, told, FULL)
         else:
             with client.watched():
@@ -232,6 +246,7 @@
         status: int,
         *,
         culprit: str = "",
+        retry_after_s: float = 0.0,
     ) -> None:
         """Tells a front that its request has not run.
 
@@ -240,8 +255,28 @@
             told: What the front said.
             status: HTTP status.
             culprit: Address of the stage at fault, or empty.
+            retry_after_s: For how long it wants nothing, s, or 0.
         """
-        self._send(client, told, status, b"", not_run=True, culprit=culprit)
+        self._send(
+            client,
+            told,
+            status,
+            b"",
+            not_run=True,
+            culprit=culprit,
+            retry_after_s=retry_after_s,
+        )
+
+    def answer_headers(
+        self, told: server_side.Forwarded, **facts: str | bool | float
+    ) -> http_message.Headers:
+        """Returns the headers of an answer; they say whether it leaves."""
+        leaving = not self.server.ready
+        if leaving and facts.get("seal"):
+            self._evidence.marked(told.request_id, self.server.id)
+        return server_side.answer_headers(
+            request_id=told.request_id, leaving=leaving, **facts
+        )
 
     def _send(
         self,
@@ -249,11 +284,9 @@
         told: server_side.Forwarded,
         status: int,
         body: bytes,
-        **facts: str | bool,
+        **facts: str | bool | float,
     ) -> None:
-        headers = server_side.answer_headers(
-            request_id=told.request_id, **facts
-        )
+        headers = self.answer_headers(told, **facts)
         head = http_message.ResponseHead(
             status=status, reason=b"", headers=headers
         )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
@@ -135,7 +135,12 @@
         status: int,
         body: bytes = b"",
     ) -> None:
-        head = http_message.ResponseHead(status=status, reason=b"", headers=[])
+        headers = server_side.answer_headers(
+            request_id="", leaving=not self.server.ready
+        )
+        head = http_message.ResponseHead(
+            status=status, reason=b"", headers=headers
+        )
         answers.send_whole(client, head=head, body=body, close=False)
 
     def _obey(
@@ -233,9 +238,8 @@
         told: server_side.Forwarded,
         stream: _Stream,
     ) -> None:
-        headers = server_side.answer_headers(
-            request_id=told.request_id,
-            seal=f"{self.server.id}/{told.request_id}",
+        headers = self.answer_headers(
+            told, seal=f"{self.server.id}/{told.request_id}"
         )
         head = http_message.ResponseHead(
             status=platform_backends.OK, reason=b"", headers=headers
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_store.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_store.py
@@ -45,6 +45,17 @@
         return len(self.records)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Copy:
+    """What the store held at one moment.
+
+    Attributes:
+        topics: Records and the first kept offset by topic.
+    """
+
+    topics: dict[str, tuple[tuple[platform_port.Record, ...], int]]
+
+
 class PlatformStore:
     """Topics with the newest record of each key."""
 
@@ -54,6 +65,7 @@
         self.outage: Outage | None = None
         self.delay_s = 0.0
         self.loses_answers = False
+        self._era = 1
 
     def __repr__(self) -> str:
         """Shows the topics."""
@@ -80,6 +92,24 @@
         for topic in self._topics.values():
             topic.first = topic.end
 
+    def copy(self) -> Copy:
+        """Returns what is stored now."""
+        return Copy(
+            topics={
+                name: (tuple(topic.records), topic.first)
+                for name, topic in self._topics.items()
+            }
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Comes back from a copy; what was written since is gone."""
+        self._era += 1
+        for name, topic in self._topics.items():
+            records, topic.first = copy.topics.get(name, ((), 0))
+            topic.records = list(records)
+            topic.news.set()
+            topic.news.clear()
+
     @contextlib.contextmanager
     def serving(self, host: str) -> Iterator[tuple[str, int]]:
         """Serves the store for the body of the context.
@@ -90,7 +120,7 @@
         Yields:
             Host and port.
         """
-        app = web.JsonApp()
+        app = web.JsonApp(headers=lambda: server_side.era_headers(self._era))
         app.route("GET", store_names.READ_PATH, self._faulty(self._read))
         app.route("GET", store_names.NEWEST_PATH, self._faulty(self._newest))
         app.route("POST", store_names.APPEND_PATH, self._faulty(self._append))
@@ -124,12 +154,15 @@
     def _read(self, call: web.Call) -> bytes:
         query = server_side.read_query(call.query)
         topic = self._topic(query.topic)
-        if query.start < topic.first:
+        if not topic.first <= query.start <= topic.end:
             raise web.HttpError(_GONE, {})
         until = time.monotonic() + query.wait_s
+        era = self._era
         while topic.end <= query.start and time.monotonic() < until:
             topic.news.wait(_POLL_S)
             self._fail_if_away()
+            if self._era != era:
+                raise web.DropConnectionError
         return server_side.records_body(
             topic.records[query.start :], end=topic.end, first=topic.first
         )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_evidence.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_evidence.py
@@ -10,6 +10,9 @@
 APPLY_S = 2.0
 TIMEOUT_SLACK_S = 0.5
 LEFT_SLACK_S = 0.5
+# A full server's word holds after this time; so many requests are borne.
+HELD_OFF_SLACK_S = 0.5
+MOST_HELD_OFF = 2
 # Share of late answers, and of abandoned work that goes on, that is borne.
 MOST_UNANSWERED = 0.5
 MOST_ABANDONED = 0.25
@@ -90,6 +93,19 @@
     ended_at: float = float("inf")
 
 
+@dataclasses.dataclass(frozen=True)
+class _Pair:
+    front: str
+    server_id: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Holdoff:
+    began_at: float
+    until: float
+    arrived: int = 0
+
+
 class Evidence:
     """Collects what was seen; `violations` holds what must not happen."""
 
@@ -98,6 +114,8 @@
         self._started_at = time.monotonic()
         self._disturbances: list[_Disturbance] = []
         self._draining: dict[str, float] = {}
+        self._marked: dict[_Pair, float] = {}
+        self._held_off: dict[_Pair, _Holdoff] = {}
         self.sent: dict[str, Sent] = {}
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
         self.outcomes: collections.Counter[str] = collections.Counter()
@@ -153,9 +171,12 @@
 
     def arrived(self, request_id: str, server_id: str) -> None:
         """Notes a request at a backend server, run or not."""
-        drained_at = self._draining.get(server_id)
         sent = self.sent.get(request_id)
-        if drained_at is None or sent is None:
+        if sent is None:
+            return
+        self._check_pair(sent, server_id)
+        drained_at = self._draining.get(server_id)
+        if drained_at is None:
             return
         now = time.monotonic()
         if now < drained_at + DRAIN_S:
@@ -163,6 +184,52 @@
         if self.in_touch(sent.front, drained_at, now):
             self.broken("drain", request_id, f"reaches {server_id}")
 
+    def marked(self, request_id: str, server_id: str) -> None:
+        """Notes an answer, to be passed on, that says that a server leaves."""
+        sent = self.sent.get(request_id)
+        if sent is not None:
+            pair = _Pair(sent.front, server_id)
+            self._marked.setdefault(pair, time.monotonic())
+
+    def held_off(
+        self, request_id: str, server_id: str, *, until: float
+    ) -> None:
+        """Notes that a full server wants nothing from a front for a time."""
+        sent = self.sent.get(request_id)
+        if sent is None:
+            return
+        pair = _Pair(sent.front, server_id)
+        known = self._held_off.get(pair)
+        if known is None or known.until < time.monotonic():
+            self._held_off[pair] = _Holdoff(
+                began_at=time.monotonic(), until=until
+            )
+
+    def _check_pair(self, sent: Sent, server_id: str) -> None:
+        """Checks a request against what the server has told the front."""
+        pair = _Pair(sent.front, server_id)
+        if self._comes_after_mark(sent, pair):
+            self.broken("leaving", sent.request_id, f"reaches {server_id}")
+        if self._comes_while_held_off(pair):
+            self.broken("held off", sent.request_id, f"reaches {server_id}")
+
+    def _comes_after_mark(self, sent: Sent, pair: _Pair) -> bool:
+        marked_at = self._marked.get(pair)
+        if marked_at is None or sent.sent_at <= marked_at + DRAIN_S:
+            return False
+        return self.in_touch(pair.front, marked_at, time.monotonic())
+
+    def _comes_while_held_off(self, pair: _Pair) -> bool:
+        held, now = self._held_off.get(pair), time.monotonic()
+        if held is None or now >= held.until:
+            return False
+        if now <= held.began_at + HELD_OFF_SLACK_S:
+            return False
+        held.arrived += 1
+        if held.arrived <= MOST_HELD_OFF:
+            return False
+        return self.in_touch(pair.front, held.began_at, now)
+
     def begin_run(
         self,
         request_id: str,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
@@ -20,6 +20,7 @@
 # Work that excuses nothing: checks with a time bound hold beside it.
 _PLANNED = frozenset(
     {
+        "backend_full",
         "backend_leaves",
         "configuration_changes",
         "front_reloads",
@@ -32,6 +33,8 @@
 # An entry that lapsed is back about two seconds after a store's return.
 _SETTLE_S = 2.5
 _LEAVES_S = 3.0
+# How long the store is away before it comes back from a copy.
+_RESTORE_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -236,6 +239,13 @@
         backend.restart()
 
 
+@fault("backend_full")
+def _backend_full(fleet: soak_fleet.Fleet, for_s: float) -> None:
+    backend = _backend(fleet)
+    backend.full_until = time.monotonic() + for_s
+    gevent.sleep(for_s)
+
+
 @fault("backend_slow")
 def _backend_slow(fleet: soak_fleet.Fleet, for_s: float) -> None:
     _mistake(_backend(fleet), "slowness", 6.0, for_s)
@@ -308,6 +318,19 @@
         fleet.store.forget_history()
 
 
+@fault("store_restored")
+def _store_restored(fleet: soak_fleet.Fleet, for_s: float) -> None:
+    copy = fleet.store.copy()
+    gevent.sleep(for_s)
+    with _disturbing(fleet):
+        fleet.store.outage = platform_store.Outage.BUSY
+        gevent.sleep(_RESTORE_S)
+        fleet.store.restore(copy)
+        fleet.store.outage = None
+        fleet.write_again()
+        gevent.sleep(_SETTLE_S)
+
+
 @fault("store_link_one_way")
 def _store_link_one_way(fleet: soak_fleet.Fleet, for_s: float) -> None:
     with _disturbing(fleet):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
@@ -193,36 +193,50 @@
         Args:
             changing: Whether it holds the changing route.
         """
-        extra = (CHANGING_ROUTE,) if changing else ()
-        body = server_side.configuration_body(
-            configuration.Configuration(
-                version=self.version + 1,
-                routes=(*STEADY_ROUTES, *extra),
-                services=(
-                    configuration.Service(
-                        name="plain", max_connections=500, engine=None
-                    ),
-                    configuration.Service(
-                        name="model", max_connections=500, engine=ENGINE
-                    ),
-                ),
-                limits=configuration.ClientLimits(),
-                workspaces=(
-                    configuration.Workspace(
-                        name=WORKSPACE, api_keys=(KEY,), priority=None
-                    ),
-                ),
-            )
-        )
-        topic = store_names.CONFIGURATION_TOPIC
-        key = store_names.CONFIGURATION_KEY
-        if not self.store.write(topic, key, body):
+        if not self._write_version(self.version + 1, changing=changing):
             return False
         self.version += 1
         self.changing = changing
         self.changed_at = time.monotonic()
         return True
 
+    def write_again(self) -> None:
+        """Has operators and backend servers write what the store has lost."""
+        self._write_version(self.version, changing=self.changing)
+        for backend in self.backends:
+            backend.write_again()
+
+    def _write_version(self, version: int, *, changing: bool) -> bool:
+        body = server_side.configuration_body(
+            _configuration(version, changing=changing)
+        )
+        topic = store_names.CONFIGURATION_TOPIC
+        return self.store.write(topic, store_names.CONFIGURATION_KEY, body)
+
+
+def _configuration(
+    version: int, *, changing: bool
+) -> configuration.Configuration:
+    extra = (CHANGING_ROUTE,) if changing else ()
+    return configuration.Configuration(
+        version=version,
+        routes=(*STEADY_ROUTES, *extra),
+        services=(
+            configuration.Service(
+                name="plain", max_connections=500, engine=None
+            ),
+            configuration.Service(
+                name="model", max_connections=500, engine=ENGINE
+            ),
+        ),
+        limits=configuration.ClientLimits(),
+        workspaces=(
+            configuration.Workspace(
+                name=WORKSPACE, api_keys=(KEY,), priority=None
+            ),
+        ),
+    )
+
 
 @contextlib.contextmanager
 def running(
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
@@ -88,8 +88,15 @@
     A handler that returns bytes answers them as they are.
     """
 
-    def __init__(self) -> None:
-        """Initializes an application without routes."""
+    def __init__(
+        self, *, headers: Callable[[], Iterable[tuple[str, str]]] = tuple
+    ) -> None:
+        """Initializes an application without routes.
+
+        Args:
+            headers: Returns further headers of every answer.
+        """
+        self._headers = headers
         self._routes: list[tuple[str, re.Pattern[str], Handler]] = []
 
     def route(self, method: str, pattern: str, handler: Handler) -> None:
@@ -117,6 +124,7 @@
         body = value if raw else json.dumps(value).encode()
         kind = "application/octet-stream" if raw else "application/json"
         headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
+        headers += self._headers()
         start_response(f"{status} {'OK' if status < 400 else 'Error'}", headers)
         return [body]
 
--- a/packages/dotterelgrade-standins/tests/test_platform_store.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_store.py
@@ -63,7 +63,7 @@
 
     one, other = election(), election()
     before = one.current()
-    assert before == platform_port.Term(number=0, planner="")
+    assert before == platform_port.Term(number=0, planner="", era=1)
     claimed = one.claim("one", after=before)
     assert claimed == other.current()
     assert other.claim("other", after=before) is None
@@ -79,3 +79,27 @@
         election.claim("one", after=platform_port.Term(number=0, planner=""))
     store.loses_answers = False
     assert election.current().planner == "one"
+
+
+def test_a_store_that_comes_back_from_a_copy_counts_it(store, feed):
+    """Load pattern: a drill; what was written since the copy is gone."""
+    store.write(_TOPIC, "a", b"1")
+    copy = store.copy()
+    store.write(_TOPIC, "a", b"2")
+    before = feed.newest()
+    store.restore(copy)
+    after = feed.newest()
+    assert [r.value for r in after.records] == [b"1"]
+    assert after.era == before.era + 1
+    with pytest.raises(platform_port.RecordsExpiredError):
+        feed.read(start=before.end, wait_s=0)
+
+
+def test_a_term_that_a_copy_lacks_is_given_out_again(store, client):
+    election = store_client.AppendElection(client, topic="keyed.t")
+    copy = store.copy()
+    first = election.claim("one", after=election.current())
+    store.restore(copy)
+    second = election.claim("other", after=election.current())
+    assert second.number == first.number
+    assert second.rank > first.rank
--- a/packages/dotterelgrade-standins/tests/test_soak_evidence.py
+++ b/packages/dotterelgrade-standins/tests/test_soak_evidence.py
@@ -153,3 +153,25 @@
     later = disturbance.ended_at + soak_evidence.STABILITY_S
     assert not evidence.in_touch("f", later - 0.1, later)
     assert evidence.in_touch("f", later + 0.1, later + 1)
+
+
+def test_a_request_sent_after_a_mark_is_found(evidence, monkeypatch):
+    monkeypatch.setattr(soak_evidence, "DRAIN_S", -1.0)
+    _sent(evidence, request_id="r1")
+    evidence.marked("r1", "s")
+    _sent(evidence, request_id="r2")
+    evidence.arrived("r2", "s")
+    assert [v.rule for v in evidence.violations] == ["leaving"]
+
+
+def test_requests_to_a_server_that_wants_nothing_are_found(
+    evidence, monkeypatch
+):
+    monkeypatch.setattr(soak_evidence, "HELD_OFF_SLACK_S", -1.0)
+    _sent(evidence, request_id="r")
+    evidence.held_off("r", "s", until=float("inf"))
+    for _ in range(soak_evidence.MOST_HELD_OFF):
+        evidence.arrived("r", "s")
+    assert not evidence.violations
+    evidence.arrived("r", "s")
+    assert [v.rule for v in evidence.violations] == ["held off"]
