--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -46,18 +46,18 @@
         self._state = state
         self._client = client
         self._call = call
+        self._pace = stream_pace.StreamPace(call.received_at)
         self._repair = stream_repair.StreamRepair(
             state,
             call=call,
             stalls=stalls,
             tokens=self._tokens(),
-            count_events=lambda: self._pace.events,
+            pace=self._pace,
         )
         self._close = close
         self._splitter = event_stream.EventSplitter()
         self._last_id = ""
         self._head_sent = False
-        self._pace = stream_pace.StreamPace(call.received_at)
         self._try_began_at = call.received_at
 
     def __repr__(self) -> str:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_pace.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_pace.py
@@ -1,5 +1,8 @@
 """When the events of one stream were passed on."""
 
+# Fewer events say little about a stream's pace.
+_FEW_EVENTS = 4
+
 
 class StreamPace:
     """Counts the events of a stream and measures the pauses between them."""
@@ -10,7 +13,7 @@
         Args:
             received_at: Monotonic time at which the request arrived, s.
         """
-        self._last_at = received_at
+        self._first_at = self._last_at = received_at
         self._events = 0
         self._first_event_s = 0.0
         self._longest_pause_s = 0.0
@@ -40,6 +43,13 @@
         """How many events came before the longest pause."""
         return self._pause_after
 
+    @property
+    def usual_pause_s(self) -> float:
+        """Mean time between events, s; 0 before there are a few."""
+        if self._events < _FEW_EVENTS:
+            return 0.0
+        return (self._last_at - self._first_at) / (self._events - 1)
+
     def note(self, count: int, *, at: float) -> None:
         """Takes in events that were passed on together.
 
@@ -50,6 +60,7 @@
         pause_s = at - self._last_at
         if not self._events:
             self._first_event_s = pause_s
+            self._first_at = at
         elif pause_s > self._longest_pause_s:
             self._longest_pause_s = pause_s
             self._pause_after = self._events
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -6,7 +6,7 @@
 time to go on elsewhere.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 import time
 from typing import TypeVar
 
@@ -14,15 +14,21 @@
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import front_state
 from dotterelgrade_front import stall_watch
+from dotterelgrade_front import stream_pace
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import link_budget
 from dotterelgrade_routing import platform_port
 
-# Silence after which the first stage is asked what it waits for; a stream that
-# is moved soon after keeps within the usual bound on pauses.
+# Silence after which the stages are asked, at the latest and, of a stream with
+# steady events, at the soonest; who goes on elsewhere soon after keeps within
+# the usual bound on pauses.
 _SUSPICIOUS_SILENCE_S = 0.15
+_SHORTEST_SILENCE_S = 0.05
+# In multiples of the stream's mean time between events. Each question has a
+# price, and busy stages make a pause of twice the mean now and then.
+SUSPICIOUS_PAUSES = 2.5
 # A moved stream goes on when its new stages have read all tokens so far;
 # reports that lag still name the stage that it has left.
 _MOVED_SILENCE_S = 0.7
@@ -44,7 +50,7 @@
         call: call_lib.Call,
         stalls: stall_watch.StallWatch,
         tokens: float,
-        count_events: Callable[[], int],
+        pace: stream_pace.StreamPace,
     ) -> None:
         """Initializes the repair of one request.
 
@@ -53,13 +59,13 @@
             call: The call.
             stalls: Finds out who holds a stream up.
             tokens: Tokens that the request holds at most.
-            count_events: Returns how many events were passed on.
+            pace: The events that were passed on.
         """
         self._state = state
         self._call = call
         self._stalls = stalls
         self._tokens = tokens
-        self._count_events = count_events
+        self._pace = pace
         self._moves = 0
 
     def __repr__(self) -> str:
@@ -148,24 +154,24 @@
             self._state.note_failure(server.id, reason=reason, firm=firm)
 
     def reroute(
-        self, chain: chain_choice.Chain, culprit: str
+        self, chain: chain_choice.Chain, culprits: Collection[str]
     ) -> chain_choice.Chain | None:
-        """Moves the running request around a backend server at fault.
+        """Moves the running request around backend servers at fault.
 
         Args:
             chain: The chain that it takes.
-            culprit: Address of the backend server to avoid.
+            culprits: Addresses of the backend servers to avoid.
 
         Returns:
             The new chain, or None if the request can't be moved.
         """
-        if culprit == chain.first.address:
+        if chain.first.address in culprits:
             return None
         for _ in range(_MOST_MOVES):
             other = self._way_around(chain)
             if other is None:
                 return None
-            answer = self._move(chain, other, culprit)
+            answer = self._move(chain, other, culprits)
             if answer.moved:
                 self._moves += 1
                 return other
@@ -188,7 +194,7 @@
         self,
         chain: chain_choice.Chain,
         other: chain_choice.Chain,
-        culprit: str,
+        culprits: Collection[str],
     ) -> platform_port.RerouteAnswer:
         self.note_crossings(other, tokens=self._tokens)
         answer = self._state.platform.engines.reroute(
@@ -198,11 +204,11 @@
         )
         self._state.decisions.record(
             "rerouted",
-            reason=f"held up by {culprit}",
+            reason=f"held up by {', '.join(culprits)}",
             request_id=self._call.request_id,
             outcome=answer.outcome.value,
             refused_by=answer.culprit,
-            events=self._count_events(),
+            events=self._pace.events,
         )
         return answer
 
@@ -212,12 +218,28 @@
         if server is not None:
             self._state.note_busy(server.id)
 
-    def culprit(self, chain: chain_choice.Chain) -> str:
-        """Returns the address of whoever holds the request up, or empty."""
-        return self._stalls.culprit(
-            request_id=self._call.request_id, first=chain.first
+    def culprits(self, chain: chain_choice.Chain) -> tuple[str, ...]:
+        """Returns the addresses of those that hold the request up."""
+        return self._stalls.culprits(
+            request_id=self._call.request_id, stages=chain.stages
         )
 
+    @property
+    def resumes_sooner(self) -> bool:
+        """Whether the request goes on sooner on a chain of its own.
+
+        A running request that is moved waits for the stages behind the gap; one
+        that goes on elsewhere costs a retry and reads its prompt again.
+        """
+        if not self._call.route.resumable:
+            return False
+        return self._state.budget(self._call.service.name).plentiful
+
+    @property
+    def usual_pause_s(self) -> float:
+        """Mean time between the events of the stream so far, s, or 0."""
+        return self._pace.usual_pause_s
+
 
 class Waits:
     """Waits for an answer, looks into silence, and gives up in time."""
@@ -245,7 +267,16 @@
         send some now and then.
         """
         self._progress_at = time.monotonic()
-        self._look_at = self._progress_at + _SUSPICIOUS_SILENCE_S
+        self._look_at = self._progress_at + self._suspicious_s
+
+    @property
+    def _suspicious_s(self) -> float:
+        """Silence after which the stages are asked, s."""
+        usual_s = self._repair.usual_pause_s
+        if not usual_s:
+            return _SUSPICIOUS_SILENCE_S
+        silence_s = max(SUSPICIOUS_PAUSES * usual_s, _SHORTEST_SILENCE_S)
+        return min(silence_s, _SUSPICIOUS_SILENCE_S)
 
     def until_heard(self, read: Callable[[float], _Heard]) -> _Heard:
         """Calls a read until it returns, giving up after a long silence.
@@ -270,20 +301,23 @@
 
     def _look_into(self, silent_s: float) -> float:
         """Finds out who is at fault; returns how long to wait then, s."""
-        culprit = self._repair.culprit(self._chain)
-        if not culprit:
+        culprits = self._repair.culprits(self._chain)
+        if not culprits:
             if silent_s > _LONGEST_SILENCE_S:
                 raise upstream.TryFailedError(
                     attempt.Knowledge.UNKNOWN, f"silent for {silent_s:.1f} s"
                 )
-            return _SUSPICIOUS_SILENCE_S
-        self._repair.blame(culprit, reason="holds streams up")
-        other = self._repair.reroute(self._chain, culprit)
+            return self._suspicious_s
+        for culprit in culprits:
+            self._repair.blame(culprit, reason="holds streams up")
+        other = None
+        if not self._repair.resumes_sooner:
+            other = self._repair.reroute(self._chain, culprits)
         if other is None:
             raise upstream.TryFailedError(
                 attempt.Knowledge.UNKNOWN,
                 f"held up for {silent_s:.1f} s",
-                culprit=culprit,
+                culprit=culprits[0],
             )
         self._chain = other
         return _MOVED_SILENCE_S
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -1,5 +1,6 @@
 """Fakes at the platform port of a front, for tests."""
 
+import gevent
 from gevent import event
 from returns import result
 
@@ -58,9 +59,16 @@
         self.placed = []
         self.rerouted = []
         self.unfit = set()
+        self.down = set()
+        self.dark = set()
         self.outcome = platform_port.OrderOutcome.ACCEPTED
 
     def report(self, address):
+        if address in self.down:
+            raise platform_port.EngineDownError(address)
+        if address in self.dark:
+            gevent.sleep(0.5)
+            raise platform_port.EngineUnreachableError(address)
         if address not in self.reports:
             raise platform_port.EngineUnreachableError(address)
         return self.reports[address]
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -155,8 +155,16 @@
     assert not front.state.trust.refusing_ids(now=time.monotonic())
 
 
+def _spend_retries(front):
+    """Leaves too few retries for streams to go on elsewhere without need."""
+    budget = front.state.budget("model")
+    while budget.spend():
+        pass
+
+
 def test_a_held_up_stream_is_moved_to_other_stages(front):
     """Load pattern: a stage in the middle of a chain goes dark."""
+    _spend_retries(front)
     moved = front.state.platform.engines.rerouted
     first, engines = _add_held_up(front, others=["b2"], until=lambda: moved)
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
@@ -168,6 +176,7 @@
 
 def test_a_moved_stream_is_not_given_up_by_a_late_report(front):
     """Load pattern: a crash; reports lag, and new stages read the prompt."""
+    _spend_retries(front)
     moved = front.state.platform.engines.rerouted
 
     def read_again():
@@ -184,6 +193,7 @@
 
 def test_a_stage_that_can_not_take_a_moved_stream_is_passed_over(front):
     """Load pattern: several joined engines go dark, one is known of."""
+    _spend_retries(front)
     moved = front.state.platform.engines.rerouted
     first, engines = _add_held_up(
         front, others=["a3", "a4"], until=lambda: len(moved) == 2
@@ -330,3 +340,53 @@
         assert status == 503
         assert 0 < float(headers[b"retry-after"]) <= 2.0
     assert len(full.arrivals) == 1
+
+
+def _stage_falls_silent(front, *, kind):
+    """Streams through a1, a2 with steady events, then a2 is gone.
+
+    Returns the decisions about servers that were found at fault.
+    """
+    engines = front.state.platform.engines
+
+    def gone(sock, _):
+        getattr(engines, kind).add(front.state.fleet.get("a2").address)
+        fakes.silent(sock, _)
+
+    steady = fakes.streaming(1, 6, pause_s=0.02, after=gone)
+    first = front.add(
+        "a1", _resuming(steady, last=9), service="model", layers=(0, 4)
+    )
+    for name in ("a2", "a3"):
+        front.add(name, fakes.silent, service="model", layers=(4, 8))
+        engines.reports[front.state.fleet.get(name).address] = _report()
+    # What the first stage says of its requests lags.
+    engines.reports[first.address] = _report(stalled={})
+    engines.unfit.add(front.state.fleet.get("a3").address)
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 9))
+    return [
+        (row.details["server"], row.reason)
+        for row in front.state.decisions.journal.latest(50)
+        if row.decision == "backend_server_excluded"
+    ]
+
+
+@pytest.mark.parametrize("kind", ["down", "dark"])
+def test_a_lost_stage_is_found_before_the_first_one_reports_it(front, kind):
+    """Load pattern: a backend server crashes under many streams."""
+    found = _stage_falls_silent(front, kind=kind)
+    assert ("a2", "holds streams up") in found
+
+
+def test_a_held_up_stream_goes_on_elsewhere_while_retries_are_plentiful(front):
+    """Load pattern: a crash; the stages behind the gap read the prompt late."""
+    stuck = fakes.streaming(1, 2, after=fakes.silent, end=False)
+    first, other = _add_chains(
+        front, [_resuming(stuck, last=4)], [_resuming(stuck, last=4)]
+    )
+    engines = front.state.platform.engines
+    engines.reports[first.address] = _report(stalled={"r1": other.address})
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 4))
+    assert not engines.rerouted
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement_policies.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement_policies.py
@@ -173,7 +173,8 @@
     shares = []
     left = layers
     fastest_first = sorted(
-        free, key=lambda c: (c.accelerator.step_factor, c.server_id)
+        free,
+        key=lambda c: (_layer_s(engine, c.accelerator, room), c.server_id),
     )
     for candidate in fastest_first:
         count = layers_with_room(engine, candidate.accelerator, room)
@@ -184,6 +185,20 @@
     return shares
 
 
+def _layer_s(
+    engine: configuration.Engine,
+    kind: configuration.Accelerator,
+    room: float,
+) -> float:
+    """Returns the duration of a layer with its part of the hop, s.
+
+    A small accelerator that is hardly faster makes a chain longer and slower.
+    """
+    count = max(layers_with_room(engine, kind, room), 1)
+    compute_s = kind.step_factor * engine.step_s / engine.layers
+    return compute_s + chain_choice.HOP_S / count
+
+
 def _survives_loss(
     engine: configuration.Engine,
     free: Sequence[Candidate],
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -28,6 +28,10 @@
     """An engine gave no answer in time."""
 
 
+class EngineDownError(EngineUnreachableError):
+    """An engine's host answers, but nobody takes a connection there."""
+
+
 class EngineFullError(Exception):
     """An engine wants no question for a while."""
 
@@ -185,6 +189,7 @@
 
         Raises:
             EngineUnreachableError: There was no usable answer.
+            EngineDownError: Nobody takes a connection at its address.
             EngineFullError: It asked not to be asked for a while.
         """
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
@@ -49,6 +49,11 @@
         self._filled_at = now
         self._tokens = min(self._capacity, self._tokens + earned)
 
+    @property
+    def plentiful(self) -> bool:
+        """Whether more than half of what can be saved up is left."""
+        return self.left > self._capacity / 2
+
     def resize(self, *, rate_per_s: float, capacity: float) -> None:
         """Changes the steady rate, such as when a part of a budget changes.
 
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -26,6 +26,10 @@
     """The peer could not be reached; nothing was sent."""
 
 
+class RefusedConnectionError(ConnectError):
+    """The peer's host says that nobody listens there."""
+
+
 class BrokenConnectionError(Exception):
     """The connection ended, or its bytes were no answer, too early."""
 
@@ -316,6 +320,7 @@
         timeout_s: Longest time to wait, s.
 
     Raises:
+        RefusedConnectionError: Nobody listens there.
         ConnectError: The peer was not reached.
     """
     host, _, port = address.rpartition(":")
@@ -325,6 +330,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_liveness(sock)
         sock.connect((host, int(port)))
+    except ConnectionRefusedError as error:
+        sock.close()
+        raise RefusedConnectionError(f"{address}: {error}") from error
     except (OSError, ValueError, OverflowError) as error:
         sock.close()
         raise ConnectError(f"{address}: {error}") from error
