--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -131,8 +131,10 @@
             first: The stage to keep.
         """
         holders = []
-        for holder in self._holders(service, time.monotonic()):
-            if holder.server_id == first.server_id:
+        now = time.monotonic()
+        busy = self._trust.busy_ids(now=now)
+        for holder in self._holders(service, now):
+            if holder.server_id == first.server_id or holder.server_id in busy:
                 continue
             rest = layer_range.LayerRange(
                 max(holder.layers.first, first.layers.end), holder.layers.end
@@ -166,10 +168,14 @@
         only_firm: bool = False,
     ) -> list[chain_choice.Holder]:
         excluded = self._trust.excluded_ids(now=now, only_firm=only_firm)
+        busy = self._trust.busy_ids(now=now)
         holders = []
         for server in self._taking(service, now):
             if server.id not in excluded:
                 holder = self._holder(service.engine, server)
+                if holder is not None and server.id in busy:
+                    # It is taken only where no other holds its layers.
+                    holder = dataclasses.replace(holder, used=holder.total)
                 if holder is not None:
                     holders.append(holder)
         return holders
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -3,6 +3,8 @@
 import functools
 import time
 
+import gevent
+
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
 from dotterelgrade_front import answers
@@ -20,6 +22,10 @@
 
 _LARGEST_BODY_BYTES = 16_777_216
 _SERVER_ERROR = 500
+# A new request that so many chains did not take is refused.
+_MOST_TRIES = 4
+# Pause before a stream that has begun is offered to chains again.
+_ROOM_STEP_S = 0.1
 
 
 class ModelStream:
@@ -85,6 +91,8 @@
         while self._call.left_s > 0:
             decision = self._admit()
             if isinstance(decision, admission.Refused):
+                if self._waits_for_room():
+                    continue
                 reason = decision.reason
                 retry_after_s = decision.retry_after_s
                 break
@@ -97,6 +105,18 @@
                     break
         return self._give_up(reason, retry_after_s)
 
+    def _waits_for_room(self) -> bool:
+        """Waits a moment if the caller has events already and may get more.
+
+        To break its stream off would cost all that was done, and requests end
+        all the time.
+        """
+        silent_s = time.monotonic() - self._pace.last_at
+        if not self._head_sent or silent_s > stream_repair.LONGEST_SILENCE_S:
+            return False
+        gevent.sleep(_ROOM_STEP_S)
+        return True
+
     def _admit(self) -> admission.Admitted | admission.Refused:
         state, call = self._state, self._call
         offer = state.chains.offer(call.service)
@@ -107,8 +127,10 @@
             and chain.first.server_id not in call.unreachable
             and self._repair.affords(chain, tokens=call.facts.prompt_tokens)
         ]
+        # Another chain may have the room that a stage did not have.
+        roomier = [c for c in chains if not call.full & c.addresses]
         decision = admission.decide(
-            chains,
+            roomier or chains,
             tokens=self._tokens(),
             answer_tokens=self._answer_tokens(),
             load=state.load,
@@ -304,6 +326,9 @@
         if failed.knowledge is attempt.Knowledge.NEVER_SENT:
             call.unreachable.add(chain.first.server_id)
         if failed.knowledge is attempt.Knowledge.REFUSED:
+            # It has not run there, so that is no attempt.
+            call.sent_to.discard(chain.first.server_id)
+            call.full.add(failed.culprit or chain.first.address)
             self._repair.check(chain, failed.culprit or chain.first.address)
         elif failed.culprit:
             unreached = failed.knowledge is attempt.Knowledge.NEVER_SENT
@@ -325,6 +350,8 @@
         call = self._call
         if not call.may_repeat() or call.left_s <= 0:
             return False
+        if len(call.tries) >= _MOST_TRIES and not self._head_sent:
+            return False
         if self._head_sent and not self._last_id:
             return False
         if call.tries[-1] is attempt.Knowledge.NEVER_SENT:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_pace.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_pace.py
@@ -28,6 +28,11 @@
         """Events that were passed on."""
         return self._events
 
+    @property
+    def last_at(self) -> float:
+        """Monotonic time of the last event, or of the request before it, s."""
+        return self._last_at
+
     @property
     def first_event_s(self) -> float:
         """Time from the request to its first event, s; 0 before it."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -35,7 +35,7 @@
 # A group may have crashed of which only one member is known to be at fault.
 _MOST_MOVES = 4
 # Callers leave after about two seconds without an event.
-_LONGEST_SILENCE_S = 1.5
+LONGEST_SILENCE_S = 1.5
 
 _Heard = TypeVar("_Heard")
 
@@ -303,7 +303,7 @@
         """Finds out who is at fault; returns how long to wait then, s."""
         culprits = self._repair.culprits(self._chain)
         if not culprits:
-            if silent_s > _LONGEST_SILENCE_S:
+            if silent_s > LONGEST_SILENCE_S:
                 raise upstream.TryFailedError(
                     attempt.Knowledge.UNKNOWN, f"silent for {silent_s:.1f} s"
                 )
--- a/packages/dotterelgrade-front/tests/test_chain_directory.py
+++ b/packages/dotterelgrade-front/tests/test_chain_directory.py
@@ -54,3 +54,18 @@
     first = min(_first_ids(front))
     trust.note_failure(first, now=time.monotonic())
     assert first not in _first_ids(front)
+
+
+def test_a_busy_engine_that_alone_holds_its_layers_is_still_used(front):
+    """Load pattern: streams that go on elsewhere fill one stage of a domain."""
+    front.add("only", fakes.silent, service="model", layers=(0, 8))
+    front.state.note_busy("only")
+    assert _first_ids(front) == {"only"}
+
+
+def test_a_busy_engine_is_used_last(front):
+    _add_engines(front)
+    for number in range(2):
+        front.state.note_busy(f"e{number}")
+    chains = _offer(front).chains
+    assert chains[0].first.server_id == "e2"
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -390,3 +390,43 @@
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert (status, body) == (200, _events(1, 4))
     assert not engines.rerouted
+
+
+def test_a_stream_that_has_begun_waits_for_room(front):
+    """Load pattern: a crash; all its streams go for the room elsewhere."""
+    broken = fakes.streaming(1, 2, end=False)
+    gone = front.add(
+        "a1",
+        broken,
+        fakes.refusing(),
+        service="model",
+        layers=(0, 8),
+        failure_domain="b",
+    )
+    full = [fakes.refusing()] * 4
+    front.add(
+        "b1",
+        *full,
+        _resuming(fakes.streaming(1, 4), last=4),
+        service="model",
+        layers=(0, 8),
+    )
+    front.state.rng.random = lambda: 0.99
+    engines = front.state.platform.engines
+    for server in front.state.fleet.servers:
+        engines.reports[server.address] = _report(used=1e6)
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert len(gone.arrivals) >= 1
+    assert (status, body) == (200, _events(1, 4))
+
+
+def test_a_new_request_is_refused_after_a_few_full_chains(front):
+    """It has waited for nothing yet, and may come back."""
+    first, other = _add_chains(front, [fakes.refusing()], [fakes.refusing()])
+    engines = front.state.platform.engines
+    for server in front.state.fleet.servers:
+        engines.reports[server.address] = _report(used=1e6)
+    status, headers, _ = front.ask("/stream/x", method="POST", body=b"p")
+    assert status == 503
+    assert float(headers[b"retry-after"]) > 0
+    assert 2 <= len(first.arrivals) + len(other.arrivals) <= 4
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/chain_choice.py
@@ -9,6 +9,7 @@
 import bisect
 from collections.abc import Iterable, Sequence
 import dataclasses
+import functools
 
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
@@ -68,6 +69,11 @@
         """The stage that requests are sent to."""
         return self.stages[0]
 
+    @functools.cached_property
+    def addresses(self) -> frozenset[str]:
+        """`IP:PORT` of all stages."""
+        return frozenset(stage.address for stage in self.stages)
+
     @property
     def crossings(self) -> int:
         """How often the chain goes to another failure domain."""
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/trust.py
@@ -14,8 +14,9 @@
 
 FIRST_EXCLUSION_S = 0.6
 LONGEST_EXCLUSION_S = 6.0
-# A backend server that was short of memory or gave up layers is passed over
-# for a moment; that is no failure.
+# A backend server that was short of memory or gave up layers is taken last for
+# a moment; that is no failure. One that refuses for no known reason is passed
+# over for as long.
 BUSY_S = 0.3
 # One silence may be a long request; so many in a row are a failure.
 SILENCES = 3
@@ -38,6 +39,7 @@
     last_refusal: float = float("-inf")
     last_failure: float = 0.0
     excluded_until: float = 0.0
+    busy_until: float = 0.0
 
 
 class Trust:
@@ -82,9 +84,13 @@
         return exclusion_s
 
     def note_busy(self, server_id: str, *, now: float) -> None:
-        """Passes over a backend server that could not take more."""
+        """Takes a backend server that could not take more last for a moment.
+
+        It may be the only one that holds its layers, and requests end all the
+        time.
+        """
         record = self._records.setdefault(server_id, _Record())
-        record.excluded_until = max(record.excluded_until, now + BUSY_S)
+        record.busy_until = max(record.busy_until, now + BUSY_S)
 
     def note_silence(self, server_id: str, *, now: float) -> bool:
         """Counts an answer that did not come in time.
@@ -124,7 +130,7 @@
         record.last_refusal = now
         record.refusals += 1
         if record.refusals < REFUSALS:
-            self.note_busy(server_id, now=now)
+            record.excluded_until = now + BUSY_S
             return False
         self.note_failure(server_id, now=now)
         return True
@@ -177,6 +183,14 @@
             if now < record.excluded_until and (record.firm or not only_firm)
         )
 
+    def busy_ids(self, *, now: float) -> frozenset[str]:
+        """Returns the backend servers that could not take more just now."""
+        return frozenset(
+            server_id
+            for server_id, record in self._records.items()
+            if now < record.busy_until
+        )
+
     def refusing_ids(self, *, now: float) -> frozenset[str]:
         """Returns the backend servers that count as leaving."""
         return frozenset(
