--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_commands.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent_commands.py
@@ -13,6 +13,7 @@
 from dotterelgrade import errors
 from dotterelgrade import logs
 from dotterelgrade import settings_options
+from dotterelgrade import stop_signal
 from dotterelgrade_agent import agent as agent_lib
 from dotterelgrade_agent import agent_settings
 
@@ -40,7 +41,7 @@
     settings: agent_settings.AgentSettings,
 ) -> result.Result[console.Report, errors.Error]:
     logs.configure(process=settings.process.host, role="agent")
-    asked = console.stop_requested()
+    asked = stop_signal.stop_requested()
     try:
         with agent_lib.running(settings) as agent:
             agent.departure.stopping.rawlink(lambda _: asked.set())
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/serve_command.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/serve_command.py
@@ -9,6 +9,7 @@
 from dotterelgrade import errors
 from dotterelgrade import logs
 from dotterelgrade import settings_options
+from dotterelgrade import stop_signal
 from dotterelgrade_entry import entry as entry_lib
 from dotterelgrade_entry import entry_settings
 
@@ -31,7 +32,7 @@
     settings: entry_settings.EntrySettings,
 ) -> result.Result[console.Report, errors.Error]:
     logs.configure(process=settings.process.host, role="entry")
-    stop = console.stop_requested()
+    stop = stop_signal.stop_requested()
     with contextlib.ExitStack() as stack:
         try:
             entry = stack.enter_context(entry_lib.running(settings))
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -122,6 +122,11 @@
                 self._note_outage(str(error))
                 gevent.sleep(self._pause_s * (0.5 + self._rng.random()))
                 self._pause_s = min(self._pause_s * 2, _LONGEST_PAUSE_S)
+            except Exception:
+                # Who starts this again logs it; the newest records may not hold
+                # what could not be taken in.
+                self._position.reset()
+                raise
 
     def take_in(self, start: int, page: platform_port.Page) -> None:
         """Takes in records that the planner passes on.
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -43,6 +43,9 @@
 _GATHER_SERVERS_S = 0.4
 # A request may be on its way on a connection that is younger than this.
 _IDLE_BEFORE_CLOSE_S = 0.3
+# The store answers in milliseconds; without it callers are then sent away.
+_FIRST_READ_S = 0.3
+_FIRST_READ_STEP_S = 0.01
 # How often a front looks whether it is its turn to claim a term.
 _CLAIM_CHECK_S = 0.1
 
@@ -89,10 +92,11 @@
         self._led_since = float("-inf")
         self._asked_at = float("-inf")
         self._chance = self._state.rng.random()
+        listener = wsgi.listener(*_host_port(settings.callers_address))
         self._callers = gevent_server.StreamServer(
-            _host_port(settings.callers_address),
+            listener,
             self._handler.serve_connection,
-            backlog=_BACKLOG,
+            backlog=_BACKLOG if isinstance(listener, tuple) else None,
         )
 
     def __repr__(self) -> str:
@@ -164,8 +168,6 @@
             stack.enter_context(
                 wire.listening(self._hub.serve, identity=self._identity)
             )
-            callers.start()
-            stack.callback(callers.stop, timeout=0)
             greenlets = [
                 gevent.spawn(
                     supervision.keep_running, task, journal=self.journal
@@ -173,9 +175,23 @@
                 for task in self._tasks()
             ]
             stack.callback(gevent.killall, greenlets, timeout=0.2)
+            self._wait_for_first_read()
+            callers.start()
+            stack.callback(callers.stop, timeout=0)
             _LOG.info("started", extra={"pid": os.getpid()})
             yield
 
+    def _wait_for_first_read(self) -> None:
+        """Leaves early callers in the socket's queue until it can serve them.
+
+        Without a configuration it could only send them away.
+        """
+        until = time.monotonic() + _FIRST_READ_S
+        while time.monotonic() < until:
+            if self._state.configuration and self._state.fleet.servers:
+                return
+            gevent.sleep(_FIRST_READ_STEP_S)
+
     def drain(self) -> None:
         """Finishes the requests in flight, within the time of a stop."""
         stopped_at = time.monotonic()
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/adapter/test_early_start.py
@@ -0,0 +1,86 @@
+import subprocess
+import sys
+
+from gevent import socket
+import pytest
+
+from dotterelgrade import early_sockets
+from dotterelgrade import wsgi
+from dotterelgrade_platform import early_start
+
+_SETTINGS = """\
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+"""
+
+
+def _ports(make_port):
+    return {"front": make_port(), "ready": make_port()}
+
+
+@pytest.fixture
+def make_port():
+    def make():
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            return sock.getsockname()[1]
+
+    return make
+
+
+@pytest.fixture
+def settings_path(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    monkeypatch.setenv(early_start.PATH_VARIABLE, str(path))
+    return path
+
+
+def test_callers_that_come_before_the_server_wait_for_it(
+    settings_path, make_port
+):
+    """Load pattern: all fronts are killed, and callers come back at once."""
+    ports = _ports(make_port)
+    settings_path.write_text(_SETTINGS.format(**ports))
+    early_start.listen()
+    early = socket.create_connection(("127.0.0.1", ports["front"]), timeout=5)
+    early.sendall(b"GET / HTTP/1.0\r\n\r\n")
+
+    def app(_, start_response):
+        start_response("200 OK", [])
+        return [b"late but served"]
+
+    with wsgi.serving(app, host="127.0.0.1", port=ports["front"]):
+        answer = b""
+        while piece := early.recv(65536):
+            answer += piece
+    assert answer.endswith(b"late but served")
+    wsgi.listener("127.0.0.1", ports["ready"]).close()
+
+
+def test_a_socket_is_handed_over_once(make_port):
+    port = make_port()
+    early_sockets.listen("127.0.0.1", port)
+    wsgi.listener("127.0.0.1", port).close()
+    assert wsgi.listener("127.0.0.1", port) == ("127.0.0.1", port)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "[listen]", "listen = 3", "[listen]\nfront = 7\nready = 8", "["],
+)
+def test_unusable_settings_are_left_to_the_command(settings_path, text):
+    settings_path.write_text(text)
+    early_start.listen()
+
+
+def test_nothing_but_the_standard_library_is_loaded_first():
+    """The socket is of use only while the rest still loads."""
+    code = (
+        "import sys, dotterelgrade_platform.early_start;"
+        "print([n for n in ('gevent', 'cleo', 'msgspec') if n in sys.modules])"
+    )
+    out = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert out.stdout.strip() == "[]"
--- a/packages/dotterelgrade-front/tests/adapter/test_program.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_program.py
@@ -29,6 +29,7 @@
 def test_a_front_imports_nothing_of_the_test_tools():
     code = (
         "import sys, json, dotterelgrade_platform.__main__;"
+        "import dotterelgrade_platform.front_program;"
         "print(json.dumps(sorted(sys.modules)))"
     )
     out = subprocess.run(
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -10,6 +10,7 @@
 import platform_fakes
 import pytest
 
+from dotterelgrade import early_sockets
 from dotterelgrade_front import front as front_lib
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import layer_range
@@ -413,3 +414,20 @@
     platform.configurations.add("config", b"v1")
     _until(lambda: running.is_ready)
     assert not running.dump()["leads"]
+
+
+def test_callers_that_come_while_a_front_starts_are_answered(
+    settings, platform, monkeypatch
+):
+    """Load pattern: all fronts are killed, and callers come back at once."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    host, _, port = settings.callers_address.rpartition(":")
+    early_sockets.listen(host, int(port))
+    early = socket.create_connection((host, int(port)), timeout=5)
+    early.sendall(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+    # The list of backend servers is empty, so the front waits this long.
+    monkeypatch.setattr(front_lib, "_FIRST_READ_S", 0.1)
+    with front_lib.Front(settings, platform=platform).running():
+        # The configuration was read before the first request was.
+        assert fakes.read_answer(early)[0] == 404
--- a/packages/dotterelgrade/src/dotterelgrade/console.py
+++ b/packages/dotterelgrade/src/dotterelgrade/console.py
@@ -2,21 +2,19 @@
 
 import dataclasses
 import json
-import signal
 from typing import Any, ClassVar
 
 from cleo import helpers
 from cleo.commands import command
 from cleo.io.outputs import output
-import gevent
-from gevent import event
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import exit_codes
 
-EXIT_DONE = 0
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
+EXIT_DONE = exit_codes.EXIT_DONE
+EXIT_REFUSED = exit_codes.EXIT_REFUSED
+EXIT_USAGE = exit_codes.EXIT_USAGE
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -83,14 +81,6 @@
             self.io.write_line(text, type=output.Type.RAW)
 
 
-def stop_requested() -> event.Event:
-    """Returns an event that SIGTERM and SIGINT set from now on."""
-    requested = event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, requested.set)
-    return requested
-
-
 def _refusal(error: errors.Error) -> Report:
     return Report(
         text=f"{error.kind}: {error.message}",
--- a/packages/dotterelgrade/src/dotterelgrade/wsgi.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wsgi.py
@@ -6,6 +6,9 @@
 import socket
 
 from gevent import pywsgi
+from gevent import socket as gevent_socket
+
+from dotterelgrade import early_sockets
 
 _LOG = logging.getLogger(__name__)
 
@@ -25,6 +28,24 @@
         super().handle()
 
 
+def listener(host: str, port: int) -> gevent_socket.socket | tuple[str, int]:
+    """Returns what a gevent server is to listen on.
+
+    Args:
+        host: IP number.
+        port: TCP port.
+
+    Returns:
+        The socket that listens there already, or else the address.
+    """
+    descriptor = early_sockets.take(host, port)
+    if descriptor is None:
+        return host, port
+    sock = gevent_socket.socket(fileno=descriptor)
+    sock.setblocking(False)
+    return sock
+
+
 @contextlib.contextmanager
 def serving(
     app: Callable[..., Iterable[bytes]],
@@ -50,7 +71,7 @@
         OSError: The address can't be bound.
     """
     server = pywsgi.WSGIServer(
-        (host, port),
+        listener(host, port),
         app,
         log=None,
         error_log=_LOG,
