--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -5,7 +5,7 @@
 accepted no other one since its report.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 import dataclasses
 import time
 
@@ -18,6 +18,7 @@
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import placement
 from dotterelgrade_routing import placement_policies
+from dotterelgrade_routing import plan_risk
 from dotterelgrade_routing import platform_port
 
 TICK_S = 0.2
@@ -103,6 +104,8 @@
         self._pool = pool.Pool(_MOST_CALLS_AT_ONCE)
         self._policy = placement_policies.make_policy(state.settings.placement)
         self._suspects: set[str] = set()
+        self._held: dict[str, dict[str, layer_range.LayerRange]] = {}
+        self._risks: dict[str, plan_risk.PlanRisk] = {}
 
     def __repr__(self) -> str:
         """Shows how many engines are watched."""
@@ -213,6 +216,7 @@
             if candidate is not None:
                 candidates.append(candidate)
                 by_id[server.id] = server
+        self._watch_risk(service, candidates)
         orders = placement.plan(
             service.engine,
             placement.staying(candidates, refusing=refusing),
@@ -227,6 +231,34 @@
             jobs.append(self._pool.spawn(self._order_one, server, order, seen))
         gevent.joinall(jobs, timeout=_WAIT_FOR_CALLS_S)
 
+    def _watch_risk(
+        self,
+        service: configuration.Service,
+        candidates: Sequence[placement_policies.Candidate],
+    ) -> None:
+        """Records when layers begin or cease to hang on one engine."""
+        held = {c.server_id: c.layers for c in candidates if c.layers}
+        if not held or held == self._held.get(service.name):
+            return
+        self._held[service.name] = held
+        risk = plan_risk.assess(service.engine, held)
+        if risk == self._risks.get(service.name):
+            return
+        self._risks[service.name] = risk
+        self._state.decisions.record(
+            "layers_at_risk",
+            reason="every layer is held twice"
+            if risk.none
+            else "layers with one holder or none",
+            service=service.name,
+            engines=len(held),
+            missing=[repr(layers) for layers in risk.missing],
+            hanging={
+                server_id: [repr(layers) for layers in alone]
+                for server_id, alone in risk.hanging.items()
+            },
+        )
+
     def _candidate(
         self,
         service: configuration.Service,
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -197,3 +197,24 @@
     planner.tick()
     assert not asked
     assert planner.watched(server).misses == 0
+
+
+def test_layers_that_hang_on_one_engine_are_recorded_once(front, planner):
+    """Load pattern: one of two holders crashes."""
+    engines = _add_engines(front, count=2)
+    whole = layer_range.LayerRange(0, fakes.ENGINE.layers)
+    for number in range(2):
+        address = front.state.fleet.get(f"e{number}").address
+        engines.reports[address] = dataclasses.replace(
+            fakes.REPORT, layers=whole, orders=1
+        )
+    planner.tick()
+    del engines.reports[front.state.fleet.get("e1").address]
+    for _ in range(6):
+        planner.tick()
+    rows = [
+        row.details["hanging"]
+        for row in front.state.decisions.journal.latest(100)
+        if row.decision == "layers_at_risk"
+    ]
+    assert sorted(map(len, rows)) == [0, 1]
