--- a/packages/dotterelgrade-front/tests/adapter/test_server_side.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_server_side.py
@@ -8,9 +8,11 @@
 from dotterelgrade_front import front_settings
 from dotterelgrade_platform import codec
 from dotterelgrade_platform import headers
+from dotterelgrade_platform import operator_side
 from dotterelgrade_platform import server_side
 from dotterelgrade_platform import settings_file
 from dotterelgrade_platform import store
+from dotterelgrade_platform import store_side
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import platform_port
@@ -20,7 +22,7 @@
 
 
 def test_a_configuration_survives_the_wire():
-    body = server_side.configuration_body(fakes.CONFIGURATION)
+    body = operator_side.configuration_body(fakes.CONFIGURATION)
     assert codec.configuration_of(body).unwrap() == fakes.CONFIGURATION
 
 
@@ -65,7 +67,7 @@
         platform_port.Record(key=f"k{n}", value=b"v" * n, offset=n)
         for n in range(3, 6)
     )
-    body = server_side.records_body(records, end=6, first=1)
+    body = store_side.records_body(records, end=6, first=1)
     answer = store.Answer(status=200, body=body, era=2)
     page = store._records_of(answer, 3)
     assert page == platform_port.Page(records=records, end=6, era=2)
@@ -100,7 +102,7 @@
 
 def test_settings_are_read_back(settings, tmp_path):
     path = tmp_path / "local.toml"
-    path.write_text(server_side.settings_text(settings))
+    path.write_text(operator_side.settings_text(settings))
     read = settings_file.load(str(path))
     assert read == dataclasses.replace(
         settings, metrics_port=front_settings.DEFAULT_METRICS_PORT
