--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -430,3 +430,19 @@
     assert status == 503
     assert float(headers[b"retry-after"]) > 0
     assert 2 <= len(first.arrivals) + len(other.arrivals) <= 4
+
+
+def test_a_stream_that_has_begun_waits_until_a_full_server_is_free(front):
+    """Load pattern: a crash; the only engine left is full for a moment."""
+    broken = fakes.streaming(1, 2, end=False)
+    engine = front.add(
+        "a1",
+        broken,
+        _saying(b"retry-after: 0.4\r\n"),
+        _resuming(fakes.streaming(1, 4), last=4),
+        service="model",
+        layers=(0, 8),
+    )
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 4))
+    assert len(engine.arrivals) == 3
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -18,6 +18,12 @@
 _RESERVATIONS_TEST = "packages/dotterelgrade-routing/tests/test_reservations.py"
 _KEPT_TEST = "packages/dotterelgrade/tests/test_kept_connections.py"
 _STREAM_TEST = "packages/dotterelgrade-front/tests/test_model_stream.py"
+_PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
+_STORE_TEST = "packages/dotterelgrade-front/tests/adapter/test_store.py"
+_FLEET_TEST = "packages/dotterelgrade-routing/tests/test_fleet.py"
+_HOLDOFF_TEST = "packages/dotterelgrade-routing/tests/test_holdoff.py"
+_DIAGNOSIS_TEST = "packages/dotterelgrade-routing/tests/test_stall_diagnosis.py"
+_DIRECTORY_TEST = "packages/dotterelgrade-front/tests/test_chain_directory.py"
 
 MUTANTS = (
     mutant.Mutant(
@@ -120,8 +126,8 @@
         name="relay-accepts-gaps",
         promise=mutant.IN_FORCE,
         module="dotterelgrade_routing.feed_position",
-        old="return self._end is not None and start <= self._end",
-        new="return self._end is not None",
+        old="return start <= self._end",
+        new="return True",
         check=_RELAY_RUNS,
     ),
     mutant.Mutant(
@@ -144,7 +150,7 @@
         name="term-ended-before-its-planner-was-asked",
         promise=mutant.LEAVING,
         module="dotterelgrade_routing.leadership",
-        old=" or self._unanswered != self._term.number:",
+        old=" or self._unanswered != self._term.rank:",
         new=":",
         check=_LEADERSHIP_TEST,
     ),
@@ -188,4 +194,116 @@
         new="            if self._pass_on(head, piece) or True:\n",
         check=_STREAM_TEST,
     ),
+    mutant.Mutant(
+        name="answers-of-an-ended-era",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_routing.store_era",
+        old="        if era < self._newest:",
+        new="        if era < UNCOUNTED:",
+        check=_STORE_TEST,
+    ),
+    mutant.Mutant(
+        name="offsets-compared-across-eras",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_routing.feed_position",
+        old="        if era != self._era or self._end is None:",
+        new="        if self._end is None:",
+        check=_POSITION_TEST,
+    ),
+    mutant.Mutant(
+        name="records-skipped-at-a-new-era",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.feed_follower",
+        old="            if not self._position.continues(start, era=page.era):",
+        new="            if False:",
+        check=_FOLLOWER_TEST,
+    ),
+    mutant.Mutant(
+        name="claim-lost-with-the-store",
+        promise=mutant.LEAVING,
+        module="dotterelgrade_routing.leadership",
+        old="return self.leads and not own and term.number < known.number",
+        new="return False",
+        check=_LEADERSHIP_TEST,
+    ),
+    mutant.Mutant(
+        name="two-planners-of-one-number",
+        promise=mutant.LEAVING,
+        module="dotterelgrade_routing.leadership",
+        old="return self.leads and not own and term.number < known.number",
+        new="return self.leads and not own",
+        check=_LEADERSHIP_TEST,
+    ),
+    mutant.Mutant(
+        name="successor-yields-to-the-ended-term",
+        promise=mutant.LEAVING,
+        module="dotterelgrade_routing.leadership",
+        old=" and term.rank <= self._succeeds.rank:",
+        new=" and False:",
+        check=_LEADERSHIP_TEST,
+    ),
+    mutant.Mutant(
+        name="planner-without-the-store-stays",
+        promise=mutant.LEAVING,
+        module="dotterelgrade_routing.leadership",
+        old="deaf = heard_store_at - own_heard_at > HEARD_FOR_S",
+        new="deaf = False",
+        check=_LEADERSHIP_TEST,
+    ),
+    mutant.Mutant(
+        name="leaving-mark-forgotten",
+        promise=mutant.LEAVING,
+        module="dotterelgrade_routing.fleet",
+        old="if self._leaving.get(server.id) == server.started_ms:",
+        new="if False:",
+        check=_FLEET_TEST,
+    ),
+    mutant.Mutant(
+        name="copy-brings-back-who-left",
+        promise=mutant.LEAVING,
+        module="dotterelgrade_routing.fleet",
+        old="if self._departed.get(server.id, -1) >= server.started_ms:",
+        new="if False:",
+        check=_FLEET_TEST,
+    ),
+    mutant.Mutant(
+        name="mark-of-another-incarnation",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.front_state",
+        old="        if server is None or facts.misdirected:",
+        new="        if server is None:",
+        check=_PLAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="full-server-asked-on",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_routing.holdoff",
+        old="return max(0.0, held.until - now)",
+        new="return 0.0",
+        check=_HOLDOFF_TEST,
+    ),
+    mutant.Mutant(
+        name="own-link-never-doubted",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_routing.stall_diagnosis",
+        old="    if not others or answered < LEAST_ANSWERING * others:",
+        new="    if False:",
+        check=_DIAGNOSIS_TEST,
+    ),
+    mutant.Mutant(
+        name="full-stage-taken-for-lost",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.chain_directory",
+        old="            if server.id not in excluded:",
+        new="            if server.id not in excluded | busy:",
+        check=_DIRECTORY_TEST,
+    ),
+    mutant.Mutant(
+        name="begun-stream-does-not-wait",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.model_stream",
+        old="                if self._waits_for_room():",
+        new="                if False:",
+        check=_STREAM_TEST,
+    ),
 )
