--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -1,6 +1,6 @@
 """What the greenlets of one front share."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 import dataclasses
 import random
 import time
@@ -10,13 +10,13 @@
 from dotterelgrade_front import chain_directory
 from dotterelgrade_front import front_metrics
 from dotterelgrade_front import front_settings
+from dotterelgrade_front import server_notices
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration as configuration_lib
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import holdoff
 from dotterelgrade_routing import link_budget
 from dotterelgrade_routing import platform_port
-from dotterelgrade_routing import request_facts
 from dotterelgrade_routing import reservations
 from dotterelgrade_routing import retry_budget
 from dotterelgrade_routing import trust as trust_lib
@@ -30,8 +30,6 @@
 _EARNED_PART = 0.4
 # Until the other fronts are known, one front takes the part of one in so many.
 _UNKNOWN_FRONTS = 16
-# Characters of a malformed header that a log line repeats.
-_MOST_STATED = 40
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -67,7 +65,7 @@
         self._belief = Belief()
         self._fleet = fleet_lib.Fleet()
         self._trust = trust_lib.Trust()
-        self._holdoffs = holdoff.Holdoffs()
+        holdoffs = holdoff.Holdoffs()
         self._load = reservations.Reservations()
         self._rng = random.Random()
         self._decisions = decision_log.DecisionLog(
@@ -78,7 +76,13 @@
             fleet=self._fleet,
             trust=self._trust,
             load=self._load,
-            holdoffs=self._holdoffs,
+            holdoffs=holdoffs,
+        )
+        self._notices = server_notices.ServerNotices(
+            fleet=self._fleet,
+            holdoffs=holdoffs,
+            decisions=self._decisions,
+            metrics=self._metrics,
         )
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._links: dict[str, link_budget.LinkBudget] = {}
@@ -120,9 +124,9 @@
         return self._trust
 
     @property
-    def holdoffs(self) -> holdoff.Holdoffs:
-        """Which of them want nothing from this front for a while."""
-        return self._holdoffs
+    def notices(self) -> server_notices.ServerNotices:
+        """What backend servers said of themselves in answers."""
+        return self._notices
 
     @property
     def load(self) -> reservations.Reservations:
@@ -237,107 +241,6 @@
                 firm=firm,
             )
 
-    def usable(self, service: str) -> list[backend_server.BackendServer]:
-        """Returns the backend servers of a service that may be sent to now."""
-        return self._holdoffs.free(
-            self._fleet.ready(service), now=time.monotonic()
-        )
-
-    def held_off(self, server: backend_server.BackendServer) -> bool:
-        """Returns whether a backend server wants nothing from this front."""
-        return self._holdoffs.left_s(server, now=time.monotonic()) > 0
-
-    def first_free_s(self, service: str) -> float:
-        """Returns when the first full one of a service may be asked, s, or 0.
-
-        Args:
-            service: Name of the service.
-        """
-        return self._holdoffs.first_free_s(
-            self._fleet.ready(service), now=time.monotonic()
-        )
-
-    def note_answer(
-        self,
-        server: backend_server.BackendServer | None,
-        facts: request_facts.AnswerFacts,
-    ) -> None:
-        """Takes in what a backend server says of itself in an answer.
-
-        Args:
-            server: The incarnation that was asked, or None if it is unknown.
-            facts: What its answer says.
-        """
-        if server is None or facts.misdirected:
-            # Another incarnation may have answered at its address.
-            return
-        if facts.leaving:
-            self.note_leaving(
-                server.id, started_ms=server.started_ms, reason="said so itself"
-            )
-        if facts.retry_after:
-            self.note_holdoff(server, facts.retry_after)
-
-    def note_leaving(
-        self, server_id: str, *, started_ms: int, reason: str
-    ) -> None:
-        """Takes a backend server that leaves out of choice.
-
-        Args:
-            server_id: The backend server.
-            started_ms: Start of the process that leaves, ms since the epoch.
-            reason: How this is known, in one clause.
-        """
-        if self._fleet.note_leaving(server_id, started_ms=started_ms):
-            self._metrics.count_notice("leaving")
-            self._decisions.record(
-                "backend_server_leaving",
-                reason=reason,
-                server=server_id,
-                started_ms=started_ms,
-            )
-
-    def note_all_leaving(self, leaving: Mapping[str, int]) -> None:
-        """Takes in who said to other fronts that it leaves.
-
-        Args:
-            leaving: Starts of the processes that leave, by identifier.
-        """
-        for server_id, started_ms in leaving.items():
-            self.note_leaving(
-                server_id, started_ms=started_ms, reason="reported by a front"
-            )
-
-    def note_holdoff(
-        self, server: backend_server.BackendServer, retry_after: str
-    ) -> None:
-        """Leaves a full backend server alone for the time it asked for.
-
-        Args:
-            server: The backend server.
-            retry_after: The time, as it wrote it.
-        """
-        seconds = holdoff.seconds_of(retry_after)
-        if seconds is None:
-            self._decisions.record(
-                "retry_after_rejected",
-                reason="no number of seconds",
-                server=server.id,
-                stated=retry_after[:_MOST_STATED],
-            )
-            return
-        now = time.monotonic()
-        known = self._holdoffs.left_s(server, now=now)
-        self._holdoffs.note(server, seconds=seconds, now=now)
-        if not known and seconds:
-            self._metrics.count_notice("full")
-            self._decisions.record(
-                "backend_server_held_off",
-                reason="asked for it",
-                server=server.id,
-                for_s=round(seconds, 2),
-            )
-
     def note_report(
         self, server_id: str, report: backend_server.EngineReport
     ) -> bool:
@@ -347,7 +250,7 @@
             Whether anything that matters to routing changed.
         """
         if report.leaving:
-            self.note_leaving(
+            self._notices.note_leaving(
                 server_id, started_ms=report.started_ms, reason="report"
             )
         return self._fleet.observe(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -138,7 +138,7 @@
             failure_domain=state.settings.failure_domain,
             chance=state.rng.random(),
             begun=self._head_sent,
-            held_off_s=state.first_free_s(call.service.name),
+            held_off_s=state.notices.first_free_s(call.service.name),
         )
         inputs = {
             "fleet_version": offer.fleet_version,
@@ -220,7 +220,7 @@
                 connection,
                 headers=names,
                 until=until,
-                note=functools.partial(self._state.note_answer, asked),
+                note=functools.partial(self._state.notices.note_answer, asked),
             )
         )
         if head.status >= 300:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -162,7 +162,7 @@
                 seen.suspected_at = now
             if urgent or suspected:
                 every_s = _BUSY_REPORT_EVERY_S
-            if self._state.held_off(server):
+            if self._state.notices.held_off(server):
                 continue
             if now - seen.asked_at >= every_s and not seen.asking:
                 seen.asked_at = now
@@ -184,7 +184,7 @@
                 state.note_failure(server.id, reason=f"silent: {error}")
             return
         except platform_port.EngineFullError as error:
-            state.note_holdoff(server, error.retry_after)
+            state.notices.note_holdoff(server, error.retry_after)
             return
         finally:
             seen.asking = False
@@ -277,7 +277,8 @@
             failure_domain=server.failure_domain,
             accelerator=kind,
             layers=seen.wanted if pending else seen.report.layers,
-            movable=seen.movable(now=now) and not self._state.held_off(server),
+            movable=seen.movable(now=now)
+            and not self._state.notices.held_off(server),
             known_s=now - seen.known_at,
         )
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -97,7 +97,7 @@
                     self._links[connection] = frame
                     self._heard_at[_address_of(connection)] = time.monotonic()
                     self._planner.suspect(frame.excluded)
-                    self._state.note_all_leaving(frame.leaving)
+                    self._state.notices.note_all_leaving(frame.leaving)
         finally:
             self._links.pop(connection, None)
             self._in_step.discard(connection)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -229,7 +229,7 @@
             self._followers[told.feed].note_relayed(
                 end=told.end, heard_at=now - told.age_s, era=told.era
             )
-        state.note_all_leaving(snapshot.leaving)
+        state.notices.note_all_leaving(snapshot.leaving)
         for seen in snapshot.servers:
             self._take_in_server(seen, now)
         # Who found it out tries again; its own report must not come back to it.
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -191,7 +191,7 @@
 def test_a_full_engine_is_not_asked_for_reports(front, planner):
     engines = _add_engines(front, count=1)
     server = front.state.fleet.get("e0")
-    front.state.note_holdoff(server, "30")
+    front.state.notices.note_holdoff(server, "30")
     asked = []
     engines.report = lambda at: asked.append(at)
     planner.tick()
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -269,7 +269,7 @@
     mutant.Mutant(
         name="mark-of-another-incarnation",
         promise=mutant.ENOUGH_ROOM,
-        module="dotterelgrade_front.front_state",
+        module="dotterelgrade_front.server_notices",
         old="        if server is None or facts.misdirected:",
         new="        if server is None:",
         check=_PLAIN_TEST,
--- a/packages/dotterelgrade-standins/tests/test_operator_pages.py
+++ b/packages/dotterelgrade-standins/tests/test_operator_pages.py
@@ -90,7 +90,11 @@
 
 def test_files_of_the_newcomers_map_exist():
     page = (_ROOT / "docs/ARCHITECTURE.md").read_text()
-    known = {path.name for path in _ROOT.glob("packages/*/src/*/*.py")}
+    sources = [
+        *_ROOT.glob("packages/*/src/*/*.py"),
+        *_ROOT.glob("platform/src/*/*.py"),
+    ]
+    known = {path.name for path in sources}
     named = set(re.findall(r"([a-z_]+\.py)", page))
     assert len(named) > 30
     assert named <= known
