--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -29,7 +29,7 @@
         tries: What is known of each try so far.
         sent_to: Backend servers that it was sent to.
         unreachable: Backend servers that could not be reached for it.
-        full: Addresses of stages that had no room for it.
+        refused_by: Addresses of stages that did not take it.
     """
 
     request: http_message.Request
@@ -43,7 +43,7 @@
     tries: list[attempt.Knowledge] = dataclasses.field(default_factory=list)
     sent_to: set[str] = dataclasses.field(default_factory=set)
     unreachable: set[str] = dataclasses.field(default_factory=set)
-    full: set[str] = dataclasses.field(default_factory=set)
+    refused_by: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def request_id(self) -> str:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -23,7 +23,7 @@
 _LARGEST_BODY_BYTES = 16_777_216
 _SERVER_ERROR = 500
 # A new request that so many chains did not take is refused.
-_MOST_TRIES = 4
+_MOST_REFUSALS = 4
 # Pause before a stream that has begun is offered to chains again.
 _ROOM_STEP_S = 0.1
 
@@ -128,9 +128,9 @@
             and self._repair.affords(chain, tokens=call.facts.prompt_tokens)
         ]
         # Another chain may have the room that a stage did not have.
-        roomier = [c for c in chains if not call.full & c.addresses]
+        others = [c for c in chains if not call.refused_by & c.addresses]
         decision = admission.decide(
-            roomier or chains,
+            others or chains,
             tokens=self._tokens(),
             answer_tokens=self._answer_tokens(),
             load=state.load,
@@ -148,7 +148,7 @@
         }
         if isinstance(decision, admission.Refused):
             state.decisions.record(
-                "refused",
+                "room_awaited" if self._head_sent else "refused",
                 reason=decision.reason,
                 request_id=call.request_id,
                 retry_after_s=round(decision.retry_after_s, 2),
@@ -328,7 +328,7 @@
         if failed.knowledge is attempt.Knowledge.REFUSED:
             # It has not run there, so that is no attempt.
             call.sent_to.discard(chain.first.server_id)
-            call.full.add(failed.culprit or chain.first.address)
+            call.refused_by.add(failed.culprit or chain.first.address)
             self._repair.check(chain, failed.culprit or chain.first.address)
         elif failed.culprit:
             unreached = failed.knowledge is attempt.Knowledge.NEVER_SENT
@@ -350,7 +350,8 @@
         call = self._call
         if not call.may_repeat() or call.left_s <= 0:
             return False
-        if len(call.tries) >= _MOST_TRIES and not self._head_sent:
+        refused = call.tries.count(attempt.Knowledge.REFUSED)
+        if refused >= _MOST_REFUSALS and not self._head_sent:
             return False
         if self._head_sent and not self._last_id:
             return False
