--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/fleet.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/fleet.py
@@ -174,7 +174,11 @@
         if server is None or server.started_ms != started_ms:
             return False
         _remember(self._leaving, server_id, started_ms)
-        return self.put(server)
+        if not server.ready:
+            return False
+        self._servers[server_id] = server.as_leaving()
+        self._version += 1
+        return True
 
     @property
     def leaving(self) -> dict[str, int]:
--- a/packages/dotterelgrade-routing/tests/test_fleet.py
+++ b/packages/dotterelgrade-routing/tests/test_fleet.py
@@ -229,3 +229,14 @@
     again = make_server("s", started_ms=8)
     fleet.put(again)
     assert fleet.ready("model") == [again]
+
+
+def test_a_mark_does_not_bring_a_missing_entry_back(make_server):
+    """Load pattern: a backend server leaves and lapses in an outage."""
+    fleet = fleet_lib.Fleet()
+    fleet.put(make_server("s", started_ms=7))
+    fleet.note_outage()
+    fleet.remove("s", now=1.0)
+    fleet.note_leaving("s", started_ms=7)
+    fleet.note_contact(now=5.0)
+    assert fleet.settle(now=5.0 + fleet_lib.RETURN_GRACE_S) == ["s"]
