--- a/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/beliefs.py
@@ -45,6 +45,9 @@
     def outage(self) -> None:
         """Keeps the belief; its age shows the outage."""
 
+    def others_heard(self, *, at: float) -> None:
+        """Keeps the belief; what others hear does not make it younger."""
+
     def _adopt(self, newer: object, *, offset: int) -> None:
         state = self._state
         known = state.configuration
@@ -123,9 +126,13 @@
         self._state.fleet.note_contact(now=heard_at)
 
     def outage(self) -> None:
-        """Takes in that the store did not answer."""
+        """Takes in that the store did not answer, nor others lately."""
         self._state.fleet.note_outage()
 
+    def others_heard(self, *, at: float) -> None:
+        """Takes in that the list is not away, but only this front."""
+        self._state.fleet.note_contact(now=at)
+
     def _put(
         self, server: backend_server.BackendServer, *, copied: bool
     ) -> None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -40,7 +40,10 @@
         """Takes in when the store last answered, monotonic time, s."""
 
     def outage(self) -> None:
-        """Takes in that the store did not answer."""
+        """Takes in that the store did not answer, nor others lately."""
+
+    def others_heard(self, *, at: float) -> None:
+        """Takes in when the store last answered the planner, monotonic, s."""
 
 
 class FeedFollower:
@@ -77,7 +80,7 @@
         self._pass_on = pass_on
         self._relaying = False
         self._position = feed_position.FeedPosition()
-        self._heard_at = float("-inf")
+        self._heard_at = self._others_heard_at = float("-inf")
         self._pause_s = _FIRST_PAUSE_S
         self._lost_at: float | None = None
 
@@ -155,6 +158,8 @@
         """
         self._enter_era(era)
         self._position.note_relayed(end=end, heard_at=heard_at, era=era)
+        self._others_heard_at = max(self._others_heard_at, heard_at)
+        self._sink.others_heard(at=heard_at)
         if self._position.covered_s(now=time.monotonic()) > 0:
             self._note_contact(heard_at)
 
@@ -236,7 +241,9 @@
                 "store_lost",
                 extra={"feed": repr(self._feed), "reason": reason},
             )
-        self._sink.outage()
+        others_silent_s = time.monotonic() - self._others_heard_at
+        if others_silent_s > feed_position.RELAY_VALID_S:
+            self._sink.outage()
 
 
 Followers = Mapping[peer_frames.FeedName, FeedFollower]
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -65,6 +65,7 @@
         self._last_id = ""
         self._head_sent = False
         self._try_began_at = call.received_at
+        self._first_visit = True
 
     def __repr__(self) -> str:
         """Shows the request and how far it is."""
@@ -191,6 +192,7 @@
         self._repair.note_crossings(chain, tokens=call.facts.prompt_tokens)
         self._splitter = event_stream.EventSplitter()
         self._try_began_at = time.monotonic()
+        self._first_visit = chain.first.server_id not in call.sent_to
         try:
             with (
                 state.load.reserved(chain, tokens=self._tokens()),
@@ -326,8 +328,9 @@
         if failed.knowledge is attempt.Knowledge.NEVER_SENT:
             call.unreachable.add(chain.first.server_id)
         if failed.knowledge is attempt.Knowledge.REFUSED:
-            # It has not run there, so that is no attempt.
-            call.sent_to.discard(chain.first.server_id)
+            if self._first_visit:
+                # It has never run there, so that is no attempt.
+                call.sent_to.discard(chain.first.server_id)
             call.refused_by.add(failed.culprit or chain.first.address)
             self._repair.check(chain, failed.culprit or chain.first.address)
         elif failed.culprit:
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -9,6 +9,7 @@
 from dotterelgrade_front import beliefs
 from dotterelgrade_front import feed_follower
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import platform_port
 
 
@@ -290,3 +291,30 @@
     follower.note_relayed(end=2, heard_at=time.monotonic(), era=feed.era)
     _until(lambda: front.state.configuration.version == 3)
     running.kill()
+
+
+def test_who_leaves_is_gone_at_once_after_an_outage_of_this_front_alone(
+    front, make_entry
+):
+    """Load pattern: the store turns one front away and serves the others."""
+    state = front.state
+    feed = state.platform.backend_servers
+    follower = feed_follower.FeedFollower(
+        feed,
+        sink=beliefs.ServerSink(state),
+        rng=random.Random(1),
+        count=lambda _: None,
+    )
+    make_entry(state, "s")
+    feed.add("s", b"s")
+    running = gevent.spawn(follower.run)
+    _until(lambda: state.fleet.get("s") is not None)
+    feed.down = True
+    gevent.sleep(0.2)
+    heard_at = time.monotonic() - fleet_lib.RETURN_GRACE_S
+    follower.note_relayed(end=9, heard_at=heard_at)
+    feed.down = False
+    feed.add("s", b"")
+    _until(lambda: follower.end == 2)
+    assert state.fleet.get("s") is None
+    running.kill()
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -446,3 +446,39 @@
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert (status, body) == (200, _events(1, 4))
     assert len(engine.arrivals) == 3
+
+
+def _marking(ran, name, script):
+    """Notes that a server runs the request."""
+
+    def marked(sock, arrival):
+        ran.add(name)
+        script(sock, arrival)
+
+    return marked
+
+
+def test_a_server_that_ran_a_stream_and_refuses_it_later_counts(front):
+    """Load pattern: chains break one after another while others are full."""
+    ran = set()
+    rest = _resuming(fakes.streaming(1, 5), last=5)
+    for name, script in (
+        ("a1", fakes.streaming(1, 2, end=False)),
+        ("b1", fakes.streaming(3, 3, end=False)),
+        ("c1", rest),
+    ):
+        front.add(
+            name,
+            _marking(ran, name, script),
+            fakes.refusing(),
+            _marking(ran, name, rest),
+            service="model",
+            layers=(0, 8),
+            failure_domain=name[0],
+        )
+    engines = front.state.platform.engines
+    for server in front.state.fleet.servers:
+        engines.reports[server.address] = _report(used=1e6)
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, _events(1, 5))
+    assert len(ran) <= 2
--- a/packages/dotterelgrade-front/tests/test_relay_machine.py
+++ b/packages/dotterelgrade-front/tests/test_relay_machine.py
@@ -39,6 +39,9 @@
     def outage(self):
         pass
 
+    def others_heard(self, *, at):
+        del at
+
 
 class RelayMachine(stateful.RuleBasedStateMachine):
     """One follower, the store, and a planner that passes records on."""
