--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -1,82 +1,14 @@
-import dataclasses
 import time
 
 import front_fakes as fakes
 import gevent
 import pytest
+import stream_fakes as streams
 
 from dotterelgrade_routing import layer_range
-from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import trust
 
 
-def _events(first, last):
-    return b"".join(fakes.event_bytes(n) for n in range(first, last + 1))
-
-
-def _resuming(script, *, last):
-    """Runs a script, or streams on when an earlier event is named."""
-
-    def resuming(sock, arrival):
-        after = int(arrival.headers[b"after"] or 0)
-        if after:
-            script_of_rest = fakes.streaming(after + 1, last)
-            script_of_rest(sock, arrival)
-        else:
-            script(sock, arrival)
-
-    return resuming
-
-
-def _report(**rest):
-    return dataclasses.replace(fakes.REPORT, orders=1, running=1, **rest)
-
-
-def _add_chains(front, first_scripts, other_scripts):
-    """Two chains, in domains a and b; the first stages are scripted."""
-    first = front.add("a1", *first_scripts, service="model", layers=(0, 8))
-    other = front.add(
-        "b1",
-        *other_scripts,
-        service="model",
-        layers=(0, 8),
-        failure_domain="b",
-    )
-    return first, other
-
-
-def _add_held_up(front, *, others, until):
-    """A chain a1, a2 that falls silent after two events, and other stages.
-
-    The third event comes when a condition holds; the first stage blames a2.
-    """
-
-    def held_up(sock, arrival):
-        while not until():
-            gevent.sleep(0.01)
-        data = fakes.event_bytes(3)
-        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
-
-    first = front.add(
-        "a1",
-        fakes.streaming(1, 2, after=held_up),
-        service="model",
-        layers=(0, 4),
-    )
-    for name in ("a2", *others):
-        front.add(
-            name,
-            fakes.silent,
-            service="model",
-            layers=(4, 8),
-            failure_domain=name[0],
-        )
-    dark = front.state.fleet.get("a2").address
-    engines = front.state.platform.engines
-    engines.reports[first.address] = _report(stalled={"r1": dark})
-    return first, engines
-
-
 def test_a_stream_passes_event_by_event(front):
     backend = front.add(
         "a1", fakes.streaming(1, 5), service="model", layers=(0, 8)
@@ -84,7 +16,7 @@
     status, headers, body = front.ask("/stream/x", method="POST", body=b"p")
     assert status == 200
     assert headers[b"seal"] == b"1"
-    assert body == _events(1, 5)
+    assert body == streams.events(1, 5)
     assert backend.arrivals[0].headers[b"chain"] == b"a1=0-8"
 
 
@@ -92,23 +24,25 @@
     """Load pattern: a backend server crashes within an event."""
 
     broken = fakes.streaming(1, 3, torn=b"id: 4\ndata: to", end=False)
-    script = _resuming(broken, last=6)
-    _add_chains(front, [script], [script])
+    script = streams.resuming(broken, last=6)
+    streams.add_chains(front, [script], [script])
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert status == 200
-    assert body == _events(1, 6)
+    assert body == streams.events(1, 6)
 
 
 def test_an_end_within_an_event_is_not_taken_as_complete(front):
     torn = fakes.streaming(1, 2, torn=b"id: 3\ndata: to", end=True)
-    script = _resuming(torn, last=4)
-    _add_chains(front, [script], [script])
-    assert front.ask("/stream/x", method="POST", body=b"p")[2] == _events(1, 4)
+    script = streams.resuming(torn, last=4)
+    streams.add_chains(front, [script], [script])
+    assert front.ask("/stream/x", method="POST", body=b"p")[
+        2
+    ] == streams.events(1, 4)
 
 
 def test_a_stream_that_may_run_once_breaks_off_visibly(front):
     broken = fakes.streaming(1, 3, end=False)
-    first, other = _add_chains(front, [broken], [broken])
+    first, other = streams.add_chains(front, [broken], [broken])
     status, _, body = front.ask("/once/x", method="POST", body=b"p")
     assert status == 200
     assert body is None
@@ -116,13 +50,13 @@
 
 
 def test_a_refusing_stage_is_avoided_on_the_next_chain(front):
-    first, other = _add_chains(
+    first, other = streams.add_chains(
         front, [fakes.refusing()], [fakes.streaming(1, 2)]
     )
     first.scripts = [fakes.refusing(first.address.encode())]
-    front.state.platform.engines.reports[first.address] = _report()
+    front.state.platform.engines.reports[first.address] = streams.report()
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 2))
+    assert (status, body) == (200, streams.events(1, 2))
     assert len(first.arrivals) <= 1
 
 
@@ -131,8 +65,10 @@
     monkeypatch.setattr("dotterelgrade_routing.trust.BUSY_S", 0.0)
     for name in ("FIRST_EXCLUSION_S", "LONGEST_EXCLUSION_S"):
         monkeypatch.setattr(f"dotterelgrade_routing.trust.{name}", 60.0)
-    first, _ = _add_chains(front, [fakes.refusing()], [fakes.streaming(1, 2)])
-    front.state.platform.engines.reports[first.address] = _report(
+    first, _ = streams.add_chains(
+        front, [fakes.refusing()], [fakes.streaming(1, 2)]
+    )
+    front.state.platform.engines.reports[first.address] = streams.report(
         layers=layer_range.LayerRange(0, 8)
     )
     for _ in range(12):
@@ -146,8 +82,10 @@
 def test_a_stage_without_room_refuses_for_a_reason(front, monkeypatch):
     """Load pattern: memory is short for a moment; nobody leaves."""
     monkeypatch.setattr("dotterelgrade_routing.trust.BUSY_S", 0.0)
-    first, _ = _add_chains(front, [fakes.refusing()], [fakes.streaming(1, 2)])
-    front.state.platform.engines.reports[first.address] = _report(
+    first, _ = streams.add_chains(
+        front, [fakes.refusing()], [fakes.streaming(1, 2)]
+    )
+    front.state.platform.engines.reports[first.address] = streams.report(
         layers=layer_range.LayerRange(0, 8), used=1e6
     )
     for _ in range(4):
@@ -155,92 +93,6 @@
     assert not front.state.trust.refusing_ids(now=time.monotonic())
 
 
-def _spend_retries(front):
-    """Leaves too few retries for streams to go on elsewhere without need."""
-    budget = front.state.budget("model")
-    while budget.spend():
-        pass
-
-
-def test_a_held_up_stream_is_moved_to_other_stages(front):
-    """Load pattern: a stage in the middle of a chain goes dark."""
-    _spend_retries(front)
-    moved = front.state.platform.engines.rerouted
-    first, engines = _add_held_up(front, others=["b2"], until=lambda: moved)
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 3))
-    ((address, request_id, stages),) = engines.rerouted
-    assert (address, request_id) == (first.address, "r1")
-    assert [s.server_id for s in stages] == ["a1", "b2"]
-
-
-def test_a_moved_stream_is_not_given_up_by_a_late_report(front):
-    """Load pattern: a crash; reports lag, and new stages read the prompt."""
-    _spend_retries(front)
-    moved = front.state.platform.engines.rerouted
-
-    def read_again():
-        if moved:
-            gevent.sleep(0.4)
-        return moved
-
-    first, engines = _add_held_up(front, others=["b2", "c2"], until=read_again)
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 3))
-    assert len(first.arrivals) == 1
-    assert len(engines.rerouted) == 1
-
-
-def test_a_stage_that_can_not_take_a_moved_stream_is_passed_over(front):
-    """Load pattern: several joined engines go dark, one is known of."""
-    _spend_retries(front)
-    moved = front.state.platform.engines.rerouted
-    first, engines = _add_held_up(
-        front, others=["a3", "a4"], until=lambda: len(moved) == 2
-    )
-    engines.unfit = {front.state.fleet.get("a3").address}
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 3))
-    assert len(first.arrivals) == 1
-    assert [s.server_id for s in moved[-1][2]] == ["a1", "a4"]
-
-
-def test_a_stream_that_can_not_be_moved_goes_on_elsewhere(front):
-    front.state.platform.engines.outcome = platform_port.OrderOutcome.CONFLICT
-    stuck = fakes.streaming(1, 2, after=fakes.silent, end=False)
-    script = _resuming(stuck, last=4)
-    _add_chains(front, [script], [script])
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 4))
-
-
-def _dribbling(sock, _):
-    """Sends bytes that are no event, as long as anybody listens."""
-    while True:
-        sock.sendall(b"1\r\n:\r\n")
-        gevent.sleep(0.05)
-
-
-def test_a_stream_with_bytes_but_no_events_goes_on_elsewhere(front):
-    """Load pattern: an engine stalls but sends a byte now and then."""
-    stuck = fakes.streaming(1, 2, after=_dribbling, end=False)
-    script = _resuming(stuck, last=4)
-    _add_chains(front, [script], [script])
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 4))
-
-
-def test_a_slow_but_sound_stream_is_not_cut(front):
-    """Load pattern: each event takes longer than a silence looked into."""
-    slow = fakes.streaming(1, 4, pause_s=0.4)
-    first, other = _add_chains(front, [slow], [slow])
-    for backend in (first, other):
-        front.state.platform.engines.reports[backend.address] = _report()
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 4))
-    assert len(first.arrivals) + len(other.arrivals) == 1
-
-
 def test_a_failure_whose_body_does_not_come_ends_in_time(front):
     def stuck(sock, arrival):
         sock.sendall(b"HTTP/1.1 400 Bad\r\ncontent-length: 9\r\n\r\n")
@@ -294,14 +146,10 @@
     assert answer[2] == b"why"
 
 
-def _saying(rows, status=b"503 Full"):
-    return fakes.answering(b"", status, b"not-run: 1\r\n" + rows)
-
-
 def test_a_first_stage_that_leaves_takes_no_new_stream(front):
     """Load pattern: an engine leaves; its running streams go on."""
-    leaver, other = _add_chains(
-        front, [_saying(b"leaving: 1\r\n")], [fakes.streaming(1, 2)]
+    leaver, other = streams.add_chains(
+        front, [streams.saying(b"leaving: 1\r\n")], [fakes.streaming(1, 2)]
     )
     for _ in range(3):
         assert front.ask("/stream/x", method="POST", body=b"p")[0] == 200
@@ -309,7 +157,9 @@
 
 
 def test_a_later_stage_that_leaves_is_in_no_new_chain(front):
-    first, engines = _add_held_up(front, others=["b2"], until=lambda: True)
+    first, engines = streams.add_held_up(
+        front, others=["b2"], until=lambda: True
+    )
     front.state.fleet.note_leaving("a2", started_ms=0)
     front.ask("/stream/x", method="POST", body=b"p")
     assert b"b2" in first.arrivals[0].headers[b"chain"]
@@ -317,11 +167,11 @@
 
 def test_a_full_first_stage_is_neither_asked_nor_blamed(front):
     """Load pattern: an engine is full and names the time of a return."""
-    full, other = _add_chains(
-        front, [_saying(b"retry-after: 5\r\n")], [fakes.streaming(1, 2)]
+    full, other = streams.add_chains(
+        front, [streams.saying(b"retry-after: 5\r\n")], [fakes.streaming(1, 2)]
     )
     reports = front.state.platform.engines.reports
-    reports[full.address] = _report()
+    reports[full.address] = streams.report()
     for _ in range(3):
         assert front.ask("/stream/x", method="POST", body=b"p")[0] == 200
     assert len(full.arrivals) == 1
@@ -331,7 +181,7 @@
 def test_callers_are_told_when_the_first_full_engine_is_free(front):
     full = front.add(
         "a1",
-        _saying(b"retry-after: 2\r\n"),
+        streams.saying(b"retry-after: 2\r\n"),
         service="model",
         layers=(0, 8),
     )
@@ -342,56 +192,6 @@
     assert len(full.arrivals) == 1
 
 
-def _stage_falls_silent(front, *, kind):
-    """Streams through a1, a2 with steady events, then a2 is gone.
-
-    Returns the decisions about servers that were found at fault.
-    """
-    engines = front.state.platform.engines
-
-    def gone(sock, _):
-        getattr(engines, kind).add(front.state.fleet.get("a2").address)
-        fakes.silent(sock, _)
-
-    steady = fakes.streaming(1, 6, pause_s=0.02, after=gone)
-    first = front.add(
-        "a1", _resuming(steady, last=9), service="model", layers=(0, 4)
-    )
-    for name in ("a2", "a3"):
-        front.add(name, fakes.silent, service="model", layers=(4, 8))
-        engines.reports[front.state.fleet.get(name).address] = _report()
-    # What the first stage says of its requests lags.
-    engines.reports[first.address] = _report(stalled={})
-    engines.unfit.add(front.state.fleet.get("a3").address)
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 9))
-    return [
-        (row.details["server"], row.reason)
-        for row in front.state.decisions.journal.latest(50)
-        if row.decision == "backend_server_excluded"
-    ]
-
-
-@pytest.mark.parametrize("kind", ["down", "dark"])
-def test_a_lost_stage_is_found_before_the_first_one_reports_it(front, kind):
-    """Load pattern: a backend server crashes under many streams."""
-    found = _stage_falls_silent(front, kind=kind)
-    assert ("a2", "holds streams up") in found
-
-
-def test_a_held_up_stream_goes_on_elsewhere_while_retries_are_plentiful(front):
-    """Load pattern: a crash; the stages behind the gap read the prompt late."""
-    stuck = fakes.streaming(1, 2, after=fakes.silent, end=False)
-    first, other = _add_chains(
-        front, [_resuming(stuck, last=4)], [_resuming(stuck, last=4)]
-    )
-    engines = front.state.platform.engines
-    engines.reports[first.address] = _report(stalled={"r1": other.address})
-    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 4))
-    assert not engines.rerouted
-
-
 def test_a_stream_that_has_begun_waits_for_room(front):
     """Load pattern: a crash; all its streams go for the room elsewhere."""
     broken = fakes.streaming(1, 2, end=False)
@@ -407,25 +207,27 @@
     front.add(
         "b1",
         *full,
-        _resuming(fakes.streaming(1, 4), last=4),
+        streams.resuming(fakes.streaming(1, 4), last=4),
         service="model",
         layers=(0, 8),
     )
     front.state.rng.random = lambda: 0.99
     engines = front.state.platform.engines
     for server in front.state.fleet.servers:
-        engines.reports[server.address] = _report(used=1e6)
+        engines.reports[server.address] = streams.report(used=1e6)
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert len(gone.arrivals) >= 1
-    assert (status, body) == (200, _events(1, 4))
+    assert (status, body) == (200, streams.events(1, 4))
 
 
 def test_a_new_request_is_refused_after_a_few_full_chains(front):
     """It has waited for nothing yet, and may come back."""
-    first, other = _add_chains(front, [fakes.refusing()], [fakes.refusing()])
+    first, other = streams.add_chains(
+        front, [fakes.refusing()], [fakes.refusing()]
+    )
     engines = front.state.platform.engines
     for server in front.state.fleet.servers:
-        engines.reports[server.address] = _report(used=1e6)
+        engines.reports[server.address] = streams.report(used=1e6)
     status, headers, _ = front.ask("/stream/x", method="POST", body=b"p")
     assert status == 503
     assert float(headers[b"retry-after"]) > 0
@@ -438,13 +240,13 @@
     engine = front.add(
         "a1",
         broken,
-        _saying(b"retry-after: 0.4\r\n"),
-        _resuming(fakes.streaming(1, 4), last=4),
+        streams.saying(b"retry-after: 0.4\r\n"),
+        streams.resuming(fakes.streaming(1, 4), last=4),
         service="model",
         layers=(0, 8),
     )
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 4))
+    assert (status, body) == (200, streams.events(1, 4))
     assert len(engine.arrivals) == 3
 
 
@@ -461,7 +263,7 @@
 def test_a_server_that_ran_a_stream_and_refuses_it_later_counts(front):
     """Load pattern: chains break one after another while others are full."""
     ran = set()
-    rest = _resuming(fakes.streaming(1, 5), last=5)
+    rest = streams.resuming(fakes.streaming(1, 5), last=5)
     for name, script in (
         ("a1", fakes.streaming(1, 2, end=False)),
         ("b1", fakes.streaming(3, 3, end=False)),
@@ -478,7 +280,7 @@
         )
     engines = front.state.platform.engines
     for server in front.state.fleet.servers:
-        engines.reports[server.address] = _report(used=1e6)
+        engines.reports[server.address] = streams.report(used=1e6)
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
-    assert (status, body) == (200, _events(1, 5))
+    assert (status, body) == (200, streams.events(1, 5))
     assert len(ran) <= 2
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -18,6 +18,7 @@
 _RESERVATIONS_TEST = "packages/dotterelgrade-routing/tests/test_reservations.py"
 _KEPT_TEST = "packages/dotterelgrade/tests/test_kept_connections.py"
 _STREAM_TEST = "packages/dotterelgrade-front/tests/test_model_stream.py"
+_REPAIR_TEST = "packages/dotterelgrade-front/tests/test_stream_repair.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
 _STORE_TEST = "packages/dotterelgrade-front/tests/adapter/test_store.py"
 _FLEET_TEST = "packages/dotterelgrade-routing/tests/test_fleet.py"
@@ -192,7 +193,7 @@
         module="dotterelgrade_front.model_stream",
         old="            if self._pass_on(head, piece):\n",
         new="            if self._pass_on(head, piece) or True:\n",
-        check=_STREAM_TEST,
+        check=_REPAIR_TEST,
     ),
     mutant.Mutant(
         name="answers-of-an-ended-era",
