Keep a successor that has not read the era of its handover

Cause: a front that is named as successor may not have read any term of the era in which the term ended. Leadership compared eras first: the ended term looked like a term of a newer era that kept the own claim, so the successor stopped acting and nobody planned until the next claim. Ruled out: the number of the ended term (equal in both), the order of messages. Change: a term that is not newer than the ended one never ends the successor's acting; only then are eras compared.

Before: test_a_successor_leads_after_a_restore_that_lost_no_term fails.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -123,11 +123,12 @@
     def _keeps_acting(self, term: platform_port.Term, *, own: bool) -> bool:
         """Returns whether this front keeps acting after a term was read."""
         known = self._term
+        if self._ended_term is not None and term.rank <= self._ended_term.rank:
+            # Also in an era that this front had not seen before the handover.
+            return self._acting
         if known is not None and term.era > known.era:
             # A smaller number comes from the backup: the own claim was lost.
             return self.leads and not own and term.number < known.number
-        if self._ended_term is not None and term.rank <= self._ended_term.rank:
-            return self._acting
         return self._acting and known is not None and term.rank == known.rank
 
     def note_planner_missing(self, *, now: float) -> None:
