Claim a term only with a configuration

Cause of the flaky test_front_is_ready_without_a_planner: a front claimed a term before it had read a configuration; such a planner orders nothing and has no records to relay. The test was wrong as well: it asked whether the front led right after it became ready, and a front without jitter may claim by then. Change: no claim without a configuration, with a test that fails before. The old test now makes an election impossible (the store answers nothing on terms), waits for longer than any claim is delayed, and asks twice: as strict, and without a race.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -290,6 +290,9 @@
                 self._read_term(now)
 
     def _should_claim(self, now: float) -> bool:
+        if self._state.configuration is None:
+            # It could order nothing, and has no records to relay.
+            return False
         delay_s = leadership_lib.claim_delay_s(
             self._state.fronts,
             own=self._settings.peer_address,
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -442,9 +442,22 @@
 
 
 def test_front_is_ready_without_a_planner(running, platform):
+    """No front can be elected while the store answers no question on terms."""
+    platform.election.down = True
     platform.configurations.add("config", b"v1")
     _until(lambda: running.is_ready)
     assert not running.dump()["leads"]
+    gevent.sleep(leadership.CLAIM_STAGGER_S * leadership.MAX_CLAIM_STEPS)
+    assert running.is_ready
+    assert not running.dump()["leads"]
+
+
+def test_front_without_a_configuration_claims_no_term(running, platform):
+    """A planner without a configuration could order and relay nothing."""
+    gevent.sleep(leadership.CLAIM_STAGGER_S * leadership.MAX_CLAIM_STEPS)
+    assert not platform.election.claims
+    platform.configurations.add("config", b"v1")
+    _until(lambda: platform.election.claims)
 
 
 def test_requests_received_during_start_are_answered(
