--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_delta.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_delta.py
@@ -47,6 +47,11 @@
     digest: int
     parts: list[DeltaPart]
 
+    @property
+    def literal_bytes(self) -> int:
+        """Size of the bytes that are not in the old version."""
+        return sum(len(part.literal) for part in self.parts)
+
 
 def compute(base: bytes, target: bytes) -> Delta:
     """Returns the difference between two versions.
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
@@ -130,7 +130,7 @@
 
 @relay_encoding("delta")
 class DeltaEncoding:
-    """Sends the difference to the value before, where it is known."""
+    """Sends the difference to the value before, where it is known and small."""
 
     def encode(
         self, record: platform_port.Record, *, base: bytes | None
@@ -138,11 +138,10 @@
         """See `RelayEncoding`."""
         if base is None or not record.value:
             return CompressedEncoding().encode(record, base=base)
-        return EncodedRecord(
-            key=record.key,
-            offset=record.offset,
-            delta=record_delta.compute(base, record.value),
-        )
+        delta = record_delta.compute(base, record.value)
+        if delta.literal_bytes >= latest_records.MIN_RECORD_BYTES:
+            return CompressedEncoding().encode(record, base=base)
+        return EncodedRecord(key=record.key, offset=record.offset, delta=delta)
 
 
 def encode_all(
--- a/packages/dotterelgrade-routing/tests/test_relay_encoding.py
+++ b/packages/dotterelgrade-routing/tests/test_relay_encoding.py
@@ -4,6 +4,7 @@
 import pytest
 from returns import pipeline
 
+from dotterelgrade_routing import latest_records
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import relay_encoding
 
@@ -70,11 +71,22 @@
         relay_encoding.make_encoding(name).encode(_record(new), base=old)
         for name in ("delta", "whole")
     )
-    literals = sum(len(part.literal) for part in delta.delta.parts)
-    assert literals * 8 / _LINK_BITS_PER_S < _MAX_DELAY_S
+    literal_bits = delta.delta.literal_bytes * 8
+    assert literal_bits / _LINK_BITS_PER_S < _MAX_DELAY_S
     assert len(whole.value) * 8 / _LINK_BITS_PER_S > _MAX_DELAY_S
 
 
+def test_a_configuration_that_grows_by_many_routes_is_compressed():
+    """Load pattern: 1,500 routes are added at once."""
+    (new,) = _versions(1)
+    old = json.dumps({"version": 0, "routes": []}).encode()
+    old += b" " * latest_records.MIN_RECORD_BYTES
+    encoding = relay_encoding.make_encoding("delta")
+    encoded = encoding.encode(_record(new), base=old)
+    assert encoded.compressed
+    assert len(encoded.value) < len(new) / 4
+
+
 def test_a_front_without_the_version_before_rejects_a_difference():
     old, new = _versions(2)
     encoding = relay_encoding.make_encoding("delta")
