Relay the newest records when the planner's own have expired

Change: the planner relays what it has read as a complete state, the configuration as a difference; a front that knows a later state ignores it. The model test of relayed feeds gains complete states, also late and doubled.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -50,7 +50,7 @@
         """Notes when the store last answered the planner, monotonic time, s."""
 
 
-OnPage = Callable[[int, platform_port.Page, Mapping[str, bytes]], None]
+OnPage = Callable[[int | None, platform_port.Page, Mapping[str, bytes]], None]
 
 
 class FeedFollower:
@@ -79,7 +79,8 @@
             batch_delay_s: Pause after new records, to read later ones in one
                 batch, s.
             on_page: Called with the start offset and the records of each read,
-                and the newest large values by key before them.
+                and the newest large values by key before them; the offset is
+                None if the records are the newest of all keys.
         """
         self._feed = feed
         self._sink = sink
@@ -159,12 +160,13 @@
         self._position.advance(page.end, era=page.era)
 
     def apply_changes(
-        self, start: int, page: relay_encoding.EncodedPage
+        self, start: int | None, page: relay_encoding.EncodedPage
     ) -> result.Result[None, errors.Error]:
         """Applies encoded records that the planner relays.
 
         Args:
-            start: Offset from which the records are complete.
+            start: Offset from which the records are complete, or None if they
+                are the newest of all keys.
             page: The records.
 
         Returns:
@@ -172,21 +174,27 @@
             the next read of the store brings them.
         """
         self._enter_era(page.era)
-        if not self._position.is_contiguous(start, era=page.era):
+        known_end = -1 if self._position.end is None else self._position.end
+        if start is None:
+            if page.era != self._position.era or page.end <= known_end:
+                return result.Success(None)
+            records = page.records
+        elif self._position.is_contiguous(start, era=page.era):
+            records = tuple(r for r in page.records if r.offset >= known_end)
+        else:
             return result.Success(None)
-        known_end = self._position.end
         decoded = relay_encoding.decode_all(
-            (record for record in page.records if record.offset >= known_end),
-            bases=self._latest.values(),
+            records, bases=self._latest.values()
         )
         if isinstance(decoded, result.Failure):
             return decoded
-        self.apply_relayed(
-            start,
-            platform_port.Page(
-                records=decoded.unwrap(), end=page.end, era=page.era
-            ),
+        complete = platform_port.Page(
+            records=decoded.unwrap(), end=page.end, era=page.era
         )
+        if start is None:
+            self._replace_all(complete)
+        else:
+            self.apply_relayed(start, complete)
         return result.Success(None)
 
     def note_relayed(
@@ -217,10 +225,11 @@
             self._enter_era(page.era)
             if page.era != self._position.era:
                 return
-            self._sink.replace_all(page)
-            self._latest.clear()
-            for record in page.records:
-                self._latest.note(record)
+            if (self._position.end or 0) > page.end:
+                # The planner has relayed a later state meanwhile.
+                return
+            bases = self._latest.values()
+            self._replace_all(page)
         else:
             page = self._feed.read(start=start, wait_s=self._poll_timeout_s())
             self._note_answer()
@@ -230,13 +239,20 @@
             bases = self._latest.values()
             for record in page.records:
                 self._apply(record)
-        self._position.advance(page.end, era=page.era)
+            self._position.advance(page.end, era=page.era)
         if not page.records:
             return
-        if start is not None and self._on_page is not None:
+        if self._on_page is not None:
             self._on_page(start, page, bases)
         gevent.sleep(self._current_batch_delay_s())
 
+    def _replace_all(self, page: platform_port.Page) -> None:
+        self._sink.replace_all(page)
+        self._latest.clear()
+        for record in page.records:
+            self._latest.note(record)
+        self._position.advance(page.end, era=page.era)
+
     def _apply(self, record: platform_port.Record) -> None:
         self._sink.apply(record)
         self._latest.note(record)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -60,14 +60,15 @@
 
     Attributes:
         feed: The feed.
-        start: Offset from which the records are complete.
+        start: Offset from which the records are complete, or None if they are
+            the newest of all keys.
         end: Offset after the last record.
         era: Era of the store to which the offsets belong.
         records: In order of their offsets.
     """
 
     feed: FeedName
-    start: int
+    start: int | None
     end: int
     era: int
     records: list[relay_encoding.EncodedRecord]
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -116,7 +116,7 @@
     def relay_page(
         self,
         feed: peer_frames.FeedName,
-        start: int,
+        start: int | None,
         page: platform_port.Page,
         bases: Mapping[str, bytes],
     ) -> None:
@@ -124,7 +124,8 @@
 
         Args:
             feed: The feed.
-            start: Offset from which the page is complete.
+            start: Offset from which the page is complete, or None if it holds
+                the newest records of all keys.
             page: The records.
             bases: Newest large values by key before the page.
         """
@@ -155,7 +156,10 @@
             )
 
         for connection, load in list(self._loads.items()):
-            connection.send_encoded(changes if load.reads_changes else whole())
+            if load.reads_changes:
+                connection.send_encoded(changes)
+            elif start is not None:
+                connection.send_encoded(whole())
 
     @property
     def has_fronts(self) -> bool:
--- a/packages/dotterelgrade-front/tests/test_relay_machine.py
+++ b/packages/dotterelgrade-front/tests/test_relay_machine.py
@@ -142,6 +142,29 @@
             records=tuple(records), end=end, era=self.feed.era
         )
 
+    @stateful.rule(
+        late=strategies.booleans(),
+        name=strategies.sampled_from(relay_encoding.relay_encodings()),
+    )
+    def relay_newest_records(self, late, name):
+        """The planner has read all keys anew after its records expired."""
+        newest = self.feed.newest()
+        latest = latest_records.LatestRecords()
+        for record in newest.records:
+            latest.note(record)
+        records = relay_encoding.encode_all(
+            relay_encoding.make_encoding(name),
+            newest.records,
+            bases=latest.values(),
+        )
+        page = relay_encoding.EncodedPage(
+            records=tuple(records), end=newest.end, era=newest.era
+        )
+        if late:
+            self.late_changes.append((None, page))
+        else:
+            self.follower.apply_changes(None, page)
+
     @stateful.precondition(lambda self: self.late_changes)
     @stateful.rule(data=strategies.data(), again=strategies.booleans())
     def deliver_late_changes(self, data, again):
