Measure how late the event loop runs its timers

Cause: nothing told whether events waited for the processor or for the link. Change: a timer every 0.1 s feeds a latency histogram, and a delay of 50 ms or more is logged, at most twice a second.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -23,6 +23,7 @@
 from dotterelgrade_front import feed_sinks
 from dotterelgrade_front import front_settings
 from dotterelgrade_front import front_state
+from dotterelgrade_front import loop_monitor
 from dotterelgrade_front import peer_frames
 from dotterelgrade_front import planner as planner_lib
 from dotterelgrade_front import planner_hub
@@ -269,6 +270,7 @@
             self._run_planner,
             self._exchange_loads,
             self._drop_missing_servers,
+            loop_monitor.LoopMonitor(self._state).run,
         ]
 
     def _maintain_term(self) -> None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -33,6 +33,10 @@
             "front_first_event_seconds", "Time from request to first event."
         )
 
+        self._loop_delay = self._metrics.latency(
+            "front_loop_delay_seconds", "How late the event loop ran a timer."
+        )
+
     def __repr__(self) -> str:
         """Shows the class."""
         return "<FrontMetrics>"
@@ -42,6 +46,11 @@
         """Time from request to first event, s."""
         return self._first_event_delay
 
+    @property
+    def loop_delay(self) -> metrics_lib.Latency:
+        """How late the event loop ran a timer, s."""
+        return self._loop_delay
+
     def count_answer(self, outcome: str, *, seconds: float) -> None:
         """Counts an answer and records its duration."""
         self._answers.labels(outcome).inc()
