Import prometheus_client only when metrics are asked for

Cause: a front that restarts imports 407 modules; prometheus_client alone brings http.server and ssl. Change: counters and gauges are plain objects, as the latencies were; prometheus_client formats them when they are asked for.

--- a/packages/dotterelgrade/src/dotterelgrade/contract_metrics.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_metrics.py
@@ -64,4 +64,4 @@
         feed: The feed to export.
         metrics: The metrics of the process.
     """
-    metrics.registry.register(ContractMetrics(feed))
+    metrics.add_collector(ContractMetrics(feed))
--- a/packages/dotterelgrade/src/dotterelgrade/metrics.py
+++ b/packages/dotterelgrade/src/dotterelgrade/metrics.py
@@ -1,13 +1,22 @@
-"""Counters, gauges and latency histograms of one process."""
+"""Counters, gauges and latency histograms of one process.
+
+Values are kept in plain objects. prometheus_client formats them when they are
+asked for and is imported only then: a front that restarts is serving sooner,
+and one that nobody asks needs less memory.
+"""
+
+from __future__ import annotations
 
 from collections.abc import Iterator
 import contextlib
 import time
+from typing import TYPE_CHECKING, Protocol
 
 from hdrh import histogram
-import prometheus_client
-from prometheus_client import core
-from prometheus_client import registry
+
+if TYPE_CHECKING:
+    from prometheus_client import core
+    from prometheus_client import registry
 
 _MIN_US = 1
 _MAX_US = 3_600_000_000
@@ -62,39 +71,133 @@
             self.record(time.monotonic() - started_s)
 
 
-class Metrics:
-    """The metrics of one process, in its own registry.
+class Value:
+    """A number that can be counted up or set."""
+
+    def __init__(self) -> None:
+        """Initializes it at zero."""
+        self._number = 0.0
+
+    def __repr__(self) -> str:
+        """Shows the number."""
+        return f"<Value {self._number:g}>"
+
+    @property
+    def number(self) -> float:
+        """The present number."""
+        return self._number
+
+    def inc(self, amount: float = 1.0) -> None:
+        """Adds to the number."""
+        self._number += amount
+
+    def set(self, number: float) -> None:
+        """Replaces the number."""
+        self._number = number
+
+
+class Family:
+    """The values of one counter or gauge by their labels."""
+
+    def __init__(
+        self, name: str, help_text: str, label_names: tuple[str, ...]
+    ) -> None:
+        """Initializes a family; without labels it has one value.
+
+        Args:
+            name: Name of the metric.
+            help_text: What it measures.
+            label_names: Names of its labels.
+        """
+        self._name = name
+        self._help_text = help_text
+        self._label_names = label_names
+        self._values: dict[tuple[str, ...], Value] = {}
+        if not label_names:
+            self.labels()
+
+    def __repr__(self) -> str:
+        """Shows the name."""
+        return f"<Family {self._name}>"
+
+    def labels(self, *values: object) -> Value:
+        """Returns the value with the given labels, created on first use."""
+        if len(values) != len(self._label_names):
+            raise ValueError(f"{self._name}: expected {self._label_names}")
+        return self._values.setdefault(tuple(map(str, values)), Value())
+
+    def inc(self, amount: float = 1.0) -> None:
+        """Adds to the value without labels."""
+        self.labels().inc(amount)
+
+    def set(self, number: float) -> None:
+        """Replaces the value without labels."""
+        self.labels().set(number)
+
+    def collect(
+        self, family_type: type[core.CounterMetricFamily]
+    ) -> core.Metric:
+        """Returns all values as a metric of prometheus_client.
 
-    Counters and gauges come from prometheus_client; latencies are summaries
-    computed from HDR histograms.
-    """
+        Args:
+            family_type: Class of a family of counters or gauges.
+        """
+        metric = family_type(
+            self._name, self._help_text, labels=self._label_names
+        )
+        for labels, value in self._values.items():
+            metric.add_metric(labels, value.number)
+        return metric
+
+
+class Collector(Protocol):
+    """Computes metrics when they are asked for."""
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yields the metrics."""
+
+
+class Metrics:
+    """The metrics of one process, in its own registry."""
 
     def __init__(self) -> None:
-        """Initializes an empty registry."""
-        self._registry = registry.CollectorRegistry()
+        """Initializes it without metrics."""
+        self._collectors: list[Collector] = [self]
+        self._counters: list[Family] = []
+        self._gauges: list[Family] = []
         self._latencies: dict[str, tuple[str, Latency]] = {}
-        self._registry.register(self)
+
+    def __repr__(self) -> str:
+        """Shows the number of counters and gauges."""
+        return f"<Metrics {len(self._counters)}, {len(self._gauges)}>"
 
     @property
     def registry(self) -> registry.CollectorRegistry:
-        """The registry, to add further collectors."""
-        return self._registry
+        """A registry with all metrics."""
+        from prometheus_client import registry
+
+        collected = registry.CollectorRegistry()
+        for collector in self._collectors:
+            collected.register(collector)
+        return collected
+
+    def add_collector(self, collector: Collector) -> None:
+        """Adds metrics that are computed when they are asked for."""
+        self._collectors.append(collector)
 
     def counter(
         self, name: str, help_text: str, labels: tuple[str, ...] = ()
-    ) -> prometheus_client.Counter:
+    ) -> Family:
         """Returns a new counter."""
-        return prometheus_client.Counter(
-            name, help_text, labels, registry=self._registry
-        )
+        self._counters.append(Family(name, help_text, labels))
+        return self._counters[-1]
 
     def gauge(
         self, name: str, help_text: str, labels: tuple[str, ...] = ()
-    ) -> prometheus_client.Gauge:
+    ) -> Family:
         """Returns a new gauge."""
-        return prometheus_client.Gauge(
-            name, help_text, labels, registry=self._registry
-        )
+        self._gauges.append(Family(name, help_text, labels))
+        return self._gauges[-1]
 
     def latency(self, name: str, help_text: str) -> Latency:
         """Returns the latency of that name, created on first use."""
@@ -103,7 +206,13 @@
         return self._latencies[name][1]
 
     def collect(self) -> Iterator[core.Metric]:
-        """Yields the latencies as summaries, for the registry."""
+        """Yields all metrics, latencies as summaries, for the registry."""
+        from prometheus_client import core
+
+        for counter in self._counters:
+            yield counter.collect(core.CounterMetricFamily)
+        for gauge in self._gauges:
+            yield gauge.collect(core.GaugeMetricFamily)
         for name, (help_text, latency) in self._latencies.items():
             yield core.SummaryMetricFamily(
                 name, help_text, latency.count, latency.sum_s
@@ -118,4 +227,6 @@
 
     def as_text(self) -> bytes:
         """Returns every metric in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        import prometheus_client
+
+        return prometheus_client.generate_latest(self.registry)
