Bound a stage's silence by the replies of the others

Ruled out: the event loop (no delay of 50 ms).

Change: the bound is a decision in a registry, `fixed` (0.25 s, so far) and `observed`: mean and four deviations of the latest replies, 0.05 to 0.25 s, so that a link that loses packets keeps the long one. The detector waits for the last missing replies while few are missing, up to 0.1 s.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -5,6 +5,7 @@
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import relay_encoding as relay_encoding_lib
+from dotterelgrade_routing import silence_bounds
 
 DEFAULT_METRICS_PORT = 9464
 
@@ -30,6 +31,7 @@
         retry_slack: Additional retries per window, over all fronts.
         retry_window_s: Length of the retry budget's window, s.
         placement: Name of the placement policy.
+        silence_bound: How long a queried stage may stay silent.
         relay_encoding: How the planner encodes records for the other fronts.
     """
 
@@ -49,12 +51,14 @@
     retry_slack: float = 100.0
     retry_window_s: float = 10.0
     placement: str = "balanced"
+    silence_bound: str = "observed"
     relay_encoding: str = "delta"
 
     def __post_init__(self) -> None:
         """Validates the names of policies and the addresses."""
         placement_policies.make_policy(self.placement)
         relay_encoding_lib.make_encoding(self.relay_encoding)
+        silence_bounds.make_bound(self.silence_bound)
         for address in (self.callers_address, self.ready_address):
             host, _, port = address.rpartition(":")
             if not host or not port.isdigit():
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
@@ -10,15 +10,17 @@
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import silence_bounds
 from dotterelgrade_routing import stall_diagnosis
 
 # A reply is shared by all streams that wait for the same stage.
 _REPLY_VALID_S = 0.1
 # Replies within a region take milliseconds.
 _REPLY_WAIT_S = 0.03
-# A stage that has not replied for this long counts as silent. Long enough to
-# spare one that is only slow to reply; the bound on pauses permits no more.
-_SILENT_AFTER_S = 0.25
+# A stream that recovers meanwhile must not wait longer for a diagnosis.
+_LONGEST_WAIT_S = 0.1
+# Pause between two looks at the replies that are missing.
+_MISSING_REPLY_POLL_S = 0.01
 _MAX_QUERIES = 512
 
 
@@ -38,10 +40,17 @@
     report: backend_server.EngineReport | None = None
     reply: stall_diagnosis.ProbeResult = stall_diagnosis.ProbeResult.AWAITED
 
-    def reply_at(self, now: float) -> stall_diagnosis.ProbeResult:
-        """Returns how the stage has replied by a given time."""
+    def reply_at(
+        self, now: float, *, bound_s: float
+    ) -> stall_diagnosis.ProbeResult:
+        """Returns how the stage has replied by a given time.
+
+        Args:
+            now: Monotonic time, s.
+            bound_s: Silence after which it counts as unreachable, s.
+        """
         awaited = self.reply is stall_diagnosis.ProbeResult.AWAITED
-        if awaited and now - self.sent_at >= _SILENT_AFTER_S:
+        if awaited and now - self.sent_at >= bound_s:
             return stall_diagnosis.ProbeResult.SILENT
         return self.reply
 
@@ -57,6 +66,7 @@
         """
         self._state = state
         self._queries: dict[str, _Query] = {}
+        self._bound = silence_bounds.make_bound(state.settings.silence_bound)
 
     def __repr__(self) -> str:
         """Shows the number of stored queries."""
@@ -76,17 +86,34 @@
         """
         addresses = [s.address for s in stages if self._may_query(s.server_id)]
         queries = {address: self._query(address) for address in addresses}
-        self._wait_for_replies(queries.values())
-        now = time.monotonic()
-        faulty = stall_diagnosis.faulty_stages(
-            {a: query.reply_at(now) for a, query in queries.items()}
-        )
+        faulty = self._await_diagnosis(queries)
         first = queries.get(next(iter(addresses), ""))
         if faulty or first is None or first.report is None:
             return faulty
         reported = first.report.stalled.get(request_id, "")
         return (reported,) if reported else ()
 
+    def _await_diagnosis(self, queries: dict[str, _Query]) -> tuple[str, ...]:
+        """Waits for the replies, and as long as a missing one is not silent.
+
+        The rest of the stages must have replied by then, else nothing is known
+        about the missing ones.
+        """
+        self._wait_for_replies(queries.values())
+        while True:
+            now = time.monotonic()
+            bound_s = self._bound.bound_s
+            replies = {
+                address: query.reply_at(now, bound_s=bound_s)
+                for address, query in queries.items()
+            }
+            faulty = stall_diagnosis.faulty_stages(replies)
+            if faulty or not stall_diagnosis.is_conclusive_soon(replies):
+                return faulty
+            if bound_s > _LONGEST_WAIT_S:
+                return faulty
+            gevent.sleep(_MISSING_REPLY_POLL_S)
+
     def report(self, address: str) -> backend_server.EngineReport | None:
         """Returns an engine's report, or None if it does not reply."""
         query = self._query(address)
@@ -120,6 +147,7 @@
         try:
             query.report = self._state.platform.engines.report(address)
             query.reply = replies.ANSWERED
+            self._bound.note_reply(time.monotonic() - query.sent_at)
         except platform_port.EngineDownError:
             query.reply = replies.DOWN
         except platform_port.EngineUnreachableError:
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/silence_bounds.py
@@ -0,0 +1,111 @@
+"""How long a queried stage may stay silent before it counts as unreachable.
+
+Load pattern: a stage goes dark and every stream through it stalls at once. A
+stream is on time only if it continues elsewhere within a quarter of a second,
+so the bound must not be longer than the replies of healthy stages need; on a
+link that loses packets these need longer.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+# A bound that spares a stage whose reply was lost and sent again.
+MAX_BOUND_S = 0.25
+# A stage that is only busy replies within this time.
+MIN_BOUND_S = 0.05
+# As in the retransmission timeout of TCP.
+_MEAN_GAIN = 1 / 8
+_DEVIATION_GAIN = 1 / 4
+_DEVIATIONS = 4.0
+
+
+class SilenceBound(Protocol):
+    """Bounds the silence of a queried stage."""
+
+    def note_reply(self, seconds: float) -> None:
+        """Records how long a reply took, s."""
+
+    @property
+    def bound_s(self) -> float:
+        """Silence after which a stage counts as unreachable, s."""
+
+
+_BOUNDS: dict[str, type[SilenceBound]] = {}
+
+
+def silence_bound(name: str) -> Callable[[type], type]:
+    """Registers a bound under its name in the settings."""
+
+    def register(cls: type) -> type:
+        _BOUNDS[name] = cls
+        return cls
+
+    return register
+
+
+def silence_bounds() -> list[str]:
+    """Returns the names of the registered bounds."""
+    return sorted(_BOUNDS)
+
+
+def make_bound(name: str) -> SilenceBound:
+    """Returns a new bound of a registered kind.
+
+    Args:
+        name: Its name.
+
+    Raises:
+        ValueError: No bound has that name.
+    """
+    if name not in _BOUNDS:
+        expected = ", ".join(silence_bounds())
+        raise ValueError(f"silence bound: expected one of {expected}")
+    return _BOUNDS[name]()
+
+
+@silence_bound("fixed")
+class FixedBound:
+    """The same bound whatever the replies need."""
+
+    def note_reply(self, seconds: float) -> None:
+        """See `SilenceBound`."""
+        del seconds
+
+    @property
+    def bound_s(self) -> float:
+        """See `SilenceBound`."""
+        return MAX_BOUND_S
+
+
+@silence_bound("observed")
+class ObservedBound:
+    """A bound from the mean and the deviation of the latest replies."""
+
+    def __init__(self) -> None:
+        """Initializes it without replies."""
+        self._mean_s: float | None = None
+        self._deviation_s = 0.0
+
+    def __repr__(self) -> str:
+        """Shows the bound."""
+        return f"<ObservedBound {self.bound_s:.3f} s>"
+
+    def note_reply(self, seconds: float) -> None:
+        """See `SilenceBound`."""
+        if self._mean_s is None:
+            self._mean_s = seconds
+            self._deviation_s = seconds / 2
+            return
+        error_s = seconds - self._mean_s
+        self._mean_s += _MEAN_GAIN * error_s
+        self._deviation_s += _DEVIATION_GAIN * (
+            abs(error_s) - self._deviation_s
+        )
+
+    @property
+    def bound_s(self) -> float:
+        """See `SilenceBound`."""
+        if self._mean_s is None:
+            return MAX_BOUND_S
+        bound_s = self._mean_s + _DEVIATIONS * self._deviation_s
+        return min(max(bound_s, MIN_BOUND_S), MAX_BOUND_S)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/stall_diagnosis.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/stall_diagnosis.py
@@ -11,6 +11,8 @@
 
 # If fewer of the other stages answer, this host's own link may be at fault.
 MIN_ANSWERING_SHARE = 0.5
+# Missing replies of a chain up to which its other replies are trusted.
+MAX_MISSING_SHARE = 0.34
 
 
 class ProbeResult(enum.Enum):
@@ -22,6 +24,19 @@
     DOWN = "down"
 
 
+def is_conclusive_soon(replies: Mapping[str, ProbeResult]) -> bool:
+    """Returns whether only few replies are missing.
+
+    If they stay missing, their stages are unreachable; if many are, this host's
+    own link may be at fault, and waiting for them tells nothing.
+
+    Args:
+        replies: Probe result of each stage of its chain, by address.
+    """
+    awaited = sum(reply is ProbeResult.AWAITED for reply in replies.values())
+    return 0 < awaited <= MAX_MISSING_SHARE * len(replies)
+
+
 def faulty_stages(replies: Mapping[str, ProbeResult]) -> tuple[str, ...]:
     """Returns the stages that stall a stream.
 
--- a/packages/dotterelgrade-routing/tests/test_stall_diagnosis.py
+++ b/packages/dotterelgrade-routing/tests/test_stall_diagnosis.py
@@ -38,3 +38,10 @@
 def test_answering_stages_are_not_at_fault():
     assert stall_diagnosis.faulty_stages(_replies("aaaa")) == ()
     assert stall_diagnosis.faulty_stages({}) == ()
+
+
+def test_few_missing_replies_are_worth_waiting_for():
+    """Load pattern: one stage of ten goes dark, the others reply at once."""
+    assert stall_diagnosis.is_conclusive_soon(_replies("aaaaaaaaaw"))
+    assert not stall_diagnosis.is_conclusive_soon(_replies("aaaaaaaaaa"))
+    assert not stall_diagnosis.is_conclusive_soon(_replies("awwww"))
