--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -114,6 +114,10 @@
         """Era of the store to which the offset belongs."""
         return self._position.era
 
+    def latest(self, key: str) -> platform_port.Record | None:
+        """Returns the newest large record of a key, as of the offset."""
+        return self._latest.get(key)
+
     def set_relaying(self, relaying: bool) -> None:
         """Sets whether this front reads the feed for all fronts."""
         self._relaying = relaying
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -19,6 +19,8 @@
 from dotterelgrade import supervision
 from dotterelgrade import wire
 from dotterelgrade import wsgi
+from dotterelgrade_front import copied_feed
+from dotterelgrade_front import copy_publisher
 from dotterelgrade_front import feed_follower
 from dotterelgrade_front import feed_sinks
 from dotterelgrade_front import front_settings
@@ -235,7 +237,9 @@
         return {
             names.CONFIGURATIONS: self._make_follower(
                 names.CONFIGURATIONS,
-                platform.configurations,
+                copied_feed.CopiedFeed(
+                    platform.configurations, copies=platform.copies
+                ),
                 feed_sinks.ConfigurationSink(state),
             ),
             names.BACKEND_SERVERS: self._make_follower(
@@ -271,6 +275,11 @@
             self._exchange_loads,
             self._drop_missing_servers,
             loop_monitor.LoopMonitor(self._state).run,
+            copy_publisher.CopyPublisher(
+                self._state,
+                follower=self._followers[peer_frames.FeedName.CONFIGURATIONS],
+                leads=lambda: self._is_planner,
+            ).run,
         ]
 
     def _maintain_term(self) -> None:
--- a/packages/dotterelgrade-front/tests/conftest.py
+++ b/packages/dotterelgrade-front/tests/conftest.py
@@ -13,6 +13,7 @@
     return platform_port.Platform(
         configurations=platform_fakes.FakeFeed(),
         backend_servers=platform_fakes.FakeFeed(),
+        copies=platform_fakes.FakeCopies(),
         configuration_key="config",
         election=platform_fakes.FakeElection(),
         engines=platform_fakes.FakeEngines(),
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -120,11 +120,13 @@
         self._changed.set()
         self._changed.clear()
 
-    def newest(self):
+    def newest(self, *, after=""):
         self._answer()
         newest = {record.key: record for record in self.records}
         return platform_port.Page(
-            records=tuple(r for r in newest.values() if r.value),
+            records=tuple(
+                r for r in newest.values() if r.value and r.key > after
+            ),
             end=len(self.records),
             era=self.era,
         )
@@ -150,6 +152,28 @@
             raise platform_port.StoreError("down")
 
 
+class FakeCopies:
+    """A value that a test sets; fails while `down`."""
+
+    def __init__(self):
+        self.body = b""
+        self.writes = 0
+        self.down = False
+
+    def read(self):
+        self._answer()
+        return self.body
+
+    def write(self, body):
+        self._answer()
+        self.body = body
+        self.writes += 1
+
+    def _answer(self):
+        if self.down:
+            raise platform_port.StoreError("down")
+
+
 class FakeElection:
     """Grants a claim of the term that follows the current one."""
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/latest_records.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/latest_records.py
@@ -20,24 +20,28 @@
 
     def __init__(self) -> None:
         """Initializes it without records."""
-        self._values: dict[str, bytes] = {}
+        self._records: dict[str, platform_port.Record] = {}
 
     def __repr__(self) -> str:
         """Shows the keys."""
-        return f"<LatestRecords {sorted(self._values)}>"
+        return f"<LatestRecords {sorted(self._records)}>"
 
     def values(self) -> Mapping[str, bytes]:
         """Returns a copy of the values by key."""
-        return dict(self._values)
+        return {key: r.value for key, r in self._records.items()}
+
+    def get(self, key: str) -> platform_port.Record | None:
+        """Returns the record of a key, or None if it is small or unknown."""
+        return self._records.get(key)
 
     def note(self, record: platform_port.Record) -> None:
         """Keeps a record that is newer than the known one of its key."""
-        known = record.key in self._values
+        known = record.key in self._records
         if len(record.value) < MIN_RECORD_BYTES:
-            self._values.pop(record.key, None)
-        elif known or len(self._values) < MAX_KEYS:
-            self._values[record.key] = record.value
+            self._records.pop(record.key, None)
+        elif known or len(self._records) < MAX_KEYS:
+            self._records[record.key] = record
 
     def clear(self) -> None:
         """Forgets all records."""
-        self._values.clear()
+        self._records.clear()
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -87,9 +87,12 @@
     def era(self) -> int:
         """The newest era that any answer of the store has stated."""
 
-    def newest(self) -> Page:
+    def newest(self, *, after: str = "") -> Page:
         """Returns the newest record of each key.
 
+        Args:
+            after: Returns only keys that sort after this one.
+
         Raises:
             StoreError: There was no usable answer.
         """
@@ -260,6 +263,24 @@
         """Reads the facts that a backend server states about its answer."""
 
 
+class CopyStore(Protocol):
+    """Holds one value, the copy of a large record."""
+
+    def read(self) -> bytes:
+        """Returns the value, or empty if there is none.
+
+        Raises:
+            StoreError: There was no usable answer.
+        """
+
+    def write(self, body: bytes) -> None:
+        """Replaces the value.
+
+        Raises:
+            StoreError: There was no usable answer; it may be replaced.
+        """
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Platform:
     """The adapters of one platform.
@@ -267,6 +288,7 @@
     Attributes:
         configurations: Feed with the operators' configuration.
         backend_servers: Feed with the list of backend servers.
+        copies: Holds a copy of the configuration.
         configuration_key: Key of the configuration in its feed.
         election: Elects the planner.
         engines: Calls to engines.
@@ -276,6 +298,7 @@
 
     configurations: Feed
     backend_servers: Feed
+    copies: CopyStore
     configuration_key: str
     election: Election
     engines: EngineClient
