Let the reports of silent fronts expire at the planner

Cause: a front that loses power closes no connection. Change: a report counts for 1 s; contact with the store is dated from its receipt. Both have a test that fails before.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -22,12 +22,33 @@
 
 # Time after its last report in which a front counts for the retry budget.
 _FRONT_TTL_S = 10.0
+# Fronts report four times a second. The connection of one that lost power stays
+# open, and its callers repeat their requests at other fronts.
+REPORT_VALID_S = 1.0
 # Fronts may read a claim from the store before the claimer starts to plan.
 _ELECTION_WAIT_S = 0.7
 # Time for a leaving planner to send its final message.
 _FINAL_MESSAGE_WAIT_S = 0.05
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Report:
+    """The last report of a front.
+
+    Attributes:
+        load: The report.
+        received_at: Monotonic time, s.
+    """
+
+    load: peer_frames.FrontLoad
+    received_at: float
+
+    @property
+    def store_contact_at(self) -> float:
+        """Monotonic time at which the store last answered the front, s."""
+        return self.received_at - self.load.store_silent_s
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Listing:
     """Fronts and engines as a snapshot listed them."""
@@ -61,27 +82,26 @@
         )
         self._leading = event.Event()
         self._followers: feed_follower.Followers = {}
-        self._loads: dict[wire.Connection, peer_frames.FrontLoad] = {}
+        self._reports: dict[wire.Connection, _Report] = {}
         self._last_listing = _EMPTY_LISTING
         self._synced: set[wire.Connection] = set()
         self._reported_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
         """Shows how many fronts are connected."""
-        return f"<PlannerHub {len(self._loads)} fronts>"
+        return f"<PlannerHub {len(self._reports)} fronts>"
 
     @property
     def store_contact_at(self) -> float:
         """Monotonic time of any other front's last store contact, s."""
-        now = time.monotonic()
-        heard = (now - load.store_silent_s for load in self._loads.values())
+        heard = (report.store_contact_at for report in self._reports.values())
         return max(heard, default=float("-inf"))
 
     @property
     def refusing(self) -> frozenset[str]:
         """Backend servers that refuse though they report free memory."""
         own = self._state.exclusions.refusing_ids(now=time.monotonic())
-        return own.union(*(load.refusing for load in self._loads.values()))
+        return own.union(*(load.refusing for load in self._valid_loads()))
 
     def serve(self, connection: wire.Connection) -> None:
         """Receives the loads of one front until its connection ends.
@@ -99,14 +119,15 @@
                     connection.close("no longer the planner")
                     return
                 if isinstance(frame, peer_frames.FrontLoad):
-                    self._loads[connection] = frame
-                    self._reported_at[_address_of(connection)] = (
-                        time.monotonic()
+                    now = time.monotonic()
+                    self._reports[connection] = _Report(
+                        load=frame, received_at=now
                     )
+                    self._reported_at[_address_of(connection)] = now
                     self._planner.add_suspects(frame.excluded)
                     self._state.notices.note_all_leaving(frame.leaving)
         finally:
-            self._loads.pop(connection, None)
+            self._reports.pop(connection, None)
             self._synced.discard(connection)
 
     def set_followers(self, followers: feed_follower.Followers) -> None:
@@ -155,8 +176,8 @@
                 )
             )
 
-        for connection, load in list(self._loads.items()):
-            if load.reads_changes:
+        for connection, report in list(self._reports.items()):
+            if report.load.reads_changes:
                 connection.send_encoded(changes)
             elif start is not None:
                 connection.send_encoded(whole())
@@ -164,12 +185,21 @@
     @property
     def has_fronts(self) -> bool:
         """Whether any front is connected."""
-        return bool(self._loads)
+        return bool(self._reports)
 
     @property
     def has_strong_front(self) -> bool:
         """Whether a front on a strong host is connected."""
-        return any(load.strong for load in self._loads.values())
+        return any(load.strong for load in self._valid_loads())
+
+    def _valid_loads(self) -> list[peer_frames.FrontLoad]:
+        """Returns the loads of the fronts that have reported lately."""
+        oldest = time.monotonic() - REPORT_VALID_S
+        return [
+            report.load
+            for report in self._reports.values()
+            if report.received_at >= oldest
+        ]
 
     def set_leading(
         self,
@@ -202,7 +232,7 @@
                 "too many engines silent, store unreachable, or host too weak"
             )
             successor = self._hand_over(reason, ended_term)
-        for connection in list(self._loads):
+        for connection in list(self._reports):
             connection.close("no longer the planner")
         return successor
 
@@ -213,17 +243,17 @@
         successor = leadership_lib.choose_successor(
             leadership_lib.SuccessorCandidate(
                 address=_address_of(connection),
-                strong=load.strong,
-                store_silent_s=load.store_silent_s,
+                strong=report.load.strong,
+                store_silent_s=time.monotonic() - report.store_contact_at,
             )
-            for connection, load in self._loads.items()
+            for connection, report in self._reports.items()
         )
         if not successor:
             return ""
         self._state.decisions.record(
             "planner_handed_over", reason=reason, planner=successor
         )
-        for connection in self._loads:
+        for connection in self._reports:
             connection.send(
                 peer_frames.Successor(planner=successor, ended=ended_term)
             )
@@ -244,8 +274,9 @@
         )
         changes = self._encode_snapshot(totals, since=previous)
         full = b""
-        for connection, load in list(self._loads.items()):
-            connection.send(peer_frames.ReportCounted(number=load.number))
+        for connection, report in list(self._reports.items()):
+            number = report.load.number
+            connection.send(peer_frames.ReportCounted(number=number))
             if connection in self._synced:
                 connection.send_encoded(changes)
                 continue
@@ -259,7 +290,7 @@
     def _total_reservations(self) -> dict[str, int]:
         """Returns the reservations of all fronts, this one included."""
         totals = collections.Counter(self._state.load.own)
-        for load in self._loads.values():
+        for load in self._valid_loads():
             totals.update(load.reserved)
         return {name: round(total) for name, total in totals.items()}
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
@@ -18,7 +18,7 @@
 # Replies within a region take milliseconds.
 _REPLY_WAIT_S = 0.03
 # A stream that recovers meanwhile must not wait longer for a diagnosis.
-_LONGEST_WAIT_S = 0.1
+_LONGEST_WAIT_S = 0.15
 # Pause between two looks at the replies that are missing.
 _MISSING_REPLY_POLL_S = 0.01
 _MAX_QUERIES = 512
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -27,7 +27,7 @@
 _MIN_QUERY_DELAY_S = 0.05
 # The same, in multiples of the stream's mean time between events. Queries cost
 # load, and busy stages cause pauses of twice the mean now and then.
-QUERY_DELAY_FACTOR = 2.5
+QUERY_DELAY_FACTOR = 2.0
 # A rerouted stream continues once its new stages have processed all tokens so
 # far; until then, reports that lag still name the stage that it left.
 _REROUTE_GRACE_S = 0.7
--- a/packages/dotterelgrade-front/tests/test_planner_hub.py
+++ b/packages/dotterelgrade-front/tests/test_planner_hub.py
@@ -1,3 +1,5 @@
+import dataclasses
+import time
 import types
 
 from dotterelgrade_front import peer_frames
@@ -41,3 +43,71 @@
     hub.serve(connection)
     assert connection.closed == "no longer the planner"
     assert not hub.has_fronts
+
+
+class _SilentConnection:
+    """Connection of a front that reports once and then loses power."""
+
+    def __init__(self, load, *, during):
+        self.peer = types.SimpleNamespace(host="10.0.0.2", port=1)
+        self.sent = []
+        self._load = load
+        self._during = during
+
+    def __iter__(self):
+        yield self._load
+        self._during()
+
+    def send(self, frame):
+        self.sent.append(frame)
+
+    def send_encoded(self, data):
+        self.sent.append(data)
+
+    def close(self, reason):
+        del reason
+
+
+def test_reservations_of_a_front_that_lost_power_expire(front, monkeypatch):
+    """Load pattern: 24 of 40 fronts lose power, and callers go to the rest.
+
+    The connections stay open until their hosts are back. Reservations of both
+    the lost and the repeated requests would fill the engines.
+    """
+    hub = planner_hub.PlannerHub(
+        front.state, planner=planner_lib.Planner(front.state)
+    )
+    hub.set_leading(True)
+    load = dataclasses.replace(_LOAD, reserved={"s": 900.0})
+    used = []
+
+    def lose_power():
+        hub.send_snapshots()
+        used.append(front.state.load.used("s"))
+        later = time.monotonic() + planner_hub.REPORT_VALID_S + 0.1
+        monkeypatch.setattr(planner_hub.time, "monotonic", lambda: later)
+        hub.send_snapshots()
+        used.append(front.state.load.used("s"))
+        assert not hub.has_strong_front
+
+    hub.serve(_SilentConnection(load, during=lose_power))
+    assert used == [900.0, 0.0]
+
+
+def test_a_front_that_lost_power_proves_no_contact_with_the_store(
+    front, monkeypatch
+):
+    """Its last report must not look newer as time passes."""
+    hub = planner_hub.PlannerHub(
+        front.state, planner=planner_lib.Planner(front.state)
+    )
+    hub.set_leading(True)
+
+    def lose_power():
+        reported_at = time.monotonic()
+        monkeypatch.setattr(
+            planner_hub.time, "monotonic", lambda: reported_at + 5.0
+        )
+        assert hub.store_contact_at <= reported_at
+
+    hub.serve(_SilentConnection(_LOAD, during=lose_power))
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/silence_bounds.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/silence_bounds.py
@@ -12,7 +12,7 @@
 # A bound that spares a stage whose reply was lost and sent again.
 MAX_BOUND_S = 0.25
 # A stage that is only busy replies within this time.
-MIN_BOUND_S = 0.05
+MIN_BOUND_S = 0.03
 # As in the retransmission timeout of TCP.
 _MEAN_GAIN = 1 / 8
 _DEVIATION_GAIN = 1 / 4
