Ask a silent store less often

Tests count the calls of both loads and fail before. One test now reads the fake election from its fixture, since the front wraps it; same checks.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -27,6 +27,11 @@
 RELAYING_BATCH_DELAY_S = 0.1
 _MIN_RETRY_PAUSE_S = 0.15
 _MAX_RETRY_PAUSE_S = 0.8
+# The same while the planner, which reads the store more often, sends snapshots:
+# its next one tells that the store is back.
+_MAX_COVERED_RETRY_PAUSE_S = 1.6
+# A planner that has sent no snapshot for this time may be lost.
+_PLANNER_SILENCE_S = 0.8
 # A relayed record may arrive just before a read starts.
 _MIN_SLEEP_S = 0.01
 
@@ -92,6 +97,7 @@
         self._position = feed_position.FeedPosition()
         self._latest = latest_records.LatestRecords()
         self._heard_at = self._others_heard_at = float("-inf")
+        self._snapshot_at = float("-inf")
         self._retry_pause_s = _MIN_RETRY_PAUSE_S
         self._lost_at: float | None = None
 
@@ -140,7 +146,7 @@
                 self._note_outage(str(error))
                 gevent.sleep(self._retry_pause_s * (0.5 + self._rng.random()))
                 self._retry_pause_s = min(
-                    self._retry_pause_s * 2, _MAX_RETRY_PAUSE_S
+                    self._retry_pause_s * 2, self._max_retry_pause_s()
                 )
             except Exception:
                 # The supervisor logs this and restarts the follower, which then
@@ -216,6 +222,7 @@
             end=end, heard_at=heard_at, era=era
         )
         self._others_heard_at = max(self._others_heard_at, heard_at)
+        self._snapshot_at = time.monotonic()
         self._sink.note_relayed_contact(at=heard_at)
         if self._position.relay_valid_for_s(now=time.monotonic()) > 0:
             self._note_contact(heard_at)
@@ -285,6 +292,12 @@
             return min(self._batch_delay_s, RELAYING_BATCH_DELAY_S)
         return self._batch_delay_s
 
+    def _max_retry_pause_s(self) -> float:
+        silence_s = time.monotonic() - self._snapshot_at
+        if self._relaying or silence_s > _PLANNER_SILENCE_S:
+            return _MAX_RETRY_PAUSE_S
+        return _MAX_COVERED_RETRY_PAUSE_S
+
     def _poll_timeout_s(self) -> float:
         if self._lost_at is not None:
             # The first read after an outage does not wait, to confirm contact.
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -10,6 +10,7 @@
 from dotterelgrade_front import chain_directory
 from dotterelgrade_front import front_metrics
 from dotterelgrade_front import front_settings
+from dotterelgrade_front import paced_election
 from dotterelgrade_front import server_notices
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration as configuration_lib
@@ -62,7 +63,9 @@
             platform: Clients of the platform's services.
         """
         self._settings = settings
-        self._platform = platform
+        self._platform = dataclasses.replace(
+            platform, election=paced_election.PacedElection(platform.election)
+        )
         self._known_configuration = KnownConfiguration()
         self._fleet = fleet_lib.Fleet()
         self._exclusions = exclusions_lib.ExclusionTracker()
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -321,3 +321,25 @@
     _wait_until(lambda: follower.end == 2)
     assert state.fleet.get("s") is None
     running.kill()
+
+
+def test_reads_during_an_outage_are_few_while_the_planner_tries_as_well(
+    follower,
+):
+    """Load pattern: the store is away for eight seconds at 40 fronts."""
+    feed, follower = follower
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    _wait_until(lambda: follower.end == 1)
+    feed.down = True
+    lost_at = time.monotonic()
+    reads = feed.reads
+    while time.monotonic() - lost_at < 6.0:
+        follower.note_relayed(end=1, heard_at=lost_at)
+        gevent.sleep(0.1)
+    assert feed.reads - reads <= 7
+    feed.add("config", b"v2")
+    feed.down = False
+    follower.note_relayed(end=1, heard_at=time.monotonic())
+    _wait_until(lambda: follower.end == 2)
+    running.kill()
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -12,9 +12,11 @@
 
 from dotterelgrade import early_sockets
 from dotterelgrade_front import front as front_lib
+from dotterelgrade_front import paced_election
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership
+from dotterelgrade_routing import platform_port
 
 _REPORT = dataclasses.replace(fakes.REPORT, layers=layer_range.LayerRange(0, 8))
 
@@ -73,9 +75,10 @@
     assert b'"version": 1' in _get(address, "/state")[2]
 
 
-def test_drain_finishes_requests_in_flight(running, settings, monkeypatch):
+def test_drain_finishes_requests_in_flight(
+    running, settings, platform, monkeypatch
+):
     monkeypatch.setattr(front_lib, "_DEREGISTRATION_WAIT_S", 0.2)
-    platform = running._state.platform
     platform.configurations.add("config", b"v1")
     _until(lambda: running.is_ready)
     _until(lambda: platform.election.claims)
@@ -460,6 +463,25 @@
     _until(lambda: platform.election.claims)
 
 
+def test_a_front_that_is_cut_off_asks_seldom_for_the_term(
+    running, platform, monkeypatch
+):
+    """Load pattern: twelve fronts lose the store and the planner for 8 s.
+
+    Both the claim of a term and the search for the planner ask.
+    """
+    asked = []
+
+    def refuse():
+        asked.append(time.monotonic())
+        raise platform_port.StoreError("reset")
+
+    monkeypatch.setattr(running, "_should_claim", lambda now: True)
+    monkeypatch.setattr(platform.election, "current", refuse)
+    gevent.sleep(2.0)
+    assert len(asked) <= 2.0 / paced_election.PAUSE_S + 1
+
+
 def test_requests_received_during_start_are_answered(
     settings, platform, monkeypatch
 ):
