Break the new promises of relayed changes, copies and reports in mutants

Each new check that holds a promise gets a mutant: the digest of a difference, the end of a copied feed, a late complete state, the age of a report, the mean of reply times. The model test of relayed feeds missed the late state in its draws; a plain test now holds it.

--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -11,6 +11,7 @@
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import relay_encoding
 
 
 @pytest.fixture
@@ -343,3 +344,34 @@
     follower.note_relayed(end=1, heard_at=time.monotonic())
     _wait_until(lambda: follower.end == 2)
     running.kill()
+
+
+def test_a_late_complete_state_takes_nothing_back(front, put_server_document):
+    """The planner has read all keys anew, and its message is delayed."""
+    state = front.state
+    feed = state.platform.backend_servers
+    follower = feed_follower.FeedFollower(
+        feed,
+        sink=feed_sinks.ServerSink(state),
+        rng=random.Random(1),
+        count=lambda _: None,
+    )
+    put_server_document(state, "s")
+    feed.add("other", b"forged")
+    late = feed.newest()
+    feed.add("s", b"s")
+    follower._read()
+    page = relay_encoding.EncodedPage(
+        records=tuple(
+            relay_encoding.encode_all(
+                relay_encoding.make_encoding("delta"), late.records, bases={}
+            )
+        ),
+        end=late.end,
+        era=late.era,
+    )
+    taken = []
+    follower._sink.replace_all = taken.append
+    follower.apply_changes(None, page)
+    assert not taken
+    assert follower.end == 2
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -25,6 +25,10 @@
 _HOLDOFF_TEST = "packages/dotterelgrade-routing/tests/test_holdoff.py"
 _DIAGNOSIS_TEST = "packages/dotterelgrade-routing/tests/test_stall_diagnosis.py"
 _DIRECTORY_TEST = "packages/dotterelgrade-front/tests/test_chain_directory.py"
+_DELTA_TEST = "packages/dotterelgrade-routing/tests/test_record_delta.py"
+_COPIED_FEED_TEST = "packages/dotterelgrade-front/tests/test_copied_feed.py"
+_HUB_TEST = "packages/dotterelgrade-front/tests/test_planner_hub.py"
+_SILENCE_TEST = "packages/dotterelgrade-routing/tests/test_silence_bounds.py"
 
 MUTANTS = (
     mutant.Mutant(
@@ -308,4 +312,44 @@
         new="                if False:",
         check=_STREAM_TEST,
     ),
+    mutant.Mutant(
+        name="forged-delta-applied",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_routing.record_delta",
+        old="    if _digest(body) != delta.digest:",
+        new="    if False:",
+        check=_DELTA_TEST,
+    ),
+    mutant.Mutant(
+        name="outdated-copy-used",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.copied_feed",
+        old="        if (others.end, others.era) != (copy.end, copy.era):",
+        new="        if others.era != copy.era:",
+        check=_COPIED_FEED_TEST,
+    ),
+    mutant.Mutant(
+        name="late-state-replaces-a-newer-one",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.feed_follower",
+        old="page.era != self._position.era or page.end <= known_end",
+        new="page.era != self._position.era",
+        check=_FOLLOWER_TEST,
+    ),
+    mutant.Mutant(
+        name="silent-front-counted",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.planner_hub",
+        old="            if report.received_at >= oldest",
+        new="            if True",
+        check=_HUB_TEST,
+    ),
+    mutant.Mutant(
+        name="resent-replies-ignored",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_routing.silence_bounds",
+        old="        self._mean_s += _MEAN_GAIN * error_s",
+        new="        self._mean_s += 0.0",
+        check=_SILENCE_TEST,
+    ),
 )
