--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -1,4 +1,4 @@
-"""The agents that an entry knows: whom to dial, who takes work, who is lost."""
+"""Connections to agents, their availability and failure detection."""
 
 from collections.abc import Callable, Iterator
 import logging
@@ -45,20 +45,20 @@
 
 
 class Listener(Protocol):
-    """Who hears of frames and of lost agents."""
+    """Receives frames from agents and notices of lost agents."""
 
     def on_frame(self, peer: agent_peer.AgentPeer, message: Any) -> None:
-        """Takes a frame that is not about the connection itself."""
+        """Handles a frame that is not about the connection itself."""
 
     def on_lost(self, peer: agent_peer.AgentPeer, reason: str) -> None:
-        """Hears that an agent is lost or silent."""
+        """Handles the loss or silence of an agent."""
 
     def tick(self) -> None:
-        """Is called at short intervals."""
+        """Runs periodic work; called at short intervals."""
 
 
 class Fleet:
-    """Dials agents of the host list and knows which of them take work."""
+    """Connects to the agents on the host list and tracks their availability."""
 
     def __init__(
         self,
@@ -142,7 +142,7 @@
         return self._own_delay_s
 
     def add_change_listener(self, listener: Callable[[], None]) -> None:
-        """Adds a callable that hears when capacity may have become free."""
+        """Adds a callback for when capacity may have become free."""
         self._on_change.append(listener)
 
     def run_dialing(self) -> None:
@@ -253,7 +253,7 @@
         self._listener.on_lost(peer, reason)
 
     def note_change(self) -> None:
-        """Wakes whoever waits for capacity."""
+        """Notifies the greenlets that wait for capacity."""
         self._index_is_valid = False
         self._tell_change()
 
@@ -281,7 +281,7 @@
         return self._busy.get(address, 0)
 
     def _watch_busy(self) -> None:
-        # A process that is itself late must not blame others for it.
+        # A delay of this process must not count against the agents.
         limit = self._settings.silence_limit_s + self._own_delay_s
         for address in list(self._busy):
             peer = self._peers.get(address)
@@ -289,7 +289,7 @@
                 self._watch(peer, limit)
         for peer in list(self._peers.values()):
             if peer.is_suspect:
-                # Nothing else makes it speak.
+                # An idle agent sends nothing unless it is pinged.
                 peer.ping()
 
     def _watch(self, peer: agent_peer.AgentPeer, limit_s: float) -> None:
@@ -301,7 +301,7 @@
             peer.ping()
 
     def suspect(self, peer: agent_peer.AgentPeer, reason: str) -> None:
-        """Gives an agent no work until it is heard from again.
+        """Sends an agent no work until it sends a frame again.
 
         Args:
             peer: The silent agent.
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pipeline.py
@@ -24,7 +24,7 @@
 
 
 class Pipeline:
-    """One request on its way: admission, tokens, repair and release."""
+    """One request from admission to release, with its tokens and repairs."""
 
     def __init__(
         self,
@@ -34,7 +34,7 @@
         tools: pipeline_tools.Tools,
         watch: entry_metrics.TokenWatch,
     ) -> None:
-        """Initializes a pipeline that has asked no agent.
+        """Initializes a pipeline that has contacted no agent.
 
         Args:
             request: The request.
@@ -87,12 +87,12 @@
     def on_token(
         self, peer: agent_peer.AgentPeer, token: messages.Token
     ) -> None:
-        """Takes a token; the next step leaves at once."""
+        """Handles a token and sends the next step at once."""
         if not self._link.accept(peer, token):
             return
         self._watch.note_token()
-        # The load changes while an answer is generated, so the prediction to
-        # learn from is made anew, and only now and then.
+        # The load changes while an answer is generated, so the prediction is
+        # recomputed at intervals.
         if self._request.emitted_count % _LEARN_EVERY == 1:
             self._expect_gap()
 
@@ -103,12 +103,12 @@
             self._watch.expect_gap(cost.between_tokens_s)
 
     def on_reply(self, peer: agent_peer.AgentPeer, message: Any) -> None:
-        """Takes any other frame about the request."""
+        """Handles any other frame about the request."""
         if not isinstance(message, messages.CallReply | messages.CallFailed):
             self._link.put_reply(peer, message)
 
     def on_lost(self, peer: agent_peer.AgentPeer, reason: str) -> None:
-        """Hears that an agent is lost or silent."""
+        """Handles the loss or silence of an agent."""
         self._link.put_loss(peer, reason)
 
     def start(self) -> result.Result[None, errors.Error]:
@@ -133,7 +133,7 @@
             self._link.release(cancelled=not self._request.is_finished)
 
     def tokens(self) -> Iterator[tuple[int, ...]]:
-        """Yields the tokens of the answer until it is whole.
+        """Yields the tokens of the answer until it is complete.
 
         Yields:
             Batches of one or more tokens, each token once and in order.
@@ -156,7 +156,7 @@
             self.close()
 
     def on_tick(self) -> None:
-        """Wakes the request's greenlet when a time limit has passed."""
+        """Resumes the request's greenlet when a time limit has passed."""
         if time.monotonic() >= min(self._ends_at(), self._stalls_at()):
             self._link.wake()
 
@@ -168,7 +168,7 @@
         return self._link.progress_at + self._stall_limit_s()
 
     def _wait_once(self) -> None:
-        # One timer for all requests ticks, instead of one for each token.
+        # One periodic timer serves all requests, instead of one per token.
         item = self._link.wait()
         if item is not None:
             self._handle(item)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/repair.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/repair.py
@@ -1,4 +1,4 @@
-"""Goes on with an answer after stages of its chain were lost."""
+"""Continues an answer after stages of its chain were lost."""
 
 from collections.abc import Callable
 import time
@@ -35,7 +35,7 @@
         tools: pipeline_tools.Tools,
         begin: Callable[[planner_lib.Chain], None],
     ) -> None:
-        """Initializes a repair that had nothing to do.
+        """Initializes a repair without any replaced stage.
 
         Args:
             request: The request.
@@ -61,7 +61,7 @@
         return limit + self._tools.fleet.own_delay_s
 
     def examine_stall(self) -> None:
-        """Finds the stage that holds up the answer, if any, and replaces it."""
+        """Finds the stage that delays the answer, if any, and replaces it."""
         first = self._link.probe(timeout_s=self._timeout_s)
         gevent.sleep(_PROBE_PAUSE_S)
         second = self._link.probe(timeout_s=self._timeout_s)
@@ -113,7 +113,8 @@
     def _restart(self) -> bool:
         planned = self._admission.plan()
         if isinstance(planned, result.Failure):
-            # What failed before is better than nothing once it answers.
+            # A stage that failed before is used again if it answers and there
+            # is no other.
             self._admission.avoid_only(set())
             return False
         chain = planned.unwrap()
@@ -129,7 +130,7 @@
         return True
 
     def _replace_all(self, dead: set[int]) -> bool:
-        """Replaces lost stages, and those that are lost meanwhile."""
+        """Replaces lost stages, including those lost during the repair."""
         lost = set(dead)
         while len(lost) < len(self._link.stages):
             self._repairs += 1
@@ -170,7 +171,8 @@
                 peer.send(release)
 
     def _mutes(self, dead: set[int], count: int) -> list[int]:
-        # A new stage behind a new stage needs everything from the beginning.
+        # A new stage that follows another new stage needs a replay of all
+        # positions.
         current = self._request.current_step().position
         return [
             0 if index in dead and index + 1 in dead else current
@@ -208,7 +210,7 @@
             if not isinstance(answer, messages.Rewired):
                 continue
             if answer.next_position < current:
-                # It was itself being rebuilt when the next stage was lost.
+                # This stage was being replaced when the next one was lost.
                 return "a surviving stage has not run all positions"
             if index in sources and not answer.replayable:
                 return "outputs are not all buffered"
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/leadership.py
@@ -1,14 +1,18 @@
-"""Leader election of the planner, which orders placement and collects loads.
+"""Leader election of the planner.
 
-Load pattern: the planner is killed, paused or cut off from the store while
-others still reach it; the store fails for all; the planner's link is too narrow
+The planner decides which engine holds which layers, and adds up the load
+reports of all fronts.
+
+Failures: the planner is killed, paused or cut off from the store while others
+still reach it; the store is unavailable to all; the planner's link is too slow
 for the reports of fronts and engines, so that all engines seem silent; or all
-processes start at once and each of them could plan.
+processes start at once and none of them leads.
 
 A front claims a term by compare-and-set in the store and stays planner until it
 stops answering; a planner that restarts finds its own term and resumes. During
-an outage of the store, the first front in a common order is the acting planner.
-Orders are compare-and-set at the engines, so a second planner does no harm.
+an outage of the store, the first reachable front in a ranking that all fronts
+share is the acting planner. Engines accept orders by compare-and-set, so two
+planners at a time do no harm.
 
 A store that is restored from a backup reuses term numbers, so a term belongs to
 an era of the store. A planner whose claim was lost in the restore claims the
@@ -31,14 +35,15 @@
 # common order waits one step longer, so that an earlier one acts first.
 STORE_OUTAGE_AFTER_S = 3.0
 ACTING_STAGGER_S = 1.0
-# Interval at which the planner asks the store whether its term is the newest.
+# Interval at which the planner checks in the store that its term is the newest.
 TERM_CONFIRMATION_INTERVAL_S = 1.0
-# A claim whose answer was lost is detected, and planning begins, in this time.
+# A front that won a term but missed the store's answer starts to lead within
+# this time.
 CLAIM_SETTLE_S = 1.5
-# Fronts claim a term one after another, since each claim costs.
+# Fronts claim a term one after another, since each claim is a billed write.
 CLAIM_STAGGER_S = 0.4
 MAX_CLAIM_STEPS = 6
-# Least resources of a planner, which exchanges messages with all fronts and
+# Minimum resources of a planner, which exchanges messages with all fronts and
 # engines several times a second.
 MIN_PLANNER_CORES = 0.4
 MIN_PLANNER_LINK_BITS_PER_S = 40e6
@@ -108,7 +113,7 @@
             at: Monotonic time at which the store was asked, s.
         """
         if self._term is not None and term.rank < self._term.rank:
-            # Terms only grow, so this answer is late.
+            # Terms only grow, so this answer was delayed.
             return
         own = term.planner == self._own
         self._acting = self._keeps_acting(term, own=own)
@@ -132,17 +137,18 @@
         return self._acting and known is not None and term.rank == known.rank
 
     def note_planner_missing(self, *, now: float) -> None:
-        """Records that the planner of the newest term did not answer."""
+        """Records that the planner of the newest term could not be reached."""
         rank = None if self._term is None else self._term.rank
         if self._missing_since is None or rank != self._missing_rank:
             self._missing_since = now
         self._missing_rank = rank
 
     def note_planner_answered(self, planner: str) -> None:
-        """Records that a planner sends its snapshots.
+        """Records that a planner has sent a snapshot.
 
         Args:
-            planner: `IP:PORT`; its term may not have been read yet.
+            planner: `IP:PORT` of the planner, whose term this front may not
+                have read yet.
         """
         self._missing_since = None
         self._last_answered = planner
@@ -150,8 +156,8 @@
     def should_claim(self, *, delay_s: float, now: float) -> bool:
         """Returns whether this front claims the next term.
 
-        It ends only the term whose planner did not answer: the planner of a
-        newer term has not been asked yet.
+        A front replaces only the planner that it could not reach. If the term
+        has changed since, it contacts the new planner first.
 
         Args:
             delay_s: How long the planner must have been unreachable, s.
