--- a/packages/dotterelgrade-front/src/dotterelgrade_front/copy_publisher.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/copy_publisher.py
@@ -10,6 +10,8 @@
 from dotterelgrade_routing import record_copy
 
 _CHECK_INTERVAL_S = 0.25
+# Pause after a write that the store did not accept.
+_FAILURE_PAUSE_S = 1.5
 
 
 class CopyPublisher:
@@ -42,20 +44,24 @@
         """Publishes until the greenlet is killed."""
         while True:
             gevent.sleep(_CHECK_INTERVAL_S)
-            if self._leads():
-                self.publish_once()
-            else:
+            if not self._leads():
                 self._published = None
+            elif not self.publish_once():
+                gevent.sleep(_FAILURE_PAUSE_S)
 
-    def publish_once(self) -> None:
-        """Writes a copy unless the store has one of this version."""
+    def publish_once(self) -> bool:
+        """Writes a copy unless the store has one of this version.
+
+        Returns:
+            Whether the store answered, or nothing had to be written.
+        """
         follower, platform = self._follower, self._state.platform
         position = (follower.era, follower.end)
         record = follower.latest(platform.configuration_key)
         if record is None or position == self._published:
-            return
+            return True
         if len(record.value) < record_copy.MIN_RECORD_BYTES:
-            return
+            return True
         body = record_copy.encode(record, end=follower.end, era=follower.era)
         try:
             platform.copies.write(body)
@@ -63,7 +69,7 @@
             self._state.decisions.record(
                 "record_copy_failed", reason=str(error), end=position[1]
             )
-            return
+            return False
         self._published = position
         self._state.decisions.record(
             "record_copy_written",
@@ -71,3 +77,4 @@
             end=position[1],
             bytes=len(body),
         )
+        return True
--- a/packages/dotterelgrade-front/tests/test_copy_publisher.py
+++ b/packages/dotterelgrade-front/tests/test_copy_publisher.py
@@ -54,8 +54,8 @@
     platform.configurations.add("config", _LARGE)
     follower._read()
     platform.copies.down = True
-    publisher.publish_once()
+    assert not publisher.publish_once()
     assert "record_copy_failed" in str(front.state.decisions.journal.latest())
     platform.copies.down = False
-    publisher.publish_once()
+    assert publisher.publish_once()
     assert platform.copies.writes == 1
