--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/slopes.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/slopes.py
@@ -13,6 +13,7 @@
 from dotterelgrade_standins import slope_fit
 from dotterelgrade_standins import slope_fleet as _slope_fleet  # noqa: F401
 from dotterelgrade_standins import slope_probes
+from dotterelgrade_standins import slope_relay as _slope_relay  # noqa: F401
 
 RESULTS = pathlib.Path("results/slopes.json")
 _TIMEOUT_S = 300.0
