Count streams that continue one of a lost front as late

Cause: after a loss of fronts the callers continue their streams elsewhere; each front saw a stream of its own in time, and `lateness` missed it. Change: `stream_finished` says whether the request named a last event, and `lateness` has a cause for it.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/lateness.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/lateness.py
@@ -2,10 +2,13 @@
 
 On a day with few refusals or failures, a tenth of the answers can still miss
 their objective; the share of each cause shows the limiting factor.
+
+A caller whose front was lost continues the stream at another one, which sees
+only its own part of it; such a stream was interrupted and counts as late.
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 import dataclasses
 import enum
 from typing import Any
@@ -19,6 +22,7 @@
 class Cause(enum.Enum):
     """Cause of a late stream."""
 
+    CONTINUED = "continued, the front before was lost"
     FIRST_EVENT_AFTER_TRY = "first event, after a failed try"
     FIRST_EVENT = "first event, on the first try"
     PAUSE_AT_MOVE = "pause, moved around a stage at fault"
@@ -35,7 +39,8 @@
         cause: The cause.
         streams: Number of late streams.
         share: Fraction of all streams in the log.
-        usual_excess_s: Median time beyond the limit, s; 0 for broken streams.
+        usual_excess_s: Median time beyond the limit, s; 0 for broken and
+            continued streams.
     """
 
     cause: Cause
@@ -53,12 +58,7 @@
     """
     streams = 0
     excess: dict[Cause, list[float]] = collections.defaultdict(list)
-    for line in lines:
-        if _FINISHED_EVENT not in line and _BROKEN_EVENT not in line:
-            continue
-        values = log_file.parse_json_object(line)
-        if not _is_stream_end(values):
-            continue
+    for values in _stream_ends(lines):
         streams += 1
         cause, excess_s = _classify(values)
         if cause is not None:
@@ -75,6 +75,16 @@
     return tuple(sorted(rows, key=lambda row: -row.streams))
 
 
+def _stream_ends(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yields the fields of each line on the end of a stream."""
+    for line in lines:
+        if _FINISHED_EVENT not in line and _BROKEN_EVENT not in line:
+            continue
+        values = log_file.parse_json_object(line)
+        if _is_stream_end(values):
+            yield values
+
+
 def _is_stream_end(values: dict[str, Any]) -> bool:
     """Returns whether a line has the end of a stream and its limits."""
     if values.get("event") == _BROKEN_EVENT:
@@ -86,6 +96,8 @@
     """Returns the cause and excess time, s, of a late stream, or None and 0."""
     if values["event"] == _BROKEN_EVENT:
         return Cause.BROKEN, 0.0
+    if values.get("continued"):
+        return Cause.CONTINUED, 0.0
     was_retried = values.get("tries", 1) > 1
     first_s = values.get("first_event_s", 0.0) - values.get("objective_s", 0.0)
     pause_s = values.get("longest_pause_s", 0.0) - values.get("pause_s", 0.0)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -327,6 +327,7 @@
             tries=len(self._call.attempts) + 1,
             predicted_step_ms=round(chain.step_s * 1000, 2),
             stages=len(chain.stages),
+            continued=bool(self._call.facts.last_event_id),
         )
         return "streamed"
 
--- a/packages/dotterelgrade-front/tests/test_lateness.py
+++ b/packages/dotterelgrade-front/tests/test_lateness.py
@@ -42,6 +42,12 @@
     assert row.usual_excess_s > 0.2
 
 
+def test_a_stream_that_continues_one_of_a_lost_front_is_late():
+    """Load pattern: 24 of 40 fronts lose power in the middle of streams."""
+    (row,) = lateness.summary([_finished(continued=True), _finished()])
+    assert row.cause is lateness.Cause.CONTINUED
+
+
 def test_the_most_frequent_cause_comes_first():
     lines = [
         _finished(longest_pause_s=0.5),
