--- a/packages/dotterelgrade-front/src/dotterelgrade_front/lateness.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/lateness.py
@@ -4,7 +4,8 @@
 their objective; the share of each cause shows the limiting factor.
 
 A caller whose front was lost continues the stream at another one, which sees
-only its own part of it; such a stream was interrupted and counts as late.
+only its own part of it. Such a stream is counted here, though a caller that
+came at once may have been served in time.
 """
 
 import collections
@@ -22,7 +23,7 @@
 class Cause(enum.Enum):
     """Cause of a late stream."""
 
-    CONTINUED = "continued, the front before was lost"
+    CONTINUED = "continued after the loss of another front, perhaps in time"
     FIRST_EVENT_AFTER_TRY = "first event, after a failed try"
     FIRST_EVENT = "first event, on the first try"
     PAUSE_AT_MOVE = "pause, moved around a stage at fault"
