--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -50,7 +50,8 @@
 - Bursts: a day's changes are spread evenly, and failures of whole failure
   domains make many reports and repairs at once.
 - Fronts on the users' platform at 300 hosts: no sweep of the shifted or another
-  deployment has ended yet. `relay_by_routes` is what grows with a configuration.
+  deployment has ended yet. `relay_by_routes` shows what grows with a
+  configuration.
 """
 
 
