--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -237,8 +237,8 @@
         "From the users' bench, which plays one day with 30, 100 and 300 hosts"
         " of the shifted\ndeployment, with ten engines a host;"
         " `benchmarks/sweeps.json` holds what it showed. The\nday at 30 hosts"
-        " is clean. At 100 and 300 rules break (`KNOWN-RED.txt`); not traced, but"
-        " each snapshot\nlists the reservations of all engines four times a"
+        " is clean. At 100 and 300 rules break (`KNOWN-RED.txt`); not traced,"
+        " but each\nsnapshot lists the reservations of all engines four times a"
         " second, on links of 7 Mbit/s.\n"
     )
     yield _lines_table(sweeps)
