Log on what knowledge of the configuration a request is rejected

The front's log had no line from which one could tell why: whether the planner's word or an own read was trusted, up to which offset, and how old that was.

Each request that is answered by the configuration alone now leaves one line, request_rejected, with version, offset, era, age and source. The follower tells its sink up to when its records are known to be complete. No decision changes: the times are those that were used before.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -11,6 +11,7 @@
 
 from dotterelgrade import errors
 from dotterelgrade_front import peer_frames
+from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import feed_position
 from dotterelgrade_routing import latest_records
 from dotterelgrade_routing import platform_port
@@ -48,6 +49,9 @@
     def note_contact(self, *, heard_at: float) -> None:
         """Notes when the store last answered, monotonic time, s."""
 
+    def note_freshness(self, freshness: feed_freshness.FeedFreshness) -> None:
+        """Notes up to when all records are known."""
+
     def note_outage(self) -> None:
         """Notes that the store is unreachable from all fronts."""
 
@@ -97,7 +101,7 @@
         self._position = feed_position.FeedPosition()
         self._latest = latest_records.LatestRecords()
         self._heard_at = self._others_heard_at = float("-inf")
-        self._snapshot_at = float("-inf")
+        self._current_at = self._snapshot_at = float("-inf")
         self._retry_pause_s = _MIN_RETRY_PAUSE_S
         self._lost_at: float | None = None
 
@@ -226,6 +230,7 @@
         self._sink.note_relayed_contact(at=heard_at)
         if self._position.relay_valid_for_s(now=time.monotonic()) > 0:
             self._note_contact(heard_at)
+            self._note_current(heard_at, feed_freshness.ContactSource.PLANNER)
 
     def _read(self) -> None:
         start = self._position.end
@@ -241,6 +246,7 @@
                 return
             bases = self._latest.values()
             self._replace_all(page)
+            self._note_current_by_store()
         else:
             page = self._feed.read(start=start, wait_s=self._poll_timeout_s())
             self._note_answer()
@@ -251,6 +257,7 @@
             for record in page.records:
                 self._apply(record)
             self._position.advance(page.end, era=page.era)
+            self._note_current_by_store()
         if not page.records:
             return
         if self._on_page is not None:
@@ -320,6 +327,25 @@
             )
         self._sink.note_contact(heard_at=self._heard_at)
 
+    def _note_current_by_store(self) -> None:
+        self._note_current(self._heard_at, feed_freshness.ContactSource.STORE)
+
+    def _note_current(
+        self, at: float, source: feed_freshness.ContactSource
+    ) -> None:
+        """Notes that all records acknowledged by a time are applied."""
+        if at < self._current_at:
+            return
+        self._current_at = at
+        self._sink.note_freshness(
+            feed_freshness.FeedFreshness(
+                end=self._position.end,
+                era=self._position.era,
+                current_at=at,
+                source=source,
+            )
+        )
+
     def _note_outage(self, reason: str) -> None:
         self._count("failed")
         if self._lost_at is None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_sinks.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_sinks.py
@@ -6,6 +6,7 @@
 
 from dotterelgrade_front import front_state
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import platform_port
 
 
@@ -42,6 +43,10 @@
         """Notes when the store last answered, monotonic time, s."""
         self._state.known_configuration.store_contact_at = heard_at
 
+    def note_freshness(self, freshness: feed_freshness.FeedFreshness) -> None:
+        """Notes up to when the versions are known."""
+        self._state.known_configuration.freshness = freshness
+
     def note_outage(self) -> None:
         """Does nothing; the age of the configuration shows the outage."""
 
@@ -125,6 +130,9 @@
         """Notes when the store last answered, monotonic time, s."""
         self._state.fleet.note_contact(now=heard_at)
 
+    def note_freshness(self, freshness: feed_freshness.FeedFreshness) -> None:
+        """Does nothing; a request is never rejected for want of an entry."""
+
     def note_outage(self) -> None:
         """Notes that the store is unreachable from all fronts."""
         self._state.fleet.note_outage()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -15,6 +15,7 @@
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration as configuration_lib
 from dotterelgrade_routing import exclusions as exclusions_lib
+from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import holdoff
 from dotterelgrade_routing import link_budget
@@ -41,10 +42,12 @@
     Attributes:
         configuration: The newest version, or None before the first read.
         store_contact_at: Monotonic time of the last contact with the store, s.
+        freshness: Offset up to which the versions are known, and its age.
     """
 
     configuration: configuration_lib.Configuration | None = None
     store_contact_at: float = float("-inf")
+    freshness: feed_freshness.FeedFreshness = feed_freshness.FeedFreshness()
 
 
 class FrontState:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -139,6 +139,7 @@
             outcome = self._dispatch(client, call, close=close)
         except _RejectedError as rejected:
             outcome = rejected.error.kind.value
+            self._record_rejection(request, facts, rejected.error)
             responses.send_error(
                 client,
                 rejected.error,
@@ -156,6 +157,31 @@
                 path=request.path,
             )
 
+    def _record_rejection(
+        self,
+        request: http_message.Request,
+        facts: request_metadata.RequestMetadata,
+        error: errors.Error,
+    ) -> None:
+        """Records on what knowledge of the configuration a request fails."""
+        known = self._state.known_configuration
+        current = known.configuration
+        freshness = known.freshness
+        age_s = freshness.age_s(now=time.monotonic())
+        self._state.decisions.record(
+            "request_rejected",
+            reason=error.message,
+            request_id=facts.request_id,
+            kind=error.kind.value,
+            host=request.host,
+            path=request.path,
+            version=None if current is None else current.version,
+            end=freshness.end,
+            era=freshness.era,
+            age_s=None if age_s is None else round(age_s, 3),
+            source=freshness.source.value,
+        )
+
     def _dispatch(
         self,
         client: client_connection.ClientConnection,
--- a/packages/dotterelgrade-front/tests/test_relay_machine.py
+++ b/packages/dotterelgrade-front/tests/test_relay_machine.py
@@ -43,6 +43,9 @@
     def note_contact(self, *, heard_at):
         del heard_at
 
+    def note_freshness(self, freshness):
+        del freshness
+
     def note_outage(self):
         pass
 
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_freshness.py
@@ -0,0 +1,42 @@
+"""How recent the records are that a front has applied of a feed."""
+
+import dataclasses
+import enum
+
+from dotterelgrade_routing import store_era
+
+
+class ContactSource(enum.Enum):
+    """Who told a front that its records are complete."""
+
+    NOBODY = "nobody"
+    STORE = "store"
+    PLANNER = "planner"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FeedFreshness:
+    """State of a feed at one front.
+
+    Attributes:
+        end: Offset after the last applied record, or None before the first.
+        era: Era of the store to which the offset belongs.
+        current_at: The records hold all that the store had acknowledged by this
+            monotonic time, s.
+        source: Who told so.
+    """
+
+    end: int | None = None
+    era: int = store_era.UNCOUNTED
+    current_at: float = float("-inf")
+    source: ContactSource = ContactSource.NOBODY
+
+    def age_s(self, *, now: float) -> float | None:
+        """Returns how old that knowledge is, s, or None if there is none.
+
+        Args:
+            now: Monotonic time, s.
+        """
+        if self.source is ContactSource.NOBODY:
+            return None
+        return max(0.0, now - self.current_at)
