Keep relayed records that arrive before a missed one is read

Cause: a front that misses one relayed record (it was between two planners) ignored every later one as a gap and read the store itself. While that read was under way the next records were relayed and ignored as well. If its end equalled the planner's last stated position, the front took itself for complete and slept for up to 1.1 s. With a version every 0.23 s it did not catch up until the versions paused.

Change: a page that follows a gap is kept (bounded by pages and bytes) and applied after the read; it also voids the planner's stated position, and a front that is behind is woken instead of sleeping on. No format changes.

Test: test_versions_after_a_missed_record_are_not_late replays a version every 0.15 s with reads of 0.3 s. Relayed pages of older builds take the same path.

Ruled out: the decoding of differences (no relayed_records_rejected line), the planner's link (the other fronts have each version at once).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -1,12 +1,14 @@
 """Reads a feed of the store continuously, with retries during outages."""
 
 from collections.abc import Callable, Mapping
+import dataclasses
 import logging
 import random
 import time
 from typing import Protocol
 
 import gevent
+from gevent import event
 from returns import result
 
 from dotterelgrade import errors
@@ -14,6 +16,7 @@
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import feed_position
 from dotterelgrade_routing import latest_records
+from dotterelgrade_routing import pending_pages
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import relay_encoding
 from dotterelgrade_routing import store_era
@@ -100,6 +103,8 @@
         self._relaying = False
         self._position = feed_position.FeedPosition()
         self._latest = latest_records.LatestRecords()
+        self._pending = pending_pages.PendingPages()
+        self._left_behind = event.Event()
         self._heard_at = self._others_heard_at = float("-inf")
         self._current_at = self._snapshot_at = float("-inf")
         self._retry_pause_s = _MIN_RETRY_PAUSE_S
@@ -138,7 +143,8 @@
             self._enter_era(self._feed.era)
             covered_s = self._position.relay_valid_for_s(now=time.monotonic())
             if covered_s > 0 and not self._relaying:
-                gevent.sleep(max(covered_s, _MIN_SLEEP_S))
+                self._left_behind.clear()
+                self._left_behind.wait(max(covered_s, _MIN_SLEEP_S))
                 continue
             try:
                 self._read()
@@ -166,12 +172,10 @@
             page: The records.
         """
         self._enter_era(page.era)
-        if not self._position.is_contiguous(start, era=page.era):
-            return
-        for record in page.records:
-            if record.offset >= self._position.end:
-                self._apply(record)
-        self._position.advance(page.end, era=page.era)
+        if self._position.is_contiguous(start, era=page.era):
+            self._apply_page(page)
+        else:
+            self._keep_pending(start, relay_encoding.encode_whole(page))
 
     def apply_changes(
         self, start: int | None, page: relay_encoding.EncodedPage
@@ -188,28 +192,75 @@
             the next read of the store brings them.
         """
         self._enter_era(page.era)
-        known_end = -1 if self._position.end is None else self._position.end
         if start is None:
-            if page.era != self._position.era or page.end <= known_end:
-                return result.Success(None)
-            records = page.records
-        elif self._position.is_contiguous(start, era=page.era):
-            records = tuple(r for r in page.records if r.offset >= known_end)
-        else:
+            return self._apply_newest(page)
+        if self._position.is_contiguous(start, era=page.era):
+            return self._apply_following(page)
+        self._keep_pending(start, page)
+        return result.Success(None)
+
+    def _apply_newest(
+        self, page: relay_encoding.EncodedPage
+    ) -> result.Result[None, errors.Error]:
+        """Applies the newest records of all keys, unless they are known."""
+        known_end = -1 if self._position.end is None else self._position.end
+        if page.era != self._position.era or page.end <= known_end:
             return result.Success(None)
+        return self._decode(page).map(self._replace_all)
+
+    def _apply_following(
+        self, page: relay_encoding.EncodedPage
+    ) -> result.Result[None, errors.Error]:
+        """Applies the records of a page that leaves no gap."""
+        unknown = tuple(
+            r for r in page.records if r.offset >= self._position.end
+        )
+        further = dataclasses.replace(page, records=unknown)
+        return self._decode(further).map(self._apply_page)
+
+    def _decode(
+        self, page: relay_encoding.EncodedPage
+    ) -> result.Result[platform_port.Page, errors.Error]:
         decoded = relay_encoding.decode_all(
-            records, bases=self._latest.values()
+            page.records, bases=self._latest.values()
         )
-        if isinstance(decoded, result.Failure):
-            return decoded
-        complete = platform_port.Page(
-            records=decoded.unwrap(), end=page.end, era=page.era
+        return decoded.map(
+            lambda records: platform_port.Page(
+                records=records, end=page.end, era=page.era
+            )
         )
-        if start is None:
-            self._replace_all(complete)
-        else:
-            self.apply_relayed(start, complete)
-        return result.Success(None)
+
+    def _apply_page(self, page: platform_port.Page) -> None:
+        for record in page.records:
+            if record.offset >= self._position.end:
+                self._apply(record)
+        self._position.advance(page.end, era=page.era)
+
+    def _keep_pending(
+        self, start: int, page: relay_encoding.EncodedPage
+    ) -> None:
+        """Keeps a page until a read of the store closes the gap before it."""
+        if page.era != self._position.era:
+            return
+        self._pending.add(pending_pages.PendingPage(start=start, page=page))
+        self._position.note_gap(page.end)
+        self._left_behind.set()
+
+    def _apply_pending(self) -> None:
+        """Applies the pages that a read has made contiguous."""
+        for pending in self._pending.take_following(self._position):
+            applied = self._apply_following(pending.page)
+            if isinstance(applied, result.Failure):
+                _LOG.warning(
+                    "pending_records_rejected",
+                    extra={
+                        "feed": repr(self._feed),
+                        "reason": applied.failure().message,
+                        "start": pending.start,
+                        "known_end": self._position.end,
+                    },
+                )
+                return
 
     def note_relayed(
         self, *, end: int, heard_at: float, era: int = store_era.UNCOUNTED
@@ -228,6 +279,8 @@
         self._others_heard_at = max(self._others_heard_at, heard_at)
         self._snapshot_at = time.monotonic()
         self._sink.note_relayed_contact(at=heard_at)
+        if self._position.is_behind_planner:
+            self._left_behind.set()
         if self._position.relay_valid_for_s(now=time.monotonic()) > 0:
             self._note_contact(heard_at)
             self._note_current(heard_at, feed_freshness.ContactSource.PLANNER)
@@ -258,11 +311,11 @@
                 self._apply(record)
             self._position.advance(page.end, era=page.era)
             self._note_current_by_store()
-        if not page.records:
-            return
-        if self._on_page is not None:
+        if page.records and self._on_page is not None:
             self._on_page(start, page, bases)
-        gevent.sleep(self._current_batch_delay_s())
+        self._apply_pending()
+        if page.records:
+            gevent.sleep(self._current_batch_delay_s())
 
     def _replace_all(self, page: platform_port.Page) -> None:
         self._sink.replace_all(page)
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -4,6 +4,7 @@
 
 import front_fakes as fakes
 import gevent
+import platform_fakes
 import pytest
 
 from dotterelgrade_front import feed_follower
@@ -370,3 +371,47 @@
     follower.apply_changes(None, page)
     assert not taken
     assert follower.end == 2
+
+
+class _SlowFeed(platform_fakes.FakeFeed):
+    """A feed over a weak link: each answer takes a while to arrive."""
+
+    ANSWER_S = 0.3
+
+    def read(self, *, start, wait_s):
+        page = super().read(start=start, wait_s=wait_s)
+        gevent.sleep(self.ANSWER_S)
+        return page
+
+
+def test_versions_after_a_missed_record_are_not_late(front):
+    """Load pattern: versions follow each other while planners change.
+
+    The front misses one record; each later one is relayed while its own read
+    is under way, and the planner's last position looks like its own.
+    """
+    feed = _SlowFeed()
+    follower = feed_follower.FeedFollower(
+        feed,
+        sink=feed_sinks.ConfigurationSink(front.state),
+        rng=random.Random(1),
+        count=lambda _: None,
+    )
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    _wait_until(lambda: follower.end == 1)
+    longest_lag_s = 0.0
+    lags_since = time.monotonic()
+    for number in range(1, 25):
+        feed.add("config", b"v%d" % number)
+        if number > 1:
+            record = feed.records[number]
+            page = platform_port.Page(records=(record,), end=number + 1)
+            follower.apply_relayed(number, page)
+        follower.note_relayed(end=number + 1, heard_at=time.monotonic())
+        gevent.sleep(0.15)
+        if follower.end == number + 1:
+            lags_since = time.monotonic()
+        longest_lag_s = max(longest_lag_s, time.monotonic() - lags_since)
+    running.kill()
+    assert longest_lag_s < 2 * feed.ANSWER_S + 0.2
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
@@ -95,6 +95,25 @@
         self._planner_era = era
         self._planner_heard_at = heard_at
 
+    def note_gap(self, end: int) -> None:
+        """Records that the planner relayed a page which could not be applied.
+
+        The position that it stated before no longer tells that nothing is
+        missing, even if a read reaches exactly that offset.
+
+        Args:
+            end: Offset after the page.
+        """
+        self._planner_end = max(self._planner_end, end)
+
+    @property
+    def is_behind_planner(self) -> bool:
+        """Whether the planner has records of this era that are missing here."""
+        if self._end is None:
+            return True
+        same_era = self._planner_era == self._era
+        return same_era and self._planner_end > self._end
+
     def relay_valid_for_s(self, *, now: float) -> float:
         """Returns for how long no read of the store is needed, s, or 0."""
         if self._end is None or self._planner_end != self._end:
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
@@ -36,6 +36,13 @@
     compressed: bool = False
     delta: record_delta.Delta | None = None
 
+    @property
+    def size(self) -> int:
+        """Bytes that it holds."""
+        if self.delta is None:
+            return len(self.value)
+        return len(self.value) + self.delta.literal_bytes
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EncodedPage:
@@ -141,6 +148,17 @@
         return EncodedRecord(key=record.key, offset=record.offset, delta=delta)
 
 
+def encode_whole(page: platform_port.Page) -> EncodedPage:
+    """Returns a page with all its records as they are."""
+    return EncodedPage(
+        records=tuple(
+            encode_all(WholeEncoding(), page.records, bases={}),
+        ),
+        end=page.end,
+        era=page.era,
+    )
+
+
 def encode_all(
     encoding: RelayEncoding,
     records: Iterable[platform_port.Record],
