Date the planner's statements by the report that they count

The front subtracted that age from the time of arrival.

No format changes; both builds understand each other.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -158,6 +158,8 @@
 class ReportCounted:
     """Acknowledges the report that the next snapshot includes.
 
+    It also dates the snapshot: it was made after the front had sent the report.
+
     Attributes:
         number: Number of the front's report.
     """
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -17,6 +17,7 @@
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import relay_encoding
+from dotterelgrade_routing import report_times
 
 # Loads change with each request; a snapshot of this age is accurate enough.
 EXCHANGE_INTERVAL_S = 0.25
@@ -58,6 +59,7 @@
         self._ended_term: platform_port.Term | None = None
         self._last_snapshot_at = float("-inf")
         self._counted_report_number = 0
+        self._report_times = report_times.ReportTimes()
         self._silent_ids: set[str] = set()
 
     def __repr__(self) -> str:
@@ -153,6 +155,7 @@
             return False
         previous_snapshot_at = self._last_snapshot_at
         self._silent_ids.clear()
+        self._report_times = report_times.ReportTimes()
         sender = gevent.spawn(self._send_loads, connection)
         try:
             for frame in connection:
@@ -161,6 +164,7 @@
                     self._apply_snapshot(frame)
                 elif isinstance(frame, peer_frames.ReportCounted):
                     self._counted_report_number = frame.number
+                    self._report_times.note_counted(frame.number)
                 elif isinstance(frame, peer_frames.RelayedRecords):
                     self._apply_records(frame)
                 elif isinstance(frame, peer_frames.RelayedChanges):
@@ -202,6 +206,7 @@
                 connection.close("planner silent")
                 return
             report = state.load.report()
+            self._report_times.note_sent(report.number, at=now)
             connection.send(
                 peer_frames.FrontLoad(
                     number=report.number,
@@ -252,7 +257,7 @@
         for progress in snapshot.feeds:
             self._followers[progress.feed].note_relayed(
                 end=progress.end,
-                heard_at=now - progress.age_s,
+                heard_at=self._report_times.counted_at - progress.age_s,
                 era=progress.era,
             )
         state.notices.note_all_leaving(snapshot.leaving)
