Leave out records of a late answer that were relayed meanwhile

What callers could see: a front that starts serves an older version, until the next change, and refuses what was added since.

Cause: a read that answers late holds records that the planner has relayed meanwhile. The configuration itself ignores older versions, but the newest large record was replaced by the older one. A planner elected just then encodes differences to the wrong version, and writes a copy of the old record with the new end of the feed, which starting fronts take as current.

Change: only records at or after the known end are applied and passed on.

Test: test_a_late_answer_does_not_replace_a_later_relayed_version, which fails on the code before (the copy has offset 1 beside end 3).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -62,6 +62,22 @@
         """Notes when the store last answered the planner, monotonic time, s."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _UnknownRecords:
+    """Records that a read has brought.
+
+    Attributes:
+        start: Offset from which they are complete, or None if they are the
+            newest of all keys.
+        page: The records.
+        bases: Newest large values by key before them.
+    """
+
+    start: int | None
+    page: platform_port.Page
+    bases: Mapping[str, bytes]
+
+
 OnPage = Callable[[int | None, platform_port.Page, Mapping[str, bytes]], None]
 
 
@@ -233,7 +249,8 @@
     def _apply_page(self, page: platform_port.Page) -> None:
         for record in page.records:
             if record.offset >= self._position.end:
-                self._apply(record)
+                self._sink.apply(record)
+                self._latest.note(record)
         self._position.advance(page.end, era=page.era)
 
     def _keep_pending(
@@ -286,37 +303,52 @@
             self._note_current(heard_at, feed_freshness.ContactSource.PLANNER)
 
     def _read(self) -> None:
-        start = self._position.end
-        bases: Mapping[str, bytes] = {}
-        if start is None:
-            page = self._feed.newest()
-            self._note_answer()
-            self._enter_era(page.era)
-            if page.era != self._position.era:
-                return
-            if (self._position.end or 0) > page.end:
-                # The planner has relayed a later state meanwhile.
-                return
-            bases = self._latest.values()
-            self._replace_all(page)
-            self._note_current_by_store()
+        """Reads the store once, and passes on what was not known before."""
+        if self._position.end is None:
+            unknown = self._read_newest()
         else:
-            page = self._feed.read(start=start, wait_s=self._poll_timeout_s())
-            self._note_answer()
-            if not self._position.is_contiguous(start, era=page.era):
-                # The position was reset meanwhile; the next read starts anew.
-                return
-            bases = self._latest.values()
-            for record in page.records:
-                self._apply(record)
-            self._position.advance(page.end, era=page.era)
-            self._note_current_by_store()
-        if page.records and self._on_page is not None:
-            self._on_page(start, page, bases)
+            unknown = self._read_following()
+        if unknown is None:
+            return
+        changed = bool(unknown.page.records)
+        if changed and self._on_page is not None:
+            self._on_page(unknown.start, unknown.page, unknown.bases)
         self._apply_pending()
-        if page.records:
+        if changed:
             gevent.sleep(self._current_batch_delay_s())
 
+    def _read_newest(self) -> _UnknownRecords | None:
+        """Returns the newest records of all keys, unless they are outdated."""
+        page = self._feed.newest()
+        self._note_answer()
+        self._enter_era(page.era)
+        if page.era != self._position.era:
+            return None
+        if (self._position.end or 0) > page.end:
+            # The planner has relayed a later state meanwhile.
+            return None
+        bases = self._latest.values()
+        self._replace_all(page)
+        self._note_current(self._heard_at, feed_freshness.ContactSource.STORE)
+        return _UnknownRecords(start=None, page=page, bases=bases)
+
+    def _read_following(self) -> _UnknownRecords | None:
+        """Returns the records after the position that are still unknown."""
+        start = self._position.end
+        wait_s = self._poll_timeout_s()
+        page = self._feed.read(start=start, wait_s=wait_s)
+        self._note_answer()
+        if not self._position.is_contiguous(start, era=page.era):
+            # The position was reset meanwhile; the next read starts anew.
+            return None
+        bases = self._latest.values()
+        known_end = self._position.end
+        records = tuple(r for r in page.records if r.offset >= known_end)
+        unknown = dataclasses.replace(page, records=records)
+        self._apply_page(unknown)
+        self._note_current(self._heard_at, feed_freshness.ContactSource.STORE)
+        return _UnknownRecords(start=known_end, page=unknown, bases=bases)
+
     def _replace_all(self, page: platform_port.Page) -> None:
         self._sink.replace_all(page)
         self._latest.clear()
@@ -324,10 +356,6 @@
             self._latest.note(record)
         self._position.advance(page.end, era=page.era)
 
-    def _apply(self, record: platform_port.Record) -> None:
-        self._sink.apply(record)
-        self._latest.note(record)
-
     def _enter_era(self, era: int) -> None:
         """Resets the position if the store was restored from a copy."""
         before, end = self._position.era, self._position.end
@@ -380,9 +408,6 @@
             )
         self._sink.note_contact(heard_at=self._heard_at)
 
-    def _note_current_by_store(self) -> None:
-        self._note_current(self._heard_at, feed_freshness.ContactSource.STORE)
-
     def _note_current(
         self, at: float, source: feed_freshness.ContactSource
     ) -> None:
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -4,14 +4,17 @@
 
 import front_fakes as fakes
 import gevent
+from gevent import event
 import platform_fakes
 import pytest
 
+from dotterelgrade_front import copy_publisher
 from dotterelgrade_front import feed_follower
 from dotterelgrade_front import feed_sinks
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import record_copy
 from dotterelgrade_routing import relay_encoding
 
 
@@ -415,3 +418,56 @@
         longest_lag_s = max(longest_lag_s, time.monotonic() - lags_since)
     running.kill()
     assert longest_lag_s < 2 * feed.ANSWER_S + 0.2
+
+
+class _DelayedAnswer(platform_fakes.FakeFeed):
+    """A feed whose next answer waits until the test lets it through."""
+
+    def __init__(self):
+        super().__init__()
+        self.answered = event.Event()
+
+    def read(self, *, start, wait_s):
+        del wait_s
+        page = super().read(start=start, wait_s=0.0)
+        self.answered.wait()
+        return page
+
+
+@pytest.fixture
+def delayed(front):
+    """A feed with one record, and a follower that has read it."""
+    feed = _DelayedAnswer()
+    follower = feed_follower.FeedFollower(
+        feed,
+        sink=feed_sinks.ConfigurationSink(front.state),
+        rng=random.Random(1),
+        count=lambda _: None,
+    )
+    feed.add("config", _LARGE + b"0")
+    follower._read()
+    return feed, follower
+
+
+_LARGE = b"{x}" * record_copy.MIN_RECORD_BYTES
+
+
+def test_a_late_answer_does_not_replace_a_later_relayed_version(front, delayed):
+    """The front is elected just then, and would relay and copy old versions."""
+    feed, follower = delayed
+    feed.add("config", _LARGE + b"1")
+    reading = gevent.spawn(follower._read)
+    gevent.sleep(0.05)
+    feed.add("config", _LARGE + b"2")
+    page = platform_port.Page(records=tuple(feed.records[1:3]), end=3)
+    follower.apply_relayed(1, page)
+    feed.answered.set()
+    reading.join()
+    assert follower.end == 3
+    assert follower.latest("config").value == _LARGE + b"2"
+    publisher = copy_publisher.CopyPublisher(
+        front.state, follower=follower, leads=lambda: True
+    )
+    publisher.publish_once()
+    copy = record_copy.decode(front.state.platform.copies.body).unwrap()
+    assert (copy.offset, copy.end) == (2, 3)
