Date an answer of the store by its question

Cause: a front dated its knowledge by the arrival of the store's answer, and the planner passed that date on to all. What an answer says was true when the store sent it; certain is only the time at which it was asked, or, of an answer without records, the time for which the store had waited by then. An answer of limited size dated the feed although more records were behind it.

Change: the follower keeps two times, when the store last answered (for outages and the election, as before) and up to when all records are known (for the planner's cover of the others, and for rejections). Page says whether it is complete.

Tests, which fail on the code before: test_a_slow_answer_is_not_newer_than_its_ question, test_a_page_that_leaves_records_out_proves_nothing_newer, test_a_page_that_leaves_records_out_is_not_complete.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -140,6 +140,11 @@
         """Monotonic time at which the store last answered, s."""
         return self._heard_at
 
+    @property
+    def current_at(self) -> float:
+        """All records acknowledged by this monotonic time are applied, s."""
+        return self._current_at
+
     @property
     def era(self) -> int:
         """Era of the store to which the offset belongs."""
@@ -319,6 +324,7 @@
 
     def _read_newest(self) -> _UnknownRecords | None:
         """Returns the newest records of all keys, unless they are outdated."""
+        asked_at = time.monotonic()
         page = self._feed.newest()
         self._note_answer()
         self._enter_era(page.era)
@@ -329,14 +335,16 @@
             return None
         bases = self._latest.values()
         self._replace_all(page)
-        self._note_current(self._heard_at, feed_freshness.ContactSource.STORE)
+        self._note_current(asked_at, feed_freshness.ContactSource.STORE)
         return _UnknownRecords(start=None, page=page, bases=bases)
 
     def _read_following(self) -> _UnknownRecords | None:
         """Returns the records after the position that are still unknown."""
         start = self._position.end
         wait_s = self._poll_timeout_s()
+        asked_at = time.monotonic()
         page = self._feed.read(start=start, wait_s=wait_s)
+        answered_at = time.monotonic()
         self._note_answer()
         if not self._position.is_contiguous(start, era=page.era):
             # The position was reset meanwhile; the next read starts anew.
@@ -346,7 +354,14 @@
         records = tuple(r for r in page.records if r.offset >= known_end)
         unknown = dataclasses.replace(page, records=records)
         self._apply_page(unknown)
-        self._note_current(self._heard_at, feed_freshness.ContactSource.STORE)
+        if page.complete:
+            current_at = feed_freshness.answer_current_at(
+                asked_at=asked_at,
+                wait_s=wait_s,
+                answered_at=answered_at,
+                changed=bool(page.records),
+            )
+            self._note_current(current_at, feed_freshness.ContactSource.STORE)
         return _UnknownRecords(start=known_end, page=unknown, bases=bases)
 
     def _replace_all(self, page: platform_port.Page) -> None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -24,7 +24,8 @@
         feed: The feed.
         end: Offset after the last record read.
         era: Era of the store to which the offset belongs.
-        age_s: Time since the store last answered the planner, s.
+        age_s: Time since all records acknowledged by the store were certainly
+            before that offset, s.
     """
 
     feed: FeedName
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -325,7 +325,7 @@
                 feed=name,
                 end=follower.end,
                 era=follower.era,
-                age_s=now - follower.heard_at,
+                age_s=now - follower.current_at,
             )
             for name, follower in self._followers.items()
             if follower.end is not None
--- a/packages/dotterelgrade-front/tests/adapter/test_store.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_store.py
@@ -102,6 +102,15 @@
     assert page == platform_port.Page(records=(), end=5)
 
 
+def test_a_page_that_leaves_records_out_is_not_complete(stub, client):
+    """The store limits the size of an answer; more versions are behind it."""
+    feed = store.KeyedFeed(client, topic="t")
+    stub.answers["/log-read"] = [(200, _read(9, 0, (b"k", b"v")))]
+    assert not feed.read(start=5, wait_s=0.1).complete
+    stub.answers["/log-read"] = [(200, _read(6, 0, (b"k", b"v")))]
+    assert feed.read(start=5, wait_s=0.1).complete
+
+
 def test_reading_deleted_records_raises_records_expired(stub, client):
     stub.answers["/log-read"] = [(410, b'{"first": 9}')]
     with pytest.raises(platform_port.RecordsExpiredError):
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -426,12 +426,13 @@
     def __init__(self):
         super().__init__()
         self.answered = event.Event()
+        self.complete = True
 
     def read(self, *, start, wait_s):
         del wait_s
         page = super().read(start=start, wait_s=0.0)
         self.answered.wait()
-        return page
+        return dataclasses.replace(page, complete=self.complete)
 
 
 @pytest.fixture
@@ -452,6 +453,31 @@
 _LARGE = b"{x}" * record_copy.MIN_RECORD_BYTES
 
 
+def test_a_slow_answer_is_not_newer_than_its_question(delayed):
+    """Load pattern: the store answers late, and a version follows meanwhile."""
+    feed, follower = delayed
+    feed.add("config", _LARGE + b"1")
+    asked_at = time.monotonic()
+    reading = gevent.spawn(follower._read)
+    gevent.sleep(0.2)
+    feed.answered.set()
+    reading.join()
+    assert follower.end == 2
+    assert asked_at <= follower.current_at < asked_at + 0.1
+    assert follower.heard_at >= asked_at + 0.2
+
+
+def test_a_page_that_leaves_records_out_proves_nothing_newer(delayed):
+    feed, follower = delayed
+    feed.complete = False
+    current_at = follower.current_at
+    feed.add("config", b"v1")
+    feed.answered.set()
+    follower._read()
+    assert follower.end == 2
+    assert follower.current_at == current_at
+
+
 def test_a_late_answer_does_not_replace_a_later_relayed_version(front, delayed):
     """The front is elected just then, and would relay and copy old versions."""
     feed, follower = delayed
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_freshness.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_freshness.py
@@ -40,3 +40,22 @@
         if self.source is ContactSource.NOBODY:
             return None
         return max(0.0, now - self.current_at)
+
+
+def answer_current_at(
+    *, asked_at: float, wait_s: float, answered_at: float, changed: bool
+) -> float:
+    """Returns the latest time for which an answer is certainly complete.
+
+    The store may answer at any time between question and arrival. Only an
+    answer without records shows that the store has waited first.
+
+    Args:
+        asked_at: Monotonic time at which the question was sent, s.
+        wait_s: How long the store was to wait for a record, s.
+        answered_at: Monotonic time at which the answer had arrived, s.
+        changed: Whether it has records.
+    """
+    if changed or answered_at - asked_at < wait_s:
+        return asked_at
+    return asked_at + wait_s
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -73,11 +73,14 @@
         records: In order of their offsets.
         end: Offset after the last record.
         era: Era of the store to which the offsets belong.
+        complete: Whether it holds all records that the store had when it was
+            asked; an answer of limited size may not.
     """
 
     records: tuple[Record, ...]
     end: int
     era: int = store_era.UNCOUNTED
+    complete: bool = True
 
 
 class Feed(Protocol):
