Notice a lost answer of the store before a version is late

Cause: a front that reads for itself waits in one read. If its connection falls silent just before a change, 2.0 s of waiting, 1.0 s of margin and a pause of 0.075 to 0.225 s passed before the read that brings the change: 3.1 s and more, with 2 s or 3 s allowed. The three times stood in three files, and nothing checked their sum.

The head of an answer has a timeout of its own (0.5 s beyond the wait, doubled after each failure for a store that is slow), the body has more, so that a large page on a weak link is not cut. A front reads without waiting when the planner's cover ends.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/copied_feed.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/copied_feed.py
@@ -40,9 +40,13 @@
             return self._feed.newest(after=after)
         return self._from_copy() or self._feed.newest()
 
-    def read(self, *, start: int, wait_s: float) -> platform_port.Page:
+    def read(
+        self, *, start: int, wait_s: float, answer_timeout_s: float
+    ) -> platform_port.Page:
         """Returns the records from an offset on; see `platform_port.Feed`."""
-        return self._feed.read(start=start, wait_s=wait_s)
+        return self._feed.read(
+            start=start, wait_s=wait_s, answer_timeout_s=answer_timeout_s
+        )
 
     def _from_copy(self) -> platform_port.Page | None:
         """Returns the newest records, or None if the copy is not current."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -15,6 +15,7 @@
 from dotterelgrade_front import peer_frames
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import feed_position
+from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import latest_records
 from dotterelgrade_routing import pending_pages
 from dotterelgrade_routing import platform_port
@@ -23,17 +24,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Long-poll timeout of a read; a silent connection is closed soon after it, so
-# that changes are not missed for long.
-POLL_TIMEOUT_S = 2.0
-# The front that reads for the others reports more often that the store answers.
-RELAYING_POLL_TIMEOUT_S = 0.5
-RELAYING_BATCH_DELAY_S = 0.1
-_MIN_RETRY_PAUSE_S = 0.15
-_MAX_RETRY_PAUSE_S = 0.8
-# The same while the planner, which reads the store more often, sends snapshots:
-# its next one tells that the store is back.
-_MAX_COVERED_RETRY_PAUSE_S = 1.6
 # A planner that has sent no snapshot for this time may be lost.
 _PLANNER_SILENCE_S = 0.8
 # A relayed record may arrive just before a read starts.
@@ -123,8 +113,10 @@
         self._left_behind = event.Event()
         self._heard_at = self._others_heard_at = float("-inf")
         self._current_at = self._snapshot_at = float("-inf")
-        self._retry_pause_s = _MIN_RETRY_PAUSE_S
+        self._retry_pause_s = feed_timing.MIN_RETRY_PAUSE_S
         self._lost_at: float | None = None
+        self._cover_ended = False
+        self._failures = 0
 
     def __repr__(self) -> str:
         """Shows the feed and the position."""
@@ -166,6 +158,7 @@
             if covered_s > 0 and not self._relaying:
                 self._left_behind.clear()
                 self._left_behind.wait(max(covered_s, _MIN_SLEEP_S))
+                self._cover_ended = True
                 continue
             try:
                 self._read()
@@ -343,7 +336,13 @@
         start = self._position.end
         wait_s = self._poll_timeout_s()
         asked_at = time.monotonic()
-        page = self._feed.read(start=start, wait_s=wait_s)
+        page = self._feed.read(
+            start=start,
+            wait_s=wait_s,
+            answer_timeout_s=feed_timing.answer_timeout_s(
+                wait_s=wait_s, failures=self._failures
+            ),
+        )
         answered_at = time.monotonic()
         self._note_answer()
         if not self._position.is_contiguous(start, era=page.era):
@@ -392,28 +391,35 @@
 
     def _current_batch_delay_s(self) -> float:
         if self._relaying:
-            return min(self._batch_delay_s, RELAYING_BATCH_DELAY_S)
+            return min(self._batch_delay_s, feed_timing.RELAYING_BATCH_DELAY_S)
         return self._batch_delay_s
 
     def _max_retry_pause_s(self) -> float:
         silence_s = time.monotonic() - self._snapshot_at
         if self._relaying or silence_s > _PLANNER_SILENCE_S:
-            return _MAX_RETRY_PAUSE_S
-        return _MAX_COVERED_RETRY_PAUSE_S
+            return feed_timing.MAX_RETRY_PAUSE_S
+        return feed_timing.MAX_COVERED_RETRY_PAUSE_S
 
     def _poll_timeout_s(self) -> float:
-        if self._lost_at is not None:
-            # The first read after an outage does not wait, to confirm contact.
+        if self._lost_at is not None or self._cover_ended:
+            # The first read after an outage, or after the planner fell silent,
+            # does not wait: a lost answer is noticed sooner.
             return 0.0
-        return RELAYING_POLL_TIMEOUT_S if self._relaying else POLL_TIMEOUT_S
+        return (
+            feed_timing.RELAYING_POLL_TIMEOUT_S
+            if self._relaying
+            else feed_timing.POLL_TIMEOUT_S
+        )
 
     def _note_answer(self) -> None:
         self._count("answered")
+        self._failures = 0
+        self._cover_ended = False
         self._note_contact(time.monotonic())
 
     def _note_contact(self, heard_at: float) -> None:
         self._heard_at = max(self._heard_at, heard_at)
-        self._retry_pause_s = _MIN_RETRY_PAUSE_S
+        self._retry_pause_s = feed_timing.MIN_RETRY_PAUSE_S
         if self._lost_at is not None:
             away_s = time.monotonic() - self._lost_at
             self._lost_at = None
@@ -441,6 +447,7 @@
 
     def _note_outage(self, reason: str) -> None:
         self._count("failed")
+        self._failures += 1
         if self._lost_at is None:
             self._lost_at = time.monotonic()
             _LOG.warning(
@@ -448,7 +455,7 @@
                 extra={"feed": repr(self._feed), "reason": reason},
             )
         others_silence_s = time.monotonic() - self._others_heard_at
-        if others_silence_s > feed_position.RELAY_VALID_S:
+        if others_silence_s > feed_timing.RELAY_VALID_S:
             self._sink.note_outage()
 
 
--- a/packages/dotterelgrade-front/tests/adapter/test_store.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_store.py
@@ -64,6 +64,10 @@
     return body
 
 
+def _read_from_5(feed):
+    return feed.read(start=5, wait_s=0.1, answer_timeout_s=1.0)
+
+
 def test_newest_reads_all_pages(stub, client):
     stub.answers["/log-newest"] = [
         (200, _page([_item("a", b"1", 4)], end=9, more=True)),
@@ -86,7 +90,9 @@
 
 def test_records_have_their_offsets(stub, client):
     stub.answers["/log-read"] = [(200, _read(7, 0, (b"a", b"1"), (b"b", b"")))]
-    page = store.KeyedFeed(client, topic="t").read(start=5, wait_s=0.1)
+    page = store.KeyedFeed(client, topic="t").read(
+        start=5, wait_s=0.1, answer_timeout_s=1.0
+    )
     assert [(r.key, r.value, r.offset) for r in page.records] == [
         ("a", b"1", 5),
         ("b", b"", 6),
@@ -98,7 +104,9 @@
 
 def test_a_read_without_new_records_keeps_the_offset(stub, client):
     stub.answers["/log-read"] = [(200, _read(5, 0))]
-    page = store.KeyedFeed(client, topic="t").read(start=5, wait_s=0.1)
+    page = store.KeyedFeed(client, topic="t").read(
+        start=5, wait_s=0.1, answer_timeout_s=1.0
+    )
     assert page == platform_port.Page(records=(), end=5)
 
 
@@ -106,15 +114,17 @@
     """The store limits the size of an answer; more versions are behind it."""
     feed = store.KeyedFeed(client, topic="t")
     stub.answers["/log-read"] = [(200, _read(9, 0, (b"k", b"v")))]
-    assert not feed.read(start=5, wait_s=0.1).complete
+    assert not _read_from_5(feed).complete
     stub.answers["/log-read"] = [(200, _read(6, 0, (b"k", b"v")))]
-    assert feed.read(start=5, wait_s=0.1).complete
+    assert _read_from_5(feed).complete
 
 
 def test_reading_deleted_records_raises_records_expired(stub, client):
     stub.answers["/log-read"] = [(410, b'{"first": 9}')]
     with pytest.raises(platform_port.RecordsExpiredError):
-        store.KeyedFeed(client, topic="t").read(start=5, wait_s=0.1)
+        store.KeyedFeed(client, topic="t").read(
+            start=5, wait_s=0.1, answer_timeout_s=1.0
+        )
 
 
 @pytest.mark.parametrize("status", [429, 500, 503])
@@ -123,7 +133,7 @@
     stub.answers["/log-newest"] = [(status, b"")]
     feed = store.KeyedFeed(client, topic="t")
     with pytest.raises(platform_port.StoreError):
-        feed.read(start=5, wait_s=0.1)
+        _read_from_5(feed)
     with pytest.raises(platform_port.StoreError):
         feed.newest()
 
@@ -185,7 +195,7 @@
     feed = store.KeyedFeed(client, topic="t")
     election = store.AppendElection(client, topic="keyed.t")
     stub.answers["/log-read"] = [(200, _read(5, 0), "3")]
-    assert feed.read(start=5, wait_s=0.1).era == 3
+    assert _read_from_5(feed).era == 3
     stub.answers["/log-append"] = [(412, b'{"end": 9}', "4")]
     election.claim("me", after=platform_port.Term(number=0, planner=""))
     assert feed.era == 4
@@ -195,7 +205,7 @@
     assert feed.era == 5
     stub.answers["/log-read"] = [(410, b"{}", "6")]
     with pytest.raises(platform_port.RecordsExpiredError):
-        feed.read(start=5, wait_s=0.1)
+        _read_from_5(feed)
     assert feed.era == 6
 
 
@@ -205,9 +215,9 @@
         (200, _read(5, 0), "4"),
         (200, _read(9, 0), "3"),
     ]
-    feed.read(start=5, wait_s=0.1)
+    _read_from_5(feed)
     with pytest.raises(platform_port.StoreError):
-        feed.read(start=5, wait_s=0.1)
+        _read_from_5(feed)
     assert feed.era == 4
 
 
@@ -229,8 +239,8 @@
         (200, _read(5, 0), "2"),
         (200, _read(5, 0), era),
     ]
-    feed.read(start=5, wait_s=0.1)
-    assert feed.read(start=5, wait_s=0.1).era == 2
+    _read_from_5(feed)
+    assert _read_from_5(feed).era == 2
 
 
 def test_a_term_has_the_era_in_which_it_was_claimed(stub, client):
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -131,7 +131,8 @@
             era=self.era,
         )
 
-    def read(self, *, start, wait_s):
+    def read(self, *, start, wait_s, answer_timeout_s):
+        del answer_timeout_s
         self._answer()
         if start < self.first:
             raise platform_port.RecordsExpiredError("gone")
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -12,6 +12,7 @@
 from dotterelgrade_front import feed_follower
 from dotterelgrade_front import feed_sinks
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import record_copy
@@ -381,8 +382,10 @@
 
     ANSWER_S = 0.3
 
-    def read(self, *, start, wait_s):
-        page = super().read(start=start, wait_s=wait_s)
+    def read(self, *, start, wait_s, answer_timeout_s):
+        page = super().read(
+            start=start, wait_s=wait_s, answer_timeout_s=answer_timeout_s
+        )
         gevent.sleep(self.ANSWER_S)
         return page
 
@@ -428,9 +431,11 @@
         self.answered = event.Event()
         self.complete = True
 
-    def read(self, *, start, wait_s):
+    def read(self, *, start, wait_s, answer_timeout_s):
         del wait_s
-        page = super().read(start=start, wait_s=0.0)
+        page = super().read(
+            start=start, wait_s=0.0, answer_timeout_s=answer_timeout_s
+        )
         self.answered.wait()
         return dataclasses.replace(page, complete=self.complete)
 
@@ -497,3 +502,42 @@
     publisher.publish_once()
     copy = record_copy.decode(front.state.platform.copies.body).unwrap()
     assert (copy.offset, copy.end) == (2, 3)
+
+
+class _SilentOnce(platform_fakes.FakeFeed):
+    """A feed on whose connection one waiting read gets no answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = event.Event()
+
+    def read(self, *, start, wait_s, answer_timeout_s=None):
+        if answer_timeout_s is None:
+            answer_timeout_s = wait_s + 1.0
+        if self.asked.is_set():
+            return super().read(
+                start=start, wait_s=wait_s, answer_timeout_s=answer_timeout_s
+            )
+        self.asked.set()
+        gevent.sleep(answer_timeout_s)
+        raise platform_port.StoreError("response timed out")
+
+
+def test_a_silent_connection_does_not_make_a_version_late(front):
+    """The front reads for itself, and a version follows just then."""
+    feed = _SilentOnce()
+    follower = feed_follower.FeedFollower(
+        feed,
+        sink=feed_sinks.ConfigurationSink(front.state),
+        rng=random.Random(1),
+        count=lambda _: None,
+    )
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    feed.asked.wait()
+    feed.add("config", b"v2")
+    acknowledged_at = time.monotonic()
+    _wait_until(lambda: follower.end == 2)
+    running.kill()
+    late_s = time.monotonic() - acknowledged_at
+    assert late_s < feed_timing.CONFIGURATION_BOUND_S
--- a/packages/dotterelgrade-front/tests/test_planner_link.py
+++ b/packages/dotterelgrade-front/tests/test_planner_link.py
@@ -13,7 +13,7 @@
 from dotterelgrade_front import feed_sinks
 from dotterelgrade_front import peer_frames
 from dotterelgrade_front import planner_link
-from dotterelgrade_routing import feed_position
+from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import leadership
 
 _PLANNER = "127.0.0.1:1"
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize(
     ("delay_s", "reads_itself"),
-    [(0.05, False), (feed_position.RELAY_VALID_S + 0.2, True)],
+    [(0.05, False), (feed_timing.RELAY_VALID_S + 0.2, True)],
 )
 def test_a_snapshot_that_waited_on_the_link_is_not_fresh(
     front, follower, monkeypatch, delay_s, reads_itself
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
@@ -7,12 +7,9 @@
 valid only in the era of the store in which it was read.
 """
 
+from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import store_era
 
-# A configuration change must be in force within 2 s, even if the planner is
-# lost just after its last message.
-RELAY_VALID_S = 1.1
-
 
 class FeedPosition:
     """The offset after the last applied record, and the era of that offset."""
@@ -120,4 +117,5 @@
             return 0.0
         if self._planner_era != self._era:
             return 0.0
-        return max(0.0, self._planner_heard_at + RELAY_VALID_S - now)
+        valid_until = self._planner_heard_at + feed_timing.RELAY_VALID_S
+        return max(0.0, valid_until - now)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -100,12 +100,15 @@
             StoreError: There was no usable answer.
         """
 
-    def read(self, *, start: int, wait_s: float) -> Page:
+    def read(
+        self, *, start: int, wait_s: float, answer_timeout_s: float
+    ) -> Page:
         """Returns the records from an offset on; waits for the first one.
 
         Args:
             start: Offset of the first record.
-            wait_s: Longest time to wait, s.
+            wait_s: Longest time for the store to wait, s.
+            answer_timeout_s: Longest time until the answer begins, s.
 
         Raises:
             StoreError: There was no usable answer.
--- a/packages/dotterelgrade-routing/tests/test_feed_position.py
+++ b/packages/dotterelgrade-routing/tests/test_feed_position.py
@@ -1,6 +1,7 @@
 from dotterelgrade_routing import feed_position
+from dotterelgrade_routing import feed_timing
 
-_VALID_S = feed_position.RELAY_VALID_S
+_VALID_S = feed_timing.RELAY_VALID_S
 
 
 def _position_at(end):
--- a/packages/dotterelgrade-standins/tests/test_platform_store.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_store.py
@@ -26,8 +26,11 @@
 
 def test_records_are_read_and_waited_for(store, feed):
     store.write(_TOPIC, "a", b"1")
-    assert [r.value for r in feed.read(start=0, wait_s=0).records] == [b"1"]
-    waiting = gevent.spawn(feed.read, start=1, wait_s=2.0)
+    assert [
+        r.value
+        for r in feed.read(start=0, wait_s=0, answer_timeout_s=1).records
+    ] == [b"1"]
+    waiting = gevent.spawn(feed.read, start=1, wait_s=2.0, answer_timeout_s=3.0)
     gevent.sleep(0.05)
     store.write(_TOPIC, "a", b"2")
     assert [r.value for r in waiting.get(timeout=1).records] == [b"2"]
@@ -46,7 +49,7 @@
     store.write(_TOPIC, "a", b"1")
     store.forget_history()
     with pytest.raises(platform_port.RecordsExpiredError):
-        feed.read(start=0, wait_s=0)
+        feed.read(start=0, wait_s=0, answer_timeout_s=1)
 
 
 @pytest.mark.parametrize("outage", platform_store.Outage)
@@ -54,7 +57,7 @@
     store.outage = outage
     assert not store.write(_TOPIC, "a", b"1")
     with pytest.raises(platform_port.StoreError):
-        feed.read(start=0, wait_s=0)
+        feed.read(start=0, wait_s=0, answer_timeout_s=1)
 
 
 def test_one_of_two_claims_of_a_term_wins(client):
@@ -92,7 +95,7 @@
     assert [r.value for r in after.records] == [b"1"]
     assert after.era == before.era + 1
     with pytest.raises(platform_port.RecordsExpiredError):
-        feed.read(start=before.end, wait_s=0)
+        feed.read(start=before.end, wait_s=0, answer_timeout_s=1)
 
 
 def test_a_term_that_a_copy_lacks_is_given_out_again(store, client):
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -146,6 +146,7 @@
         body: bytes = b"",
         timeout_s: float,
         max_body_bytes: int,
+        head_timeout_s: float | None = None,
     ) -> tuple[http_message.ResponseHead, bytes]:
         """Sends a request and reads its complete response.
 
@@ -156,6 +157,8 @@
             body: Body of the request.
             timeout_s: Timeout of the response, s.
             max_body_bytes: Maximum size of the body.
+            head_timeout_s: Timeout of the response's head, s; None for the
+                timeout of the response.
 
         Returns:
             The head and the body of the response.
@@ -164,7 +167,11 @@
             BrokenConnectionError: The response was incomplete or invalid.
             ResponseTimeoutError: The response did not arrive in time.
         """
-        deadline = time.monotonic() + timeout_s
+        asked_at = time.monotonic()
+        deadline = asked_at + timeout_s
+        head_deadline = deadline
+        if head_timeout_s is not None:
+            head_deadline = min(deadline, asked_at + head_timeout_s)
         self.send(
             method=method,
             target=target,
@@ -172,7 +179,7 @@
             body=body,
             timeout_s=timeout_s,
         )
-        head = self.read_head(deadline=deadline)
+        head = self.read_head(deadline=head_deadline)
         return head, self.read_body(
             deadline=deadline, max_body_bytes=max_body_bytes
         )
@@ -400,6 +407,7 @@
     body: bytes = b"",
     headers: http_message.Headers | None = None,
     connect_timeout_s: float = 1.0,
+    head_timeout_s: float | None = None,
     timeout_s: float,
     max_body_bytes: int = 16_777_216,
 ) -> tuple[http_message.ResponseHead, bytes]:
@@ -412,6 +420,8 @@
         body: Body of the request.
         headers: Headers except Host and Content-Length.
         connect_timeout_s: Timeout of connecting, s.
+        head_timeout_s: Timeout of the response's head, s; None for the timeout
+            of the response.
         timeout_s: Timeout of the response, s.
         max_body_bytes: Maximum size of the body.
 
@@ -429,6 +439,7 @@
             target=target,
             headers=headers or [],
             body=body,
+            head_timeout_s=head_timeout_s,
             timeout_s=timeout_s,
             max_body_bytes=max_body_bytes,
         )
--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -156,3 +156,19 @@
         serve(lambda sock: sock.sendall(response)), method=b"HEAD"
     )
     assert (head.status, body) == (200, b"")
+
+
+def test_the_head_may_have_a_shorter_timeout_than_the_body(serve):
+    """A large answer over a weak link takes long, but begins in time."""
+
+    def slow_body(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n")
+        gevent.sleep(0.4)
+        sock.sendall(b"ok")
+
+    head, body = _call(serve(slow_body), head_timeout_s=0.2)
+    assert (head.status, body) == (200, b"ok")
+    started_at = time.monotonic()
+    with pytest.raises(http_connection.ResponseTimeoutError):
+        _call(serve(lambda _: gevent.sleep(1.0)), head_timeout_s=0.2)
+    assert time.monotonic() - started_at < 0.6
