Answer 503 where an outdated configuration lacks a route or key

Cause, as a class: a front said that a route or key does not exist, however old its configuration was. 401 and 404 are final for a caller, who won't ask again.

Change: 401 and 404 are given only if the configuration is known to hold all that was acknowledged 2 s ago; otherwise 503, not run, with a time to return, at once. What a front knows it goes on serving.

Why it works: the age is a bound by the front's own clock (question of an own read, or report that the planner had counted), so a version acknowledged longer ago is in force whenever 401 or 404 is given. A front that is cut off answers 503 for what it does not know, so a caller of an unknown route is told to come back once or twice during an outage.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -27,7 +27,7 @@
         errors.ErrorKind.HEAD_TOO_LARGE
     ),
 }
-# Reading the first configuration from the store takes less than this.
+# Reading the configuration from the store takes less than this.
 _NOT_READY_RETRY_S = 0.5
 
 
@@ -220,7 +220,7 @@
             )
         route = current.route_for(request.host, request.path)
         if route is None:
-            raise _rejected(
+            raise self._absent(
                 errors.ErrorKind.NOT_FOUND, "no route matches host and path"
             )
         workspace = self._workspace(current, route, facts)
@@ -250,9 +250,24 @@
     ) -> configuration.Workspace | None:
         workspace = current.workspace_for(facts.api_key)
         if workspace is None and current.workspaces and not route.public:
-            raise _rejected(errors.ErrorKind.UNAUTHORIZED, "unknown API key")
+            raise self._absent(errors.ErrorKind.UNAUTHORIZED, "unknown API key")
         return workspace
 
+    def _absent(self, kind: errors.ErrorKind, message: str) -> _RejectedError:
+        """Returns the rejection of a request whose route or key is not known.
+
+        It may have been added since the store was last heard; the caller can
+        ask again, at another front or when this one has caught up.
+        """
+        freshness = self._state.known_configuration.freshness
+        if freshness.proves_absence(now=time.monotonic()):
+            return _rejected(kind, message)
+        return _rejected(
+            errors.ErrorKind.NOT_READY,
+            f"{message}, but the configuration may be outdated",
+            retry_after_s=_NOT_READY_RETRY_S,
+        )
+
     def _service(
         self, current: configuration.Configuration, route: configuration.Route
     ) -> configuration.Service:
--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -14,6 +14,7 @@
 from dotterelgrade_front import request_handler
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration
+from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import layer_range
 
 WAIT_S = 5.0
@@ -238,6 +239,9 @@
     def __init__(self, settings, platform):
         self.state = front_state.FrontState(settings, platform=platform)
         self.state.known_configuration.configuration = CONFIGURATION
+        self.state.known_configuration.freshness = feed_freshness.FeedFreshness(
+            current_at=float("inf"), source=feed_freshness.ContactSource.STORE
+        )
         # Makes the random choice among chains pick the first one.
         self.state.rng.random = lambda: 0.0
         self.handler = request_handler.RequestHandler(self.state)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_freshness.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_freshness.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import store_era
 
 
@@ -41,6 +42,17 @@
             return None
         return max(0.0, now - self.current_at)
 
+    def proves_absence(self, *, now: float) -> bool:
+        """Returns whether a route or key that is not known does not exist.
+
+        An addition that was acknowledged longer ago must be in force; on older
+        knowledge a front can only say that it does not know.
+
+        Args:
+            now: Monotonic time, s.
+        """
+        return now - self.current_at <= feed_timing.CONFIGURATION_BOUND_S
+
 
 def answer_current_at(
     *, asked_at: float, wait_s: float, answered_at: float, changed: bool
