--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -23,6 +23,10 @@
             "What backend servers said of themselves in answers.",
             ("notice",),
         )
+        self._delayed_snapshots = self._metrics.counter(
+            "front_delayed_snapshots",
+            "Snapshots left out since the connection had not taken the last.",
+        )
         self._in_flight = self._metrics.gauge(
             "front_requests_in_flight", "Requests that are worked on."
         )
@@ -64,6 +68,10 @@
         """Counts a read of the store."""
         self._store_reads.labels(result).inc()
 
+    def count_delayed_snapshot(self) -> None:
+        """Counts a snapshot that was left out for a front."""
+        self._delayed_snapshots.inc()
+
     def count_server_notice(self, notice: str) -> None:
         """Counts a notice of a backend server that it is draining or full."""
         self._notices.labels(notice).inc()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -83,8 +83,7 @@
         self._leading = event.Event()
         self._followers: feed_follower.Followers = {}
         self._reports: dict[wire.Connection, _Report] = {}
-        self._last_listing = _EMPTY_LISTING
-        self._synced: set[wire.Connection] = set()
+        self._listings: dict[wire.Connection, _Listing] = {}
         self._reported_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
@@ -128,7 +127,7 @@
                     self._state.notices.note_all_leaving(frame.leaving)
         finally:
             self._reports.pop(connection, None)
-            self._synced.discard(connection)
+            self._listings.pop(connection, None)
 
     def set_followers(self, followers: feed_follower.Followers) -> None:
         """Sets the followers of the store's feeds."""
@@ -266,26 +265,31 @@
         return self._leading.wait(_ELECTION_WAIT_S)
 
     def send_snapshots(self) -> None:
-        """Sends a snapshot to all fronts and updates this front's totals."""
+        """Sends a snapshot to all fronts and updates this front's totals.
+
+        A front whose connection has not taken the frames before gets only the
+        next one, with all changes since its last: on a full link snapshots
+        would queue up, each older than the one before.
+        """
         totals = self._total_reservations()
-        previous, self._last_listing = (
-            self._last_listing,
-            self._current_listing(),
-        )
-        changes = self._encode_snapshot(totals, since=previous)
-        full = b""
+        listing = self._current_listing()
+        encoded: dict[int, bytes] = {}
         for connection, report in list(self._reports.items()):
+            if connection.unsent_bytes:
+                self._state.metrics.count_delayed_snapshot()
+                continue
+            since = self._listings.get(connection, _EMPTY_LISTING)
+            if id(since) not in encoded:
+                encoded[id(since)] = self._encode_snapshot(
+                    totals, listing, since=since
+                )
             number = report.load.number
             connection.send(peer_frames.ReportCounted(number=number))
-            if connection in self._synced:
-                connection.send_encoded(changes)
-                continue
-            full = full or self._encode_snapshot(totals, since=_EMPTY_LISTING)
-            connection.send_encoded(full)
-            self._synced.add(connection)
+            connection.send_encoded(encoded[id(since)])
+            self._listings[connection] = listing
         own_report = self._state.load.report()
         self._state.load.set_totals(totals, counted=own_report.number)
-        self._state.set_fronts(self._last_listing.fronts)
+        self._state.set_fronts(listing.fronts)
 
     def _total_reservations(self) -> dict[str, int]:
         """Returns the reservations of all fronts, this one included."""
@@ -299,10 +303,9 @@
         return _Listing(fronts=self._live_fronts(), servers=self._server_rows())
 
     def _encode_snapshot(
-        self, totals: dict[str, int], *, since: _Listing
+        self, totals: dict[str, int], current: _Listing, *, since: _Listing
     ) -> bytes:
         """Encodes a snapshot with the changes since another one."""
-        current = self._last_listing
         return frame_codec.encode(
             peer_frames.FleetSnapshot(
                 reserved=totals,
--- a/packages/dotterelgrade-front/tests/test_planner_hub.py
+++ b/packages/dotterelgrade-front/tests/test_planner_hub.py
@@ -51,6 +51,7 @@
     def __init__(self, load, *, during):
         self.peer = types.SimpleNamespace(host="10.0.0.2", port=1)
         self.sent = []
+        self.unsent_bytes = 0
         self._load = load
         self._during = during
 
@@ -111,3 +112,32 @@
         assert hub.store_contact_at <= reported_at
 
     hub.serve(_SilentConnection(_LOAD, during=lose_power))
+
+
+def test_snapshots_do_not_queue_up_on_a_full_link(front):
+    """Load pattern: the planner's link is full; versions follow the snapshots.
+
+    The first snapshot after it contains what the ones left out would have had.
+    """
+    hub = planner_hub.PlannerHub(
+        front.state, planner=planner_lib.Planner(front.state)
+    )
+    hub.set_leading(True)
+    frames = []
+
+    def fill_link():
+        hub.send_snapshots()
+        connection.unsent_bytes = 60_000
+        front.state.fleet.note_leaving("s", started_ms=1)
+        sent = len(connection.sent)
+        for _ in range(20):
+            hub.send_snapshots()
+        assert len(connection.sent) == sent
+        connection.unsent_bytes = 0
+        hub.send_snapshots()
+        frames.extend(connection.sent[sent:])
+
+    connection = _SilentConnection(_LOAD, during=fill_link)
+    hub.serve(connection)
+    assert len(frames) == 2
+    assert isinstance(frames[0], peer_frames.ReportCounted)
--- a/packages/dotterelgrade/src/dotterelgrade/wire.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wire.py
@@ -106,6 +106,11 @@
         """Bytes handed to the kernel so far."""
         return self._bytes_sent
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes queued and not yet handed to the kernel."""
+        return self._unsent_bytes
+
     @property
     def bytes_received(self) -> int:
         """Bytes read so far."""
