Ask a silent store sooner while a relayed record is missing

A front that has missed a record is not relayed that one again, and waits for its own read.

Change: the longer pause holds only while nothing is missing.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -396,7 +396,8 @@
 
     def _max_retry_pause_s(self) -> float:
         silence_s = time.monotonic() - self._snapshot_at
-        if self._relaying or silence_s > _PLANNER_SILENCE_S:
+        planner_silent = silence_s > _PLANNER_SILENCE_S
+        if self._relaying or planner_silent or self._position.is_behind_planner:
             return feed_timing.MAX_RETRY_PAUSE_S
         return feed_timing.MAX_COVERED_RETRY_PAUSE_S
 
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -541,3 +541,25 @@
     running.kill()
     late_s = time.monotonic() - acknowledged_at
     assert late_s < feed_timing.CONFIGURATION_BOUND_S
+
+
+def test_a_front_that_missed_records_asks_a_silent_store_sooner(follower):
+    """The store is away, and the planner has a version that this front lacks.
+
+    Nobody will relay it again once the store is back.
+    """
+    feed, follower = follower
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    _wait_until(lambda: follower.end == 1)
+    feed.down = True
+    lost_at = asked_at = time.monotonic()
+    reads, longest_pause_s = feed.reads, 0.0
+    while time.monotonic() - lost_at < 7.0:
+        follower.note_relayed(end=2, heard_at=lost_at)
+        gevent.sleep(0.05)
+        if feed.reads > reads:
+            reads, asked_at = feed.reads, time.monotonic()
+        longest_pause_s = max(longest_pause_s, time.monotonic() - asked_at)
+    running.kill()
+    assert longest_pause_s < 1.4
--- a/packages/dotterelgrade-routing/tests/test_feed_timing.py
+++ b/packages/dotterelgrade-routing/tests/test_feed_timing.py
@@ -28,6 +28,10 @@
             (_LOST_POLL_S, _RETRY_PAUSE_S, _ANSWER_S),
             id="waiting read fell silent",
         ),
+        pytest.param(
+            (timing.MAX_RETRY_PAUSE_S * timing.MAX_PAUSE_FACTOR, _ANSWER_S),
+            id="store or link back after an outage",
+        ),
     ],
 )
 def test_a_lost_answer_does_not_make_a_version_late(passing_s):
