--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -563,3 +563,17 @@
         longest_pause_s = max(longest_pause_s, time.monotonic() - asked_at)
     running.kill()
     assert longest_pause_s < 1.4
+
+
+def test_a_late_relayed_page_takes_nothing_back(delayed):
+    """A page of the planner before arrives after those of the next one."""
+    feed, follower = delayed
+    feed.add("config", _LARGE + b"1")
+    feed.add("config", _LARGE + b"2")
+    for start, end in ((0, 3), (0, 2)):
+        page = platform_port.Page(
+            records=tuple(feed.records[start:end]), end=end
+        )
+        follower.apply_relayed(start, page)
+    assert follower.end == 3
+    assert follower.latest("config").value == _LARGE + b"2"
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -27,6 +27,8 @@
 _DIRECTORY_TEST = "packages/dotterelgrade-front/tests/test_chain_directory.py"
 _DELTA_TEST = "packages/dotterelgrade-routing/tests/test_record_delta.py"
 _COPIED_FEED_TEST = "packages/dotterelgrade-front/tests/test_copied_feed.py"
+_HANDLER_TEST = "packages/dotterelgrade-front/tests/test_request_handler.py"
+_LINK_TEST = "packages/dotterelgrade-front/tests/test_planner_link.py"
 _HUB_TEST = "packages/dotterelgrade-front/tests/test_planner_hub.py"
 _SILENCE_TEST = "packages/dotterelgrade-routing/tests/test_silence_bounds.py"
 
@@ -141,7 +143,7 @@
         module="dotterelgrade_front.feed_follower",
         old="            if record.offset >= self._position.end:\n",
         new="            if True:\n",
-        check=_RELAY_RUNS,
+        check=_FOLLOWER_TEST,
     ),
     mutant.Mutant(
         name="attempt-forgets-the-worst-try",
@@ -219,9 +221,8 @@
         name="records-skipped-at-a-new-era",
         promise=mutant.IN_FORCE,
         module="dotterelgrade_front.feed_follower",
-        old="            if not self._position.is_contiguous("
-        "start, era=page.era):",
-        new="            if False:",
+        old="        if not self._position.is_contiguous(start, era=page.era):",
+        new="        if False:",
         check=_FOLLOWER_TEST,
     ),
     mutant.Mutant(
@@ -352,4 +353,44 @@
         new="        self._mean_s += 0.0",
         check=_SILENCE_TEST,
     ),
+    mutant.Mutant(
+        name="relayed-records-after-a-gap-lost",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.feed_follower",
+        old="        self._apply_pending()\n        if changed:",
+        new="        if changed:",
+        check=_FOLLOWER_TEST,
+    ),
+    mutant.Mutant(
+        name="snapshot-dated-by-arrival",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.planner_link",
+        old="heard_at=self._report_times.counted_at - progress.age_s",
+        new="heard_at=now - progress.age_s",
+        check=_LINK_TEST,
+    ),
+    mutant.Mutant(
+        name="answer-dated-by-arrival",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_routing.feed_freshness",
+        old="        return asked_at\n",
+        new="        return answered_at\n",
+        check=_FOLLOWER_TEST,
+    ),
+    mutant.Mutant(
+        name="absence-claimed-on-old-knowledge",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_routing.feed_freshness",
+        old="now - self.current_at <= feed_timing.CONFIGURATION_BOUND_S",
+        new="True",
+        check=_HANDLER_TEST,
+    ),
+    mutant.Mutant(
+        name="snapshots-queue-on-a-full-link",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.planner_hub",
+        old="            if connection.unsent_bytes:",
+        new="            if False:",
+        check=_HUB_TEST,
+    ),
 )
