Keep the time of an answer apart from the time of certain knowledge

Test: test_a_relayed_contact_ends_an_outage_when_the_store_answered. The code before has one time for both, so it can't pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -278,18 +278,26 @@
                 return
 
     def note_relayed(
-        self, *, end: int, heard_at: float, era: int = store_era.UNCOUNTED
+        self,
+        *,
+        end: int,
+        heard_at: float,
+        current_at: float,
+        era: int = store_era.UNCOUNTED,
     ) -> None:
         """Notes the planner's offset, and when the store last answered it.
 
         Args:
             end: Offset after its last record.
-            heard_at: Monotonic time, s.
+            heard_at: Monotonic time of the answer, s, as if the planner's
+                message had taken no time.
+            current_at: Monotonic time, s; the planner certainly had all records
+                that were acknowledged by then.
             era: Era of the store to which the offset belongs.
         """
         self._enter_era(era)
         self._position.note_planner_position(
-            end=end, heard_at=heard_at, era=era
+            end=end, current_at=current_at, era=era
         )
         self._others_heard_at = max(self._others_heard_at, heard_at)
         self._snapshot_at = time.monotonic()
@@ -298,7 +306,7 @@
             self._left_behind.set()
         if self._position.relay_valid_for_s(now=time.monotonic()) > 0:
             self._note_contact(heard_at)
-            self._note_current(heard_at, feed_freshness.ContactSource.PLANNER)
+            self._note_current(current_at, feed_freshness.ContactSource.PLANNER)
 
     def _read(self) -> None:
         """Reads the store once, and passes on what was not known before."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -257,7 +257,8 @@
         for progress in snapshot.feeds:
             self._followers[progress.feed].note_relayed(
                 end=progress.end,
-                heard_at=self._report_times.counted_at - progress.age_s,
+                heard_at=now - progress.age_s,
+                current_at=self._report_times.counted_at - progress.age_s,
                 era=progress.era,
             )
         state.notices.note_all_leaving(snapshot.leaving)
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -176,7 +176,9 @@
     _wait_until(lambda: follower.end == 1)
     reads = None
     for _ in range(20):
-        follower.note_relayed(end=1, heard_at=time.monotonic())
+        follower.note_relayed(
+            end=1, heard_at=time.monotonic(), current_at=time.monotonic()
+        )
         gevent.sleep(0.05)
         reads = feed.reads if reads is None else reads
     assert feed.reads - reads <= 1
@@ -195,7 +197,9 @@
     feed.add("config", b"v1")
     running = gevent.spawn(follower.run)
     _wait_until(lambda: follower.end == 1)
-    follower.note_relayed(end=1, heard_at=time.monotonic())
+    follower.note_relayed(
+        end=1, heard_at=time.monotonic(), current_at=time.monotonic()
+    )
     gevent.sleep(0.1)
     feed.add("config", b"v3")
     started = time.monotonic()
@@ -302,7 +306,12 @@
     _wait_until(lambda: follower.end == 2)
     feed.restore(end=1)
     feed.add("config", b"v3")
-    follower.note_relayed(end=2, heard_at=time.monotonic(), era=feed.era)
+    follower.note_relayed(
+        end=2,
+        heard_at=time.monotonic(),
+        current_at=time.monotonic(),
+        era=feed.era,
+    )
     _wait_until(lambda: front.state.configuration.version == 3)
     running.kill()
 
@@ -321,7 +330,7 @@
     feed.down = True
     gevent.sleep(0.2)
     heard_at = time.monotonic() - fleet_lib.OUTAGE_GRACE_S
-    follower.note_relayed(end=9, heard_at=heard_at)
+    follower.note_relayed(end=9, heard_at=heard_at, current_at=heard_at)
     feed.down = False
     feed.add("s", b"")
     _wait_until(lambda: follower.end == 2)
@@ -341,12 +350,14 @@
     lost_at = time.monotonic()
     reads = feed.reads
     while time.monotonic() - lost_at < 6.0:
-        follower.note_relayed(end=1, heard_at=lost_at)
+        follower.note_relayed(end=1, heard_at=lost_at, current_at=lost_at)
         gevent.sleep(0.1)
     assert feed.reads - reads <= 7
     feed.add("config", b"v2")
     feed.down = False
-    follower.note_relayed(end=1, heard_at=time.monotonic())
+    follower.note_relayed(
+        end=1, heard_at=time.monotonic(), current_at=time.monotonic()
+    )
     _wait_until(lambda: follower.end == 2)
     running.kill()
 
@@ -414,7 +425,11 @@
             record = feed.records[number]
             page = platform_port.Page(records=(record,), end=number + 1)
             follower.apply_relayed(number, page)
-        follower.note_relayed(end=number + 1, heard_at=time.monotonic())
+        follower.note_relayed(
+            end=number + 1,
+            heard_at=time.monotonic(),
+            current_at=time.monotonic(),
+        )
         gevent.sleep(0.15)
         if follower.end == number + 1:
             lags_since = time.monotonic()
@@ -556,7 +571,7 @@
     lost_at = asked_at = time.monotonic()
     reads, longest_pause_s = feed.reads, 0.0
     while time.monotonic() - lost_at < 7.0:
-        follower.note_relayed(end=2, heard_at=lost_at)
+        follower.note_relayed(end=2, heard_at=lost_at, current_at=lost_at)
         gevent.sleep(0.05)
         if feed.reads > reads:
             reads, asked_at = feed.reads, time.monotonic()
@@ -577,3 +592,17 @@
         follower.apply_relayed(start, page)
     assert follower.end == 3
     assert follower.latest("config").value == _LARGE + b"2"
+
+
+def test_a_relayed_contact_ends_an_outage_when_the_store_answered(front):
+    """A live server's entry that lapsed is back about 2 s after the store.
+
+    The grace must not begin with the older time for which records are certain.
+    """
+    state = front.state
+    follower = _server_follower(state)
+    follower._read()
+    follower._note_outage("down")
+    now = time.monotonic()
+    follower.note_relayed(end=0, heard_at=now, current_at=now - 1.0)
+    assert state.fleet._available_at == now
--- a/packages/dotterelgrade-front/tests/test_relay_machine.py
+++ b/packages/dotterelgrade-front/tests/test_relay_machine.py
@@ -193,7 +193,9 @@
     @stateful.rule(end=strategies.integers(0, 20))
     def relay_progress(self, end):
         now = time.monotonic()
-        self.follower.note_relayed(end=end, heard_at=now, era=self.feed.era)
+        self.follower.note_relayed(
+            end=end, heard_at=now, current_at=now, era=self.feed.era
+        )
         covered = self.follower._position.relay_valid_for_s(now=now) > 0
         assert covered == (self.follower.end == end)
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
@@ -20,7 +20,7 @@
         self._era = store_era.UNCOUNTED
         self._planner_end = -1
         self._planner_era = store_era.UNCOUNTED
-        self._planner_heard_at = float("-inf")
+        self._planner_current_at = float("-inf")
 
     def __repr__(self) -> str:
         """Shows the offset."""
@@ -79,18 +79,19 @@
         return start <= self._end
 
     def note_planner_position(
-        self, *, end: int, heard_at: float, era: int = store_era.UNCOUNTED
+        self, *, end: int, current_at: float, era: int = store_era.UNCOUNTED
     ) -> None:
         """Records the planner's position in the feed.
 
         Args:
             end: Offset after its last record.
-            heard_at: Monotonic time at which it last heard the store, s.
+            current_at: Monotonic time, s; it certainly had all records
+                acknowledged by then.
             era: Era of the store to which the offset belongs.
         """
         self._planner_end = end
         self._planner_era = era
-        self._planner_heard_at = heard_at
+        self._planner_current_at = current_at
 
     def note_gap(self, end: int) -> None:
         """Records that the planner relayed a page which could not be applied.
@@ -117,5 +118,5 @@
             return 0.0
         if self._planner_era != self._era:
             return 0.0
-        valid_until = self._planner_heard_at + feed_timing.RELAY_VALID_S
+        valid_until = self._planner_current_at + feed_timing.RELAY_VALID_S
         return max(0.0, valid_until - now)
--- a/packages/dotterelgrade-routing/tests/test_feed_position.py
+++ b/packages/dotterelgrade-routing/tests/test_feed_position.py
@@ -12,7 +12,7 @@
 
 def test_before_the_first_read_nothing_is_covered():
     position = feed_position.FeedPosition()
-    position.note_planner_position(end=5, heard_at=0.0)
+    position.note_planner_position(end=5, current_at=0.0)
     assert position.relay_valid_for_s(now=0.0) == 0.0
     assert not position.is_contiguous(0)
 
@@ -20,7 +20,7 @@
 def test_the_planners_position_is_valid_for_a_while():
     """Guards against a planner that is lost just after its last message."""
     position = _position_at(5)
-    position.note_planner_position(end=5, heard_at=0.0)
+    position.note_planner_position(end=5, current_at=0.0)
     assert position.relay_valid_for_s(now=0.0) == _VALID_S
     assert position.relay_valid_for_s(now=0.0 + _VALID_S) == 0.0
 
@@ -29,14 +29,14 @@
     """Guards against a front that missed records while it reconnected."""
     position = _position_at(5)
     for end in (4, 6):
-        position.note_planner_position(end=end, heard_at=10.0)
+        position.note_planner_position(end=end, current_at=10.0)
         assert position.relay_valid_for_s(now=10.0) == 0.0
 
 
 def test_an_outdated_planner_position_covers_nothing():
     """Guards against a planner that has lost the store itself."""
     position = _position_at(5)
-    position.note_planner_position(end=5, heard_at=10.0 - _VALID_S)
+    position.note_planner_position(end=5, current_at=10.0 - _VALID_S)
     assert position.relay_valid_for_s(now=10.0) == 0.0
 
 
@@ -73,7 +73,7 @@
     position = _position_at(5)
     position.start_era(1)
     position.advance(5, era=1)
-    position.note_planner_position(end=5, heard_at=10.0, era=0)
+    position.note_planner_position(end=5, current_at=10.0, era=0)
     assert position.relay_valid_for_s(now=10.0) == 0.0
-    position.note_planner_position(end=5, heard_at=10.0, era=1)
+    position.note_planner_position(end=5, current_at=10.0, era=1)
     assert position.relay_valid_for_s(now=10.0) > 0.0
--- a/packages/dotterelgrade-routing/tests/test_pending_pages.py
+++ b/packages/dotterelgrade-routing/tests/test_pending_pages.py
@@ -63,7 +63,7 @@
 def test_a_relayed_gap_ends_the_planners_cover():
     """A read may end just at the position that the planner stated before."""
     position = _position(3)
-    position.note_planner_position(end=4, heard_at=10.0)
+    position.note_planner_position(end=4, current_at=10.0)
     position.note_gap(5)
     position.advance(4)
     assert position.relay_valid_for_s(now=10.0) == 0.0
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -365,8 +365,8 @@
         name="snapshot-dated-by-arrival",
         promise=mutant.IN_FORCE,
         module="dotterelgrade_front.planner_link",
-        old="heard_at=self._report_times.counted_at - progress.age_s",
-        new="heard_at=now - progress.age_s",
+        old="current_at=self._report_times.counted_at - progress.age_s",
+        new="current_at=now - progress.age_s",
         check=_LINK_TEST,
     ),
     mutant.Mutant(
