--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_position.py
@@ -36,6 +36,14 @@
         """Era of the store to which the offset belongs."""
         return self._era
 
+    @property
+    def is_behind_planner(self) -> bool:
+        """Whether the planner has records of this era that are missing here."""
+        if self._end is None:
+            return True
+        same_era = self._planner_era == self._era
+        return same_era and self._planner_end > self._end
+
     def reset(self) -> None:
         """Discards the offset, for example when its records have expired."""
         self._end = None
@@ -104,14 +112,6 @@
         """
         self._planner_end = max(self._planner_end, end)
 
-    @property
-    def is_behind_planner(self) -> bool:
-        """Whether the planner has records of this era that are missing here."""
-        if self._end is None:
-            return True
-        same_era = self._planner_era == self._era
-        return same_era and self._planner_end > self._end
-
     def relay_valid_for_s(self, *, now: float) -> float:
         """Returns for how long no read of the store is needed, s, or 0."""
         if self._end is None or self._planner_end != self._end:
