Leave out known records in one place, and use the bounded pause factor

Which records of a page are still unknown was decided by the same comparison in three places, one of them filtering what was filtered already; FeedFollower._unknown decides it now for reads, relayed and encoded pages. The sums of test_feed_timing.py use MAX_PAUSE_FACTOR, which the follower did not: its pause was drawn with literals of its own; spread_pause_s serves it with the same values. No behaviour changes. Tests of front, routing and mutants pass; relay-repeats-old-records follows the moved line and is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import time
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import gevent
 from gevent import event
@@ -68,6 +68,7 @@
     bases: Mapping[str, bytes]
 
 
+_PageT = TypeVar("_PageT", platform_port.Page, relay_encoding.EncodedPage)
 OnPage = Callable[[int | None, platform_port.Page, Mapping[str, bytes]], None]
 
 
@@ -168,7 +169,11 @@
                 self._count("expired")
             except platform_port.StoreError as error:
                 self._note_outage(str(error))
-                gevent.sleep(self._retry_pause_s * (0.5 + self._rng.random()))
+                gevent.sleep(
+                    feed_timing.spread_pause_s(
+                        self._retry_pause_s, jitter=self._rng.random()
+                    )
+                )
                 self._retry_pause_s = min(
                     self._retry_pause_s * 2, self._max_retry_pause_s()
                 )
@@ -187,7 +192,7 @@
         """
         self._enter_era(page.era)
         if self._position.is_contiguous(start, era=page.era):
-            self._apply_page(page)
+            self._apply_page(self._unknown(page))
         else:
             self._keep_pending(start, relay_encoding.encode_whole(page))
 
@@ -226,11 +231,13 @@
         self, page: relay_encoding.EncodedPage
     ) -> result.Result[None, errors.Error]:
         """Applies the records of a page that leaves no gap."""
-        unknown = tuple(
-            r for r in page.records if r.offset >= self._position.end
-        )
-        further = dataclasses.replace(page, records=unknown)
-        return self._decode(further).map(self._apply_page)
+        return self._decode(self._unknown(page)).map(self._apply_page)
+
+    def _unknown(self, page: _PageT) -> _PageT:
+        """Returns a page without the records that are applied already."""
+        end = self._position.end
+        records = tuple(r for r in page.records if r.offset >= end)
+        return dataclasses.replace(page, records=records)
 
     def _decode(
         self, page: relay_encoding.EncodedPage
@@ -246,9 +253,8 @@
 
     def _apply_page(self, page: platform_port.Page) -> None:
         for record in page.records:
-            if record.offset >= self._position.end:
-                self._sink.apply(record)
-                self._latest.note(record)
+            self._sink.apply(record)
+            self._latest.note(record)
         self._position.advance(page.end, era=page.era)
 
     def _keep_pending(
@@ -358,8 +364,7 @@
             return None
         bases = self._latest.values()
         known_end = self._position.end
-        records = tuple(r for r in page.records if r.offset >= known_end)
-        unknown = dataclasses.replace(page, records=records)
+        unknown = self._unknown(page)
         self._apply_page(unknown)
         if page.complete:
             current_at = feed_freshness.answer_current_at(
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_timing.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/feed_timing.py
@@ -29,6 +29,16 @@
 MAX_PAUSE_FACTOR = 1.5
 
 
+def spread_pause_s(pause_s: float, *, jitter: float) -> float:
+    """Returns the pause of one front, so that many do not ask together, s.
+
+    Args:
+        pause_s: Mean pause, s.
+        jitter: Random from 0 to 1.
+    """
+    return pause_s * (MAX_PAUSE_FACTOR - 1.0 + jitter)
+
+
 def answer_timeout_s(*, wait_s: float, failures: int) -> float:
     """Returns how long to wait until the answer to a read begins, s.
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -141,8 +141,8 @@
         name="relay-repeats-old-records",
         promise=mutant.IN_FORCE,
         module="dotterelgrade_front.feed_follower",
-        old="            if record.offset >= self._position.end:\n",
-        new="            if True:\n",
+        old="for r in page.records if r.offset >= end)",
+        new="for r in page.records)",
         check=_FOLLOWER_TEST,
     ),
     mutant.Mutant(
