--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -99,6 +99,16 @@
     _wait_until(lambda: follow.configuration.version == 2)
 
 
+def _configuration_follower(state, feed):
+    """Returns a follower of the configurations, not started."""
+    return feed_follower.FeedFollower(
+        feed,
+        sink=feed_sinks.ConfigurationSink(state),
+        rng=random.Random(1),
+        count=lambda _: None,
+    )
+
+
 def _server_follower(state, **options):
     """Returns a follower of the list of backend servers, not started."""
     return feed_follower.FeedFollower(
@@ -158,12 +168,7 @@
     state = front.state
     state.known_configuration.configuration = None
     feed = _feed_with_versions(state)
-    return feed, feed_follower.FeedFollower(
-        feed,
-        sink=feed_sinks.ConfigurationSink(state),
-        rng=random.Random(1),
-        count=lambda _: None,
-    )
+    return feed, _configuration_follower(state, feed)
 
 
 def test_front_does_not_read_while_the_planner_relays_all_records(
@@ -408,12 +413,7 @@
     is under way, and the planner's last position looks like its own.
     """
     feed = _SlowFeed()
-    follower = feed_follower.FeedFollower(
-        feed,
-        sink=feed_sinks.ConfigurationSink(front.state),
-        rng=random.Random(1),
-        count=lambda _: None,
-    )
+    follower = _configuration_follower(front.state, feed)
     feed.add("config", b"v1")
     running = gevent.spawn(follower.run)
     _wait_until(lambda: follower.end == 1)
@@ -459,12 +459,7 @@
 def delayed(front):
     """A feed with one record, and a follower that has read it."""
     feed = _DelayedAnswer()
-    follower = feed_follower.FeedFollower(
-        feed,
-        sink=feed_sinks.ConfigurationSink(front.state),
-        rng=random.Random(1),
-        count=lambda _: None,
-    )
+    follower = _configuration_follower(front.state, feed)
     feed.add("config", _LARGE + b"0")
     follower._read()
     return feed, follower
@@ -541,12 +536,7 @@
 def test_a_silent_connection_does_not_make_a_version_late(front):
     """The front reads for itself, and a version follows just then."""
     feed = _SilentOnce()
-    follower = feed_follower.FeedFollower(
-        feed,
-        sink=feed_sinks.ConfigurationSink(front.state),
-        rng=random.Random(1),
-        count=lambda _: None,
-    )
+    follower = _configuration_follower(front.state, feed)
     feed.add("config", b"v1")
     running = gevent.spawn(follower.run)
     feed.asked.wait()
