Start a stand-in process only when the one before it has ended

Cause: an entry that drains ends in a greenlet of its own. `Member.kill` clears the slot first and then closes the servers, the callers' server before the admin server, which takes up to a second while a caller's connection is open. The machine's end meets the slot in this time, finds it empty, and starts the next process, which can't bind the admin port. A fault of the stand-in fleet: on a host, the next process starts when the last one is gone.

The first test failed before: "address in use by ['first']". The second guards against the lock ending a later process.

Change: start and kill of a slot take turns; kill ends the process that it found.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/local_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/local_fleet.py
@@ -9,6 +9,7 @@
 import uuid
 
 import gevent
+from gevent import lock
 from returns import result
 
 from dotterelgrade import connection_frames
@@ -89,6 +90,8 @@
         self.starts = 0
         self.process: Any = None
         self._stack = contextlib.ExitStack()
+        # The next process binds the addresses that the last one releases.
+        self._changing = lock.BoundedSemaphore(1)
 
     def __repr__(self) -> str:
         """Shows the name and whether it runs."""
@@ -106,15 +109,18 @@
         return f"{self.name}#{self.starts}"
 
     def start(self, context: Any) -> None:
-        """Runs a process in the slot."""
-        self._stack = contextlib.ExitStack()
-        self.process = self._stack.enter_context(context)
-        self.starts += 1
+        """Runs a process in the slot when the one before it has ended."""
+        with self._changing:
+            self._stack = contextlib.ExitStack()
+            self.process = self._stack.enter_context(context)
+            self.starts += 1
 
     def kill(self) -> None:
-        """Ends the process at once."""
+        """Ends the process at once, and returns when it has ended."""
+        stack = self._stack
         self.process = None
-        self._stack.close()
+        with self._changing:
+            stack.close()
 
 
 class LocalFleet:
