Spend at most a tenth of the time on chain searches

Cause: chains are searched anew each 0.15 s while the fleet changes, whatever the search costs. In a large fleet some engine changes all the time; on a host with little processor time the search takes as long as the pause between two.

Change: chains stay valid for ten times the duration of their search, at most for 1 s. Stages that have failed or leave are left out of valid chains as before, and without any usable chain the search is made at once. On hosts where a search takes less than 15 ms nothing changes.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -19,6 +19,9 @@
 # takes milliseconds of CPU time, so chains aren't computed at every change.
 _MAX_AGE_AFTER_CHANGE_S = 0.15
 _MIN_RECOMPUTE_INTERVAL_S = 0.05
+# A large fleet on a slow host: searches must leave time for the requests.
+_MAX_SEARCH_SHARE = 0.1
+_MAX_AGE_AFTER_SLOW_SEARCH_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -32,6 +35,7 @@
             because without them some layers had no holder.
         fleet_version: Version of the fleet that they were computed from.
         computed_at: Monotonic time, s.
+        search_s: How long the search took, s.
     """
 
     chains: tuple[chain_choice.Chain, ...]
@@ -39,6 +43,7 @@
     includes_suspects: bool
     fleet_version: int
     computed_at: float
+    search_s: float
 
 
 class ChainDirectory:
@@ -90,9 +95,10 @@
         return computed
 
     def _max_age_s(self, cached: Offer) -> float:
-        if cached.fleet_version == self._fleet.version:
-            return _MAX_AGE_S
-        return _MAX_AGE_AFTER_CHANGE_S
+        changed = cached.fleet_version != self._fleet.version
+        age_s = _MAX_AGE_AFTER_CHANGE_S if changed else _MAX_AGE_S
+        affordable_s = cached.search_s / _MAX_SEARCH_SHARE
+        return max(age_s, min(affordable_s, _MAX_AGE_AFTER_SLOW_SEARCH_S))
 
     def _without_unusable(
         self, service: configuration.Service, cached: Offer, now: float
@@ -124,6 +130,7 @@
             includes_suspects=includes_suspects,
             fleet_version=self._fleet.version,
             computed_at=now,
+            search_s=time.monotonic() - now,
         )
 
     def cheapest_from(
--- a/packages/dotterelgrade-front/tests/test_chain_directory.py
+++ b/packages/dotterelgrade-front/tests/test_chain_directory.py
@@ -1,7 +1,11 @@
 import time
+import types
 
 import front_fakes as fakes
 
+from dotterelgrade_front import chain_directory
+from dotterelgrade_routing import chain_choice
+
 _SERVICE = fakes.CONFIGURATION.service("model")
 
 
@@ -75,3 +79,54 @@
         front.state.note_busy(f"e{number}")
     chains = _offer(front).chains
     assert chains[0].first.server_id == "e2"
+
+
+class _SlowSearch:
+    """A search on a host whose clock goes on for a while meanwhile."""
+
+    def __init__(self, monkeypatch, *, takes_s):
+        self.now = 100.0
+        self.searched_s = 0.0
+        self._takes_s = takes_s
+        self._candidates = chain_choice.candidates
+        clock = types.SimpleNamespace(monotonic=lambda: self.now)
+        monkeypatch.setattr(chain_directory, "time", clock)
+        monkeypatch.setattr(chain_choice, "candidates", self._search)
+
+    def _search(self, engine, holders):
+        self.now += self._takes_s
+        self.searched_s += self._takes_s
+        return self._candidates(engine, holders)
+
+    def offers_of(self, front, *, for_s):
+        """Asks for an offer each 50 ms while the fleet changes."""
+        offers = []
+        end = self.now + for_s
+        while self.now < end:
+            offers.append(_offer(front))
+            front.state.fleet.note_leaving("e0", started_ms=0)
+            front.add("e0", fakes.silent, service="model", layers=(0, 8))
+            self.now += 0.05
+        return offers
+
+
+def test_requests_are_not_held_by_chain_searches_on_a_slow_host(
+    front, monkeypatch
+):
+    """A large fleet, in which some engine changes all the time."""
+    _add_engines(front)
+    search = _SlowSearch(monkeypatch, takes_s=0.06)
+    search.offers_of(front, for_s=6.0)
+    assert search.searched_s <= 0.6 + 0.06
+
+
+def test_chains_are_renewed_each_second_however_long_a_search_takes(
+    front, monkeypatch
+):
+    _add_engines(front)
+    search = _SlowSearch(monkeypatch, takes_s=0.5)
+    offers = search.offers_of(front, for_s=6.0)
+    times = sorted({offer.computed_at for offer in offers})
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert gaps
+    assert max(gaps) <= 1.0 + 0.05 + 1e-9
