Plan hundreds of free engines without stopping the planner

Cause: for each free engine the capacities of all holders were sorted, and for each layer all holders were looked at. What is redundant was found by computing the gaps of all others for each holder.

Change: `HeldLayers` keeps the figures of each layer while holders are added; redundancy uses the counts of `LayerCoverage`.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -11,6 +11,8 @@
 import dataclasses
 
 from dotterelgrade_routing import configuration
+from dotterelgrade_routing import held_layers
+from dotterelgrade_routing import layer_coverage
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import placement_policies
 
@@ -188,18 +190,13 @@
     They are removed one at a time, so that of two holders that cover each other
     one is kept.
     """
-    kept = [c for c in group if c.layers is not None]
-    spare = []
+    holders = [c for c in group if c.layers is not None]
+    coverage = layer_coverage.LayerCoverage(c.layers for c in holders)
     slowest_first = sorted(
-        (c for c in kept if c.movable),
+        (c for c in holders if c.movable),
         key=lambda c: -c.accelerator.step_factor,
     )
-    for candidate in slowest_first:
-        rest = [c.layers for c in kept if c is not candidate]
-        if not layer_range.gaps(candidate.layers, rest):
-            kept.remove(candidate)
-            spare.append(candidate)
-    return spare
+    return [c for c in slowest_first if coverage.remove_if_redundant(c.layers)]
 
 
 def _extend_neighbours(
@@ -251,22 +248,22 @@
     free: Sequence[placement_policies.Candidate],
 ) -> list[Placement]:
     """Places free backend servers to speed up, double or add capacity."""
-    holders = [c for c in group if c.layers is not None]
+    held = held_layers.HeldLayers(engine, (c for c in group if c.layers))
     orders = []
     idle = []
     for candidate in sorted(free, key=lambda c: c.accelerator.step_factor):
-        layers = _most_beneficial_range(engine, holders, candidate)
+        layers = _most_beneficial_range(engine, held, candidate)
         if layers is None:
             idle.append(candidate)
             continue
         orders.append(_order(candidate, layers, reason="reinforcement"))
-        holders.append(dataclasses.replace(candidate, layers=layers))
+        held.add(layers, candidate.accelerator)
     for candidate in idle[RESERVE_SERVERS:]:
-        layers = _range_with_least_capacity(engine, holders, candidate)
+        layers = _range_with_least_capacity(engine, held, candidate)
         if layers is None:
             continue
         orders.append(_order(candidate, layers, reason="more room"))
-        holders.append(dataclasses.replace(candidate, layers=layers))
+        held.add(layers, candidate.accelerator)
     return orders
 
 
@@ -283,17 +280,14 @@
 
 def _most_beneficial_range(
     engine: configuration.Engine,
-    holders: Sequence[placement_policies.Candidate],
+    held: held_layers.HeldLayers,
     candidate: placement_policies.Candidate,
 ) -> layer_range.LayerRange | None:
-    usual_tokens = _median_capacity_tokens(engine, holders)
-    size = placement_policies.layers_with_capacity(
-        engine, candidate.accelerator, usual_tokens
-    )
+    size = _usual_size(engine, held, candidate)
     if size <= 0:
         return None
     benefit = [
-        _layer_benefit(engine, layer, holders, candidate)
+        _layer_benefit(engine, layer, held, candidate)
         for layer in range(engine.layers)
     ]
     starts = range(engine.layers - size + 1)
@@ -305,50 +299,42 @@
 
 def _range_with_least_capacity(
     engine: configuration.Engine,
-    holders: Sequence[placement_policies.Candidate],
+    held: held_layers.HeldLayers,
     candidate: placement_policies.Candidate,
 ) -> layer_range.LayerRange | None:
     """Returns the range whose holders together have the least capacity."""
-    size = placement_policies.layers_with_capacity(
-        engine, candidate.accelerator, _median_capacity_tokens(engine, holders)
-    )
+    size = _usual_size(engine, held, candidate)
     if size <= 0:
         return None
-    layer_tokens = [0.0] * engine.layers
-    for holder in holders:
-        tokens = engine.capacity_tokens(holder.accelerator, len(holder.layers))
-        for layer in range(holder.layers.first, holder.layers.end):
-            layer_tokens[layer] += tokens
+    tokens = held.capacity_tokens
     starts = range(engine.layers - size + 1)
-    first = min(
-        starts, key=lambda start: sum(layer_tokens[start : start + size])
-    )
+    first = min(starts, key=lambda start: sum(tokens[start : start + size]))
     return layer_range.LayerRange(first, first + size)
 
 
-def _median_capacity_tokens(
+def _usual_size(
     engine: configuration.Engine,
-    holders: Sequence[placement_policies.Candidate],
-) -> float:
-    capacities = sorted(
-        engine.capacity_tokens(c.accelerator, len(c.layers)) for c in holders
+    held: held_layers.HeldLayers,
+    candidate: placement_policies.Candidate,
+) -> int:
+    """Returns how many layers leave as much memory as holders usually have."""
+    usual_tokens = max(
+        held.median_capacity_tokens,
+        placement_policies.min_capacity_tokens(engine),
+    )
+    return placement_policies.layers_with_capacity(
+        engine, candidate.accelerator, usual_tokens
     )
-    least = placement_policies.min_capacity_tokens(engine)
-    return max(capacities[len(capacities) // 2], least) if capacities else least
 
 
 def _layer_benefit(
     engine: configuration.Engine,
     layer: int,
-    holders: Sequence[placement_policies.Candidate],
+    held: held_layers.HeldLayers,
     candidate: placement_policies.Candidate,
 ) -> float:
-    here = [c for c in holders if c.layers.first <= layer < c.layers.end]
-    if not here:
+    if not held.count(layer):
         return REDUNDANCY_BENEFIT
-    fastest = min(c.accelerator.step_factor for c in here)
-    faster = max(0.0, fastest - candidate.accelerator.step_factor)
-    if len(here) > 1:
-        return faster
-    share = len(here[0].layers) / engine.layers
+    faster = max(0.0, held.fastest(layer) - candidate.accelerator.step_factor)
+    share = held.single_holder_size(layer) / engine.layers
     return faster + REDUNDANCY_BENEFIT * share
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import pytest
 
+from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import placement
 from dotterelgrade_routing import placement_policies
@@ -193,3 +194,31 @@
     servers = _settled(engine, make_domain("a"))
     everyone = {s.server_id for s in servers}
     assert placement.exclude_refusing(servers, refusing=everyone) == servers
+
+
+def _capacity_computations(engine, servers, monkeypatch):
+    """Returns how often a plan computes the memory of a server."""
+    calls = []
+    compute = configuration.Engine.capacity_tokens
+
+    def counting(self, kind, layers):
+        calls.append(layers)
+        return compute(self, kind, layers)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(configuration.Engine, "capacity_tokens", counting)
+        _plan(engine, servers)
+    return len(calls)
+
+
+def test_a_plan_of_many_free_servers_does_not_stop_the_planner(
+    engine, make_domain, monkeypatch
+):
+    """Load pattern: a domain of hundreds starts empty, then is doubled."""
+    counts = []
+    for size in (40, 160):
+        servers = make_domain("a", small=size)
+        servers = _applied(servers, _plan(engine, servers))
+        counts.append(_capacity_computations(engine, servers, monkeypatch))
+    few, many = counts
+    assert many <= few * 160 / 40 * 1.5
