Judge the chain of a larger fleet by the cost that the search minimizes

It now compares the cost that the search minimizes, over all fleets as before, and copies that are exactly equal. A line of a test is wrapped.

--- a/packages/dotterelgrade-routing/tests/test_chain_choice.py
+++ b/packages/dotterelgrade-routing/tests/test_chain_choice.py
@@ -194,27 +194,37 @@
         max_size=10,
     )
 )
-def test_dearer_engines_with_the_same_layers_do_not_change_the_chain(
+def test_further_engines_with_the_same_layers_do_not_make_the_chain_dearer(
     engine, make_holder, parts
 ):
-    def fleet(copies):
-        return [
+    def cheapest_cost_s(copies):
+        holders = [
             make_holder(
                 f"s{index}-{copy}",
                 first * 10,
                 min(first + count, 8) * 10,
                 domain=domain,
-                used=fill * 1e6 + copy * 1e3,
+                used=fill * 1e6,
             )
             for copy in range(copies)
             for index, (first, count, domain, fill) in enumerate(parts)
         ]
-
-    alone = chain_choice.cheapest(engine, fleet(1), preferred_domain="a")
-    beside = chain_choice.cheapest(engine, fleet(8), preferred_domain="a")
-    assert (alone is None) == (beside is None)
-    if alone is not None:
-        assert beside.step_s <= alone.step_s + 1e-12
+        chain = chain_choice.cheapest(engine, holders, preferred_domain="a")
+        return float("inf") if chain is None else _cost_s(chain, holders)
+
+    assert cheapest_cost_s(8) <= cheapest_cost_s(1) + 1e-12
+
+
+def _cost_s(chain, holders):
+    """Returns what the search minimizes, without full stages."""
+    by_id = {holder.server_id: holder for holder in holders}
+    cost_s = chain_choice.CROSSING_COST_S * chain.crossings
+    for stage in chain.stages:
+        cost_s += chain_choice.HOP_COST_S
+        cost_s += by_id[stage.server_id].layer_cost_s * len(stage.layers)
+        if stage.failure_domain != "a":
+            cost_s += chain_choice.OTHER_DOMAIN_COST_S
+    return cost_s
 
 
 def test_every_cheap_engine_of_a_range_is_an_alternative(engine, make_holder):
--- a/packages/dotterelgrade-routing/tests/test_held_layers.py
+++ b/packages/dotterelgrade-routing/tests/test_held_layers.py
@@ -28,9 +28,7 @@
         candidate = make_candidate(f"s{number}", layers=layers)
         held.add(layer_range.LayerRange(*layers), candidate.accelerator)
         tokens.append(
-            engine.capacity_tokens(
-                candidate.accelerator, layers[1] - layers[0]
-            )
+            engine.capacity_tokens(candidate.accelerator, layers[1] - layers[0])
         )
     assert held.median_capacity_tokens == sorted(tokens)[2]
     assert held.capacity_tokens[4] == tokens[0] + tokens[1] + tokens[2]
