--- a/packages/dotterelgrade-entry/tests/test_pipeline.py
+++ b/packages/dotterelgrade-entry/tests/test_pipeline.py
@@ -218,6 +218,32 @@
     assert entry_settings.EntrySettings.policy == "predicted"
 
 
+def test_a_caller_refused_after_a_lost_race_is_told_the_wait_of_the_queue(
+    cell, helpers
+):
+    """Load pattern: other entries take the slots, and none becomes free."""
+
+    def race(agent, connection, frame):
+        if isinstance(frame, messages.Admit):
+            connection.send(
+                messages.Refused(
+                    request_id=frame.request_id,
+                    attempt=frame.attempt,
+                    stage=frame.stage,
+                    kind="no_capacity",
+                    message="engine has no free slot",
+                    report=dataclasses.replace(agent.report, slots_free=0),
+                )
+            )
+
+    cell.start_fake_agent(0, helpers.LAYERS - 1, race)
+    entry = cell.start_entry()
+    cell.wait_for(entry, engines=1)
+    error = cell.complete(entry, PROMPT, max_tokens=2).error
+    assert (error["kind"], error["run"]) == ("over_bound", "not_run")
+    assert "wait for capacity" in error["message"]
+
+
 def test_a_lost_race_for_a_free_slot_uses_up_no_try(cell, helpers):
     """Load pattern: several entries go for each slot that becomes free."""
     lost = []
