--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -236,10 +236,13 @@
     yield (
         "From the users' bench, which plays one day with 30, 100 and 300 hosts"
         " of the shifted\ndeployment, with ten engines a host;"
-        " `benchmarks/sweeps.json` holds what it showed. The\nday at 30 hosts"
-        " is clean. At 100 and 300 rules break (`KNOWN-RED.txt`); not traced,"
-        " but each\nsnapshot lists the reservations of all engines four times a"
-        " second, on links of 7 Mbit/s.\n"
+        " `benchmarks/sweeps.json` holds what it showed. All\nthree days are"
+        " clean. What grows fastest is what the planner sends: each snapshot"
+        " lists\nthe reservations of all engines, four times a second, to"
+        " every front. Carried on to\n1,100 hosts that is 16 MB/s for one"
+        " host; lists of numbers instead of names, or fewer\nsnapshots,"
+        " would carry it. The time until requests are served after the loss"
+        " of all\nprocesses grows next.\n"
     )
     yield _lines_table(sweeps)
 
