--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -24,6 +24,7 @@
 _FLEET_TEST = "packages/dotterelgrade-routing/tests/test_fleet.py"
 _HOLDOFF_TEST = "packages/dotterelgrade-routing/tests/test_holdoff.py"
 _DIAGNOSIS_TEST = "packages/dotterelgrade-routing/tests/test_stall_diagnosis.py"
+_CHAIN_TEST = "packages/dotterelgrade-routing/tests/test_chain_choice.py"
 _DIRECTORY_TEST = "packages/dotterelgrade-front/tests/test_chain_directory.py"
 _DELTA_TEST = "packages/dotterelgrade-routing/tests/test_record_delta.py"
 _COPIED_FEED_TEST = "packages/dotterelgrade-front/tests/test_copied_feed.py"
@@ -124,9 +125,9 @@
     mutant.Mutant(
         name="plan-moves-both-holders",
         promise=mutant.LAYERS_ONCE,
-        module="dotterelgrade_routing.placement",
-        old="            kept.remove(candidate)\n",
-        new="",
+        module="dotterelgrade_routing.layer_coverage",
+        old="[count - 1 for count in self._counts[part]]",
+        new="self._counts[part]",
         check=_PLACEMENT_RUNS,
     ),
     mutant.Mutant(
@@ -393,4 +394,20 @@
         new="            if False:",
         check=_HUB_TEST,
     ),
+    mutant.Mutant(
+        name="searches-all-engines-of-a-range",
+        promise=mutant.NOT_HELD,
+        module="dotterelgrade_routing.chain_choice",
+        old="sorted(same_range, key=_rank)[:MAX_CHAINS_PER_DOMAIN]",
+        new="sorted(same_range, key=_rank)",
+        check=_CHAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="searches-at-each-change",
+        promise=mutant.NOT_HELD,
+        module="dotterelgrade_front.chain_directory",
+        old="max(age_s, min(affordable_s, _MAX_AGE_AFTER_SLOW_SEARCH_S))",
+        new="age_s",
+        check=_DIRECTORY_TEST,
+    ),
 )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutant.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutant.py
@@ -13,6 +13,7 @@
 NOT_RUN = "`not_run` means not run"
 IN_FORCE = "accepted lines stay in force"
 ENOUGH_ROOM = "who is let in finds room"
+NOT_HELD = "no request is held while the front decides"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/dotterelgrade-standins/tests/test_mutants.py
+++ b/packages/dotterelgrade-standins/tests/test_mutants.py
@@ -37,5 +37,6 @@
 
 def test_every_promise_has_a_mutant():
     promises = {mutant.promise for mutant in mutants.ALL}
-    # The seven of the brief, and the room for who is let in.
-    assert len(promises) == 8
+    # The seven of the brief, the room for who is let in, and that nobody waits
+    # for a decision.
+    assert len(promises) == 9
