Show what a front that starts serves from and refuses on

Two tests: a state relayed by a planner of unknown age is served from, but proves no absence until that planner's records are known to be recent; a state of an earlier era is not taken. Both pass on the code as it is, so this place is not the cause.

--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -12,6 +12,7 @@
 from dotterelgrade_front import feed_follower
 from dotterelgrade_front import feed_sinks
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import fleet as fleet_lib
 from dotterelgrade_routing import platform_port
@@ -596,3 +597,51 @@
     now = time.monotonic()
     follower.note_relayed(end=0, heard_at=now, current_at=now - 1.0)
     assert state.fleet._available_at == now
+
+
+def _proves_absence(front):
+    freshness = front.state.known_configuration.freshness
+    return freshness.proves_absence(now=time.monotonic())
+
+
+def _relayed_state(version, *, end, era=0):
+    """Returns the newest records of all keys as the planner relays them."""
+    record = platform_port.Record(
+        key="config", value=b"v%d" % version, offset=end - 1
+    )
+    encoded = relay_encoding.encode_all(
+        relay_encoding.make_encoding("whole"), [record], bases={}
+    )
+    return relay_encoding.EncodedPage(records=tuple(encoded), end=end, era=era)
+
+
+def test_a_front_that_starts_refuses_nothing_on_a_state_of_unknown_age(
+    front, follower
+):
+    """Its first state is relayed; the planner may be cut off from the store."""
+    _, follower = follower
+    known = front.state.known_configuration
+    known.freshness = feed_freshness.FeedFreshness()
+    follower.apply_changes(None, _relayed_state(1, end=1))
+    assert front.state.configuration.version == 1
+    assert not _proves_absence(front)
+    now = time.monotonic()
+    old = now - feed_timing.CONFIGURATION_BOUND_S - 0.1
+    follower.note_relayed(end=1, heard_at=now, current_at=old)
+    assert not _proves_absence(front)
+    follower.note_relayed(end=1, heard_at=now, current_at=now)
+    assert _proves_absence(front)
+
+
+def test_a_front_that_starts_takes_no_state_of_an_earlier_era(front, follower):
+    """A planner that has not read the restored store answers first."""
+    feed, follower = follower
+    feed.add("config", b"v2")
+    feed.restore(end=1)
+    follower._read()
+    assert follower.era == feed.era
+    follower.apply_changes(None, _relayed_state(1, end=9, era=feed.era - 1))
+    now = time.monotonic()
+    follower.note_relayed(end=9, heard_at=now, current_at=now, era=feed.era - 1)
+    assert front.state.configuration.version == 2
+    assert follower.end == 1
