Make the refusal of a full engine in one place in the entry's tests

The frame stood three times in test_pipeline.py; the texts 'full' and 'engine has no free slot' were alike for the tests.

--- a/packages/dotterelgrade-entry/tests/test_pipeline.py
+++ b/packages/dotterelgrade-entry/tests/test_pipeline.py
@@ -129,20 +129,24 @@
     assert cell.entry.dump()["workspaces"] == {}
 
 
+def _refused(admit, **fields):
+    """Returns the refusal of an agent whose engine is full."""
+    return messages.Refused(
+        request_id=admit.request_id,
+        attempt=admit.attempt,
+        stage=admit.stage,
+        kind="no_capacity",
+        message="engine has no free slot",
+        **fields,
+    )
+
+
 def test_a_refused_admission_runs_nothing_and_another_chain_is_tried(
     cell, helpers
 ):
     def refuse(agent, connection, frame):
         if isinstance(frame, messages.Admit):
-            connection.send(
-                messages.Refused(
-                    request_id=frame.request_id,
-                    attempt=frame.attempt,
-                    stage=frame.stage,
-                    kind="no_capacity",
-                    message="full",
-                )
-            )
+            connection.send(_refused(frame))
 
     for first in (0, 3, 6):
         cell.start_agent(first, first + 2)
@@ -225,16 +229,8 @@
 
     def race(agent, connection, frame):
         if isinstance(frame, messages.Admit):
-            connection.send(
-                messages.Refused(
-                    request_id=frame.request_id,
-                    attempt=frame.attempt,
-                    stage=frame.stage,
-                    kind="no_capacity",
-                    message="engine has no free slot",
-                    report=dataclasses.replace(agent.report, slots_free=0),
-                )
-            )
+            full = dataclasses.replace(agent.report, slots_free=0)
+            connection.send(_refused(frame, report=full))
 
     cell.start_fake_agent(0, helpers.LAYERS - 1, race)
     entry = cell.start_entry()
@@ -252,16 +248,7 @@
         if isinstance(frame, messages.Admit) and len(lost) < 8:
             lost.append(frame)
             full = dataclasses.replace(agent.report, slots_free=0)
-            connection.send(
-                messages.Refused(
-                    request_id=frame.request_id,
-                    attempt=frame.attempt,
-                    stage=frame.stage,
-                    kind="no_capacity",
-                    message="engine has no free slot",
-                    report=full,
-                )
-            )
+            connection.send(_refused(frame, report=full))
             # Another slot becomes free, and the report wakes who waits.
             gevent.spawn_later(0.03, _report, agent, connection)
         elif isinstance(frame, messages.Admit):
