Ignore layers beyond the model when engines are planned

What operators would see: after a change to a model with fewer layers, the planner's tick ends with an IndexError as long as some engine still holds the old ones, and no engine gets an order.

Change: HeldLayers counts only layers that the model has. Its figures are not computed while no engine is free, which is the rule.

The test failed before with 'list index out of range'.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/held_layers.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/held_layers.py
@@ -60,12 +60,13 @@
         """Counts a further holder.
 
         Args:
-            layers: The layers that it holds.
+            layers: The layers that it holds; those that the model doesn't have
+                are ignored.
             accelerator: Figures of its kind of accelerator.
         """
         tokens = self._engine.capacity_tokens(accelerator, len(layers))
         bisect.insort(self._capacities, tokens)
-        for layer in range(layers.first, layers.end):
+        for layer in range(layers.first, min(layers.end, self._engine.layers)):
             self._counts[layer] += 1
             self._tokens[layer] += tokens
             self._last_sizes[layer] = len(layers)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement.py
@@ -248,6 +248,8 @@
     free: Sequence[placement_policies.Candidate],
 ) -> list[Placement]:
     """Places free backend servers to speed up, double or add capacity."""
+    if not free:
+        return []
     held = held_layers.HeldLayers(engine, (c for c in group if c.layers))
     orders = []
     idle = []
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -222,3 +222,12 @@
         counts.append(_capacity_computations(engine, servers, monkeypatch))
     few, many = counts
     assert many <= few * 160 / 40 * 1.5
+
+
+def test_a_server_with_layers_beyond_the_model_does_not_stop_the_planner(
+    engine, make_domain, make_candidate
+):
+    """The operator has replaced the model by one with fewer layers."""
+    old = make_candidate("old", layers=(76, 84))
+    servers = [*_settled(engine, make_domain("a")), old]
+    assert _plan(engine, servers) == []
