--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -4,6 +4,9 @@
 
 _UPSTREAM_TEST = "packages/dotterelgrade/tests/test_http_connection.py"
 _FOLLOWER_TEST = "packages/dotterelgrade-front/tests/test_feed_follower.py"
+_FOLLOWED_RELAY_TEST = (
+    "packages/dotterelgrade-front/tests/test_feed_follower_relay.py"
+)
 _PLACEMENT_RUNS = (
     "packages/dotterelgrade-routing/tests/test_placement_machine.py"
 )
@@ -144,7 +147,7 @@
         module="dotterelgrade_front.feed_follower",
         old="for r in page.records if r.offset >= end)",
         new="for r in page.records)",
-        check=_FOLLOWER_TEST,
+        check=_FOLLOWED_RELAY_TEST,
     ),
     mutant.Mutant(
         name="attempt-forgets-the-worst-try",
@@ -360,7 +363,7 @@
         module="dotterelgrade_front.feed_follower",
         old="        self._apply_pending()\n        if changed:",
         new="        if changed:",
-        check=_FOLLOWER_TEST,
+        check=_FOLLOWED_RELAY_TEST,
     ),
     mutant.Mutant(
         name="snapshot-dated-by-arrival",
