Let two runs of the front's tests take different ports

Each run takes the ports from 12,000 up in order, tests them and binds them later.

Change: each run takes them in a random order of its own. The test failed before: two runs shared 50 of 50 ports.

--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import itertools
+import random
 import socket as std_socket
 
 import gevent
@@ -21,7 +22,9 @@
 
 
 # Below the ports that the kernel gives to outgoing connections.
-_PORTS = itertools.cycle(range(12_000, 32_000))
+_RANGE = range(12_000, 32_000)
+# In an order of its own, as another run of the tests may use the same range.
+_PORTS = itertools.cycle(random.SystemRandom().sample(_RANGE, len(_RANGE)))
 
 
 def free_port():
