--- a/packages/dotterelgrade-routing/tests/test_chain_choice.py
+++ b/packages/dotterelgrade-routing/tests/test_chain_choice.py
@@ -90,6 +90,19 @@
     assert ["a1", "b2"] in ids
 
 
+def _searched_sizes(monkeypatch):
+    """Returns a list that gets the number of holders of each search."""
+    sizes = []
+    search = chain_choice.cheapest
+
+    def counting_search(engine, holders, *, preferred_domain):
+        sizes.append(len(holders))
+        return search(engine, holders, preferred_domain=preferred_domain)
+
+    monkeypatch.setattr(chain_choice, "cheapest", counting_search)
+    return sizes
+
+
 def test_whole_fleet_is_searched_once_if_several_domains_are_full(
     engine, make_holder, monkeypatch
 ):
@@ -101,14 +114,7 @@
         for domain in "abcdef"
         for part, first in enumerate((0, 40))
     ]
-    sizes = []
-    search = chain_choice.cheapest
-
-    def counting_search(engine, holders, *, preferred_domain):
-        sizes.append(len(holders))
-        return search(engine, holders, preferred_domain=preferred_domain)
-
-    monkeypatch.setattr(chain_choice, "cheapest", counting_search)
+    sizes = _searched_sizes(monkeypatch)
     assert chain_choice.candidates(engine, holders)
     assert sizes.count(len(holders)) == 1
 
@@ -166,14 +172,7 @@
         for domain in "abc"
         for number in range(330)
     ]
-    sizes = []
-    search = chain_choice.cheapest
-
-    def counting_search(engine, holders, *, preferred_domain):
-        sizes.append(len(holders))
-        return search(engine, holders, preferred_domain=preferred_domain)
-
-    monkeypatch.setattr(chain_choice, "cheapest", counting_search)
+    sizes = _searched_sizes(monkeypatch)
     chains = chain_choice.candidates(engine, holders)
     assert len(chains) == 3 * chain_choice.MAX_CHAINS_PER_DOMAIN
     ranges = 10
