--- a/benchmarks/mixed_builds.py
+++ b/benchmarks/mixed_builds.py
@@ -6,7 +6,7 @@
 one line for each run and exits with 1 if a promise was broken, a log holds a
 rejected frame, or no process of the other build was started.
 
-    python benchmarks/mixed_builds.py OLD_PYTHON [--minutes M]
+    python benchmarks/mixed_builds.py OLD_PYTHON [--minutes M] [--logs DIR]
 
 OLD_PYTHON is the interpreter of an environment that holds the other build.
 """
@@ -67,6 +67,13 @@
         subprocess.Popen = plain
 
 
+@contextlib.contextmanager
+def _log_directory(kept: pathlib.Path | None) -> Iterator[pathlib.Path]:
+    """Yields the directory to keep, or a temporary one."""
+    with tempfile.TemporaryDirectory() as scratch:
+        yield kept or pathlib.Path(scratch)
+
+
 def rejected_frames(directory: pathlib.Path) -> list[str]:
     """Returns the log lines that report a rejected frame or peer."""
     return [
@@ -140,10 +147,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("old_python")
     parser.add_argument("--minutes", type=float, default=0.5)
+    parser.add_argument("--logs", type=pathlib.Path, help="keeps the logs here")
     options = parser.parse_args()
     good = True
-    with tempfile.TemporaryDirectory() as scratch:
-        logs = pathlib.Path(scratch)
+    with _log_directory(options.logs) as logs:
         for parity in (0, 1):
             good &= run_fronts(
                 options.old_python,
