Choose policies, bounds and encodings by one registry

Change: dotterelgrade.registry.Registry; the error for an unknown name says what was given everywhere. No behaviour changes: placement policies and encodings, which hold no state, are now made anew for each front.

Tests of the registry, of routing and of the entry's planner and pipeline pass.

--- a/benchmarks/chain_search.py
+++ b/benchmarks/chain_search.py
@@ -71,7 +71,7 @@
 def _place_layers(
     servers: list[placement_policies.Candidate],
 ) -> list[placement_policies.Candidate]:
-    policy = placement_policies.make_policy("balanced")
+    policy = placement_policies.POLICIES.make("balanced")
     for _ in range(_MAX_PLANNING_ROUNDS):
         orders = placement.plan(_ENGINE, servers, policy=policy)
         if not orders:
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -130,7 +130,7 @@
 
     def _make_models(self) -> model_requests.ModelRequests:
         settings = self._settings
-        policy = policies.make(settings.policy)
+        policy = policies.POLICIES.make(settings.policy)
         admission = admission_lib.Admission(
             predicts=policy.predicts, max_waiting=settings.max_waiting
         )
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/policies.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/policies.py
@@ -5,47 +5,12 @@
 import random
 from typing import TypeVar
 
+from dotterelgrade import registry
 from dotterelgrade_entry import cost_model
 from dotterelgrade_entry import fleet as fleet_lib
 
 _T = TypeVar("_T", bound=type)
 
-_POLICIES: dict[str, type["Policy"]] = {}
-
-
-def policy(name: str) -> Callable[[_T], _T]:
-    """Registers a policy class under its name in the settings."""
-
-    def register(cls: _T) -> _T:
-        _POLICIES[name] = cls
-        cls.name = name
-        return cls
-
-    return register
-
-
-def names() -> list[str]:
-    """Returns the names of the registered policies."""
-    return sorted(_POLICIES)
-
-
-def make(name: str) -> "Policy":
-    """Returns a new policy.
-
-    Args:
-        name: A registered name.
-
-    Returns:
-        A policy with state of its own.
-
-    Raises:
-        ValueError: No policy has that name.
-    """
-    if name not in _POLICIES:
-        expected = ", ".join(names())
-        raise ValueError(f"policy: expected one of {expected}, got {name!r}")
-    return _POLICIES[name]()
-
 
 class Policy:
     """Ranks the candidates for one layer range.
@@ -73,6 +38,19 @@
         raise NotImplementedError
 
 
+POLICIES = registry.Registry[Policy]("policy")
+
+
+def policy(name: str) -> Callable[[_T], _T]:
+    """Registers a policy class under its name in the settings."""
+
+    def register(cls: _T) -> _T:
+        cls.name = name
+        return POLICIES.register(name)(cls)
+
+    return register
+
+
 @policy("random")
 class RandomPolicy(Policy):
     """Picks any candidate."""
--- a/packages/dotterelgrade-entry/tests/test_planner.py
+++ b/packages/dotterelgrade-entry/tests/test_planner.py
@@ -77,7 +77,7 @@
 def _planner(fleet, policy="predicted", candidates=6):
     return planner.Planner(
         fleet,
-        policy=policies.make(policy),
+        policy=policies.POLICIES.make(policy),
         candidates_per_range=candidates,
     )
 
@@ -86,7 +86,7 @@
     return [stage.key.partition(":")[0] for stage in planned.unwrap().stages]
 
 
-@pytest.mark.parametrize("policy", policies.names())
+@pytest.mark.parametrize("policy", policies.POLICIES.names())
 def test_every_policy_covers_all_layers_once_and_in_order(fleet, policy):
     for number in range(3):
         fleet.add(f"a{number}", 0, 2)
@@ -173,7 +173,7 @@
     assert other.kind is errors.ErrorKind.NO_CAPACITY
 
 
-@pytest.mark.parametrize("policy", policies.names())
+@pytest.mark.parametrize("policy", policies.POLICIES.names())
 def test_a_chain_never_mixes_versions(fleet, policy):
     for number in range(4):
         fleet.add(f"old-a{number}", 0, 2, version="1")
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -56,9 +56,9 @@
 
     def __post_init__(self) -> None:
         """Validates the names of policies and the addresses."""
-        placement_policies.make_policy(self.placement)
-        relay_encoding_lib.make_encoding(self.relay_encoding)
-        silence_bounds.make_bound(self.silence_bound)
+        placement_policies.POLICIES.make(self.placement)
+        relay_encoding_lib.ENCODINGS.make(self.relay_encoding)
+        silence_bounds.BOUNDS.make(self.silence_bound)
         for address in (self.callers_address, self.ready_address):
             host, _, port = address.rpartition(":")
             if not host or not port.isdigit():
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -105,7 +105,9 @@
         self._state = state
         self._tracked: dict[tuple[str, int], TrackedEngine] = {}
         self._pool = pool.Pool(_MAX_CONCURRENT_CALLS)
-        self._policy = placement_policies.make_policy(state.settings.placement)
+        self._policy = placement_policies.POLICIES.make(
+            state.settings.placement
+        )
         self._suspected_ids: set[str] = set()
         self._held_layers: dict[str, dict[str, layer_range.LayerRange]] = {}
         self._risks: dict[str, plan_risk.PlanRisk] = {}
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -77,7 +77,7 @@
         """
         self._state = state
         self._planner = planner
-        self._encoding = relay_encoding.make_encoding(
+        self._encoding = relay_encoding.ENCODINGS.make(
             state.settings.relay_encoding
         )
         self._leading = event.Event()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
@@ -66,7 +66,7 @@
         """
         self._state = state
         self._queries: dict[str, _Query] = {}
-        self._bound = silence_bounds.make_bound(state.settings.silence_bound)
+        self._bound = silence_bounds.BOUNDS.make(state.settings.silence_bound)
 
     def __repr__(self) -> str:
         """Shows the number of stored queries."""
--- a/packages/dotterelgrade-front/tests/test_feed_follower_relay.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower_relay.py
@@ -162,7 +162,7 @@
     page = relay_encoding.EncodedPage(
         records=tuple(
             relay_encoding.encode_all(
-                relay_encoding.make_encoding("delta"), late.records, bases={}
+                relay_encoding.ENCODINGS.make("delta"), late.records, bases={}
             )
         ),
         end=late.end,
@@ -302,7 +302,7 @@
         key="config", value=b"v%d" % version, offset=end - 1
     )
     encoded = relay_encoding.encode_all(
-        relay_encoding.make_encoding("whole"), [record], bases={}
+        relay_encoding.ENCODINGS.make("whole"), [record], bases={}
     )
     return relay_encoding.EncodedPage(records=tuple(encoded), end=end, era=era)
 
--- a/packages/dotterelgrade-front/tests/test_relay_machine.py
+++ b/packages/dotterelgrade-front/tests/test_relay_machine.py
@@ -121,7 +121,7 @@
     @stateful.rule(
         data=strategies.data(),
         late=strategies.booleans(),
-        name=strategies.sampled_from(relay_encoding.relay_encodings()),
+        name=strategies.sampled_from(relay_encoding.ENCODINGS.names()),
     )
     def relay_changes(self, data, late, name):
         end = len(self.feed.records)
@@ -137,7 +137,7 @@
         for record in self.feed.records[:start]:
             latest.note(record)
         records = relay_encoding.encode_all(
-            relay_encoding.make_encoding(name),
+            relay_encoding.ENCODINGS.make(name),
             self.feed.records[start:end],
             bases=latest.values(),
         )
@@ -147,7 +147,7 @@
 
     @stateful.rule(
         late=strategies.booleans(),
-        name=strategies.sampled_from(relay_encoding.relay_encodings()),
+        name=strategies.sampled_from(relay_encoding.ENCODINGS.names()),
     )
     def relay_newest_records(self, late, name):
         """The planner has read all keys anew after its records expired."""
@@ -156,7 +156,7 @@
         for record in newest.records:
             latest.note(record)
         records = relay_encoding.encode_all(
-            relay_encoding.make_encoding(name),
+            relay_encoding.ENCODINGS.make(name),
             newest.records,
             bases=latest.values(),
         )
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement_policies.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/placement_policies.py
@@ -5,10 +5,11 @@
 of its stages. `placement` decides when a policy is applied.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 import dataclasses
 from typing import Protocol
 
+from dotterelgrade import registry
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
@@ -63,40 +64,10 @@
         """
 
 
-_POLICIES: dict[str, Policy] = {}
+POLICIES = registry.Registry[Policy]("placement")
 
 
-def policy(name: str) -> Callable[[type], type]:
-    """Registers a policy under its name in the settings."""
-
-    def register(cls: type) -> type:
-        _POLICIES[name] = cls()
-        return cls
-
-    return register
-
-
-def policies() -> list[str]:
-    """Returns the names of the registered policies."""
-    return sorted(_POLICIES)
-
-
-def make_policy(name: str) -> Policy:
-    """Returns a registered policy.
-
-    Args:
-        name: Its name.
-
-    Raises:
-        ValueError: No policy has that name.
-    """
-    if name not in _POLICIES:
-        expected = ", ".join(policies())
-        raise ValueError(f"placement: expected one of {expected}")
-    return _POLICIES[name]
-
-
-@policy("even")
+@POLICIES.register("even")
 class EvenPolicy:
     """Gives every backend server the same number of layers, as a baseline."""
 
@@ -117,7 +88,7 @@
         return [(c, count) for c, count in shares if count]
 
 
-@policy("balanced")
+@POLICIES.register("balanced")
 class BalancedPolicy:
     """Weighs KV cache capacity against the speed of the chain.
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
@@ -5,13 +5,14 @@
 events of its streams wait behind it.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 import dataclasses
 from typing import Protocol
 
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import registry
 from dotterelgrade_routing import compression
 from dotterelgrade_routing import latest_records
 from dotterelgrade_routing import platform_port
@@ -67,40 +68,10 @@
         """
 
 
-_ENCODINGS: dict[str, RelayEncoding] = {}
+ENCODINGS = registry.Registry[RelayEncoding]("relay encoding")
 
 
-def relay_encoding(name: str) -> Callable[[type], type]:
-    """Registers an encoding under its name in the settings."""
-
-    def register(cls: type) -> type:
-        _ENCODINGS[name] = cls()
-        return cls
-
-    return register
-
-
-def relay_encodings() -> list[str]:
-    """Returns the names of the registered encodings."""
-    return sorted(_ENCODINGS)
-
-
-def make_encoding(name: str) -> RelayEncoding:
-    """Returns a registered encoding.
-
-    Args:
-        name: Its name.
-
-    Raises:
-        ValueError: No encoding has that name.
-    """
-    if name not in _ENCODINGS:
-        expected = ", ".join(relay_encodings())
-        raise ValueError(f"relay encoding: expected one of {expected}")
-    return _ENCODINGS[name]
-
-
-@relay_encoding("whole")
+@ENCODINGS.register("whole")
 class WholeEncoding:
     """Sends each record as it is."""
 
@@ -114,7 +85,7 @@
         )
 
 
-@relay_encoding("compressed")
+@ENCODINGS.register("compressed")
 class CompressedEncoding:
     """Compresses each large record."""
 
@@ -132,7 +103,7 @@
         )
 
 
-@relay_encoding("delta")
+@ENCODINGS.register("delta")
 class DeltaEncoding:
     """Sends the difference to the value before, where it is known and small."""
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/silence_bounds.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/silence_bounds.py
@@ -6,9 +6,10 @@
 link that loses packets these need longer.
 """
 
-from collections.abc import Callable
 from typing import Protocol
 
+from dotterelgrade import registry
+
 # A bound that spares a stage whose reply was lost and sent again.
 MAX_BOUND_S = 0.25
 # A stage that is only busy replies within this time.
@@ -30,40 +31,10 @@
         """Silence after which a stage counts as unreachable, s."""
 
 
-_BOUNDS: dict[str, type[SilenceBound]] = {}
-
-
-def silence_bound(name: str) -> Callable[[type], type]:
-    """Registers a bound under its name in the settings."""
-
-    def register(cls: type) -> type:
-        _BOUNDS[name] = cls
-        return cls
-
-    return register
-
-
-def silence_bounds() -> list[str]:
-    """Returns the names of the registered bounds."""
-    return sorted(_BOUNDS)
-
-
-def make_bound(name: str) -> SilenceBound:
-    """Returns a new bound of a registered kind.
-
-    Args:
-        name: Its name.
-
-    Raises:
-        ValueError: No bound has that name.
-    """
-    if name not in _BOUNDS:
-        expected = ", ".join(silence_bounds())
-        raise ValueError(f"silence bound: expected one of {expected}")
-    return _BOUNDS[name]()
+BOUNDS = registry.Registry[SilenceBound]("silence bound")
 
 
-@silence_bound("fixed")
+@BOUNDS.register("fixed")
 class FixedBound:
     """The same bound whatever the replies need."""
 
@@ -77,7 +48,7 @@
         return MAX_BOUND_S
 
 
-@silence_bound("observed")
+@BOUNDS.register("observed")
 class ObservedBound:
     """A bound from the mean and the deviation of the latest replies."""
 
--- a/packages/dotterelgrade-routing/tests/test_placement.py
+++ b/packages/dotterelgrade-routing/tests/test_placement.py
@@ -12,7 +12,7 @@
 
 def _plan(engine, servers, policy="balanced"):
     return placement.plan(
-        engine, servers, policy=placement_policies.make_policy(policy)
+        engine, servers, policy=placement_policies.POLICIES.make(policy)
     )
 
 
@@ -42,7 +42,7 @@
     return engine.capacity_tokens(server.accelerator, len(server.layers))
 
 
-@pytest.mark.parametrize("policy", placement_policies.policies())
+@pytest.mark.parametrize("policy", placement_policies.POLICIES.names())
 def test_each_domain_gets_a_whole_replica(engine, make_domain, policy):
     servers = [*make_domain("a"), *make_domain("b", fast=2, small=4)]
     placed = _applied(servers, _plan(engine, servers, policy))
@@ -178,7 +178,7 @@
 
 def test_an_unknown_policy_is_refused():
     with pytest.raises(ValueError, match="expected one of"):
-        placement_policies.make_policy("best")
+        placement_policies.POLICIES.make("best")
 
 
 def test_a_refusing_server_is_excluded_from_the_plan(engine, make_domain):
--- a/packages/dotterelgrade-routing/tests/test_placement_machine.py
+++ b/packages/dotterelgrade-routing/tests/test_placement_machine.py
@@ -118,7 +118,7 @@
     orders = placement.plan(
         _ENGINE,
         candidates,
-        policy=placement_policies.make_policy("balanced"),
+        policy=placement_policies.POLICIES.make("balanced"),
     )
     _assert_opens_no_gap(candidates, orders)
 
@@ -149,7 +149,7 @@
         orders = placement.plan(
             _ENGINE,
             candidates,
-            policy=placement_policies.make_policy("balanced"),
+            policy=placement_policies.POLICIES.make("balanced"),
         )
         _assert_opens_no_gap(candidates, orders)
         sent = []
--- a/packages/dotterelgrade-routing/tests/test_plan_risk.py
+++ b/packages/dotterelgrade-routing/tests/test_plan_risk.py
@@ -10,7 +10,7 @@
 
 def _placed(engine, servers):
     """Returns the fleet after all orders of six plans."""
-    policy = placement_policies.make_policy("balanced")
+    policy = placement_policies.POLICIES.make("balanced")
     for _ in range(6):
         orders = placement.plan(engine, servers, policy=policy)
         wanted = {order.server_id: order.layers for order in orders}
--- a/packages/dotterelgrade-routing/tests/test_relay_encoding.py
+++ b/packages/dotterelgrade-routing/tests/test_relay_encoding.py
@@ -43,10 +43,10 @@
     return platform_port.Record(key="config", value=value, offset=offset)
 
 
-@pytest.mark.parametrize("name", relay_encoding.relay_encodings())
+@pytest.mark.parametrize("name", relay_encoding.ENCODINGS.names())
 @pytest.mark.parametrize("known", [True, False])
 def test_each_encoding_carries_every_version(name, known):
-    encoding = relay_encoding.make_encoding(name)
+    encoding = relay_encoding.ENCODINGS.make(name)
     first, *later = _versions(4)
     records = [_record(value, n) for n, value in enumerate(later)]
     records.append(_record(b"", 9))
@@ -58,7 +58,7 @@
 
 def test_unknown_encoding_names_the_known_ones():
     with pytest.raises(ValueError, match="compressed, delta, whole"):
-        relay_encoding.make_encoding("other")
+        relay_encoding.ENCODINGS.make("other")
 
 
 def test_one_changed_route_of_two_thousand_holds_no_event_back():
@@ -68,7 +68,7 @@
     """
     old, new = _versions(2)
     delta, whole = (
-        relay_encoding.make_encoding(name).encode(_record(new), base=old)
+        relay_encoding.ENCODINGS.make(name).encode(_record(new), base=old)
         for name in ("delta", "whole")
     )
     literal_bits = delta.delta.literal_bytes * 8
@@ -81,7 +81,7 @@
     (new,) = _versions(1)
     old = json.dumps({"version": 0, "routes": []}).encode()
     old += b" " * latest_records.MIN_RECORD_BYTES
-    encoding = relay_encoding.make_encoding("delta")
+    encoding = relay_encoding.ENCODINGS.make("delta")
     encoded = encoding.encode(_record(new), base=old)
     assert encoded.compressed
     assert len(encoded.value) < len(new) / 4
@@ -89,7 +89,7 @@
 
 def test_a_front_without_the_version_before_rejects_a_difference():
     old, new = _versions(2)
-    encoding = relay_encoding.make_encoding("delta")
+    encoding = relay_encoding.ENCODINGS.make("delta")
     encoded = [encoding.encode(_record(new), base=old)]
     for bases in ({}, {"config": new}):
         decoded = relay_encoding.decode_all(encoded, bases=bases)
@@ -99,7 +99,7 @@
 @pytest.mark.parametrize("value", [b"", b"no zlib", None])
 def test_a_broken_compressed_record_is_rejected(value):
     (new,) = _versions(1)
-    encoding = relay_encoding.make_encoding("compressed")
+    encoding = relay_encoding.ENCODINGS.make("compressed")
     whole = encoding.encode(_record(new), base=None)
     cut = whole.value[:-10] if value is None else value
     broken = relay_encoding.EncodedRecord(
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/slope_relay.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/slope_relay.py
@@ -30,8 +30,8 @@
     costs: dict[str, float] = {}
     bases = {"config": before}
     record = platform_port.Record(key="config", value=after, offset=1)
-    for name in relay_encoding.relay_encodings():
-        encoding = relay_encoding.make_encoding(name)
+    for name in relay_encoding.ENCODINGS.names():
+        encoding = relay_encoding.ENCODINGS.make(name)
         encoded = relay_encoding.encode_all(encoding, [record], bases=bases)
         costs[f"{name}_bytes"] = float(len(_frame(encoded)))
         started = time.process_time()
