--- a/packages/dotterelgrade-front/tests/adapter/test_codec.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_codec.py
@@ -193,6 +193,12 @@
     assert after == codec.decode_configuration(_to_json(changed))
 
 
+def test_routes_with_equal_bytes_are_all_kept():
+    doubled = {**_CONFIGURATION, "routes": [_ROUTE, _ROUTE]}
+    decoded = codec.decode_configuration(_to_json(doubled))
+    assert len(decoded.unwrap().routes) == 2
+
+
 def test_a_malformed_route_leaves_the_known_ones():
     cache = codec.RouteCache()
     before = codec.decode_configuration(_to_json(_CONFIGURATION), cache=cache)
