--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -154,7 +154,7 @@
         }
         if isinstance(decision, admission.Refused):
             state.decisions.record(
-                "room_awaited" if self._head_sent else "refused",
+                "capacity_awaited" if self._head_sent else "refused",
                 reason=decision.reason,
                 request_id=call.request_id,
                 retry_after_s=round(decision.retry_after_s, 2),
@@ -362,7 +362,7 @@
             reason=str(failed),
             request_id=call.request_id,
             server=chain.first.server_id,
-            culprit=failed.faulty_address,
+            faulty_address=failed.faulty_address,
             known=failed.execution.name,
             events=self._pace.events,
             left_s=round(call.remaining_s, 3),
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -275,7 +275,7 @@
             service=service.name,
             engines=len(held),
             missing=[repr(layers) for layers in risk.missing],
-            hanging={
+            single_holder={
                 server_id: [repr(layers) for layers in alone]
                 for server_id, alone in risk.single_holder.items()
             },
--- a/packages/dotterelgrade-front/tests/adapter/test_codec.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_codec.py
@@ -169,7 +169,7 @@
 
 
 @pytest.mark.parametrize(
-    ("body", "culprit"),
+    ("body", "faulty_address"),
     [
         (b'{"address": "10.0.0.1:1"}', "10.0.0.1:1"),
         (b"{}", ""),
@@ -177,8 +177,8 @@
         (b'{"address": 4}', ""),
     ],
 )
-def test_a_refused_order_may_name_the_server_at_fault(body, culprit):
-    assert codec.culprit_of(body) == culprit
+def test_a_refused_order_may_name_the_server_at_fault(body, faulty_address):
+    assert codec.faulty_address_of(body) == faulty_address
 
 
 def test_unchanged_routes_are_taken_from_the_version_before():
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -213,7 +213,7 @@
     for _ in range(6):
         planner.tick()
     rows = [
-        row.details["hanging"]
+        row.details["single_holder"]
         for row in front.state.decisions.journal.latest(100)
         if row.decision == "layers_at_risk"
     ]
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -247,7 +247,7 @@
         told: backend_server_codec.ForwardedRequest,
         status: int,
         *,
-        culprit: str = "",
+        faulty_address: str = "",
         retry_after_s: float = 0.0,
     ) -> None:
         """Tells a front that its request has not run.
@@ -256,7 +256,7 @@
             client: The front's connection.
             told: What the front said.
             status: HTTP status.
-            culprit: Address of the stage at fault, or empty.
+            faulty_address: Address of the stage at fault, or empty.
             retry_after_s: For how long it wants nothing, s, or 0.
         """
         self._send(
@@ -265,7 +265,7 @@
             status,
             b"",
             not_run=True,
-            culprit=culprit,
+            faulty_address=faulty_address,
             retry_after_s=retry_after_s,
         )
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
@@ -179,14 +179,16 @@
         stream = self._streams.get(order.request_id)
         if stream is None:
             return _NOT_FOUND
-        if self._culprit(order.hops[1:]):
+        if self._faulty_address(order.hops[1:]):
             return _CONFLICT
         self._check_chain(order.request_id, order.hops)
         stream.hops = order.hops
         stream.incarnations = self._incarnations(order.hops)
         return platform_backends.OK
 
-    def _culprit(self, hops: tuple[backend_server_codec.Hop, ...]) -> str:
+    def _faulty_address(
+        self, hops: tuple[backend_server_codec.Hop, ...]
+    ) -> str:
         """Returns the address of a stage that refuses, or empty."""
         for hop in hops:
             engine = self._fleet.get(hop.address)
@@ -218,9 +220,14 @@
         request: http_message.Request,
         told: backend_server_codec.ForwardedRequest,
     ) -> None:
-        culprit = self._culprit(told.hops)
-        if culprit:
-            self.refuse(client, told, platform_backends.FULL, culprit=culprit)
+        faulty_address = self._faulty_address(told.hops)
+        if faulty_address:
+            self.refuse(
+                client,
+                told,
+                platform_backends.FULL,
+                faulty_address=faulty_address,
+            )
             return
         stream = _Stream(
             hops=told.hops, incarnations=self._incarnations(told.hops)
