Assess the risk of a plan in one pass over the engines

test_risk_of_thousands_of_engines_does_not_stop_the_planner failed before and passes; test_single_holders_are_those_whose_loss_leaves_a_gap compares both ways.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/layer_coverage.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/layer_coverage.py
@@ -1,4 +1,4 @@
-"""How often each layer is held, while holders are removed one at a time."""
+"""How often each layer is held."""
 
 import collections
 from collections.abc import Iterable
@@ -43,3 +43,18 @@
             return False
         self._counts[part] = [count - 1 for count in self._counts[part]]
         return True
+
+    def held_once(
+        self, held: layer_range.LayerRange
+    ) -> tuple[layer_range.LayerRange, ...]:
+        """Returns the parts of a holder's layers that no other one holds.
+
+        Args:
+            held: Layers of a holder that was counted.
+        """
+        layers = range(held.first, held.end)
+        runs = itertools.groupby(layers, key=self._counts.__getitem__)
+        alone = [tuple(run) for count, run in runs if count == 1]
+        return tuple(
+            layer_range.LayerRange(run[0], run[-1] + 1) for run in alone
+        )
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/plan_risk.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/plan_risk.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from dotterelgrade_routing import configuration
+from dotterelgrade_routing import layer_coverage
 from dotterelgrade_routing import layer_range
 
 
@@ -40,10 +41,12 @@
         held: Layers by backend server.
     """
     missing = layer_range.gaps(engine.all_layers(), held.values())
-    single_holder = {}
-    for server_id, layers in held.items():
-        others = [h for other, h in held.items() if other != server_id]
-        sole = layer_range.gaps(layers, others)
-        if sole:
-            single_holder[server_id] = sole
+    coverage = layer_coverage.LayerCoverage(held.values())
+    alone = {
+        server_id: coverage.held_once(layers)
+        for server_id, layers in held.items()
+    }
+    single_holder = {
+        server_id: layers for server_id, layers in alone.items() if layers
+    }
     return PlanRisk(missing=missing, single_holder=single_holder)
