Poll and order thousands of engines without holding the planner

Cause: one tick polled all engines that were due, every 1.5 s, or 0.3 s with an order in progress, and waited until each call had begun: 6.5 s for the first round.

Change: PollSchedule chooses among the due polls, suspected engines first, then the one polled longest ago, within two fifths of the host's processor; a fleet of up to 64 is polled as before. Orders that have no free place wait for the next tick, and polls that no front asked for wait for them. Until its first poll an engine counts with the layers of the list, and an empty one can be ordered, as the compare-and-set on its orders protects it. TrackedEngine has a module of its own.

test_a_planner_of_many_silent_engines_is_not_held and test_orders_that_wait_for_others_are_sent_later_and_once failed before (5 s).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -5,6 +5,7 @@
 only if it has accepted no other since its report.
 """
 
+import collections
 from collections.abc import Collection, Sequence
 import dataclasses
 import time
@@ -13,6 +14,7 @@
 from gevent import pool
 
 from dotterelgrade_front import front_state
+from dotterelgrade_front import tracked_engine as engine_lib
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import layer_range
@@ -20,77 +22,33 @@
 from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import plan_risk
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import poll_schedule
 
 TICK_S = 0.2
 # Each report has a cost; engines with an order in progress are polled faster.
 _POLL_INTERVAL_S = 1.5
 _FAST_POLL_INTERVAL_S = 0.3
-# Consecutive missed polls after which an engine is left out of the plan.
-_MAX_MISSED_POLLS = 2
-# Fronts repeat their exclusions several times within this time.
-_SUSPICION_TTL_S = 1.0
-# An order without effect after this time is planned again.
-_ORDER_TIMEOUT_S = 3.0
-_MAX_CONCURRENT_CALLS = 64
+_MAX_CONCURRENT_ORDERS = 64
 # Engines that respond slowly must not delay orders to the others.
 _MAX_CALL_WAIT_S = 0.1
-# An engine that refused an order, such as a leaving one, gets no other in this
-# time.
-_REFUSED_ORDER_BACKOFF_S = 3.0
+# The other fronts expect a snapshot several times a second, also while orders
+# go to thousands of engines.
+_MAX_SENDING_S = 0.3
+# After a longer pause another front has planned meanwhile.
+_MAX_TICK_PAUSE_S = 2.0
 
 
-@dataclasses.dataclass(kw_only=True)
-class TrackedEngine:
-    """The planner's state of one engine.
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _PlannedOrder:
+    """An order that has not been sent.
 
     Attributes:
-        report: Its last report, or None.
-        polled_at: Monotonic time of the last poll, s.
-        missed_polls: Consecutive polls without an answer.
-        first_seen_at: Monotonic time at which it was first seen, s.
-        ordered_layers: The layers of the last order, or None.
-        ordered_at: Monotonic time of the last order, s.
-        order_refused_at: Monotonic time of the last refused order, s.
-        poll_in_flight: Whether a poll is in flight.
-        suspected_at: Monotonic time at which a front last excluded it, s.
+        server: The engine.
+        order: The layers, with the reason.
     """
 
-    report: backend_server.EngineReport | None = None
-    polled_at: float = float("-inf")
-    missed_polls: int = 0
-    first_seen_at: float = dataclasses.field(default_factory=time.monotonic)
-    ordered_layers: layer_range.LayerRange | None = None
-    ordered_at: float = float("-inf")
-    order_refused_at: float = float("-inf")
-    poll_in_flight: bool = False
-    suspected_at: float = float("-inf")
-
-    @property
-    def silent(self) -> bool:
-        """Whether it missed its latest polls.
-
-        One missed poll is enough if a front excludes it as well.
-        """
-        suspected = time.monotonic() - self.suspected_at < _SUSPICION_TTL_S
-        return self.missed_polls >= (1 if suspected else _MAX_MISSED_POLLS)
-
-    def order_pending(self, *, now: float) -> bool:
-        """Returns whether an order may still take effect."""
-        if self.ordered_layers is None:
-            return False
-        if (
-            self.report is not None
-            and self.report.layers == self.ordered_layers
-        ):
-            return False
-        loading = self.report is not None and self.report.loading
-        return loading or now - self.ordered_at < _ORDER_TIMEOUT_S
-
-    def can_take_order(self, *, now: float) -> bool:
-        """Returns whether it can be sent an order now."""
-        if self.order_pending(now=now) or self.report.loading:
-            return False
-        return now - self.order_refused_at >= _REFUSED_ORDER_BACKOFF_S
+    server: backend_server.BackendServer
+    order: placement.Placement
 
 
 class Planner:
@@ -103,8 +61,12 @@
             state: State shared by the front's greenlets.
         """
         self._state = state
-        self._tracked: dict[tuple[str, int], TrackedEngine] = {}
-        self._pool = pool.Pool(_MAX_CONCURRENT_CALLS)
+        self._tracked: dict[tuple[str, int], engine_lib.TrackedEngine] = {}
+        self._polls = pool.Pool(poll_schedule.MAX_BURST)
+        self._orders = pool.Pool(_MAX_CONCURRENT_ORDERS)
+        self._schedule = poll_schedule.PollSchedule(cores=state.settings.cores)
+        self._unsent: collections.deque[_PlannedOrder] = collections.deque()
+        self._ticked_at = float("-inf")
         self._policy = placement_policies.POLICIES.make(
             state.settings.placement
         )
@@ -122,7 +84,7 @@
 
     def tracked_engine(
         self, server: backend_server.BackendServer
-    ) -> TrackedEngine | None:
+    ) -> engine_lib.TrackedEngine | None:
         """Returns the state of an engine."""
         return self._tracked.get(server.incarnation)
 
@@ -142,6 +104,10 @@
         current = self._state.configuration
         if current is None:
             return
+        now = time.monotonic()
+        if now - self._ticked_at > _MAX_TICK_PAUSE_S:
+            self._unsent.clear()
+        self._ticked_at = now
         self._drop_removed_engines()
         for service in current.model_services:
             members = [
@@ -150,7 +116,10 @@
                 if server.service == service.name
             ]
             self._poll_engines(members)
-            self._order_layers(service, members, refusing)
+            if self._unsent:
+                self._send_orders()
+            else:
+                self._order_layers(service, members, refusing)
 
     def _drop_removed_engines(self) -> None:
         listed = {server.incarnation for server in self._state.fleet.servers}
@@ -162,36 +131,51 @@
     ) -> None:
         now = time.monotonic()
         self._suspected_ids |= self._state.exclusions.excluded_ids(now=now)
+        due = [
+            poll
+            for poll in (self._due_poll(server, now) for server in members)
+            if poll is not None and (poll.suspected or not self._unsent)
+        ]
+        self._suspected_ids.clear()
+        chosen = self._schedule.choose(
+            due, most=self._polls.free_count(), now=now
+        )
         polls = []
-        for server in members:
-            tracked = self._tracked.setdefault(
-                server.incarnation, TrackedEngine()
+        for poll in chosen:
+            tracked = self._tracked[poll.server.incarnation]
+            tracked.polled_at = now
+            tracked.poll_in_flight = True
+            polls.append(
+                self._polls.spawn(self._poll_engine, poll.server, tracked)
             )
-            interval_s = _POLL_INTERVAL_S
-            urgent = (
-                tracked.order_pending(now=now) or 0 < tracked.missed_polls < 4
-            )
-            suspected = server.id in self._suspected_ids
-            if suspected:
-                tracked.suspected_at = now
-            if urgent or suspected:
-                interval_s = _FAST_POLL_INTERVAL_S
-            if self._state.notices.is_held_off(server):
-                continue
-            if (
-                now - tracked.polled_at >= interval_s
-                and not tracked.poll_in_flight
-            ):
-                tracked.polled_at = now
-                tracked.poll_in_flight = True
-                polls.append(
-                    self._pool.spawn(self._poll_engine, server, tracked)
-                )
-        self._suspected_ids.clear()
         gevent.joinall(polls, timeout=_MAX_CALL_WAIT_S)
 
+    def _due_poll(
+        self, server: backend_server.BackendServer, now: float
+    ) -> poll_schedule.DuePoll | None:
+        """Returns the poll of an engine if its report is due."""
+        tracked = self._tracked.setdefault(
+            server.incarnation, engine_lib.TrackedEngine()
+        )
+        suspected = server.id in self._suspected_ids
+        if suspected:
+            tracked.suspected_at = now
+        urgent = tracked.order_pending(now=now) or 0 < tracked.missed_polls < 4
+        interval_s = _POLL_INTERVAL_S
+        if urgent or suspected:
+            interval_s = _FAST_POLL_INTERVAL_S
+        if tracked.poll_in_flight or now - tracked.polled_at < interval_s:
+            return None
+        if self._state.notices.is_held_off(server):
+            return None
+        return poll_schedule.DuePoll(
+            server=server, polled_at=tracked.polled_at, suspected=suspected
+        )
+
     def _poll_engine(
-        self, server: backend_server.BackendServer, tracked: TrackedEngine
+        self,
+        server: backend_server.BackendServer,
+        tracked: engine_lib.TrackedEngine,
     ) -> None:
         state = self._state
         was_silent = tracked.silent
@@ -242,14 +226,33 @@
             placement.exclude_refusing(candidates, refusing=refusing),
             policy=self._policy,
         )
+        self._unsent.extend(
+            _PlannedOrder(server=by_id[order.server_id], order=order)
+            for order in orders
+        )
+        self._send_orders()
+
+    def _send_orders(self) -> None:
+        """Sends planned orders, for a while; the next tick sends the rest."""
+        ends_at = time.monotonic() + _MAX_SENDING_S
         sends = []
-        for order in orders:
-            server = by_id[order.server_id]
-            tracked = self._tracked[server.incarnation]
-            tracked.ordered_layers = order.layers
+        while self._unsent:
+            left_s = ends_at - time.monotonic()
+            if left_s <= 0 or not self._orders.wait_available(timeout=left_s):
+                break
+            planned = self._unsent.popleft()
+            tracked = self._tracked.get(planned.server.incarnation)
+            if tracked is None:
+                continue
+            tracked.ordered_layers = planned.order.layers
             tracked.ordered_at = time.monotonic()
             sends.append(
-                self._pool.spawn(self._send_order, server, order, tracked)
+                self._orders.spawn(
+                    self._send_order,
+                    planned.server,
+                    planned.order,
+                    tracked,
+                )
             )
         gevent.joinall(sends, timeout=_MAX_CALL_WAIT_S)
 
@@ -288,18 +291,28 @@
     ) -> placement_policies.Candidate | None:
         tracked = self._tracked.get(server.incarnation)
         accelerator = service.engine.accelerator(server.accelerator)
-        if tracked is None or tracked.report is None or accelerator is None:
+        if tracked is None or accelerator is None:
             return None
         if tracked.silent or not server.ready:
             return None
         now = time.monotonic()
-        pending = tracked.order_pending(now=now)
+        if tracked.order_pending(now=now):
+            layers = tracked.ordered_layers
+        elif tracked.report is not None:
+            layers = tracked.report.layers
+        elif tracked.untouched:
+            layers = server.layers
+        else:
+            return None
+        # Without a report, only an empty engine is known to have no orders.
+        reported = tracked.report is not None or layers is None
         return placement_policies.Candidate(
             server_id=server.id,
             failure_domain=server.failure_domain,
             accelerator=accelerator,
-            layers=tracked.ordered_layers if pending else tracked.report.layers,
-            movable=tracked.can_take_order(now=now)
+            layers=layers,
+            movable=reported
+            and tracked.can_take_order(now=now)
             and not self._state.notices.is_held_off(server),
             known_s=now - tracked.first_seen_at,
         )
@@ -308,11 +321,12 @@
         self,
         server: backend_server.BackendServer,
         order: placement.Placement,
-        tracked: TrackedEngine,
+        tracked: engine_lib.TrackedEngine,
     ) -> None:
         report = tracked.report
+        orders = 0 if report is None else report.orders
         outcome = self._state.platform.engines.place(
-            server.address, layers=order.layers, orders=report.orders
+            server.address, layers=order.layers, orders=orders
         )
         if outcome in (
             platform_port.OrderOutcome.CONFLICT,
@@ -327,7 +341,9 @@
             reason=order.reason,
             server=server.id,
             layers=repr(order.layers),
-            orders=report.orders,
-            report_age_s=round(tracked.ordered_at - tracked.polled_at, 2),
+            orders=orders,
+            report_age_s=None
+            if report is None
+            else round(tracked.ordered_at - tracked.polled_at, 2),
             outcome=outcome.value,
         )
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -3,12 +3,15 @@
 
 import front_fakes as fakes
 import gevent
+from gevent import event
 import pytest
 
 from dotterelgrade_front import planner as planner_lib
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import placement
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import poll_schedule
 
 
 @pytest.fixture
@@ -151,6 +154,75 @@
     assert engines.place_orders
 
 
+def test_a_planner_of_many_silent_engines_is_not_held(
+    front, planner, monkeypatch
+):
+    """Snapshots wait for the tick; without them the planner is replaced."""
+    engines = _add_engines(front, count=100)
+    answered = event.Event()
+    monkeypatch.setattr(engines, "report", lambda _: answered.wait())
+    with gevent.Timeout(fakes.WAIT_S):
+        planner.tick()
+
+
+def test_orders_that_wait_for_others_are_sent_later_and_once(
+    front, planner, monkeypatch
+):
+    """A hundred empty engines join, and none answers its order."""
+    engines = _add_engines(front, count=100)
+    answered = event.Event()
+    taken = engines.place
+
+    def place(*args, **kwargs):
+        answered.wait()
+        return taken(*args, **kwargs)
+
+    monkeypatch.setattr(engines, "place", place)
+    monkeypatch.setattr(placement, "plan", _order_all_empty)
+    with gevent.Timeout(fakes.WAIT_S):
+        planner.tick()
+        answered.set()
+        planner.tick()
+        planner.tick()
+    addresses = [address for address, _, _ in engines.place_orders]
+    assert len(addresses) == 100
+    assert len(set(addresses)) == 100
+
+
+def _order_all_empty(engine, servers, *, policy):
+    """Stands for `placement.plan`: every empty engine takes all layers."""
+    del policy
+    return [
+        placement.Placement(
+            server_id=server.server_id,
+            layers=engine.all_layers(),
+            reason="test",
+        )
+        for server in servers
+        if server.layers is None and server.movable
+    ]
+
+
+def test_layers_of_engines_not_polled_yet_count_as_listed(front, planner):
+    """After an election the first polls of a large fleet take a while."""
+    engines = _add_engines(front, count=poll_schedule.MAX_BURST + 1)
+    whole = layer_range.LayerRange(0, fakes.ENGINE.layers)
+    for server in front.state.fleet.servers:
+        if server.accelerator:
+            front.state.fleet.put(dataclasses.replace(server, layers=whole))
+            engines.reports[server.address] = dataclasses.replace(
+                fakes.REPORT, layers=whole, orders=1
+            )
+    planner.tick()
+    assert not engines.place_orders
+    (row,) = [
+        row
+        for row in front.state.decisions.journal.latest(100)
+        if row.decision == "layers_at_risk"
+    ]
+    assert row.details["engines"] == poll_schedule.MAX_BURST + 1
+
+
 def test_one_missed_poll_suffices_if_a_front_excludes_the_engine(
     front, planner
 ):
