Tell a peer that dies in the handshake from one that is refused

What operators saw: 'peer refused' for a front that had been killed.

Cause: every failure of a handshake was logged as a refusal. Ruled out: a frame that one build can't read; the reason is BrokenPipeError.

Change: a connection that ends is 'peer lost'; bytes that can't be read are frame_invalid and still 'peer refused'. The script of the mixed builds counts, beside the listener's refusals, those that the dialling process reports.

test_a_peer_that_dies_in_the_handshake_is_not_logged_as_refused failed before.

--- a/benchmarks/mixed_builds.py
+++ b/benchmarks/mixed_builds.py
@@ -29,7 +29,14 @@
 
 _CONTRACT = pathlib.Path("examples/tabuleiro.contract")
 _FAULTS = ("front_killed", "front_stopped", "front_paused", "store_away")
-_REJECTED = ("invalid frame", "unexpected frame", "peer refused")
+_REJECTED = (
+    "invalid frame",
+    "unexpected frame",
+    "peer refused",
+    # As the process that opened the connection reports it.
+    "peer uses protocol version",
+    "peer does not know the shared key",
+)
 _SECONDS_PER_MINUTE = 60.0
 _NUMBERED = re.compile(r"(front|entry|agents|order-agent)\D*(\d+)")
 
--- a/packages/dotterelgrade/src/dotterelgrade/wire.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wire.py
@@ -249,8 +249,13 @@
         raise
     except (OSError, ValueError, msgpack.UnpackException) as error:
         _close_socket(sock)
+        kind = (
+            errors.ErrorKind.PEER_UNREACHABLE
+            if isinstance(error, OSError)
+            else errors.ErrorKind.FRAME_INVALID
+        )
         raise errors.new_exception(
-            errors.ErrorKind.PEER_UNREACHABLE, f"handshake failed: {error!r}"
+            kind, f"handshake failed: {error!r}"
         ) from error
     return Connection(sock, peer=peer, unpacker=unpacker, shaper=shaper)
 
@@ -321,8 +326,9 @@
                 sock, identity=identity, dialing=False, shaper=shaper
             )
         except errors.DotterelgradeError as error:
+            lost = error.error.kind is errors.ErrorKind.PEER_UNREACHABLE
             _LOG.warning(
-                "peer refused",
+                "peer lost" if lost else "peer refused",
                 extra={"peer": address[0], "reason": error.error.message},
             )
             return
--- a/packages/dotterelgrade/tests/test_wire.py
+++ b/packages/dotterelgrade/tests/test_wire.py
@@ -74,6 +74,33 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("sent", "event"),
+    [
+        (b"", "peer lost"),
+        (b"\xc1", "peer refused"),
+        (msgpack.packb(["Ping", {"sequence": 1}]), "peer refused"),
+    ],
+)
+def test_a_peer_that_dies_in_the_handshake_is_not_logged_as_refused(
+    server, caplog, sent, event
+):
+    """A front is killed while another one, just woken, accepts it."""
+    own = "127.0.9.4"
+
+    def logged():
+        return [r.message for r in caplog.records if r.peer == own]
+
+    with gevent.socket.create_connection(
+        ("127.0.9.1", 17400), source_address=(own, 0)
+    ) as sock:
+        sock.sendall(sent)
+    with gevent.Timeout(5):
+        while not logged():
+            gevent.sleep(0.01)
+    assert logged() == [event]
+
+
 @pytest.mark.parametrize(
     "data",
     [
