Use a copied configuration only if no later one can exist

What callers could see: a front that starts beside a planner of the last landing or earlier serves an older version, and takes it for current (CONFIG).

Change: every offset after the copied record must belong to another key; otherwise the front reads the configuration whole. The format of the copy is unchanged.

test_an_old_record_copied_with_the_end_of_the_feed_is_not_used failed before.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/copied_feed.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/copied_feed.py
@@ -63,12 +63,35 @@
             return None
         copy, record = decoded.unwrap(), restored.unwrap()
         others = self._feed.newest(after=copy.key)
-        if (others.end, others.era) != (copy.end, copy.era):
+        if not _is_current(copy, others):
             _LOG.info(
                 "record_copy_outdated",
-                extra={"end": others.end, "copy_end": copy.end},
+                extra={
+                    "end": others.end,
+                    "copy_end": copy.end,
+                    "copy_offset": copy.offset,
+                },
             )
             return None
         return platform_port.Page(
             records=(record, *others.records), end=copy.end, era=copy.era
         )
+
+
+def _is_current(
+    copy: record_copy.RecordCopy, others: platform_port.Page
+) -> bool:
+    """Returns whether no later record of the copied key can exist.
+
+    The end alone does not tell: a planner of an earlier build may have copied
+    an old record with the end of the feed. Every later offset must belong to
+    one of the other records.
+
+    Args:
+        copy: The copy.
+        others: The newest records of the keys after the copied one.
+    """
+    if (others.end, others.era) != (copy.end, copy.era):
+        return False
+    later = sum(record.offset > copy.offset for record in others.records)
+    return later == copy.end - copy.offset - 1
--- a/packages/dotterelgrade-front/tests/test_copied_feed.py
+++ b/packages/dotterelgrade-front/tests/test_copied_feed.py
@@ -59,6 +59,19 @@
     assert copied.newest().records[0].value == _LARGE + b"newer"
 
 
+def test_an_old_record_copied_with_the_end_of_the_feed_is_not_used(
+    feed, copied, platform
+):
+    """A planner of an earlier build applied a late answer of the store."""
+    old = feed.records[0]
+    feed.add("config", _LARGE + b"newer")
+    feed.add("other", b"value")
+    platform.copies.body = record_copy.encode(
+        old, end=len(feed.records), era=feed.era
+    )
+    assert copied.newest().records[0].value == _LARGE + b"newer"
+
+
 def test_a_copy_of_another_era_is_not_used(feed, copied, platform):
     platform.copies.body = _copy(feed, era=feed.era + 1)
     assert copied.newest() == feed.newest()
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -34,6 +34,7 @@
 _HANDLER_TEST = "packages/dotterelgrade-front/tests/test_request_handler.py"
 _LINK_TEST = "packages/dotterelgrade-front/tests/test_planner_link.py"
 _HUB_TEST = "packages/dotterelgrade-front/tests/test_planner_hub.py"
+_SCHEDULE_TEST = "packages/dotterelgrade-routing/tests/test_poll_schedule.py"
 _SILENCE_TEST = "packages/dotterelgrade-routing/tests/test_silence_bounds.py"
 
 MUTANTS = (
@@ -329,8 +330,8 @@
         name="outdated-copy-used",
         promise=mutant.IN_FORCE,
         module="dotterelgrade_front.copied_feed",
-        old="        if (others.end, others.era) != (copy.end, copy.era):",
-        new="        if others.era != copy.era:",
+        old="    if (others.end, others.era) != (copy.end, copy.era):",
+        new="    if others.era != copy.era:",
         check=_COPIED_FEED_TEST,
     ),
     mutant.Mutant(
@@ -389,6 +390,14 @@
         new="True",
         check=_HANDLER_TEST,
     ),
+    mutant.Mutant(
+        name="old-record-with-the-end-of-the-feed",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.copied_feed",
+        old="return later == copy.end - copy.offset - 1",
+        new="return True",
+        check=_COPIED_FEED_TEST,
+    ),
     mutant.Mutant(
         name="snapshots-queue-on-a-full-link",
         promise=mutant.IN_FORCE,
@@ -405,6 +414,14 @@
         new="sorted(same_range, key=_rank)",
         check=_CHAIN_TEST,
     ),
+    mutant.Mutant(
+        name="polls-all-that-are-due",
+        promise=mutant.NOT_HELD,
+        module="dotterelgrade_routing.poll_schedule",
+        old="ordered[: min(most, int(self._allowed))]",
+        new="ordered[:most]",
+        check=_SCHEDULE_TEST,
+    ),
     mutant.Mutant(
         name="searches-at-each-change",
         promise=mutant.NOT_HELD,
