--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -36,6 +36,13 @@
     raise AssertionError("no free port")
 
 
+def until(condition):
+    """Waits until a condition holds."""
+    with gevent.Timeout(WAIT_S):
+        while not condition():
+            gevent.sleep(0.01)
+
+
 @dataclasses.dataclass
 class Arrival:
     """A request received by a scripted backend server."""
