--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -235,14 +235,15 @@
     yield "## Fronts on the platform\n"
     yield (
         "From the users' bench, which plays one day with 30, 100 and 300 hosts"
-        " of the shifted\ndeployment, with ten engines a host;"
-        " `benchmarks/sweeps.json` holds what it showed. All\nthree days are"
-        " clean. What grows fastest is what the planner sends: each snapshot"
-        " lists\nthe reservations of all engines, four times a second, to"
-        " every front. Carried on to\n1,100 hosts that is 16 MB/s for one"
-        " host; lists of numbers instead of names, or fewer\nsnapshots,"
-        " would carry it. The time until requests are served after the loss"
-        " of all\nprocesses grows next.\n"
+        " of a deployment of\neach kind, with ten engines a host;"
+        " `benchmarks/sweeps.json` holds what it showed. All\ndays are clean."
+        " What grows fastest is what the planner sends: each snapshot lists"
+        " the\nreservations of all engines in use, several times a second, to"
+        " every front, and a front\nthat connects gets a row of every engine."
+        " Differences to the snapshot before, and no\nrows that say what the"
+        " list of backend servers says, would carry it. The time until\n"
+        "requests are served after the loss of all processes grows next on"
+        " sites with weak hosts.\n"
     )
     yield _lines_table(sweeps)
 
