--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -31,6 +31,7 @@
 from dotterelgrade_front import planner_hub
 from dotterelgrade_front import planner_link
 from dotterelgrade_front import request_handler
+from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
 
@@ -286,7 +287,9 @@
         """Claims a term if no planner answers, and confirms the own one."""
         while True:
             gevent.sleep(
-                _CLAIM_CHECK_INTERVAL_S * (0.5 + self._state.rng.random())
+                feed_timing.spread_pause_s(
+                    _CLAIM_CHECK_INTERVAL_S, jitter=self._state.rng.random()
+                )
             )
             now = time.monotonic()
             if self._state.leaving:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -12,6 +12,7 @@
 from dotterelgrade_front import feed_follower
 from dotterelgrade_front import front_state
 from dotterelgrade_front import peer_frames
+from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import fleet
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership as leadership_lib
@@ -140,7 +141,11 @@
         gevent.sleep(EXCHANGE_INTERVAL_S)
 
     def _back_off(self) -> None:
-        gevent.sleep(self._backoff_s * (0.5 + self._state.rng.random()))
+        gevent.sleep(
+            feed_timing.spread_pause_s(
+                self._backoff_s, jitter=self._state.rng.random()
+            )
+        )
         self._backoff_s = min(self._backoff_s * 2, _MAX_BACKOFF_S)
 
     def _exchange(self, front: str) -> bool:
