--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/chain_admission.py
@@ -76,7 +76,7 @@
                 break
             planned = self._tools.admission.enter(self._request, self.plan)
             if isinstance(planned, result.Failure):
-                return result.Failure(_last_word(failure, planned.failure()))
+                return result.Failure(_caller_error(failure, planned.failure()))
             outcome = self.admit(planned.unwrap())
             if isinstance(outcome, result.Success):
                 return outcome
@@ -221,7 +221,7 @@
     return refused.report is not None and refused.report.slots_free <= 0
 
 
-def _last_word(
+def _caller_error(
     refused: errors.Error | None, unplanned: errors.Error
 ) -> errors.Error:
     """Returns what a caller is told after a refusal and a failed plan.
--- a/packages/dotterelgrade-front/tests/test_front_fleet.py
+++ b/packages/dotterelgrade-front/tests/test_front_fleet.py
@@ -28,6 +28,15 @@
     )
 
 
+def _three_fronts(settings, platform):
+    """Returns three fronts that are not running; the first wins a claim."""
+    platform.documents.put(b"v1", fakes.CONFIGURATION)
+    platform.configurations.add("config", b"v1")
+    all_settings = [_other_settings(settings, f"front-{n}") for n in range(3)]
+    platform.election.winner = all_settings[0].peer_address
+    return [front_lib.Front(s, platform=platform) for s in all_settings]
+
+
 def _leading(fronts):
     """Returns the addresses of the fronts that lead."""
     return [f._settings.peer_address for f in fronts if f.dump()["leads"]]
@@ -72,12 +81,8 @@
 
 def test_one_front_acts_if_store_and_planner_fail_together(settings, platform):
     """The other fronts agree on one acting planner."""
-    platform.documents.put(b"v1", fakes.CONFIGURATION)
-    platform.configurations.add("config", b"v1")
-    all_settings = [_other_settings(settings, f"front-{n}") for n in range(3)]
-    platform.election.winner = all_settings[0].peer_address
+    fronts = _three_fronts(settings, platform)
     with contextlib.ExitStack() as stack:
-        fronts = [front_lib.Front(s, platform=platform) for s in all_settings]
         first = contextlib.ExitStack()
         first.enter_context(fronts[0].running())
         for front in fronts[1:]:
@@ -133,12 +138,8 @@
 
 def test_leaving_planner_names_a_successor(settings, platform):
     """The planner is stopped while the store is unreachable."""
-    platform.documents.put(b"v1", fakes.CONFIGURATION)
-    platform.configurations.add("config", b"v1")
-    all_settings = [_other_settings(settings, f"front-{n}") for n in range(3)]
-    platform.election.winner = all_settings[0].peer_address
+    fronts = _three_fronts(settings, platform)
     with contextlib.ExitStack() as stack:
-        fronts = [front_lib.Front(s, platform=platform) for s in all_settings]
         for front in fronts:
             stack.enter_context(front.running())
         fakes.until(lambda: all(len(f._state.fronts) == 3 for f in fronts))
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/held_layers.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/held_layers.py
@@ -14,7 +14,7 @@
 
 
 class HeldLayers:
-    """What a growing or shrinking group of backend servers holds."""
+    """What a growing group of backend servers holds."""
 
     def __init__(
         self,
