Log who ended a request, and what its caller and the servers had by then

Cause of not knowing why: request_ended named a caller that left, a stream that the front broke off and a fault in the front all 'caller_gone', without the bytes written, the servers reached, the kind of connection or the versions of the configuration.

Change: stream_broken and internal are outcomes of their own; an aborted response has an exception of its own. request_ended says response_bytes, servers, kept, leaving, version and version_at_end, which tells the three hypotheses of the incident apart.

Before: test_the_log_tells_a_broken_stream_from_a_caller_that_left (two routes) and test_the_log_names_a_fault_in_the_front failed ('caller_gone', no such fields).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -24,6 +24,10 @@
     """The caller closed its connection or stopped reading."""
 
 
+class ResponseAbortedError(Exception):
+    """A response that has begun can't be completed."""
+
+
 class BadRequestError(Exception):
     """The received bytes are not an acceptable HTTP request."""
 
@@ -129,11 +133,23 @@
         self._busy = False
         self._active_at = time.monotonic()
         self._shut_down = False
+        self._requests_read = 0
+        self._response_bytes = 0
 
     def __repr__(self) -> str:
         """Shows the number of queued requests."""
         return f"<ClientConnection {len(self._collector.requests)} waiting>"
 
+    @property
+    def requests_read(self) -> int:
+        """Number of complete requests read from the connection."""
+        return self._requests_read
+
+    @property
+    def response_bytes(self) -> int:
+        """Bytes written since the last request was read."""
+        return self._response_bytes
+
     @contextlib.contextmanager
     def mark_busy(self) -> Iterator[None]:
         """Marks the connection as busy while the context is open."""
@@ -188,6 +204,8 @@
             self._feed(data)
             if collector.started and not was_started:
                 deadline = time.monotonic() + self._limits.header_timeout_s
+        self._requests_read += 1
+        self._response_bytes = 0
         return collector.requests.popleft()
 
     def write(self, data: bytes) -> None:
@@ -198,6 +216,7 @@
                 out.
         """
         self._sock.settimeout(_SEND_TIMEOUT_S)
+        self._response_bytes += len(data)
         try:
             self._sock.sendall(data)
         except OSError as error:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -127,13 +127,12 @@
         """Returns the whole state as JSON values."""
         state = self._state
         now = time.monotonic()
-        current = state.configuration
         return {
             "node": self._settings.node,
             "ready": state.ready,
             "leads": self._is_planner,
             "configuration": {
-                "version": None if current is None else current.version,
+                "version": state.known_configuration.version,
                 "age_s": round(
                     now - state.known_configuration.store_contact_at, 2
                 ),
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -49,6 +49,13 @@
     store_contact_at: float = float("-inf")
     freshness: feed_freshness.FeedFreshness = feed_freshness.FeedFreshness()
 
+    @property
+    def version(self) -> int | None:
+        """Version of the configuration, or None before the first read."""
+        return (
+            None if self.configuration is None else self.configuration.version
+        )
+
 
 class FrontState:
     """Configuration, fleet, reservations and records of one front."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -80,8 +80,9 @@
             The outcome, for metrics and logs.
 
         Raises:
-            client_connection.CallerDisconnectedError: The caller disconnected,
-                or a response that has begun can't be completed.
+            client_connection.CallerDisconnectedError: The caller disconnected.
+            client_connection.ResponseAbortedError: A response that has begun
+                can't be completed.
         """
         with self._client.interrupt_on_disconnect():
             return self._serve()
@@ -391,9 +392,7 @@
                 events=self._pace.events,
                 tries=len(self._call.attempts),
             )
-            raise client_connection.CallerDisconnectedError(
-                "stream can't be completed"
-            )
+            raise client_connection.ResponseAbortedError(reason)
         responses.send_error(
             self._client,
             error,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -93,7 +93,11 @@
         try:
             while self._serve_next(client):
                 pass
-        except client_connection.CallerDisconnectedError:
+        except (
+            client_connection.CallerDisconnectedError,
+            client_connection.ResponseAbortedError,
+        ):
+            # `request_ended` tells the two apart.
             pass
         except Exception:
             # Closing keeps the caller from taking a partial response for a
@@ -133,10 +137,19 @@
     ) -> None:
         received_at = time.monotonic()
         facts = self._state.platform.headers.read_request(request.headers)
-        outcome = "caller_gone"
+        known = self._state.known_configuration
+        version = known.version
+        outcome = "internal"
+        call = None
         try:
             call = self._admit_call(request, facts, received_at)
             outcome = self._dispatch(client, call, close=close)
+        except client_connection.CallerDisconnectedError:
+            outcome = "caller_gone"
+            raise
+        except client_connection.ResponseAbortedError:
+            outcome = "stream_broken"
+            raise
         except _RejectedError as rejected:
             outcome = rejected.error.kind.value
             self._record_rejection(request, facts, rejected.error)
@@ -155,6 +168,12 @@
                 request_id=facts.request_id,
                 seconds=round(seconds, 3),
                 path=request.path,
+                response_bytes=client.response_bytes,
+                kept=client.requests_read > 1,
+                servers=0 if call is None else len(call.sent_to),
+                leaving=self._state.leaving,
+                version=version,
+                version_at_end=known.version,
             )
 
     def _record_rejection(
@@ -165,7 +184,6 @@
     ) -> None:
         """Records on what knowledge of the configuration a request fails."""
         known = self._state.known_configuration
-        current = known.configuration
         freshness = known.freshness
         age_s = freshness.age_s(now=time.monotonic())
         self._state.decisions.record(
@@ -175,7 +193,7 @@
             kind=error.kind.value,
             host=request.host,
             path=request.path,
-            version=None if current is None else current.version,
+            version=known.version,
             end=freshness.end,
             era=freshness.era,
             age_s=None if age_s is None else round(age_s, 3),
--- a/packages/dotterelgrade-front/tests/test_request_handler.py
+++ b/packages/dotterelgrade-front/tests/test_request_handler.py
@@ -42,6 +42,39 @@
     assert front.ask("/safe/x")[0] == 200
 
 
+@pytest.mark.parametrize("path", ["stream", "once"])
+def test_the_log_tells_a_broken_stream_from_a_caller_that_left(front, path):
+    """Both were logged as `caller_gone`."""
+    front.add(
+        "a1",
+        fakes.streaming(1, 2, end=False),
+        service="model",
+        layers=(0, 8),
+    )
+    front.ask(f"/{path}/x", method="POST", body=b"p")
+    ended = _ended(front)
+    assert "stream_broken" in ended
+    assert "'servers': 1" in ended
+    assert "'response_bytes': 0" not in ended
+
+
+def test_the_log_names_a_fault_in_the_front(front, monkeypatch):
+    """A fault was logged as `caller_gone`, and not for which request."""
+    monkeypatch.setattr(front.handler, "_admit_call", None)
+    assert front.ask("/safe/x")[0] is None
+    ended = _ended(front)
+    assert "internal" in ended
+    assert "'response_bytes': 0" in ended
+
+
+def _ended(front):
+    """Returns the one decision on the end of a request."""
+    decisions = front.state.decisions.journal.latest()
+    ended = [str(d) for d in decisions if "request_ended" in str(d)]
+    assert len(ended) == 1
+    return ended[0]
+
+
 def _set_age(front, age_s):
     front.state.known_configuration.freshness = feed_freshness.FeedFreshness(
         current_at=time.monotonic() - age_s,
