Ask for the busy servers once when a running stream is rerouted

Cause: ChainDirectory._holders_beyond asked the exclusions for the busy servers that _holders had just asked for, and built the holders it then left out.

Change: _holders leaves busy servers out where it is asked to; the loop is flat. The mutant full-stage-taken-for-lost moves with the line that it breaks. Behaviour is as before: 121 tests of the chains, repairs, streams and mutants pass; the mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -168,15 +168,16 @@
         failure_domain: str = "",
     ) -> list[chain_choice.Holder]:
         """Returns the holders of later layers that are not busy."""
-        now = time.monotonic()
-        busy = self._exclusions.busy_ids(now=now)
+        holders = self._holders(
+            service,
+            time.monotonic(),
+            failure_domain=failure_domain,
+            include_busy=False,
+        )
         return [
             holder
-            for holder in self._holders(
-                service, now, failure_domain=failure_domain
-            )
+            for holder in holders
             if holder.layers.end > first.layers.end
-            and holder.server_id not in busy
             and holder.server_id != first.server_id
         ]
 
@@ -187,23 +188,29 @@
         *,
         confirmed_only: bool = False,
         failure_domain: str = "",
+        include_busy: bool = True,
     ) -> list[chain_choice.Holder]:
-        """Returns the holders of all domains, or of the given one."""
+        """Returns the holders of all domains, or of the given one.
+
+        Busy ones count as full: used only if no other holds their layers.
+        """
         excluded = self._exclusions.excluded_ids(
             now=now, confirmed_only=confirmed_only
         )
         busy = self._exclusions.busy_ids(now=now)
+        left_out = excluded if include_busy else excluded | busy
         holders = []
         for server in self._accepting(service, now):
             if failure_domain not in ("", server.failure_domain):
                 continue
-            if server.id not in excluded:
-                holder = self._holder(service.engine, server)
-                if holder is not None and server.id in busy:
-                    # Counted as full: used only if no other holds its layers.
-                    holder = dataclasses.replace(holder, used=holder.total)
-                if holder is not None:
-                    holders.append(holder)
+            if server.id in left_out:
+                continue
+            holder = self._holder(service.engine, server)
+            if holder is None:
+                continue
+            if server.id in busy:
+                holder = dataclasses.replace(holder, used=holder.total)
+            holders.append(holder)
         return holders
 
     def _accepting(
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -306,8 +306,8 @@
         name="full-stage-taken-for-lost",
         promise=mutant.ENOUGH_ROOM,
         module="dotterelgrade_front.chain_directory",
-        old="            if server.id not in excluded:",
-        new="            if server.id not in excluded | busy:",
+        old="left_out = excluded if include_busy else excluded | busy",
+        new="left_out = excluded | busy",
         check=_DIRECTORY_TEST,
     ),
     mutant.Mutant(
