Let sound backend servers of the soak fall silent and go on

Cause: every silence that the soak knew was a fault of a link or a process, and excused what a front did meanwhile. A sound server that falls silent for 0.5 to 3 s and goes on was never played.

Change: a stand-in is silent to requests only, so that reports and orders are answered, or to all. A plain server falls silent before its head and between head and body, an engine before its first event and in the middle of a stream, at any stage of a chain; nothing is lost or repeated.

Ruled out: a silent link, which also holds up what is on its way and what the store's list says.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -4,9 +4,10 @@
 requests so that the evidence of a soak sees them.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 import contextlib
 import dataclasses
+import enum
 import random
 import time
 
@@ -28,12 +29,21 @@
 _BEAT_S = 0.5
 _LAPSE_S = 1.5
 _WORK_S = 0.02
+POLL_S = 0.02
 OK = 200
 _MISDIRECTED = 421
 _ERROR = 500
 FULL = 503
 
 
+class Silence(enum.Enum):
+    """What a backend server that is alive puts off until it goes on."""
+
+    # Reports and orders are still answered.
+    REQUESTS = "requests"
+    ALL = "all"
+
+
 class BackendStandIn:
     """A plain backend server behind a proxy, with its entry in the list."""
 
@@ -59,6 +69,7 @@
         self.loses_answers = 0.0
         self.refuses = 0.0
         self.slowness = 1.0
+        self.silence: Silence | None = None
         self.full_until = float("-inf")
         self._store = store
         self._evidence = evidence
@@ -117,6 +128,7 @@
             started_ms=int(time.time() * 1000),
         )
         self._entry = b""
+        self.silence = None
         self.alive = True
 
     def leave(self) -> None:
@@ -173,6 +185,7 @@
         client = client_connection.ClientConnection(sock, limits=limits)
         try:
             while self.alive and (request := client.read_request()):
+                self._wait_while_silent((Silence.ALL,))
                 if self.alive:
                     self._answer(client, request)
         except (
@@ -215,6 +228,7 @@
     ) -> None:
         with self._noted(told):
             gevent.sleep(_WORK_S * self.slowness)
+            self._wait_while_silent()
         if not self.alive or self._rng.random() < self.loses_answers:
             raise client_connection.CallerDisconnectedError("answer lost")
         failed = self._rng.random() < self.errors
@@ -226,6 +240,13 @@
             seal=f"{self.server.id}/{told.request_id}",
         )
 
+    def _wait_while_silent(
+        self, kinds: Collection[Silence] = tuple(Silence)
+    ) -> None:
+        """Waits until it goes on or has crashed."""
+        while self.alive and self.silence in kinds:
+            gevent.sleep(POLL_S)
+
     @contextlib.contextmanager
     def _noted(
         self, told: backend_server_codec.ForwardedRequest
@@ -291,7 +312,8 @@
         **facts: str | bool | float,
     ) -> None:
         headers = self.answer_headers(told, **facts)
-        head = http_message.ResponseHead(
-            status=status, reason=b"", headers=headers
-        )
-        responses.send_response(client, head=head, body=body, close=False)
+        length = (b"content-length", str(len(body)).encode())
+        first_line = responses.status_line(status)
+        client.write(http_message.encode_head(first_line, [*headers, length]))
+        self._wait_while_silent()
+        client.write(body)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
@@ -25,7 +25,6 @@
 _STEP_S = 0.008
 _LOAD_S = 0.3
 _STALL_S = 2.0
-_POLL_S = 0.02
 _ACCEPTED = 202
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -270,16 +269,17 @@
     def _make_token(self, stream: _Stream) -> None:
         stalled_at = time.monotonic()
         while self.alive:
+            stages = [self._fleet[hop.address] for hop in stream.hops]
             stream.waits_for = self._lost_stage(stream)
+            is_silent = any(stage.silence is not None for stage in stages)
             if not stream.waits_for:
-                factors = [
-                    self._fleet[hop.address].slowness for hop in stream.hops
-                ]
-                gevent.sleep(_STEP_S * sum(factors))
-                return
+                stalled_at = time.monotonic()
+                if not is_silent:
+                    gevent.sleep(_STEP_S * sum(s.slowness for s in stages))
+                    return
             if time.monotonic() - stalled_at > _STALL_S:
                 break
-            gevent.sleep(_POLL_S)
+            gevent.sleep(platform_backends.POLL_S)
         raise client_connection.CallerDisconnectedError("cut off")
 
     def _lost_stage(self, stream: _Stream) -> str:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
@@ -20,8 +20,10 @@
 # Work that excuses nothing: checks with a time bound hold beside it.
 _PLANNED = frozenset(
     {
+        "backend_frozen",
         "backend_full",
         "backend_leaves",
+        "backend_stands_still",
         "configuration_changes",
         "front_reloads",
         "front_stopped",
@@ -33,6 +35,9 @@
 # An entry that lapsed is back about two seconds after a store's return.
 _SETTLE_S = 2.5
 _LEAVES_S = 3.0
+# A sound backend server that is silent goes on within these times.
+_SHORTEST_SILENCE_S = 0.5
+_LONGEST_SILENCE_S = 3.0
 # How long the store is away before it comes back from a copy.
 _RESTORE_S = 0.3
 
@@ -252,6 +257,26 @@
     _mistake(_backend(fleet), "slowness", 6.0, for_s)
 
 
+@fault("backend_stands_still")
+def _backend_stands_still(fleet: soak_fleet.Fleet, for_s: float) -> None:
+    _silence(fleet, platform_backends.Silence.REQUESTS, for_s)
+
+
+@fault("backend_frozen")
+def _backend_frozen(fleet: soak_fleet.Fleet, for_s: float) -> None:
+    _silence(fleet, platform_backends.Silence.ALL, for_s)
+
+
+def _silence(
+    fleet: soak_fleet.Fleet, kind: platform_backends.Silence, for_s: float
+) -> None:
+    """Lets a sound backend server put off its work, which excuses nothing."""
+    backend = _backend(fleet)
+    backend.silence = kind
+    gevent.sleep(min(max(for_s, _SHORTEST_SILENCE_S), _LONGEST_SILENCE_S))
+    backend.silence = None
+
+
 @fault("backend_fails")
 def _backend_fails(fleet: soak_fleet.Fleet, for_s: float) -> None:
     _mistake(fleet.rng.choice(fleet.plain), "errors", 0.5, for_s)
--- a/packages/dotterelgrade-standins/tests/test_platform_backends.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_backends.py
@@ -41,6 +41,18 @@
         yield made
 
 
+def _note_sent(evidence):
+    evidence.sent["r"] = soak_evidence.Sent(
+        request_id="r",
+        front="f",
+        once=True,
+        allowed=True,
+        workspace="",
+        timeout_s=1.0,
+        sent_at=time.monotonic(),
+    )
+
+
 def _ask(backend, instance):
     headers = backend_server_codec.client_headers(
         request_id="r", time_left_s=1.0, api_key="k"
@@ -79,15 +91,7 @@
     monkeypatch.setattr(soak_evidence, "DRAIN_S", 0.0)
     monkeypatch.setattr(soak_evidence, "STABILITY_S", 0.0)
     evidence.drained("s")
-    evidence.sent["r"] = soak_evidence.Sent(
-        request_id="r",
-        front="f",
-        once=True,
-        allowed=True,
-        workspace="",
-        timeout_s=1.0,
-        sent_at=time.monotonic(),
-    )
+    _note_sent(evidence)
     assert _ask(backend, "other") == 421
     assert not evidence.violations
     assert not evidence.runs
@@ -102,3 +106,31 @@
     gevent.sleep(0.1)
     store.outage = None
     _until(lambda: _listed(store) == {"s.1"})
+
+
+@pytest.mark.parametrize("silence", platform_backends.Silence)
+def test_a_silent_server_answers_when_it_goes_on(backend, evidence, silence):
+    _note_sent(evidence)
+    backend.silence = silence
+    asked = gevent.spawn(_ask, backend, "s")
+    gevent.sleep(0.2)
+    assert not asked.ready()
+    backend.silence = None
+    assert asked.get(timeout=5.0) == 200
+    assert len(evidence.runs["r"]) == 1
+
+
+def test_a_server_that_falls_silent_behind_its_head_goes_on(
+    backend, evidence, monkeypatch
+):
+    _note_sent(evidence)
+    headers = backend.answer_headers
+
+    def then_silent(told, **facts):
+        backend.silence = platform_backends.Silence.REQUESTS
+        gevent.spawn_later(0.2, setattr, backend, "silence", None)
+        return headers(told, **facts)
+
+    monkeypatch.setattr(backend, "answer_headers", then_silent)
+    assert _ask(backend, "s") == 200
+    assert backend.silence is None
--- /dev/null
+++ b/packages/dotterelgrade-standins/tests/test_platform_engines.py
@@ -0,0 +1,126 @@
+"""Streams and reports of an engine that is silent for a while."""
+
+import contextlib
+import random
+import time
+
+import gevent
+import pytest
+
+from dotterelgrade import http_connection
+from dotterelgrade_platform import backend_server_codec
+from dotterelgrade_platform import engines as engine_names
+from dotterelgrade_platform import headers as header_names
+from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import layer_range
+from dotterelgrade_standins import platform_backends
+from dotterelgrade_standins import platform_engines
+from dotterelgrade_standins import platform_store
+from dotterelgrade_standins import soak_evidence
+from dotterelgrade_standins import soak_fleet
+
+_EVENTS = 5
+_LAYERS = soak_fleet.ENGINE.layers
+
+
+@pytest.fixture
+def chain():
+    """Two engines that hold the model together."""
+    store, evidence = platform_store.PlatformStore(), soak_evidence.Evidence()
+    evidence.sent["r"] = soak_evidence.Sent(
+        request_id="r",
+        front="f",
+        once=True,
+        allowed=True,
+        workspace="",
+        timeout_s=5.0,
+        sent_at=time.monotonic(),
+    )
+    fleet, made = {}, []
+    with contextlib.ExitStack() as stack:
+        for first, end in ((0, _LAYERS // 2), (_LAYERS // 2, _LAYERS)):
+            engine = platform_engines.EngineStandIn(
+                backend_server.BackendServer(
+                    id=f"engine-{first}",
+                    service="model",
+                    address="",
+                    failure_domain="a",
+                    availability=backend_server.Availability.READY,
+                    slots=4,
+                    accelerator="kind",
+                    started_ms=1,
+                ),
+                engine=soak_fleet.ENGINE,
+                fleet=fleet,
+                store=store,
+                evidence=evidence,
+                rng=random.Random(1),
+            )
+            stack.enter_context(engine.running("127.0.0.1"))
+            engine._held = layer_range.LayerRange(first, end)
+            made.append(engine)
+        yield made
+
+
+def _stream(chain):
+    hops = ",".join(
+        f"{e.server.address}={e._held.first}-{e._held.end}" for e in chain
+    )
+    _, body = http_connection.call(
+        chain[0].server.address,
+        method=b"POST",
+        target=b"/x",
+        headers=[
+            *backend_server_codec.client_headers(
+                request_id="r",
+                time_left_s=5.0,
+                api_key="",
+                answer_tokens=_EVENTS * platform_engines.TOKENS_PER_EVENT,
+            ),
+            (backend_server_codec.INSTANCE_HEADER, b"engine-0"),
+            (header_names.HOPS, hops.encode()),
+        ],
+        body=b"r",
+        timeout_s=5.0,
+    )
+    return body
+
+
+def _report(engine):
+    return http_connection.call(
+        engine.server.address,
+        method=b"GET",
+        target=engine_names.REPORT_PATH.encode(),
+        timeout_s=5.0,
+    )
+
+
+@pytest.mark.parametrize("stage", [0, 1])
+@pytest.mark.parametrize("silence", platform_backends.Silence)
+def test_a_stream_behind_a_silent_stage_goes_on_whole(chain, stage, silence):
+    chain[stage].silence = silence
+    streamed = gevent.spawn(_stream, chain)
+    gevent.sleep(0.3)
+    assert not streamed.ready()
+    chain[stage].silence = None
+    assert streamed.get(timeout=5.0) == b"".join(
+        platform_engines.event_of(b"r", n) for n in range(1, _EVENTS + 1)
+    )
+
+
+@pytest.mark.parametrize(
+    ("silence", "answers"),
+    [
+        (platform_backends.Silence.REQUESTS, True),
+        (platform_backends.Silence.ALL, False),
+    ],
+)
+def test_reports_of_an_engine_whose_requests_stand_still(
+    chain, silence, answers
+):
+    chain[0].silence = silence
+    asked = gevent.spawn(_report, chain[0])
+    asked.join(0.5)
+    assert asked.ready() is answers
+    chain[0].silence = None
+    assert asked.get(timeout=5.0)[0].status == 200
