--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -4,11 +4,13 @@
 requests so that the evidence of a soak sees them.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 import contextlib
 import dataclasses
+import enum
 import random
 import time
+from typing import NoReturn
 
 import gevent
 from gevent import server as gevent_server
@@ -28,12 +30,21 @@
 _BEAT_S = 0.5
 _LAPSE_S = 1.5
 _WORK_S = 0.02
+POLL_S = 0.02
 OK = 200
 _MISDIRECTED = 421
 _ERROR = 500
 FULL = 503
 
 
+class Silence(enum.Enum):
+    """What a backend server that is alive puts off until it goes on."""
+
+    # Reports and orders are still answered.
+    REQUESTS = "requests"
+    ALL = "all"
+
+
 class BackendStandIn:
     """A plain backend server behind a proxy, with its entry in the list."""
 
@@ -59,6 +70,7 @@
         self.loses_answers = 0.0
         self.refuses = 0.0
         self.slowness = 1.0
+        self.silence: Silence | None = None
         self.full_until = float("-inf")
         self._store = store
         self._evidence = evidence
@@ -74,6 +86,11 @@
         """Shows the identifier."""
         return f"<{type(self).__name__} {self.server.id}>"
 
+    @property
+    def name(self) -> str:
+        """The name that all its incarnations share."""
+        return soak_evidence.name_of(self.server.id)
+
     @contextlib.contextmanager
     def running(self, host: str) -> Iterator[None]:
         """Serves on a host for the body of the context.
@@ -117,6 +134,7 @@
             started_ms=int(time.time() * 1000),
         )
         self._entry = b""
+        self.silence = None
         self.alive = True
 
     def leave(self) -> None:
@@ -173,6 +191,7 @@
         client = client_connection.ClientConnection(sock, limits=limits)
         try:
             while self.alive and (request := client.read_request()):
+                self._wait_while_silent((Silence.ALL,))
                 if self.alive:
                     self._answer(client, request)
         except (
@@ -191,6 +210,7 @@
     ) -> None:
         told = backend_server_codec.parse_forwarded_request(request.headers)
         if told.instance_id != self.server.id:
+            self._evidence.reached.add(told.request_id)
             # It was meant for the incarnation before, and does not count.
             self.refuse(client, told, _MISDIRECTED)
             return
@@ -213,23 +233,37 @@
         request: http_message.Request,
         told: backend_server_codec.ForwardedRequest,
     ) -> None:
-        with self._noted(told):
+        with self._noted(told) as run:
             gevent.sleep(_WORK_S * self.slowness)
-        if not self.alive or self._rng.random() < self.loses_answers:
-            raise client_connection.CallerDisconnectedError("answer lost")
-        failed = self._rng.random() < self.errors
-        self._send(
-            client,
-            told,
-            _ERROR if failed else OK,
-            request.body + b" ran",
-            seal=f"{self.server.id}/{told.request_id}",
-        )
+            self._wait_while_silent()
+            if not self.alive or self._rng.random() < self.loses_answers:
+                self.break_off(run, "answer lost")
+            failed = self._rng.random() < self.errors
+            self._send(
+                client,
+                told,
+                _ERROR if failed else OK,
+                request.body + b" ran",
+                seal=f"{self.server.id}/{told.request_id}",
+            )
+            run.answered = True
+
+    def break_off(self, run: soak_evidence.Run, reason: str) -> NoReturn:
+        """Ends the connection of a run without the rest of its answer."""
+        run.broke_off = True
+        raise client_connection.CallerDisconnectedError(reason)
+
+    def _wait_while_silent(
+        self, kinds: Collection[Silence] = tuple(Silence)
+    ) -> None:
+        """Waits until it goes on or has crashed."""
+        while self.alive and self.silence in kinds:
+            gevent.sleep(POLL_S)
 
     @contextlib.contextmanager
     def _noted(
         self, told: backend_server_codec.ForwardedRequest
-    ) -> Iterator[None]:
+    ) -> Iterator[soak_evidence.Run]:
         run = self._evidence.begin_run(
             told.request_id,
             self.server.id,
@@ -237,7 +271,7 @@
             key_passed_on=told.api_key_passed_on,
         )
         try:
-            yield
+            yield run
         finally:
             self._evidence.end_run(run)
 
@@ -291,7 +325,8 @@
         **facts: str | bool | float,
     ) -> None:
         headers = self.answer_headers(told, **facts)
-        head = http_message.ResponseHead(
-            status=status, reason=b"", headers=headers
-        )
-        responses.send_response(client, head=head, body=body, close=False)
+        length = (b"content-length", str(len(body)).encode())
+        first_line = responses.status_line(status)
+        client.write(http_message.encode_head(first_line, [*headers, length]))
+        self._wait_while_silent()
+        client.write(body)
