Keep a late plain call open until a better answer is there

What callers saw: 502 before their deadline for an idempotent call whose backend server was only slow; 504 where the second server was slow too; 502 in place of a 5xx that a backend server had given. Cause: an attempt was given up, and a response dropped, before anyone asked whether another attempt was possible. After 0.9 of the objective the connection was closed, and only then were servers, max_attempts and the retry budget asked.

Evidence, on the code before: test_a_late_idempotent_call_is_awaited_without_retry_budget (502), test_a_late_attempt_still_answers_beside_a_silent_one (504), test_a_server_error_waits_for_the_attempt_that_is_open, test_a_server_error_is_passed_on_if_its_retry_fails (twice, 502), test_a_server_error_is_passed_on_without_retry_budget (502) and test_a_late_server_that_answers_first_does_not_count_as_failed (504) failed; the other new tests of plain calls passed and guard what holds already. Ruled out: a longer attempt timeout, which only moves the point at which the same happens.

Change: each attempt has a greenlet and stays open until its own answer or failure, the deadline, or the answer of another one. When the youngest is late, another may start beside it: a server must be available, max_attempts allow it, the budget grant it, in this order. The first usable response is passed on; the rest are closed at once, also when the caller leaves. A 5xx to an idempotent call stays in hand until something better comes. A call that is not idempotent has one attempt at a time, as before. A late server counts as timed out when another one answered first, or at the deadline.

Why it works: nothing is closed before something better is there, so a denied retry costs nothing.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -1,25 +1,38 @@
-"""Serves calls to plain services, those without a model."""
+"""Serves calls to plain services, those without a model.
+
+The first usable response is passed on. An attempt stays open until then, its
+own failure or the deadline; when it is late, another one may start beside it.
+"""
 
 import collections
-import functools
+from collections.abc import Iterator
+import contextlib
+import enum
 import time
 
-from dotterelgrade import http_connection
-from dotterelgrade import http_message
+import gevent
+from returns import result
+
+from dotterelgrade import errors
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
 from dotterelgrade_front import front_state
+from dotterelgrade_front import plain_attempt
 from dotterelgrade_front import responses
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import hedging
 from dotterelgrade_routing import service_choice
 
-_MAX_BODY_BYTES = 16_777_216
-# Timeout of one attempt of an idempotent call while another backend server is
-# left to try, as a fraction of the latency objective.
-_ATTEMPT_TIMEOUT_FRACTION = 0.9
-_SERVER_ERROR = 500
+
+class _HedgeOutcome(enum.StrEnum):
+    """What became of the wish to send a late call to another server."""
+
+    STARTED = "started"
+    NO_SERVER = "no_server"
+    ATTEMPTS_USED = "attempts_used"
+    BUDGET_EMPTY = "budget_empty"
 
 
 class PlainCalls:
@@ -58,160 +71,261 @@
         Raises:
             client_connection.CallerDisconnectedError: The caller disconnected.
         """
-        state = self._state
-        reason = "no backend server available"
-        while call.remaining_s > 0:
-            server = self._choose(call)
-            if server is None:
-                break
-            try:
-                with client.interrupt_on_disconnect():
-                    head, body = self._attempt(client, call, server)
-            except upstream.AttemptFailedError as failed:
-                reason = self._record_failure(call, server, failed)
-                if not self._may_retry(call):
-                    break
-                continue
-            responses.send_response(
-                client,
-                head=head,
-                body=body,
-                close=close,
-                bodiless=call.request.method == b"HEAD",
+        attempts = _Attempts(
+            self._state, client=client, call=call, in_flight=self._in_flight
+        )
+        with client.interrupt_on_disconnect():
+            outcome = attempts.run()
+        if isinstance(outcome, result.Failure):
+            error = outcome.failure()
+            responses.send_error(
+                client, error, request_id=call.request_id, close=close
+            )
+            return error.kind.value
+        response = outcome.unwrap()
+        responses.send_response(
+            client,
+            head=response.head,
+            body=response.body,
+            close=close,
+            bodiless=call.request.method == b"HEAD",
+        )
+        return f"answered_{response.head.status // 100}xx"
+
+
+class _Attempts:
+    """The attempts of one call, each in a greenlet of its own."""
+
+    def __init__(
+        self,
+        state: front_state.FrontState,
+        *,
+        client: client_connection.ClientConnection,
+        call: call_lib.Call,
+        in_flight: collections.Counter[str],
+    ) -> None:
+        self._state = state
+        self._client = client
+        self._call = call
+        self._in_flight = in_flight
+        self._open: dict[gevent.Greenlet, plain_attempt.PlainAttempt] = {}
+        self._reason = "no backend server available"
+        self._server_error: plain_attempt.PlainResponse | None = None
+        # Sends that need no retry budget: the first one, and one for each
+        # attempt that could not connect.
+        self._free_sends = 1
+        self._asked_at = float("-inf")
+        self._hedge_outcome: _HedgeOutcome | None = None
+
+    def run(
+        self,
+    ) -> result.Result[plain_attempt.PlainResponse, errors.Error]:
+        """Returns the response for the caller, or the error without one."""
+        with self._closing_attempts():
+            while True:
+                self._start_next()
+                if not self._open:
+                    return self._last_resort()
+                response = self._wait()
+                if response is not None:
+                    return result.Success(response)
+
+    @contextlib.contextmanager
+    def _closing_attempts(self) -> Iterator[None]:
+        """Closes the attempts that are open at the end, without a wait."""
+        try:
+            yield
+        finally:
+            gevent.killall(list(self._open), block=False)
+
+    def _last_resort(
+        self,
+    ) -> result.Result[plain_attempt.PlainResponse, errors.Error]:
+        if self._server_error is not None:
+            return result.Success(self._server_error)
+        call = self._call
+        holdoff_s = self._state.notices.holdoff_left_s(call.service.name)
+        return result.Failure(
+            call.failure(
+                self._reason,
+                retry_after_s=holdoff_s or call_lib.DEFAULT_RETRY_AFTER_S,
             )
-            return f"answered_{head.status // 100}xx"
-        error = call.failure(
-            reason,
-            retry_after_s=state.notices.holdoff_left_s(call.service.name)
-            or call_lib.DEFAULT_RETRY_AFTER_S,
         )
-        responses.send_error(
-            client, error, request_id=call.request_id, close=close
+
+    def _next_start_at(self) -> float:
+        route = self._call.route
+        open_attempts = hedging.OpenAttempts(
+            started_at=tuple(a.started_at for a in self._open.values()),
+            idempotent=route.idempotent,
+            objective_s=route.objective_s,
+            has_server_error=self._server_error is not None,
         )
-        return error.kind.value
+        start_at = open_attempts.next_start_at()
+        if not self._open:
+            return start_at
+        late_s = hedging.late_after_s(route.objective_s)
+        return max(start_at, self._asked_at + late_s)
 
-    def _choose(
-        self, call: call_lib.Call
-    ) -> backend_server.BackendServer | None:
+    def _start_next(self) -> None:
+        """Starts an attempt if one is due and possible."""
+        if (
+            time.monotonic() < self._next_start_at()
+            or not self._is_worthwhile()
+        ):
+            return
+        hedges = bool(self._open)
+        outcome = self._try_start()
+        if hedges:
+            self._asked_at = time.monotonic()
+            self._record_hedge(outcome)
+
+    def _is_worthwhile(self) -> bool:
+        call = self._call
+        if not call.may_retry():
+            return False
+        if self._server_error is not None:
+            return call.remaining_s > call.route.objective_s / 2
+        return call.remaining_s > 0
+
+    def _try_start(self) -> _HedgeOutcome:
+        """Asks for a server, for an attempt and for the budget, in order."""
+        server = self._choose()
+        if server is None:
+            return _HedgeOutcome.NO_SERVER
+        if len(self._used_servers) >= self._call.route.max_attempts:
+            return _HedgeOutcome.ATTEMPTS_USED
+        if not self._may_spend():
+            return _HedgeOutcome.BUDGET_EMPTY
+        self._start(server)
+        return _HedgeOutcome.STARTED
+
+    @property
+    def _used_servers(self) -> set[str]:
+        """Servers that the call was, or is about to be, sent to."""
+        return self._call.sent_to | {a.server_id for a in self._open.values()}
+
+    def _choose(self) -> backend_server.BackendServer | None:
         state = self._state
-        candidates = [
-            server
-            for server in state.notices.available(call.service.name)
-            if call.may_send_to(server.id)
-        ]
+        candidates = state.notices.available(self._call.service.name)
+        excluded = state.exclusions.excluded_ids(now=time.monotonic())
+        if self._open or self._server_error is not None:
+            # A server that failed recently is no improvement.
+            candidates = [s for s in candidates if s.id not in excluded]
         return service_choice.choose(
             candidates,
             in_flight=self._in_flight,
-            excluded=state.exclusions.excluded_ids(now=time.monotonic()),
-            tried=call.sent_to | call.unreachable,
+            excluded=excluded,
+            tried=self._used_servers | self._call.unreachable,
             failure_domain=state.settings.failure_domain,
             rng=state.rng,
         )
 
-    def _attempt(
-        self,
-        client: client_connection.ClientConnection,
-        call: call_lib.Call,
-        server: backend_server.BackendServer,
-    ) -> tuple[http_message.ResponseHead, bytes]:
-        state = self._state
-        target = upstream.Target(server_id=server.id, address=server.address)
-        names = state.platform.headers
-        began_at = time.monotonic()
+    def _may_spend(self) -> bool:
+        if self._free_sends:
+            self._free_sends -= 1
+            return True
+        return self._state.retry_budget_for(self._call.service.name).spend()
+
+    def _start(self, server: backend_server.BackendServer) -> None:
+        started = plain_attempt.PlainAttempt(
+            self._state, client=self._client, call=self._call, server=server
+        )
         self._in_flight[server.id] += 1
-        try:
-            with upstream.send(
-                call,
-                target,
-                headers=names,
-                check_caller=client.raise_if_disconnected,
-            ) as connection:
-                head, facts = upstream.read_response_head(
-                    call,
-                    connection,
-                    headers=names,
-                    deadline=self._attempt_deadline(call),
-                    on_response=functools.partial(
-                        state.notices.note_response, server
-                    ),
-                )
-                body = connection.read_body(
-                    deadline=call.deadline, max_body_bytes=_MAX_BODY_BYTES
-                )
-        except http_connection.ResponseTimeoutError as error:
-            state.note_timeout(server.id)
-            raise upstream.AttemptFailedError(
-                attempt.ExecutionStatus.UNKNOWN, str(error)
-            ) from error
-        finally:
-            self._in_flight[server.id] -= 1
-        if not facts.sealed and head.status < 300:
-            raise upstream.AttemptFailedError(
-                attempt.ExecutionStatus.UNKNOWN, "unsealed response"
-            )
-        if head.status >= _SERVER_ERROR and self._should_retry_error(call):
-            raise upstream.AttemptFailedError(
-                attempt.ExecutionStatus.RAN, f"status {head.status}"
+        greenlet = gevent.Greenlet(started.run)
+        greenlet.rawlink(lambda _: self._in_flight.subtract([server.id]))
+        self._open[greenlet] = started
+        greenlet.start()
+
+    def _wait(self) -> plain_attempt.PlainResponse | None:
+        """Waits until an attempt ends or the next one is due.
+
+        Returns:
+            A response to pass on, or None.
+        """
+        timeout_s = None
+        next_start_at = self._next_start_at()
+        if next_start_at < float("inf"):
+            timeout_s = max(0.0, next_start_at - time.monotonic())
+        ended = gevent.wait(list(self._open), timeout=timeout_s, count=1)
+        for greenlet in ended:
+            response = self._take(self._open.pop(greenlet), greenlet.get())
+            if response is not None:
+                return response
+        return None
+
+    def _take(
+        self,
+        ended: plain_attempt.PlainAttempt,
+        outcome: plain_attempt.AttemptResult,
+    ) -> plain_attempt.PlainResponse | None:
+        """Notes how an attempt ended; returns a response to pass on."""
+        if isinstance(outcome, result.Failure):
+            error = outcome.failure()
+            if isinstance(error, client_connection.CallerDisconnectedError):
+                raise error
+            self._record_failure(ended, error)
+            return None
+        response = outcome.unwrap()
+        if response.is_server_error and self._call.route.idempotent:
+            self._server_error = response
+            self._record_failure(
+                ended,
+                upstream.AttemptFailedError(
+                    attempt.ExecutionStatus.RAN,
+                    f"status {response.head.status}",
+                ),
             )
+            return None
+        self._record_success(ended)
+        return response
+
+    def _record_success(self, answered: plain_attempt.PlainAttempt) -> None:
+        state = self._state
         state.exclusions.note_success(
-            server.id, now=time.monotonic(), began_at=began_at
+            answered.server_id,
+            now=time.monotonic(),
+            began_at=answered.started_at,
         )
         state.metrics.count_attempt("answered")
-        return (
-            head.end_to_end(),
-            body,
-        )
-
-    def _attempt_deadline(self, call: call_lib.Call) -> float:
-        if not call.route.idempotent or not self._has_alternative(call):
-            return call.deadline
-        timeout_s = call.route.objective_s * _ATTEMPT_TIMEOUT_FRACTION
-        return min(call.deadline, time.monotonic() + timeout_s)
-
-    def _should_retry_error(self, call: call_lib.Call) -> bool:
-        return (
-            call.route.idempotent
-            and call.remaining_s > call.route.objective_s / 2
-            and self._has_alternative(call)
-        )
-
-    def _has_alternative(self, call: call_lib.Call) -> bool:
-        """Returns whether another backend server is left to try."""
-        if len(call.sent_to) >= call.route.max_attempts:
-            return False
-        tried = call.sent_to | call.unreachable
-        excluded = self._state.exclusions.excluded_ids(now=time.monotonic())
-        return any(
-            server.id not in tried and server.id not in excluded
-            for server in self._state.notices.available(call.service.name)
-        )
+        late_s = hedging.late_after_s(self._call.route.objective_s)
+        for greenlet, other in self._open.items():
+            if other.age_s >= late_s and not greenlet.ready():
+                state.note_timeout(other.server_id)
 
     def _record_failure(
         self,
-        call: call_lib.Call,
-        server: backend_server.BackendServer,
+        ended: plain_attempt.PlainAttempt,
         failed: upstream.AttemptFailedError,
-    ) -> str:
-        state = self._state
+    ) -> None:
+        state, call = self._state, self._call
+        self._reason = str(failed)
         call.attempts.append(failed.execution)
         if failed.execution is attempt.ExecutionStatus.NEVER_SENT:
-            call.unreachable.add(server.id)
+            call.unreachable.add(ended.server_id)
+            self._free_sends += 1
         state.metrics.count_attempt(failed.execution.name.lower())
         if failed.faulty_address:
-            state.note_failure(server.id, reason=str(failed))
+            state.note_failure(ended.server_id, reason=str(failed))
         state.decisions.record(
             "try_failed",
             reason=str(failed),
             request_id=call.request_id,
-            server=server.id,
+            server=ended.server_id,
             known=failed.execution.name,
             left_s=round(call.remaining_s, 3),
         )
-        return str(failed)
 
-    def _may_retry(self, call: call_lib.Call) -> bool:
-        if not call.may_retry():
-            return False
-        if call.attempts[-1] is attempt.ExecutionStatus.NEVER_SENT:
-            return True
-        return self._state.retry_budget_for(call.service.name).spend()
+    def _record_hedge(self, outcome: _HedgeOutcome) -> None:
+        """Records a late call, once for each outcome in a row."""
+        if outcome is self._hedge_outcome:
+            return
+        self._hedge_outcome = outcome
+        call = self._call
+        self._state.decisions.record(
+            "call_late",
+            reason=outcome.value,
+            request_id=call.request_id,
+            servers=sorted(self._used_servers),
+            age_s=round(call.age_s, 3),
+            left_s=round(call.remaining_s, 3),
+        )
--- a/packages/dotterelgrade-front/tests/test_plain_call.py
+++ b/packages/dotterelgrade-front/tests/test_plain_call.py
@@ -224,6 +224,119 @@
     assert front.ask("/safe/x")[0] == 200
 
 
+def _late(delay_s=0.7, **rest):
+    """A script that responds after the attempt has become late."""
+
+    def script(sock, arrival):
+        gevent.sleep(delay_s)
+        fakes.responding(**rest)(sock, arrival)
+
+    return script
+
+
+def _empty_retry_budget(front):
+    budget = front.state.retry_budget_for("plain")
+    budget.resize(rate_per_s=0, capacity=0)
+
+
+def test_a_late_idempotent_call_is_awaited_without_retry_budget(front):
+    """The attempt was given up before anyone asked for another one."""
+    backends = [front.add(name, _late()) for name in ("s1", "s2")]
+    _empty_retry_budget(front)
+    assert front.ask("/safe/x")[0] == 200
+    assert sum(len(backend.arrivals) for backend in backends) == 1
+
+
+def test_a_late_attempt_still_answers_beside_a_silent_one(front):
+    """The first server was only slow, and the second one never responds."""
+    front.add("s1", _late())
+    silent = front.add("s2", fakes.silent, failure_domain="b")
+    assert front.ask("/safe/x")[0] == 200
+    assert len(silent.arrivals) == 1
+    assert silent.closed.wait(fakes.WAIT_S)
+
+
+def test_the_attempt_that_loses_is_closed_at_once(front):
+    silent = front.add("s1", fakes.silent)
+    front.add("s2", fakes.responding(), failure_domain="b")
+    with front.send("/safe/x") as sock:
+        assert fakes.read_response(sock)[0] == 200
+        assert silent.closed.wait(0.5)
+
+
+def test_a_disconnect_closes_all_attempts(front):
+    backends = [front.add(name, fakes.silent) for name in ("s1", "s2")]
+    sock = front.send("/safe/x")
+    fakes.until(lambda: all(backend.arrivals for backend in backends))
+    sock.close()
+    assert all(backend.closed.wait(0.5) for backend in backends)
+
+
+def test_a_server_error_waits_for_the_attempt_that_is_open(front):
+    """The second server fails while the first one is still at work."""
+    front.add("s1", _late(0.9))
+    ill = front.add("s2", fakes.responding(b"", b"500 Ill"), failure_domain="b")
+    assert front.ask("/safe/x")[0] == 200
+    assert len(ill.arrivals) == 1
+
+
+@pytest.mark.parametrize("second", [fakes.resetting, fakes.refusing()])
+def test_a_server_error_is_passed_on_if_its_retry_fails(front, second):
+    """The response was dropped for a retry that gave none."""
+    front.add("s1", fakes.responding(b"why", b"500 Ill"))
+    front.add("s2", second, failure_domain="b")
+    status, headers, body = front.ask("/safe/x")
+    assert (status, headers[b"seal"], body) == (500, b"1", b"why")
+
+
+def test_a_server_error_is_passed_on_without_retry_budget(front):
+    front.add("s1", fakes.responding(b"why", b"500 Ill"))
+    other = front.add("s2", fakes.responding(), failure_domain="b")
+    _empty_retry_budget(front)
+    status, _, body = front.ask("/safe/x")
+    assert (status, body) == (500, b"why")
+    assert not other.arrivals
+
+
+def test_a_late_call_that_is_not_idempotent_is_sent_once(front):
+    front.add("s1", _late())
+    other = front.add("s2", fakes.responding(), failure_domain="b")
+    assert front.ask("/unsafe/x", method="POST", body=b"x")[0] == 200
+    assert not other.arrivals
+
+
+def test_a_late_server_that_answers_first_does_not_count_as_failed(front):
+    """Three timeouts in a row exclude a server."""
+    front.add("s1", _late())
+    front.add("s2", fakes.silent, failure_domain="b")
+    for _ in range(3):
+        assert front.ask("/safe/x")[0] == 200
+    excluded = front.state.exclusions.excluded_ids(now=time.monotonic())
+    assert excluded <= {"s2"}
+
+
+def test_a_silent_server_is_excluded_after_several_late_attempts(front):
+    front.add("s1", fakes.silent)
+    front.add("s2", fakes.responding(), failure_domain="b")
+    for _ in range(3):
+        assert front.ask("/safe/x")[0] == 200
+    excluded = front.state.exclusions.excluded_ids(now=time.monotonic())
+    assert excluded == {"s1"}
+
+
+def test_a_late_call_that_is_refused_elsewhere_goes_to_a_third_server(front):
+    """The first server is silent, the second one full."""
+    front.state.known_configuration.configuration = dataclasses.replace(
+        fakes.CONFIGURATION,
+        routes=(fakes.route("safe", idempotent=True, max_attempts=3),),
+    )
+    front.add("s1", fakes.silent)
+    full = front.add("s2", fakes.refusing(), failure_domain="b")
+    front.add("s3", fakes.responding(), failure_domain="b")
+    assert front.ask("/safe/x")[0] == 200
+    assert len(full.arrivals) == 1
+
+
 def _refusing_for(retry_after):
     """A script that refuses a request with `Retry-After`."""
     rows = b"not-run: 1\r\nretry-after: " + retry_after + b"\r\n"
