Serve a request whose caller offers an upgrade of the protocol

What callers saw: 400 for a proper request with `Connection: Upgrade` and `Upgrade: h2c`, which a server may ignore. Cause: the HTTP parser ends such a request after its head, without its body, and raises HttpParserUpgrade, which was taken for malformed bytes.

Evidence, on the code before: test_a_request_that_offers_an_upgrade_is_served and test_a_connection_is_kept_after_an_upgrade_offer failed (400 == 200); test_a_protocol_that_is_not_spoken_here_is_refused passed before and guards CONNECT and the preface of HTTP/2, which stay 400. Ruled out: taking the parsed request as it is, which would lose its body and read that as the next request.

Change: the parser of requests is a module of its own. After an offer it parses the head anew without `Upgrade`, followed by the remaining bytes, so that a body and pipelined requests are read as HTTP/1.1. `HTTP2-Settings` is not forwarded.

After: test_request_parser.py (pieces of 1, 7 and 1000 bytes, bodies with a length and in chunks, 2000 offers in one piece), the tests of the connection and of the request handler pass; the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -1,6 +1,5 @@
 """Server side of a caller's HTTP/1.1 connection."""
 
-import collections
 from collections.abc import Iterator
 import contextlib
 import http
@@ -8,10 +7,10 @@
 
 import gevent
 from gevent import socket
-import httptools
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
+from dotterelgrade_front import request_parser
 from dotterelgrade_routing import configuration
 
 _RECEIVE_BYTES = 65_536
@@ -28,91 +27,6 @@
     """A response that has begun can't be completed."""
 
 
-class BadRequestError(Exception):
-    """The received bytes are not an acceptable HTTP request."""
-
-    def __init__(self, status: http.HTTPStatus) -> None:
-        """Initializes the exception.
-
-        Args:
-            status: Status of the error response.
-        """
-        super().__init__(status.phrase)
-        self._status = status
-
-    @property
-    def status(self) -> http.HTTPStatus:
-        """Status of the error response."""
-        return self._status
-
-
-class _RequestCollector:
-    """Callbacks of the httptools parser; queues complete requests."""
-
-    def __init__(self, limits: configuration.ClientLimits) -> None:
-        self.requests: collections.deque[http_message.Request] = (
-            collections.deque()
-        )
-        self.parser = httptools.HttpRequestParser(self)
-        self.started = False
-        self.expects_continue = False
-        self._limits = limits
-        self._target = b""
-        self._headers: http_message.Headers = []
-        self._head_bytes = 0
-        self._body = bytearray()
-
-    def on_message_begin(self) -> None:
-        self.started = True
-        self._target = b""
-        self._headers = []
-        self._head_bytes = 0
-        self._body = bytearray()
-
-    def on_url(self, part: bytes) -> None:
-        self._target += part
-        self._check_head_size(len(part))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
-        self._check_head_size(len(name) + len(value))
-
-    def on_headers_complete(self) -> None:
-        names = [name for name, _ in self._headers]
-        if names.count(b"host") != 1:
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST)
-        header_values = http_message.by_name(self._headers)
-        length = header_values.get(b"content-length", b"0")
-        if int(length or b"0") > self._limits.body_bytes:
-            raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if header_values.get(b"expect", b"").lower() == b"100-continue":
-            self.expects_continue = True
-
-    def on_body(self, part: bytes) -> None:
-        self._body += part
-        if len(self._body) > self._limits.body_bytes:
-            raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        self.started = False
-        self.requests.append(
-            http_message.Request(
-                method=self.parser.get_method(),
-                target=self._target,
-                headers=self._headers,
-                body=bytes(self._body),
-                keep_alive=self.parser.should_keep_alive(),
-            )
-        )
-
-    def _check_head_size(self, added_bytes: int) -> None:
-        self._head_bytes += added_bytes
-        if self._head_bytes > self._limits.header_bytes:
-            raise BadRequestError(
-                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            )
-
-
 class ClientConnection:
     """Reads requests one at a time and writes their responses."""
 
@@ -129,7 +43,7 @@
         http_connection.enable_keepalive(sock)
         self._sock = sock
         self._limits = limits
-        self._collector = _RequestCollector(limits)
+        self._parser = request_parser.RequestParser(limits)
         self._busy = False
         self._active_at = time.monotonic()
         self._shut_down = False
@@ -138,7 +52,7 @@
 
     def __repr__(self) -> str:
         """Shows the number of queued requests."""
-        return f"<ClientConnection {len(self._collector.requests)} waiting>"
+        return f"<ClientConnection {len(self._parser.requests)} waiting>"
 
     @property
     def requests_read(self) -> int:
@@ -166,8 +80,8 @@
         Args:
             for_s: Minimum idle time, s.
         """
-        collector = self._collector
-        if self._busy or collector.started or collector.requests:
+        parser = self._parser
+        if self._busy or parser.started or parser.requests:
             return
         if time.monotonic() - self._active_at < for_s:
             return
@@ -185,28 +99,31 @@
             reached its idle timeout.
 
         Raises:
-            BadRequestError: The received bytes are not an acceptable request.
+            request_parser.BadRequestError: The received bytes are not an
+                acceptable request.
         """
-        collector = self._collector
+        parser = self._parser
         deadline = time.monotonic() + self._limits.idle_timeout_s
-        while not collector.requests:
-            was_started = collector.started
+        while not parser.requests:
+            was_started = parser.started
             data = self._receive(deadline)
             if self._shut_down:
                 # Bytes that race with the shutdown count as never read.
                 return None
             if data is None:
-                if collector.started:
-                    raise BadRequestError(http.HTTPStatus.REQUEST_TIMEOUT)
+                if parser.started:
+                    raise request_parser.BadRequestError(
+                        http.HTTPStatus.REQUEST_TIMEOUT
+                    )
                 return None
             if not data:
                 return None
             self._feed(data)
-            if collector.started and not was_started:
+            if parser.started and not was_started:
                 deadline = time.monotonic() + self._limits.header_timeout_s
         self._requests_read += 1
         self._response_bytes = 0
-        return collector.requests.popleft()
+        return parser.requests.popleft()
 
     def write(self, data: bytes) -> None:
         """Sends bytes of a response.
@@ -297,18 +214,6 @@
             return b""
 
     def _feed(self, data: bytes) -> None:
-        try:
-            self._collector.parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequestError):
-                raise cause from error
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
-        if self._collector.expects_continue and self._collector.started:
-            self._collector.expects_continue = False
+        self._parser.feed(data)
+        if self._parser.take_expect_continue():
             self.write(_CONTINUE)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -13,6 +13,7 @@
 from dotterelgrade_front import front_state
 from dotterelgrade_front import model_stream
 from dotterelgrade_front import plain_call
+from dotterelgrade_front import request_parser
 from dotterelgrade_front import responses
 from dotterelgrade_front import stall_detector
 from dotterelgrade_routing import configuration
@@ -111,7 +112,7 @@
         """Serves one request; returns whether the connection stays open."""
         try:
             request = client.read_request()
-        except client_connection.BadRequestError as error:
+        except request_parser.BadRequestError as error:
             self._reject_malformed(client, error)
             return False
         if request is None:
@@ -306,7 +307,7 @@
     def _reject_malformed(
         self,
         client: client_connection.ClientConnection,
-        error: client_connection.BadRequestError,
+        error: request_parser.BadRequestError,
     ) -> None:
         kind = _STATUS_KINDS.get(error.status, errors.ErrorKind.BAD_REQUEST)
         self._state.decisions.record("bytes_rejected", reason=str(error))
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -1,5 +1,6 @@
 import front_fakes as fakes
 import gevent
+import pytest
 
 
 def test_a_large_head_is_refused(front):
@@ -72,6 +73,44 @@
     assert data.index(b"/safe/1") < data.index(b"/safe/2")
 
 
+def test_a_request_that_offers_an_upgrade_is_served(front):
+    """It was answered 400, where a server may ignore the offer."""
+    backend = front.add("s", fakes.responding())
+    headers = {
+        "connection": "upgrade",
+        "upgrade": "h2c",
+        "http2-settings": "AAMAAABk",
+    }
+    response = front.ask("/unsafe/x", method="POST", body=b"order", **headers)
+    assert response[0] == 200
+    assert backend.arrivals[0].body == b"order"
+    for name in (b"connection", b"upgrade", b"http2-settings"):
+        assert name not in backend.arrivals[0].headers
+
+
+def test_a_connection_is_kept_after_an_upgrade_offer(front):
+    front.add("s", fakes.responding())
+    offer = {"connection": "upgrade", "upgrade": "h2c"}
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock, **offer)
+        assert fakes.read_response(sock)[0] == 200
+        front.send("/safe/2", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"CONNECT shop.example:443 HTTP/1.1\r\nhost: shop.example\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    ],
+)
+def test_a_protocol_that_is_not_spoken_here_is_refused(front, data):
+    with front.connect() as sock:
+        sock.sendall(data)
+        assert fakes.read_response(sock)[0] == 400
+
+
 def test_close_idle_closes_idle_connections(front):
     front.add("s", fakes.responding())
     with front.connect() as sock:
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_request_parser.py
@@ -0,0 +1,69 @@
+import pytest
+
+from dotterelgrade_front import request_parser
+from dotterelgrade_routing import configuration
+
+_HOST = b"host: a\r\n"
+_OFFER = b"connection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
+
+
+@pytest.fixture
+def parser():
+    return request_parser.RequestParser(
+        configuration.ClientLimits(header_bytes=500, body_bytes=50)
+    )
+
+
+def _request(target=b"/x", rows=b"", body=b"", version=b"1.1"):
+    if body:
+        rows += b"content-length: %d\r\n" % len(body)
+    line = b"POST %s HTTP/%s\r\n" % (target, version)
+    return line + _HOST + rows + b"\r\n" + body
+
+
+def _feed_in_pieces(parser, data, size):
+    for start in range(0, len(data), size):
+        parser.feed(data[start : start + size])
+
+
+@pytest.mark.parametrize("size", [1, 7, 1_000])
+def test_an_upgrade_offer_takes_nothing_from_its_request(parser, size):
+    """The HTTP parser ends such a request after its head."""
+    chunks = b"2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n"
+    chunked = _request(rows=_OFFER + b"transfer-encoding: chunked\r\n")
+    data = (
+        _request(b"/1", _OFFER, b"first")
+        + _request(b"/2", _OFFER)
+        + chunked
+        + chunks
+        + _request(b"/4", body=b"fourth")
+    )
+    _feed_in_pieces(parser, data, size)
+    requests = list(parser.requests)
+    assert [r.target for r in requests] == [b"/1", b"/2", b"/x", b"/4"]
+    bodies = [r.body for r in requests]
+    assert bodies == [b"first", b"", b"abcde", b"fourth"]
+    assert all(r.keep_alive for r in requests)
+    assert not parser.started
+
+
+def test_an_upgrade_offer_with_an_unread_body_has_started(parser):
+    """A connection with a request in transit must not count as idle."""
+    parser.feed(_request(rows=_OFFER, body=b"order")[:-1])
+    assert parser.started
+    assert not parser.requests
+
+
+def test_many_offers_in_one_piece_are_parsed(parser):
+    parser.feed(_request(rows=_OFFER) * 2_000)
+    assert len(parser.requests) == 2_000
+
+
+def test_an_upgrade_offer_keeps_the_version_of_its_request(parser):
+    parser.feed(_request(rows=_OFFER, version=b"1.0"))
+    assert not parser.requests[0].keep_alive
+
+
+def test_an_upgrade_offer_does_not_evade_the_limits(parser):
+    with pytest.raises(request_parser.BadRequestError):
+        parser.feed(_request(rows=_OFFER, body=b"x" * 51))
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -23,6 +23,10 @@
 _STREAM_TEST = "packages/dotterelgrade-front/tests/test_model_stream.py"
 _REPAIR_TEST = "packages/dotterelgrade-front/tests/test_stream_repair.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
+_PARSER_TEST = "packages/dotterelgrade-front/tests/test_request_parser.py"
+_CONNECTION_TEST = (
+    "packages/dotterelgrade-front/tests/test_client_connection.py"
+)
 _STORE_TEST = "packages/dotterelgrade-front/tests/adapter/test_store.py"
 _FLEET_TEST = "packages/dotterelgrade-routing/tests/test_fleet.py"
 _HOLDOFF_TEST = "packages/dotterelgrade-routing/tests/test_holdoff.py"
@@ -462,4 +466,12 @@
         new="        if False:",
         check=_PLAIN_TEST,
     ),
+    mutant.Mutant(
+        name="upgrade-offer-takes-the-body",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.request_parser",
+        old="return self._decline_upgrade() + data[end:]",
+        new="return self._decline_upgrade()",
+        check=_PARSER_TEST,
+    ),
 )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -16,6 +16,7 @@
 
 from dotterelgrade import http_message
 from dotterelgrade_front import client_connection
+from dotterelgrade_front import request_parser
 from dotterelgrade_front import responses
 from dotterelgrade_platform import backend_server_codec
 from dotterelgrade_platform import store as store_names
@@ -177,7 +178,7 @@
                     self._answer(client, request)
         except (
             client_connection.CallerDisconnectedError,
-            client_connection.BadRequestError,
+            request_parser.BadRequestError,
         ):
             pass
         finally:
--- a/packages/dotterelgrade/src/dotterelgrade/http_message.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_message.py
@@ -16,6 +16,7 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
+        b"http2-settings",
         b"content-length",
         b"expect",
     }
