Answer a whole request also when malformed bytes follow it

What callers saw: 400 for a proper request, if bytes that are no request arrived in one piece with it; also behind `Connection: close`, where they would never have been read. Cause: the error of the later bytes was raised before the queued request was taken.

Evidence, on the code before: test_a_request_with_malformed_bytes_behind_it_is_answered failed ([400] in place of [200, 400], and of [200] with `Connection: close`). Change: the error waits until the complete requests before it are answered. After: the tests of the connection pass, and the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -44,6 +44,7 @@
         self._sock = sock
         self._limits = limits
         self._parser = request_parser.RequestParser(limits)
+        self._bad_request: request_parser.BadRequestError | None = None
         self._busy = False
         self._active_at = time.monotonic()
         self._shut_down = False
@@ -105,6 +106,8 @@
         parser = self._parser
         deadline = time.monotonic() + self._limits.idle_timeout_s
         while not parser.requests:
+            if self._bad_request is not None:
+                raise self._bad_request
             was_started = parser.started
             data = self._receive(deadline)
             if self._shut_down:
@@ -214,6 +217,10 @@
             return b""
 
     def _feed(self, data: bytes) -> None:
-        self._parser.feed(data)
+        try:
+            self._parser.feed(data)
+        except request_parser.BadRequestError as error:
+            # Complete requests before these bytes are served first.
+            self._bad_request = error
         if self._parser.take_expect_continue():
             self.write(_CONTINUE)
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -1,3 +1,5 @@
+import re
+
 import front_fakes as fakes
 import gevent
 import pytest
@@ -111,6 +113,32 @@
         assert fakes.read_response(sock)[0] == 400
 
 
+@pytest.mark.parametrize(
+    ("rows", "statuses"),
+    [({}, [b"200", b"400"]), ({"connection": "close"}, [b"200"])],
+)
+def test_a_request_with_malformed_bytes_behind_it_is_answered(
+    front, rows, statuses
+):
+    """The whole request was dropped, and answered 400."""
+    front.add("s", fakes.responding())
+    with front.connect() as sock:
+        front.send("/unsafe/x", method="POST", body=b"x", sock=sock, **rows)
+        sock.sendall(b"\x00\x01 nonsense\r\n\r\n")
+        assert _statuses(_read_to_end(sock)) == statuses
+
+
+def _read_to_end(sock):
+    data = b""
+    while piece := sock.recv(65536):
+        data += piece
+    return data
+
+
+def _statuses(data):
+    return re.findall(rb"HTTP/1.1 (\d+)", data)
+
+
 def test_close_idle_closes_idle_connections(front):
     front.add("s", fakes.responding())
     with front.connect() as sock:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -474,4 +474,12 @@
         new="return self._decline_upgrade()",
         check=_PARSER_TEST,
     ),
+    mutant.Mutant(
+        name="whole-request-dropped-with-the-next-bytes",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="            self._bad_request = error",
+        new="            raise",
+        check=_CONNECTION_TEST,
+    ),
 )
