--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -1,4 +1,6 @@
+import dataclasses
 import re
+import time
 
 import front_fakes as fakes
 import gevent
@@ -139,6 +141,47 @@
     return re.findall(rb"HTTP/1.1 (\d+)", data)
 
 
+def _set_limits(front, **limits):
+    known = front.state.known_configuration
+    known.configuration = dataclasses.replace(
+        known.configuration,
+        limits=dataclasses.replace(known.configuration.limits, **limits),
+    )
+
+
+def _send_in_a_late_event_loop(data, sock):
+    """Sends bytes just before the loop runs the timer of a timeout."""
+    gevent.sleep(0.1)
+    gevent.spawn_later(0.01, sock.sendall, data)
+    # Both timers are due; that of a timeout has the lower priority.
+    time.sleep(0.4)
+
+
+def test_a_request_that_arrived_before_the_idle_timeout_is_served(front):
+    """The connection was closed with the request unread."""
+    front.add("s", fakes.responding())
+    _set_limits(front, idle_timeout_s=0.3)
+    with front.connect() as sock:
+        _send_in_a_late_event_loop(
+            b"GET /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"key: secret\r\n\r\n",
+            sock,
+        )
+        assert fakes.read_response(sock)[0] == 200
+
+
+def test_a_body_that_arrived_before_the_header_timeout_is_served(front):
+    """The request was answered 408 though it was whole."""
+    front.add("s", fakes.responding())
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"key: secret\r\ncontent-length: 2\r\n\r\na"
+        )
+        _send_in_a_late_event_loop(b"b", sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
 def test_close_idle_closes_idle_connections(front):
     front.add("s", fakes.responding())
     with front.connect() as sock:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -482,4 +482,12 @@
         new="            raise",
         check=_CONNECTION_TEST,
     ),
+    mutant.Mutant(
+        name="timeout-beside-unread-bytes",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="            return self._receive_pending()",
+        new="            return None",
+        check=_CONNECTION_TEST,
+    ),
 )
