Apply changed limits to connections that are open already

What callers saw: after a change of the configuration that lengthens the idle timeout, a connection that they still counted as open was closed; after one that raises the sizes, 431 or 413 on kept connections for requests that the configuration in force allows. A connection accepted before the first configuration kept the defaults for its life. Cause: a connection read the limits once, when it was accepted.

Evidence, on the code before: test_a_longer_idle_timeout_holds_for_an_idle_connection (no answer) and test_a_larger_body_limit_holds_for_a_kept_connection (431) failed; test_a_shorter_idle_timeout_does_not_cut_a_wait_that_has_begun passed and guards the other direction. Change: sizes are checked against the limits in force. A wait lasts for the longer of the timeouts at its start and now, since a caller may go by either. A rest of a request that came with the one before it gets the header timeout, no longer the idle one. After: the tests of connection, parser and request handler pass; the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -1,6 +1,6 @@
 """Server side of a caller's HTTP/1.1 connection."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import contextlib
 import http
 import time
@@ -27,17 +27,39 @@
     """A response that has begun can't be completed."""
 
 
+class _ReadTimeout:
+    """Timeout of a wait, by limits that may change meanwhile.
+
+    A caller may go by the limits at the start of the wait or by newer ones, so
+    that the longest time counts.
+    """
+
+    def __init__(self, timeout_s: Callable[[], float]) -> None:
+        self._began_at = time.monotonic()
+        self._timeout_s = timeout_s
+        self._longest_s = timeout_s()
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time at which the wait ends, s."""
+        self._longest_s = max(self._longest_s, self._timeout_s())
+        return self._began_at + self._longest_s
+
+
 class ClientConnection:
     """Reads requests one at a time and writes their responses."""
 
     def __init__(
-        self, sock: socket.socket, *, limits: configuration.ClientLimits
+        self,
+        sock: socket.socket,
+        *,
+        limits: Callable[[], configuration.ClientLimits],
     ) -> None:
         """Initializes the connection.
 
         Args:
             sock: A connected socket; the creator closes it.
-            limits: Size and time limits for requests.
+            limits: Returns the size and time limits in force.
         """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         http_connection.enable_keepalive(sock)
@@ -104,26 +126,18 @@
                 acceptable request.
         """
         parser = self._parser
-        deadline = time.monotonic() + self._limits.idle_timeout_s
+        timeout = self._start_timeout()
         while not parser.requests:
             if self._bad_request is not None:
                 raise self._bad_request
             was_started = parser.started
-            data = self._receive(deadline)
-            if self._shut_down:
+            data = self._receive_in_time(timeout)
+            if self._shut_down or not data:
                 # Bytes that race with the shutdown count as never read.
                 return None
-            if data is None:
-                if parser.started:
-                    raise request_parser.BadRequestError(
-                        http.HTTPStatus.REQUEST_TIMEOUT
-                    )
-                return None
-            if not data:
-                return None
             self._feed(data)
             if parser.started and not was_started:
-                deadline = time.monotonic() + self._limits.header_timeout_s
+                timeout = self._start_timeout()
         self._requests_read += 1
         self._response_bytes = 0
         return parser.requests.popleft()
@@ -203,6 +217,30 @@
         except OSError:
             return True
 
+    def _start_timeout(self) -> _ReadTimeout:
+        """Returns the timeout for the rest of a request, or for a new one."""
+        if self._parser.started:
+            return _ReadTimeout(lambda: self._limits().header_timeout_s)
+        return _ReadTimeout(lambda: self._limits().idle_timeout_s)
+
+    def _receive_in_time(self, timeout: _ReadTimeout) -> bytes:
+        """Returns received bytes, empty at the end or at the idle timeout.
+
+        Raises:
+            request_parser.BadRequestError: A request is incomplete at its
+                timeout.
+        """
+        while (data := self._receive(timeout.deadline)) is None:
+            if time.monotonic() < timeout.deadline:
+                # A newer configuration grants more time.
+                continue
+            if self._parser.started:
+                raise request_parser.BadRequestError(
+                    http.HTTPStatus.REQUEST_TIMEOUT
+                )
+            return b""
+        return data
+
     def _receive(self, deadline: float) -> bytes | None:
         """Returns received bytes, empty at the end, None at the deadline."""
         self._sock.settimeout(max(0.0, deadline - time.monotonic()))
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -85,11 +85,9 @@
             sock: The connected socket.
             _address: The caller's address.
         """
-        current = self._state.configuration
-        limits = (
-            configuration.ClientLimits() if current is None else current.limits
+        client = client_connection.ClientConnection(
+            sock, limits=self._current_limits
         )
-        client = client_connection.ClientConnection(sock, limits=limits)
         self._connections.add(client)
         try:
             while self._serve_next(client):
@@ -108,6 +106,12 @@
             self._connections.discard(client)
             sock.close()
 
+    def _current_limits(self) -> configuration.ClientLimits:
+        current = self._state.configuration
+        return (
+            configuration.ClientLimits() if current is None else current.limits
+        )
+
     def _serve_next(self, client: client_connection.ClientConnection) -> bool:
         """Serves one request; returns whether the connection stays open."""
         try:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
@@ -1,6 +1,7 @@
 """Parses the bytes of a caller's connection into complete requests."""
 
 import collections
+from collections.abc import Callable
 import http
 
 import httptools
@@ -30,11 +31,13 @@
 class RequestParser:
     """Collects requests; the HTTP parser calls the `on_` methods."""
 
-    def __init__(self, limits: configuration.ClientLimits) -> None:
+    def __init__(
+        self, limits: Callable[[], configuration.ClientLimits]
+    ) -> None:
         """Initializes a parser without any bytes.
 
         Args:
-            limits: Size limits for requests.
+            limits: Returns the size limits in force.
         """
         self._limits = limits
         self._requests: collections.deque[http_message.Request] = (
@@ -103,7 +106,7 @@
             raise BadRequestError(http.HTTPStatus.BAD_REQUEST)
         header_values = http_message.by_name(self._headers)
         length = header_values.get(b"content-length", b"0")
-        if int(length or b"0") > self._limits.body_bytes:
+        if int(length or b"0") > self._limits().body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if header_values.get(b"expect", b"").lower() == b"100-continue":
             self._expects_continue = True
@@ -111,7 +114,7 @@
     def on_body(self, part: bytes) -> None:
         """Adds a part of the body."""
         self._body += part
-        if len(self._body) > self._limits.body_bytes:
+        if len(self._body) > self._limits().body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -167,7 +170,7 @@
 
     def _check_head_size(self, added_bytes: int) -> None:
         self._head_bytes += added_bytes
-        if self._head_bytes > self._limits.header_bytes:
+        if self._head_bytes > self._limits().header_bytes:
             raise BadRequestError(
                 http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             )
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -149,6 +149,48 @@
     )
 
 
+def test_a_longer_idle_timeout_holds_for_an_idle_connection(front):
+    """The connection was closed by limits that were no longer in force."""
+    front.add("s", fakes.responding())
+    _set_limits(front, idle_timeout_s=0.2)
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+        _set_limits(front, idle_timeout_s=20.0)
+        gevent.sleep(0.4)
+        front.send("/safe/2", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
+def test_a_shorter_idle_timeout_does_not_cut_a_wait_that_has_begun(front):
+    """A caller keeps connections as long as it has been told."""
+    front.add("s", fakes.responding())
+    _set_limits(front, idle_timeout_s=20.0)
+    with front.connect() as sock:
+        gevent.sleep(0.1)
+        _set_limits(front, idle_timeout_s=0.1)
+        gevent.sleep(0.3)
+        front.send("/safe/x", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
+def test_a_larger_body_limit_holds_for_a_kept_connection(front):
+    """The request was answered 413 by limits no longer in force."""
+    front.add("s", fakes.responding())
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+        _set_limits(front, body_bytes=50_000, header_bytes=20_000)
+        front.send(
+            "/safe/2",
+            method="POST",
+            body=b"x" * 6_000,
+            sock=sock,
+            filler="x" * 3_000,
+        )
+        assert fakes.read_response(sock)[0] == 200
+
+
 def _send_in_a_late_event_loop(data, sock):
     """Sends bytes just before the loop runs the timer of a timeout."""
     gevent.sleep(0.1)
--- a/packages/dotterelgrade-front/tests/test_request_parser.py
+++ b/packages/dotterelgrade-front/tests/test_request_parser.py
@@ -9,9 +9,8 @@
 
 @pytest.fixture
 def parser():
-    return request_parser.RequestParser(
-        configuration.ClientLimits(header_bytes=500, body_bytes=50)
-    )
+    limits = configuration.ClientLimits(header_bytes=500, body_bytes=50)
+    return request_parser.RequestParser(lambda: limits)
 
 
 def _request(target=b"/x", rows=b"", body=b"", version=b"1.1"):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -490,4 +490,12 @@
         new="            return None",
         check=_CONNECTION_TEST,
     ),
+    mutant.Mutant(
+        name="idle-timeout-of-old-limits",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.client_connection",
+        old="        self._longest_s = max(self._longest_s, self._timeout_s())",
+        new="        pass",
+        check=_CONNECTION_TEST,
+    ),
 )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -170,8 +170,9 @@
 
     def _serve(self, sock: socket.socket, _: object) -> None:
         self._socks.add(sock)
-        limits = configuration.ClientLimits()
-        client = client_connection.ClientConnection(sock, limits=limits)
+        client = client_connection.ClientConnection(
+            sock, limits=configuration.ClientLimits
+        )
         try:
             while self.alive and (request := client.read_request()):
                 if self.alive:
