--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -1,17 +1,16 @@
 """Server side of a caller's HTTP/1.1 connection."""
 
-import collections
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import contextlib
 import http
 import time
 
 import gevent
 from gevent import socket
-import httptools
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
+from dotterelgrade_front import request_parser
 from dotterelgrade_routing import configuration
 
 _RECEIVE_BYTES = 65_536
@@ -28,108 +27,46 @@
     """A response that has begun can't be completed."""
 
 
-class BadRequestError(Exception):
-    """The received bytes are not an acceptable HTTP request."""
+class _ReadTimeout:
+    """Timeout of a wait, by limits that may change meanwhile.
 
-    def __init__(self, status: http.HTTPStatus) -> None:
-        """Initializes the exception.
+    A caller may go by the limits at the start of the wait or by newer ones, so
+    that the longest time counts.
+    """
 
-        Args:
-            status: Status of the error response.
-        """
-        super().__init__(status.phrase)
-        self._status = status
+    def __init__(self, timeout_s: Callable[[], float]) -> None:
+        self._began_at = time.monotonic()
+        self._timeout_s = timeout_s
+        self._longest_s = timeout_s()
 
     @property
-    def status(self) -> http.HTTPStatus:
-        """Status of the error response."""
-        return self._status
-
-
-class _RequestCollector:
-    """Callbacks of the httptools parser; queues complete requests."""
-
-    def __init__(self, limits: configuration.ClientLimits) -> None:
-        self.requests: collections.deque[http_message.Request] = (
-            collections.deque()
-        )
-        self.parser = httptools.HttpRequestParser(self)
-        self.started = False
-        self.expects_continue = False
-        self._limits = limits
-        self._target = b""
-        self._headers: http_message.Headers = []
-        self._head_bytes = 0
-        self._body = bytearray()
-
-    def on_message_begin(self) -> None:
-        self.started = True
-        self._target = b""
-        self._headers = []
-        self._head_bytes = 0
-        self._body = bytearray()
-
-    def on_url(self, part: bytes) -> None:
-        self._target += part
-        self._check_head_size(len(part))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
-        self._check_head_size(len(name) + len(value))
-
-    def on_headers_complete(self) -> None:
-        names = [name for name, _ in self._headers]
-        if names.count(b"host") != 1:
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST)
-        header_values = http_message.by_name(self._headers)
-        length = header_values.get(b"content-length", b"0")
-        if int(length or b"0") > self._limits.body_bytes:
-            raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if header_values.get(b"expect", b"").lower() == b"100-continue":
-            self.expects_continue = True
-
-    def on_body(self, part: bytes) -> None:
-        self._body += part
-        if len(self._body) > self._limits.body_bytes:
-            raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        self.started = False
-        self.requests.append(
-            http_message.Request(
-                method=self.parser.get_method(),
-                target=self._target,
-                headers=self._headers,
-                body=bytes(self._body),
-                keep_alive=self.parser.should_keep_alive(),
-            )
-        )
-
-    def _check_head_size(self, added_bytes: int) -> None:
-        self._head_bytes += added_bytes
-        if self._head_bytes > self._limits.header_bytes:
-            raise BadRequestError(
-                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            )
+    def deadline(self) -> float:
+        """Monotonic time at which the wait ends, s."""
+        self._longest_s = max(self._longest_s, self._timeout_s())
+        return self._began_at + self._longest_s
 
 
 class ClientConnection:
     """Reads requests one at a time and writes their responses."""
 
     def __init__(
-        self, sock: socket.socket, *, limits: configuration.ClientLimits
+        self,
+        sock: socket.socket,
+        *,
+        limits: Callable[[], configuration.ClientLimits],
     ) -> None:
         """Initializes the connection.
 
         Args:
             sock: A connected socket; the creator closes it.
-            limits: Size and time limits for requests.
+            limits: Returns the size and time limits in force.
         """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         http_connection.enable_keepalive(sock)
         self._sock = sock
         self._limits = limits
-        self._collector = _RequestCollector(limits)
+        self._parser = request_parser.RequestParser(limits)
+        self._bad_request: request_parser.BadRequestError | None = None
         self._busy = False
         self._active_at = time.monotonic()
         self._shut_down = False
@@ -138,7 +75,7 @@
 
     def __repr__(self) -> str:
         """Shows the number of queued requests."""
-        return f"<ClientConnection {len(self._collector.requests)} waiting>"
+        return f"<ClientConnection {len(self._parser.requests)} waiting>"
 
     @property
     def requests_read(self) -> int:
@@ -166,8 +103,8 @@
         Args:
             for_s: Minimum idle time, s.
         """
-        collector = self._collector
-        if self._busy or collector.started or collector.requests:
+        parser = self._parser
+        if self._busy or parser.started or parser.requests:
             return
         if time.monotonic() - self._active_at < for_s:
             return
@@ -185,28 +122,25 @@
             reached its idle timeout.
 
         Raises:
-            BadRequestError: The received bytes are not an acceptable request.
+            request_parser.BadRequestError: The received bytes are not an
+                acceptable request.
         """
-        collector = self._collector
-        deadline = time.monotonic() + self._limits.idle_timeout_s
-        while not collector.requests:
-            was_started = collector.started
-            data = self._receive(deadline)
-            if self._shut_down:
+        parser = self._parser
+        timeout = self._start_timeout()
+        while not parser.requests:
+            if self._bad_request is not None:
+                raise self._bad_request
+            was_started = parser.started
+            data = self._receive_in_time(timeout)
+            if self._shut_down or not data:
                 # Bytes that race with the shutdown count as never read.
                 return None
-            if data is None:
-                if collector.started:
-                    raise BadRequestError(http.HTTPStatus.REQUEST_TIMEOUT)
-                return None
-            if not data:
-                return None
             self._feed(data)
-            if collector.started and not was_started:
-                deadline = time.monotonic() + self._limits.header_timeout_s
+            if parser.started and not was_started:
+                timeout = self._start_timeout()
         self._requests_read += 1
         self._response_bytes = 0
-        return collector.requests.popleft()
+        return parser.requests.popleft()
 
     def write(self, data: bytes) -> None:
         """Sends bytes of a response.
@@ -283,32 +217,58 @@
         except OSError:
             return True
 
+    def _start_timeout(self) -> _ReadTimeout:
+        """Returns the timeout for the rest of a request, or for a new one."""
+        if self._parser.started:
+            return _ReadTimeout(lambda: self._limits().header_timeout_s)
+        return _ReadTimeout(lambda: self._limits().idle_timeout_s)
+
+    def _receive_in_time(self, timeout: _ReadTimeout) -> bytes:
+        """Returns received bytes, empty at the end or at the idle timeout.
+
+        Raises:
+            request_parser.BadRequestError: A request is incomplete at its
+                timeout.
+        """
+        while (data := self._receive(timeout.deadline)) is None:
+            if time.monotonic() < timeout.deadline:
+                # A newer configuration grants more time.
+                continue
+            if self._parser.started:
+                raise request_parser.BadRequestError(
+                    http.HTTPStatus.REQUEST_TIMEOUT
+                )
+            return b""
+        return data
+
     def _receive(self, deadline: float) -> bytes | None:
         """Returns received bytes, empty at the end, None at the deadline."""
-        timeout_s = deadline - time.monotonic()
-        if timeout_s <= 0:
-            return None
-        self._sock.settimeout(timeout_s)
+        self._sock.settimeout(max(0.0, deadline - time.monotonic()))
+        try:
+            return self._sock.recv(_RECEIVE_BYTES)
+        except (TimeoutError, BlockingIOError):
+            return self._receive_pending()
+        except OSError:
+            return b""
+
+    def _receive_pending(self) -> bytes | None:
+        """Returns bytes that have arrived, None without any.
+
+        A busy event loop may run the timer before it reports the bytes.
+        """
+        self._sock.settimeout(0.0)
         try:
             return self._sock.recv(_RECEIVE_BYTES)
-        except TimeoutError:
+        except BlockingIOError:
             return None
         except OSError:
             return b""
 
     def _feed(self, data: bytes) -> None:
         try:
-            self._collector.parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequestError):
-                raise cause from error
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise BadRequestError(http.HTTPStatus.BAD_REQUEST) from error
-        if self._collector.expects_continue and self._collector.started:
-            self._collector.expects_continue = False
+            self._parser.feed(data)
+        except request_parser.BadRequestError as error:
+            # Complete requests before these bytes are served first.
+            self._bad_request = error
+        if self._parser.take_expect_continue():
             self.write(_CONTINUE)
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -1,5 +1,10 @@
+import dataclasses
+import re
+import time
+
 import front_fakes as fakes
 import gevent
+import pytest
 
 
 def test_a_large_head_is_refused(front):
@@ -72,6 +77,153 @@
     assert data.index(b"/safe/1") < data.index(b"/safe/2")
 
 
+def test_a_request_that_offers_an_upgrade_is_served(front):
+    """It was answered 400, where a server may ignore the offer."""
+    backend = front.add("s", fakes.responding())
+    headers = {
+        "connection": "upgrade",
+        "upgrade": "h2c",
+        "http2-settings": "AAMAAABk",
+    }
+    response = front.ask("/unsafe/x", method="POST", body=b"order", **headers)
+    assert response[0] == 200
+    assert backend.arrivals[0].body == b"order"
+    for name in (b"connection", b"upgrade", b"http2-settings"):
+        assert name not in backend.arrivals[0].headers
+
+
+def test_a_connection_is_kept_after_an_upgrade_offer(front):
+    front.add("s", fakes.responding())
+    offer = {"connection": "upgrade", "upgrade": "h2c"}
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock, **offer)
+        assert fakes.read_response(sock)[0] == 200
+        front.send("/safe/2", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"CONNECT shop.example:443 HTTP/1.1\r\nhost: shop.example\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    ],
+)
+def test_a_protocol_that_is_not_spoken_here_is_refused(front, data):
+    with front.connect() as sock:
+        sock.sendall(data)
+        assert fakes.read_response(sock)[0] == 400
+
+
+@pytest.mark.parametrize(
+    ("rows", "statuses"),
+    [({}, [b"200", b"400"]), ({"connection": "close"}, [b"200"])],
+)
+def test_a_request_with_malformed_bytes_behind_it_is_answered(
+    front, rows, statuses
+):
+    """The whole request was dropped, and answered 400."""
+    front.add("s", fakes.responding())
+    with front.connect() as sock:
+        front.send("/unsafe/x", method="POST", body=b"x", sock=sock, **rows)
+        sock.sendall(b"\x00\x01 nonsense\r\n\r\n")
+        assert _statuses(_read_to_end(sock)) == statuses
+
+
+def _read_to_end(sock):
+    data = b""
+    while piece := sock.recv(65536):
+        data += piece
+    return data
+
+
+def _statuses(data):
+    return re.findall(rb"HTTP/1.1 (\d+)", data)
+
+
+def _set_limits(front, **limits):
+    known = front.state.known_configuration
+    known.configuration = dataclasses.replace(
+        known.configuration,
+        limits=dataclasses.replace(known.configuration.limits, **limits),
+    )
+
+
+def test_a_longer_idle_timeout_holds_for_an_idle_connection(front):
+    """The connection was closed by limits that were no longer in force."""
+    front.add("s", fakes.responding())
+    _set_limits(front, idle_timeout_s=0.2)
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+        _set_limits(front, idle_timeout_s=20.0)
+        gevent.sleep(0.4)
+        front.send("/safe/2", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
+def test_a_shorter_idle_timeout_does_not_cut_a_wait_that_has_begun(front):
+    """A caller keeps connections as long as it has been told."""
+    front.add("s", fakes.responding())
+    _set_limits(front, idle_timeout_s=20.0)
+    with front.connect() as sock:
+        gevent.sleep(0.1)
+        _set_limits(front, idle_timeout_s=0.1)
+        gevent.sleep(0.3)
+        front.send("/safe/x", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
+def test_a_larger_body_limit_holds_for_a_kept_connection(front):
+    """The request was answered 413 by limits no longer in force."""
+    front.add("s", fakes.responding())
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock)
+        assert fakes.read_response(sock)[0] == 200
+        _set_limits(front, body_bytes=50_000, header_bytes=20_000)
+        front.send(
+            "/safe/2",
+            method="POST",
+            body=b"x" * 6_000,
+            sock=sock,
+            filler="x" * 3_000,
+        )
+        assert fakes.read_response(sock)[0] == 200
+
+
+def _send_in_a_late_event_loop(data, sock):
+    """Sends bytes just before the loop runs the timer of a timeout."""
+    gevent.sleep(0.1)
+    gevent.spawn_later(0.01, sock.sendall, data)
+    # Both timers are due; that of a timeout has the lower priority.
+    time.sleep(0.4)
+
+
+def test_a_request_that_arrived_before_the_idle_timeout_is_served(front):
+    """The connection was closed with the request unread."""
+    front.add("s", fakes.responding())
+    _set_limits(front, idle_timeout_s=0.3)
+    with front.connect() as sock:
+        _send_in_a_late_event_loop(
+            b"GET /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"key: secret\r\n\r\n",
+            sock,
+        )
+        assert fakes.read_response(sock)[0] == 200
+
+
+def test_a_body_that_arrived_before_the_header_timeout_is_served(front):
+    """The request was answered 408 though it was whole."""
+    front.add("s", fakes.responding())
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"key: secret\r\ncontent-length: 2\r\n\r\na"
+        )
+        _send_in_a_late_event_loop(b"b", sock)
+        assert fakes.read_response(sock)[0] == 200
+
+
 def test_close_idle_closes_idle_connections(front):
     front.add("s", fakes.responding())
     with front.connect() as sock:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -23,6 +23,10 @@
 _STREAM_TEST = "packages/dotterelgrade-front/tests/test_model_stream.py"
 _REPAIR_TEST = "packages/dotterelgrade-front/tests/test_stream_repair.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
+_PARSER_TEST = "packages/dotterelgrade-front/tests/test_request_parser.py"
+_CONNECTION_TEST = (
+    "packages/dotterelgrade-front/tests/test_client_connection.py"
+)
 _STORE_TEST = "packages/dotterelgrade-front/tests/adapter/test_store.py"
 _FLEET_TEST = "packages/dotterelgrade-routing/tests/test_fleet.py"
 _HOLDOFF_TEST = "packages/dotterelgrade-routing/tests/test_holdoff.py"
@@ -430,4 +434,68 @@
         new="age_s",
         check=_DIRECTORY_TEST,
     ),
+    mutant.Mutant(
+        name="late-call-that-may-run-once-hedged",
+        promise=mutant.ONCE,
+        module="dotterelgrade_routing.hedging",
+        old="if not self.idempotent or self.has_server_error:",
+        new="if self.has_server_error:",
+        check=_PLAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="late-attempt-given-up",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.plain_call",
+        old="        hedges = bool(self._open)\n",
+        new="        hedges = bool(self._open)\n        self._open.clear()\n",
+        check=_PLAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="server-error-dropped-for-its-retry",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.plain_call",
+        old="            return result.Success(self._server_error)",
+        new="            pass",
+        check=_PLAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="late-call-past-the-budget",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.plain_call",
+        old="        if not self._may_spend():",
+        new="        if False:",
+        check=_PLAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="upgrade-offer-takes-the-body",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.request_parser",
+        old="return self._decline_upgrade() + data[end:]",
+        new="return self._decline_upgrade()",
+        check=_PARSER_TEST,
+    ),
+    mutant.Mutant(
+        name="whole-request-dropped-with-the-next-bytes",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="            self._bad_request = error",
+        new="            raise",
+        check=_CONNECTION_TEST,
+    ),
+    mutant.Mutant(
+        name="timeout-beside-unread-bytes",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="            return self._receive_pending()",
+        new="            return None",
+        check=_CONNECTION_TEST,
+    ),
+    mutant.Mutant(
+        name="idle-timeout-of-old-limits",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade_front.client_connection",
+        old="        self._longest_s = max(self._longest_s, self._timeout_s())",
+        new="        pass",
+        check=_CONNECTION_TEST,
+    ),
 )
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -18,6 +18,7 @@
 
 from dotterelgrade import http_message
 from dotterelgrade_front import client_connection
+from dotterelgrade_front import request_parser
 from dotterelgrade_front import responses
 from dotterelgrade_platform import backend_server_codec
 from dotterelgrade_platform import store as store_names
@@ -187,8 +188,9 @@
 
     def _serve(self, sock: socket.socket, _: object) -> None:
         self._socks.add(sock)
-        limits = configuration.ClientLimits()
-        client = client_connection.ClientConnection(sock, limits=limits)
+        client = client_connection.ClientConnection(
+            sock, limits=configuration.ClientLimits
+        )
         try:
             while self.alive and (request := client.read_request()):
                 self._wait_while_silent((Silence.ALL,))
@@ -196,7 +198,7 @@
                     self._answer(client, request)
         except (
             client_connection.CallerDisconnectedError,
-            client_connection.BadRequestError,
+            request_parser.BadRequestError,
         ):
             pass
         finally:
