Pass on only events that continue the stream

Cause: any sealed response with a status below 300 was passed on as the rest of the stream; nothing compared its events with those that the caller had. A response without events counted as the end. A 4xx of the resumed request counted as proof that it had not run, though only the mark for it says so, and its body was awaited while the caller's stream was silent. Ruled out: dropping the events that the caller has. A server that begins anew makes another run, whose text may differ; joining the two mixes them. Also ruled out: requiring consecutive ids, as only increasing ones are promised.

Change: event_sequence.py checks each response. The content type, if there is one, is text/event-stream; a resumed response has the status of the first; ids increase within a response and across them; where they were consecutive so far, a resumed response begins with the next; each of its events has an id. A response without events is an end only if it is declared an event stream and states its end. What fails this is a failed attempt: another may be made, else the stream breaks off. A stream whose last event has no number is not resumed, since a repeat would not show. A caller's own Last-Event-Id counts as received. Events lists all ids in place of the last one; its tests compare all of them. Why it works: every event is checked before its bytes are written, and the last chunk is written only behind the check of the end.

Still open: a gap does not show where ids were not consecutive before the break, or within one response.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/event_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/event_stream.py
@@ -1,9 +1,12 @@
 """Splits a byte stream into complete server-sent events."""
 
 import dataclasses
+import re
 
 _MAX_EVENT_BYTES = 1_048_576
 _ID = b"id:"
+_COMMENT = b":"
+_SEPARATOR = re.compile(rb"\n\n|\r\n\r\n")
 
 
 class EventTooLargeError(Exception):
@@ -16,12 +19,12 @@
 
     Attributes:
         data: Their bytes, unchanged.
-        last_id: The last event ID among them, or empty.
-        count: Number of events.
+        ids: The ID of each event, empty if it has none; comments are left out.
+        count: Number of events and comments.
     """
 
     data: bytes
-    last_id: str
+    ids: tuple[str, ...]
     count: int
 
 
@@ -57,10 +60,11 @@
             raise EventTooLargeError(
                 f"{len(self._partial)} bytes of an incomplete event"
             )
+        blocks = _SEPARATOR.split(complete)[:-1]
         return Events(
             data=complete,
-            last_id=_last_id(complete),
-            count=_count_events(complete),
+            ids=tuple(_event_id(b) for b in blocks if not _is_comment(b)),
+            count=len(blocks),
         )
 
 
@@ -69,12 +73,12 @@
     return 0 if index < 0 else index + len(separator)
 
 
-def _count_events(data: bytes) -> int:
-    return data.count(b"\n\n") + data.count(b"\r\n\r\n")
+def _is_comment(block: bytes) -> bool:
+    return all(line.startswith(_COMMENT) for line in block.splitlines() if line)
 
 
-def _last_id(data: bytes) -> str:
-    for line in reversed(data.splitlines()):
+def _event_id(block: bytes) -> str:
+    for line in reversed(block.splitlines()):
         if line.startswith(_ID):
             return line[len(_ID) :].strip().decode("latin-1")
     return ""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -9,6 +9,7 @@
 from dotterelgrade import http_message
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
+from dotterelgrade_front import event_sequence
 from dotterelgrade_front import event_stream
 from dotterelgrade_front import front_state
 from dotterelgrade_front import responses
@@ -62,7 +63,9 @@
         )
         self._close = close
         self._splitter = event_stream.EventSplitter()
-        self._last_id = ""
+        self._sequence = event_sequence.EventSequence(
+            caller_has=call.facts.last_event_id if call.route.resumable else ""
+        )
         self._head_sent = False
         self._attempt_began_at = call.received_at
         self._first_attempt_at_server = True
@@ -192,7 +195,7 @@
             server_id=chain.first.server_id,
             address=chain.first.address,
             stages=chain.stages,
-            resume_after=self._last_id,
+            resume_after=self._sequence.last_id,
         )
         names = state.platform.headers
         self._repair.charge_link_budget(chain, tokens=call.facts.prompt_tokens)
@@ -219,6 +222,12 @@
             raise upstream.AttemptFailedError(
                 attempt.ExecutionStatus.UNKNOWN, str(error)
             ) from error
+        except event_sequence.BrokenSequenceError as error:
+            raise upstream.AttemptFailedError(
+                attempt.ExecutionStatus.UNKNOWN,
+                str(error),
+                faulty_address=target.address,
+            ) from error
 
     def _relay_response(
         self,
@@ -241,11 +250,12 @@
             )
         )
         if head.status >= 300:
-            return self._forward_error(connection, head)
+            return self._forward_error(connection, head, chain)
         if not facts.sealed:
             raise upstream.AttemptFailedError(
                 attempt.ExecutionStatus.UNKNOWN, "unsealed response"
             )
+        self._sequence.begin(head)
         while True:
             piece = guard.run(
                 lambda deadline: connection.read_piece(deadline=deadline)
@@ -258,16 +268,15 @@
             raise upstream.AttemptFailedError(
                 attempt.ExecutionStatus.UNKNOWN, "stream ended within an event"
             )
+        self._sequence.end(delimited=connection.response_delimited)
         return self._finish(head, chain)
 
     def _forward_error(
         self,
         connection: http_connection.HttpConnection,
         head: http_message.ResponseHead,
+        chain: chain_choice.Chain,
     ) -> str:
-        body = connection.read_body(
-            deadline=self._call.deadline, max_body_bytes=_MAX_BODY_BYTES
-        )
         retryable = self._head_sent or len(self._call.attempts) == 0
         if head.status >= _SERVER_ERROR and retryable:
             raise upstream.AttemptFailedError(
@@ -275,8 +284,13 @@
             )
         if self._head_sent:
             raise upstream.AttemptFailedError(
-                attempt.ExecutionStatus.REFUSED, f"status {head.status}"
+                attempt.ExecutionStatus.UNKNOWN,
+                f"status {head.status}",
+                faulty_address=chain.first.address,
             )
+        body = connection.read_body(
+            deadline=self._call.deadline, max_body_bytes=_MAX_BODY_BYTES
+        )
         responses.send_response(
             self._client,
             head=head.end_to_end(),
@@ -292,6 +306,7 @@
         events = self._splitter.feed(piece)
         if not events.count:
             return False
+        self._sequence.add(events)
         data = responses.encode_chunk(events.data)
         if not self._head_sent:
             data = self._encoded_head(head) + data
@@ -299,7 +314,6 @@
         self._client.write(data)
         self._head_sent = True
         self._pace.record_events(events.count, at=time.monotonic())
-        self._last_id = events.last_id or self._last_id
         return True
 
     def _encoded_head(self, head: http_message.ResponseHead) -> bytes:
@@ -376,7 +390,7 @@
         refusals = call.attempts.count(attempt.ExecutionStatus.REFUSED)
         if refusals >= _MAX_REFUSALS and not self._head_sent:
             return False
-        if self._head_sent and not self._last_id:
+        if not self._sequence.resumable:
             return False
         if call.attempts[-1] is attempt.ExecutionStatus.NEVER_SENT:
             return True
--- a/packages/dotterelgrade-front/tests/test_event_stream.py
+++ b/packages/dotterelgrade-front/tests/test_event_stream.py
@@ -18,24 +18,24 @@
         for number in ids
     )
     splitter = event_stream.EventSplitter()
-    passed, count, last_id, position = b"", 0, "", 0
+    passed, count, found_ids, position = b"", 0, [], 0
     while position < len(stream):
         size = piece_sizes[count % len(piece_sizes)]
         events = splitter.feed(stream[position : position + size])
         position += size
         passed += events.data
         count += events.count
-        last_id = events.last_id or last_id
+        found_ids += events.ids
         assert stream.startswith(passed)
     assert passed == stream
     assert splitter.partial == b""
     assert count == len(ids)
-    assert last_id == (str(ids[-1]) if ids else "")
+    assert found_ids == [str(number) for number in ids]
 
 
 def test_an_incomplete_event_is_buffered():
     splitter = event_stream.EventSplitter()
-    assert splitter.feed(b"id: 1\ndata: x\n\nid: 2\nda").last_id == "1"
+    assert splitter.feed(b"id: 1\ndata: x\n\nid: 2\nda").ids == ("1",)
     assert splitter.partial == b"id: 2\nda"
 
 
@@ -43,3 +43,9 @@
     splitter = event_stream.EventSplitter()
     with pytest.raises(event_stream.EventTooLargeError):
         splitter.feed(b"x" * 2_000_000)
+
+
+def test_comments_have_no_place_among_the_ids():
+    splitter = event_stream.EventSplitter()
+    events = splitter.feed(b": alive\n\nid: 3\ndata: x\n\ndata: y\n\n")
+    assert events.ids == ("3", "")
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -13,6 +13,7 @@
 _RELAY_RUNS = "packages/dotterelgrade-front/tests/test_relay_machine.py"
 _ATTEMPT_RUNS = "packages/dotterelgrade-routing/tests/test_attempt_machine.py"
 _EVENTS_TEST = "packages/dotterelgrade-front/tests/test_event_stream.py"
+_SEQUENCE_TEST = "packages/dotterelgrade-front/tests/test_event_sequence.py"
 _POSITION_TEST = "packages/dotterelgrade-routing/tests/test_feed_position.py"
 _EXCLUSIONS_TEST = "packages/dotterelgrade-routing/tests/test_exclusions.py"
 _LEADERSHIP_TEST = "packages/dotterelgrade-routing/tests/test_leadership.py"
@@ -66,10 +67,42 @@
         name="front-resumes-from-the-start",
         promise=mutant.OWN_ANSWER,
         module="dotterelgrade_front.model_stream",
-        old="            resume_after=self._last_id,",
+        old="            resume_after=self._sequence.last_id,",
         new='            resume_after="",',
         check=mutant.SOAK + "answers_lost,backend_crashes",
     ),
+    mutant.Mutant(
+        name="front-passes-events-twice",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.event_sequence",
+        old="    if number <= last:",
+        new="    if False:",
+        check=_SEQUENCE_TEST,
+    ),
+    mutant.Mutant(
+        name="front-joins-a-gap",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.event_sequence",
+        old="    if position.consecutive and not position.in_response:",
+        new="    if False:",
+        check=_SEQUENCE_TEST,
+    ),
+    mutant.Mutant(
+        name="front-passes-text-in-a-stream",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.event_sequence",
+        old="        if position.resumed or undeclared:",
+        new="        if undeclared:",
+        check=_SEQUENCE_TEST,
+    ),
+    mutant.Mutant(
+        name="front-ends-a-stream-on-nothing",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.event_sequence",
+        old="        if self._position.in_response or (",
+        new="        if True or (",
+        check=_SEQUENCE_TEST,
+    ),
     mutant.Mutant(
         name="front-passes-the-key-on",
         promise=mutant.OWN_ANSWER,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
@@ -250,6 +250,7 @@
         headers = self.answer_headers(
             told, seal=f"{self.server.id}/{told.request_id}"
         )
+        headers.append((b"content-type", b"text/event-stream"))
         head = http_message.ResponseHead(
             status=platform_backends.OK, reason=b"", headers=headers
         )
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -117,6 +117,11 @@
         """Whether any byte of the current response has arrived."""
         return self._any_received
 
+    @property
+    def response_delimited(self) -> bool:
+        """Whether the response states its end, by a length or by chunks."""
+        return self._response is not None and self._response.known_end
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on this connection.
