Take heads that are no response as a failed attempt

Cause: the parser raises HttpParserUpgrade for 101, which is no HttpParserError, so it left every handler of broken connections. Statuses below 200 counted as interim responses, any other three digits as a final one, and the reason phrase was not checked. Ruled out: lengths that are double, conflicting, signed or too long, an empty one, a length beside chunks, a status line cut short, folded or malformed headers, line ends without CR: the parser rejects them. An Upgrade header in a response of another status changes nothing.

Change: 101 and statuses beyond 100 to 599 and control characters in the status line are BrokenConnectionError, as is whatever the parser raises; behind a complete response it only marks surplus bytes. The caller gets 502, or another attempt where that is allowed.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -135,6 +135,14 @@
         new="        status",
         check=_UPSTREAM_TEST,
     ),
+    mutant.Mutant(
+        name="front-waits-behind-a-switch-of-protocols",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade.http_connection",
+        old="        if switched or status not in _STATUSES:",
+        new="        if False:",
+        check=_UPSTREAM_TEST,
+    ),
     mutant.Mutant(
         name="front-takes-older-versions",
         promise=mutant.IN_FORCE,
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -3,6 +3,8 @@
 import collections
 from collections.abc import Iterator
 import contextlib
+import http
+import re
 import time
 
 from gevent import socket
@@ -20,6 +22,8 @@
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 3_000
 _MIN_SOCKET_TIMEOUT_S = 0.001
+_STATUSES = range(100, 600)
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class ConnectError(Exception):
@@ -38,6 +42,10 @@
     """The peer sent nothing within the time limit."""
 
 
+class _InvalidHeadError(Exception):
+    """The parser accepts a head that is none of a response."""
+
+
 class _Response:
     """Collects the parts of a response; the parser calls the `on_` methods."""
 
@@ -72,6 +80,7 @@
         if self.complete:
             return
         status = self.parser.get_status_code()
+        self._check_status_line(status)
         if status < 200:
             self.headers = []
             self._reason = b""
@@ -83,6 +92,14 @@
             self.known_end = True
             self.complete = True
 
+    def _check_status_line(self, status: int) -> None:
+        # No request asks for another protocol.
+        switched = status == http.HTTPStatus.SWITCHING_PROTOCOLS
+        if switched or status not in _STATUSES:
+            raise _InvalidHeadError(f"unexpected status {status}")
+        if _CONTROL_CHARACTER.search(self._reason):
+            raise _InvalidHeadError("control character in the status line")
+
     def on_body(self, piece: bytes) -> None:
         if not self.complete:
             self.pieces.append(piece)
@@ -313,11 +330,15 @@
         self._any_received = True
         try:
             self._response.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             # Bytes after a complete response belong to no request.
             if not self._response.complete:
+                reason = error.__context__ or error
                 raise BrokenConnectionError(
-                    f"{self._address}: {error}"
+                    f"{self._address}: {reason}"
                 ) from error
             self._response.extra_bytes = True
         return len(data)
--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -3,6 +3,8 @@
 
 import gevent
 from gevent import server as gevent_server
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from dotterelgrade import http_connection
@@ -44,6 +46,10 @@
         b"HTTP/1.1 100 Continue\r\n\r\n"
         b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 500 Extra",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 101 Extra\r\n"
+        b"connection: upgrade\r\nupgrade: h2c\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+        b"connection: upgrade\r\nupgrade: h2c\r\n\r\nok",
     ],
 )
 def test_complete_responses(serve, response):
@@ -81,6 +87,13 @@
         b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\no\r\n",
         b"\x00\x01\x02 no answer\r\n\r\n",
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 101 Switch\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n",
+        b"HTTP/1.1 101 Switch\r\n\r\n",
+        b"HTTP/1.1 200 O\x00K\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+        b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
     ],
 )
 def test_incomplete_or_invalid_responses(serve, response):
@@ -88,6 +101,79 @@
         _call(serve(lambda sock: sock.sendall(response)))
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+def test_a_status_without_meaning_is_rejected_at_once(serve, status):
+    """Such a head was passed on, or the rest of the response awaited."""
+
+    def script(sock):
+        sock.sendall(b"HTTP/1.1 " + status + b" Odd\r\n\r\n")
+        gevent.sleep(5)
+
+    with pytest.raises(http_connection.BrokenConnectionError):
+        _call(serve(script))
+
+
+class _Bytes:
+    """A socket that receives given bytes in pieces, then the end."""
+
+    def __init__(self, data, piece_bytes):
+        self._data = data
+        self._piece_bytes = piece_bytes
+
+    def settimeout(self, _):
+        pass
+
+    def sendall(self, _):
+        pass
+
+    def recv(self, *_):
+        piece = self._data[: self._piece_bytes]
+        self._data = self._data[self._piece_bytes :]
+        return piece
+
+
+_FRAGMENTS = (
+    b"HTTP/1.1 ",
+    b"101 Switching Protocols\r\n",
+    b"200 OK\r\n",
+    b"103 Early\r\n\r\n",
+    b"999 Odd\r\n",
+    b"content-length: 2\r\n",
+    b"transfer-encoding: chunked\r\n",
+    b"connection: upgrade\r\n",
+    b"upgrade: h2c\r\n",
+    b"\r\n",
+    b"2\r\nok\r\n0\r\n\r\n",
+    b"ok",
+)
+
+
+@hypothesis.settings(max_examples=500)
+@hypothesis.given(
+    strategies.lists(
+        strategies.sampled_from(_FRAGMENTS) | strategies.binary(max_size=4),
+        max_size=12,
+    ),
+    strategies.sampled_from([1, 7, 1_000]),
+)
+def test_any_bytes_are_a_response_or_a_broken_connection(parts, piece_bytes):
+    """Another exception ended the request of a caller without an answer."""
+    connection = http_connection.HttpConnection(
+        _Bytes(b"HTTP/1.1 " + b"".join(parts), piece_bytes), address="s:1"
+    )
+    try:
+        head, _ = connection.exchange(
+            method=b"GET",
+            target=b"/",
+            headers=[],
+            timeout_s=60.0,
+            max_body_bytes=1_000,
+        )
+    except http_connection.BrokenConnectionError:
+        return
+    assert 200 <= head.status <= 599
+
+
 def test_reset_response_without_length_is_incomplete(serve):
     def script(sock):
         sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nha")
