Check whose response it is before believing a refusal

Cause: the mark for "not run" was read before the id, and so were the notices of leaving and of a retry time, which took a sound server out of use. Evidence: before, 4 tests of test_upstream.py failed: test_a_refusal_of_another_request_does_not_say_that_this_one_has_not_run (503 in place of 502, two servers reached), the same for a stream, and test_notices_in_a_response_to_another_request_are_ignored (leaving, retry time). Ruled out: refusing to believe a refusal without an id. Servers echo the id, but each call has a connection of its own, so such a refusal can only be that of the call; this is kept and has a test.

Change: a response with another id is a failed attempt of unknown outcome, before anything else in it is read.

After: tests of upstream, plain calls and streams: pass; the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -143,7 +143,7 @@
         headers: Parses the headers.
         deadline: Deadline as monotonic time, s.
         on_response: Receives what the backend server reports about itself, also
-            when it refuses the request.
+            when it refuses the request, but not from a response to another one.
 
     Returns:
         The head and the values parsed from it.
@@ -155,6 +155,11 @@
     """
     head = connection.read_head(deadline=deadline)
     facts = headers.read_answer(status=head.status, headers=head.headers)
+    # The connection is new, so that a response without an ID answers the call.
+    if facts.request_id and facts.request_id != call.request_id:
+        raise AttemptFailedError(
+            attempt.ExecutionStatus.UNKNOWN, "response to another request"
+        )
     on_response(facts)
     if facts.not_run:
         raise AttemptFailedError(
@@ -163,8 +168,4 @@
             + (", misdirected" if facts.misdirected else ""),
             faulty_address=facts.faulty_address,
         )
-    if facts.request_id and facts.request_id != call.request_id:
-        raise AttemptFailedError(
-            attempt.ExecutionStatus.UNKNOWN, "response to another request"
-        )
     return head, facts
--- a/packages/dotterelgrade-front/tests/test_upstream.py
+++ b/packages/dotterelgrade-front/tests/test_upstream.py
@@ -40,3 +40,55 @@
     streams.add_chains(front, [_sending(_SWITCH)], [fakes.streaming(1, 4)])
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert (status, body) == (200, streams.events(1, 4))
+
+
+def _refusing_another(rows=b"", *, request_id=b"another"):
+    def script(sock, _):
+        sock.sendall(
+            b"HTTP/1.1 503 Busy\r\nnot-run: 1\r\nrequest-id: "
+            + request_id
+            + b"\r\n"
+            + rows
+            + b"content-length: 0\r\n\r\n"
+        )
+
+    return script
+
+
+def test_a_refusal_of_another_request_does_not_say_that_this_one_has_not_run(
+    front,
+):
+    """The caller was told so, and the call was sent to a second server."""
+    backends = [front.add(name, _refusing_another()) for name in ("p1", "p2")]
+    status, _, body = front.ask("/unsafe/x", method="POST", body=b"p")
+    assert (status, b'"unknown"' in body) == (502, True)
+    assert sum(len(backend.arrivals) for backend in backends) == 1
+
+
+def test_a_refusal_of_another_stream_does_not_say_that_this_one_has_not_run(
+    front,
+):
+    chains = streams.add_chains(
+        front, [_refusing_another()], [_refusing_another()]
+    )
+    assert front.ask("/once/x", method="POST", body=b"p")[0] == 502
+    assert sum(len(chain.arrivals) for chain in chains) == 1
+
+
+@pytest.mark.parametrize("rows", [b"leaving: 1\r\n", b"retry-after: 60\r\n"])
+def test_notices_in_a_response_to_another_request_are_ignored(front, rows):
+    """An old notice took a sound server out of use."""
+    server = front.add("p1", _refusing_another(rows), fakes.responding())
+    assert front.ask("/unsafe/x", method="POST", body=b"p")[0] == 502
+    assert front.ask("/unsafe/x", method="POST", body=b"p")[0] == 200
+    assert len(server.arrivals) == 2
+
+
+def test_a_refusal_without_an_id_answers_the_only_request_of_its_connection(
+    front,
+):
+    refusing = _refusing_another(request_id=b"")
+    backends = [front.add(name, refusing) for name in ("p1", "p2")]
+    status, _, body = front.ask("/unsafe/x", method="POST", body=b"p")
+    assert (status, b'"not_run"' in body) == (503, True)
+    assert sum(len(backend.arrivals) for backend in backends) == 2
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -14,6 +14,7 @@
 _ATTEMPT_RUNS = "packages/dotterelgrade-routing/tests/test_attempt_machine.py"
 _EVENTS_TEST = "packages/dotterelgrade-front/tests/test_event_stream.py"
 _SEQUENCE_TEST = "packages/dotterelgrade-front/tests/test_event_sequence.py"
+_ATTEMPT_TEST = "packages/dotterelgrade-front/tests/test_upstream.py"
 _POSITION_TEST = "packages/dotterelgrade-routing/tests/test_feed_position.py"
 _EXCLUSIONS_TEST = "packages/dotterelgrade-routing/tests/test_exclusions.py"
 _LEADERSHIP_TEST = "packages/dotterelgrade-routing/tests/test_leadership.py"
@@ -55,6 +56,14 @@
         new="    if execution > ExecutionStatus.RAN:",
         check=mutant.SOAK + "answers_lost,backend_reset",
     ),
+    mutant.Mutant(
+        name="front-believes-the-refusal-of-another-request",
+        promise=mutant.NOT_RUN,
+        module="dotterelgrade_front.upstream",
+        old="    if facts.request_id and facts.request_id != call.request_id:",
+        new="    if False:",
+        check=_ATTEMPT_TEST,
+    ),
     mutant.Mutant(
         name="front-passes-torn-events",
         promise=mutant.OWN_ANSWER,
