Ask again on a new connection when a kept one refuses

A duplicate of an earlier refusal that arrives on a kept connection between the check for surplus bytes and the next response is taken for that response. Kept connections carry reports of engines only, which have no id; calls, orders and the store have a connection each. Such a refusal with a retry time held off a sound engine for that time. Evidence: test_refusal_on_a_reused_connection_is_asked_again_on_a_new_one failed before: the refusal was returned. Ruled out: a duplicate of a report. It is as old as the last poll at most, which the pool's users allow for, and the response behind it closes the connection.

Change: a status other than 200 on a kept connection is treated as the loss of that connection; a new one tells what the peer says. A full engine is asked twice at most, since its retry time then holds off the next poll.

After: tests of the pool, the platform's adapter, planner and repair: pass; the new mutant is found.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -248,6 +248,14 @@
         new="",
         check=_CONNECTION_POOL_TEST,
     ),
+    mutant.Mutant(
+        name="kept-connection-with-an-earlier-refusal",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade.connection_pool",
+        old="        if head.status == http.HTTPStatus.OK:",
+        new="        if True:",
+        check=_CONNECTION_POOL_TEST,
+    ),
     mutant.Mutant(
         name="bytes-count-as-events",
         promise=mutant.OWN_ANSWER,
--- a/packages/dotterelgrade/src/dotterelgrade/connection_pool.py
+++ b/packages/dotterelgrade/src/dotterelgrade/connection_pool.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import http
 import time
 
 from dotterelgrade import http_connection
@@ -74,21 +75,17 @@
         """
         reused = self._take(address)
         if reused is not None:
-            try:
-                return self._exchange(
-                    address,
-                    reused,
-                    target=target,
-                    timeout_s=timeout_s * _REUSED_TIMEOUT_SHARE,
-                    max_body_bytes=max_body_bytes,
-                )
-            except (
-                http_connection.BrokenConnectionError,
-                http_connection.ResponseTimeoutError,
-            ):
-                # The connection was lost while idle; retry on a new one, whose
-                # outcome shows whether the peer itself has failed.
-                timeout_s -= timeout_s * _REUSED_TIMEOUT_SHARE
+            reused_timeout_s = timeout_s * _REUSED_TIMEOUT_SHARE
+            response = self._exchange_reused(
+                address,
+                reused,
+                target=target,
+                timeout_s=reused_timeout_s,
+                max_body_bytes=max_body_bytes,
+            )
+            if response is not None:
+                return response
+            timeout_s -= reused_timeout_s
         return self._exchange(
             address,
             http_connection.connect(address, timeout_s=connect_timeout_s),
@@ -97,6 +94,38 @@
             max_body_bytes=max_body_bytes,
         )
 
+    def _exchange_reused(
+        self,
+        address: str,
+        connection: http_connection.HttpConnection,
+        *,
+        target: bytes,
+        timeout_s: float,
+        max_body_bytes: int,
+    ) -> tuple[http_message.ResponseHead, bytes] | None:
+        """Returns the response, or None if a new connection has to confirm it.
+
+        The connection may have been lost while idle, and a failure may be a
+        duplicate of an earlier response.
+        """
+        try:
+            head, body = self._exchange(
+                address,
+                connection,
+                target=target,
+                timeout_s=timeout_s,
+                max_body_bytes=max_body_bytes,
+            )
+        except (
+            http_connection.BrokenConnectionError,
+            http_connection.ResponseTimeoutError,
+        ):
+            return None
+        if head.status == http.HTTPStatus.OK:
+            return head, body
+        self._drop(address)
+        return None
+
     def _exchange(
         self,
         address: str,
@@ -143,6 +172,12 @@
             connection=connection, idle_since=self._clock()
         )
 
+    def _drop(self, address: str) -> None:
+        """Closes the idle connection of an address, if there is one."""
+        idle = self._idle.pop(address, None)
+        if idle is not None:
+            idle.connection.close()
+
     def _close_expired(self) -> None:
         """Closes connections that have been idle for too long.
 
--- a/packages/dotterelgrade/tests/test_connection_pool.py
+++ b/packages/dotterelgrade/tests/test_connection_pool.py
@@ -138,3 +138,24 @@
     peer = start(lambda sock, connection, request: gevent.sleep(5))
     with pytest.raises(http_connection.ResponseTimeoutError):
         _get(connection_pool.ConnectionPool(), peer, timeout_s=0.2)
+
+
+def test_refusal_on_a_reused_connection_is_asked_again_on_a_new_one(start):
+    """The server writes an earlier refusal once more, ahead of its answer."""
+
+    def refusing_again(sock, connection, request):
+        if request > 1:
+            sock.sendall(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
+        _respond(sock, connection, request)
+
+    peer, pool = start(refusing_again), connection_pool.ConnectionPool()
+    assert [_get(pool, peer) for _ in range(2)] == [b"1-1", b"2-1"]
+
+
+def test_refusal_on_a_new_connection_is_returned(start):
+    def refusing(sock, connection, request):
+        sock.sendall(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
+
+    peer, pool = start(refusing), connection_pool.ConnectionPool()
+    assert _get(pool, peer) == b""
+    assert peer.connections == 1
