Reject a deeply nested document instead of ending its reader

Callers saw: processes that read the list of backend servers ended again and again while one entry, written by another program, was nested very deeply.

Cause: each decoder listed the exceptions of its format and none listed RecursionError (a front's early start also not OverflowError, for a port of 99999). The exception left the codec; the reader of the list was restarted, read the newest records, found the same entry and ended again. A report ended its poll, a refused order the reroute of the request.

Ruled out: skipping only the nested field. msgspec gives up in the middle of the document, so nothing says what the rest of it holds.

Change: `decoding.attempt` and `decoding.require` run every decoder and turn whatever it raises into one typed error with a short message. Decoders do no I/O, so any exception is a fault of the data.

--- a/packages/dotterelgrade-front/tests/adapter/test_codec.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_codec.py
@@ -145,6 +145,37 @@
     assert not pipeline.is_successful(decoded)
 
 
+_NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+def _with_nested_field(document):
+    return _to_json(document)[:-1] + b', "note": ' + _NESTED + b"}"
+
+
+@pytest.mark.parametrize(
+    ("decode", "body"),
+    [
+        (codec.decode_configuration, _with_nested_field(_CONFIGURATION)),
+        (
+            codec.decode_configuration,
+            _to_json({**_CONFIGURATION, "routes": []}).replace(
+                b'"routes": []',
+                b'"routes": [' + _with_nested_field(_ROUTE) + b"]",
+            ),
+        ),
+        (
+            lambda body: codec.decode_backend_server(server_id="i", body=body),
+            _with_nested_field(_SERVER),
+        ),
+        (codec.report_of, _with_nested_field({"sequence": 1})),
+    ],
+    ids=["configuration", "route", "backend server", "report"],
+)
+def test_a_deeply_nested_document_is_rejected(decode, body):
+    """A recursion error of the decoder ended the reader of the list."""
+    assert not pipeline.is_successful(decode(body))
+
+
 @hypothesis.given(strategies.binary(max_size=60))
 def test_arbitrary_bytes_are_rejected_without_an_exception(body):
     for decode in (
@@ -175,7 +206,9 @@
         (b"{}", ""),
         (b"", ""),
         (b'{"address": 4}', ""),
+        (_with_nested_field({"address": "10.0.0.1:1"}), ""),
     ],
+    ids=["named", "unnamed", "empty", "odd", "nested"],
 )
 def test_a_refused_order_may_name_the_server_at_fault(body, faulty_address):
     assert codec.faulty_address_of(body) == faulty_address
--- a/packages/dotterelgrade-front/tests/adapter/test_early_start.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_early_start.py
@@ -65,7 +65,16 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["", "[listen]", "listen = 3", "[listen]\nfront = 7\nready = 8", "["],
+    [
+        "",
+        "[listen]",
+        "listen = 3",
+        "[listen]\nfront = 7\nready = 8",
+        "[",
+        "a = " + "[" * 100_000,
+        '[listen]\nfront = "127.0.0.1:99999"\nready = "127.0.0.1:0"',
+    ],
+    ids=["empty", "bare", "number", "numbers", "cut", "nested", "port"],
 )
 def test_invalid_settings_are_ignored(settings_path, text):
     settings_path.write_text(text)
--- a/packages/dotterelgrade-front/tests/adapter/test_store.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_store.py
@@ -138,7 +138,17 @@
         feed.newest()
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"items": 4}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"items": 4}',
+        b'{"items": [], "end": 1, "note": ' + b"[" * 100_000,
+    ],
+    ids=["empty", "cut", "list", "odd", "nested"],
+)
 def test_malformed_responses_are_errors(stub, client, body):
     stub.answers["/log-newest"] = [(200, body)]
     with pytest.raises(platform_port.StoreError):
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_copy.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_copy.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns import result
 
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade_routing import compression
 from dotterelgrade_routing import platform_port
@@ -66,14 +67,7 @@
     Args:
         body: As `encode` has returned it, or anything else.
     """
-    try:
-        return result.Success(_decoder.decode(body))
-    except (msgspec.DecodeError, ValueError) as error:
-        return result.Failure(
-            errors.Error(
-                kind=errors.ErrorKind.RECORD_INVALID, message=str(error)
-            )
-        )
+    return decoding.attempt(_decoder.decode, body, what="copy")
 
 
 def restore(
--- a/packages/dotterelgrade-routing/tests/test_record_copy.py
+++ b/packages/dotterelgrade-routing/tests/test_record_copy.py
@@ -20,6 +20,12 @@
     assert not pipeline.is_successful(record_copy.decode(body))
 
 
+def test_a_deeply_nested_copy_is_rejected():
+    """A recursion error of the decoder ended a front that started."""
+    nested = b"\x81\xa1x" + b"\x91" * 100_000
+    assert not pipeline.is_successful(record_copy.decode(nested))
+
+
 def test_a_copy_with_truncated_contents_is_rejected():
     body = record_copy.encode(_RECORD, end=7, era=2)
     copy = record_copy.decode(body).unwrap()
--- a/packages/dotterelgrade/src/dotterelgrade/early_sockets.py
+++ b/packages/dotterelgrade/src/dotterelgrade/early_sockets.py
@@ -22,13 +22,14 @@
 
     Raises:
         OSError: The address can't be bound.
+        OverflowError: There is no such port.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
         sock.listen(_MAX_QUEUED_CONNECTIONS)
-    except OSError:
+    except BaseException:
         sock.close()
         raise
     _sockets[host, port] = sock
