Reject documents with values out of range at the boundary

Callers saw: an entry of the list with port 99999, without a host, with a line break in its address or under its key, with 10^30 slots or layers up to 10^9 was taken for a backend server, listed, chosen, tried and excluded. A start time of 10^30 ms could not be encoded for the other fronts, and a model with layers of no size ended the planner with a division by zero.

Cause: the decoders checked types, and of an address only that it has a colon.

Decided by field: an entry names a backend server to use only as a whole, so one odd field that is used rejects it. A measured value a little below zero counts as zero; the address in a refused order is dropped.

--- a/packages/dotterelgrade-front/tests/adapter/test_codec.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_codec.py
@@ -138,6 +138,69 @@
     assert not pipeline.is_successful(decoded)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:-1"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:" + "9" * 5000},
+        {"address": "10.0.0.1:x"},
+        {"address": "10.0.0.1:"},
+        {"address": "10.0.0.1:\u0663\u0663"},
+        {"address": "10.0.0.1: 80"},
+        {"address": ":80"},
+        {"address": "host-1:80"},
+        {"address": "10.0.0.1.9:80"},
+        {"address": "0.0.0.0:80"},
+        {"address": "255.255.255.255:80"},
+        {"address": "10.0.0.1\r\nX: y:80"},
+        {"address": "10.0.0.1:80\n"},
+        {"slots": -5},
+        {"slots": 10**30},
+        {"layers": {"from": -5, "target": 9}},
+        {"layers": {"from": 0, "target": 10**9}},
+        {"born": -1},
+        {"born": 2**63},
+        {"sequence": 10**30},
+    ],
+    ids=lambda change: repr(change)[:40],
+)
+def test_a_registration_out_of_range_names_no_server(change):
+    """A port, address or count out of range was listed, chosen and excluded."""
+    body = _to_json({**_SERVER, **change})
+    decoded = codec.decode_backend_server(server_id="i", body=body)
+    assert not pipeline.is_successful(decoded)
+
+
+@pytest.mark.parametrize("server_id", ["", "i 1", "i\r\nx: y", "\ufffd"])
+def test_a_registration_under_an_odd_key_names_no_server(server_id):
+    """The key is sent as a header; a line break in it adds a header."""
+    decoded = codec.decode_backend_server(
+        server_id=server_id, body=_to_json(_SERVER)
+    )
+    assert not pipeline.is_successful(decoded)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("version", 10**30),
+        ("tenants", [{"name": "t\r\nx: y", "api_keys": ["k"]}]),
+        ("services", [{"name": "m", "engine": {**_ENGINE, "layers": 10**9}}]),
+        ("services", [{"name": "m", "engine": {**_ENGINE, "layer_mb": 0}}]),
+        ("services", [{"name": "m", "engine": {**_ENGINE, "step_ms": -1}}]),
+        ("routes", [{**_ROUTE, "timeout_ms": -1}]),
+        ("routes", [{**_ROUTE, "timeout_ms": 1e300}]),
+        ("routes", [{**_ROUTE, "max_attempts": 10**30}]),
+    ],
+)
+def test_a_configuration_out_of_range_is_rejected(field, value):
+    """A model with 10^9 layers, or layers of no size, ended the planner."""
+    body = _to_json({**_CONFIGURATION, field: value})
+    assert not pipeline.is_successful(codec.decode_configuration(body))
+
+
 @pytest.mark.parametrize("field", ["service", "address", "zone", "slots"])
 def test_a_registration_without_a_required_field_is_rejected(field):
     body = _to_json({k: v for k, v in _SERVER.items() if k != field})
@@ -199,6 +262,31 @@
     assert report.stalled == {"r": "10.0.0.2:80"}
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("sequence", -1),
+        ("sequence", 10**30),
+        ("waiting", 10**30),
+        ("kv_used", 1e300),
+        ("pace", 1e300),
+        ("born", 10**30),
+        ("layers", {"from": 0, "target": 10**9}),
+        ("layers", {"from": -5, "target": 9}),
+    ],
+)
+def test_a_report_out_of_range_is_rejected(field, value):
+    """A start time of 10^30 could not be sent to the other fronts."""
+    body = _to_json({"sequence": 1, field: value})
+    assert not pipeline.is_successful(codec.report_of(body))
+
+
+def test_a_measured_value_below_zero_counts_as_zero():
+    body = b'{"sequence":1,"kv_used":-0.5,"kv_total":-1,"pace":-1}'
+    report = codec.report_of(body).unwrap()
+    assert (report.used, report.total, report.slowness) == (0, 0, 0)
+
+
 @pytest.mark.parametrize(
     ("body", "faulty_address"),
     [
@@ -206,9 +294,10 @@
         (b"{}", ""),
         (b"", ""),
         (b'{"address": 4}', ""),
+        (b'{"address": "10.0.0.1:99999"}', ""),
         (_with_nested_field({"address": "10.0.0.1:1"}), ""),
     ],
-    ids=["named", "unnamed", "empty", "odd", "nested"],
+    ids=["named", "unnamed", "empty", "odd", "no port", "nested"],
 )
 def test_a_refused_order_may_name_the_server_at_fault(body, faulty_address):
     assert codec.faulty_address_of(body) == faulty_address
