Reject answers of the store with offsets that no frame can carry

A record shorter than the key that it announces was taken for the removal of the entry with the beginning of that key.

Base64 that can't be decoded was rejected already.

A record shorter than its key names no entry, but takes up its offset.

--- a/packages/dotterelgrade-front/tests/adapter/test_store.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_store.py
@@ -155,6 +155,35 @@
         store.KeyedFeed(client, topic="t").newest()
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        json.dumps({"items": [], "end": 2**70}).encode(),
+        json.dumps({"items": [_item("a", b"x", -1)], "end": 1}).encode(),
+        b'{"items": [{"key": "a", "offset": 0, "value": "?"}], "end": 1}',
+    ],
+    ids=["large end", "negative offset", "no base64"],
+)
+def test_a_page_with_odd_values_is_an_error(stub, client, body):
+    stub.answers["/log-newest"] = [(200, body)]
+    with pytest.raises(platform_port.StoreError):
+        store.KeyedFeed(client, topic="t").newest()
+
+
+def test_offsets_that_no_frame_can_carry_are_an_error(stub, client):
+    """Offsets beyond 64 bits could not be relayed, and ended the planner."""
+    stub.answers["/log-read"] = [(200, _read(2**64 - 1, 2**64 - 1))]
+    with pytest.raises(platform_port.StoreError):
+        _read_from_5(store.KeyedFeed(client, topic="t"))
+
+
+def test_a_record_shorter_than_its_key_names_no_entry():
+    """Its beginning was taken for the key of an entry to remove."""
+    body = struct.pack(">I", 4) + b"\x20abc"
+    (record,) = store.split_records(body, offset=7)
+    assert (record.key, record.value, record.offset) == ("", b"", 7)
+
+
 def test_an_unreachable_store_is_an_error():
     feed = store.KeyedFeed(store.StoreClient("127.0.0.1:1"), topic="t")
     with pytest.raises(platform_port.StoreError):
