--- a/packages/dotterelgrade-front/tests/adapter/test_headers.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_headers.py
@@ -62,6 +62,13 @@
     assert facts.prompt_tokens == 0
 
 
+def test_a_stated_number_of_tokens_is_bounded():
+    """The sum of all reservations did not fit into a frame of the planner."""
+    counts = [(b"x-dotterelgrade-token-counts", b"1e300,1e300")]
+    facts = headers.read_request(counts)
+    assert round(facts.prompt_tokens + facts.max_answer_tokens) < 2**53
+
+
 def test_the_fronts_headers_replace_the_clients():
     sent = dict(
         headers.write_request(
