Check the ports and amounts of the settings file

Cause: a port was any text of digits, and a duration could be `nan` or `inf`, which TOML allows. The front then failed later, without naming the setting.

Evidence, before the change: test_an_invalid_file_is_rejected_with_a_reason failed for a port of 99999, one of -7340, and a grace period of nan and inf.

Change: the file's numbers have the bounds of all documents, its addresses those of the list of backend servers.

After: test_settings_file passes.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dotterelgrade import addresses
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import relay_encoding as relay_encoding_lib
@@ -60,9 +61,7 @@
         relay_encoding_lib.ENCODINGS.make(self.relay_encoding)
         silence_bounds.BOUNDS.make(self.silence_bound)
         for address in (self.callers_address, self.ready_address):
-            host, _, port = address.rpartition(":")
-            if not host or not port.isdigit():
-                raise ValueError(f"expected IP:PORT, got {address!r}")
+            addresses.validate(address)
 
     @property
     def strong(self) -> bool:
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -47,9 +47,23 @@
         "node = ",
         _FILE.replace('"10.1.0.40:8227"', "5"),
         _FILE.replace("10.1.0.40:8220", "nowhere"),
+        _FILE.replace("10.1.0.40:8220", "10.1.0.40:99999"),
+        _FILE.replace("[7340, 7355]", "[-7340, 7355]"),
+        _FILE.replace("grace_s = 8", "grace_s = nan"),
+        _FILE.replace("grace_s = 8", "grace_s = inf"),
         _FILE.replace("a_new_field = 1", "a = " + "[" * 100_000),
     ],
-    ids=["empty", "cut", "number", "no port", "nested"],
+    ids=[
+        "empty",
+        "cut",
+        "number",
+        "no port",
+        "large port",
+        "negative port",
+        "not a number",
+        "infinite",
+        "nested",
+    ],
 )
 def test_an_invalid_file_is_rejected_with_a_reason(tmp_path, text):
     path = tmp_path / "local.toml"
