Skip a record that raises, and go on with the others

Callers saw: processes that read the list of backend servers ended again and again, or stopped following it, because of one entry.

Cause: the follower passed records to its sink in one loop. An exception on one record ended the follower; restarted after a second, it read the newest records with the same entry among them. Relayed records ended the link to the planner in the same way, and records that the planner could not encode for the other fronts its own reading.

Evidence, before the change, each with the exception of the record: test_record_on_which_a_sink_fails_stops_no_other, test_records_that_cannot_be_relayed_are_followed_all_the_same and test_relayed_record_on_which_a_sink_fails_stops_no_other failed. test_entry_that_turns_odd_names_no_server_until_the_next_good_one passed before; no test covered it.

Ruled out: catching it in the follower's loop. The records after the odd one would be left out, and its position would be before them.

Change: records are applied one by one; one that raises is logged as `record_failed` and skipped. Relaying that fails is logged as `relay_failed`; the other fronts see from the planner's position that they miss records, and read the store.

After: test_feed_follower and test_feed_follower_relay pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_follower.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade_front import guarded_records
 from dotterelgrade_front import peer_frames
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import feed_position
@@ -252,8 +253,8 @@
         )
 
     def _apply_page(self, page: platform_port.Page) -> None:
+        guarded_records.apply_each(page.records, self._sink.apply)
         for record in page.records:
-            self._sink.apply(record)
             self._latest.note(record)
         self._position.advance(page.end, era=page.era)
 
@@ -324,11 +325,21 @@
             return
         changed = bool(unknown.page.records)
         if changed and self._on_page is not None:
-            self._on_page(unknown.start, unknown.page, unknown.bases)
+            self._pass_on(unknown)
         self._apply_pending()
         if changed:
             gevent.sleep(self._current_batch_delay_s())
 
+    def _pass_on(self, unknown: _UnknownRecords) -> None:
+        """Passes records on; fronts that don't get them read the store."""
+        try:
+            self._on_page(unknown.start, unknown.page, unknown.bases)
+        except Exception:
+            _LOG.exception(
+                "relay_failed",
+                extra={"feed": repr(self._feed), "end": unknown.page.end},
+            )
+
     def _read_newest(self) -> _UnknownRecords | None:
         """Returns the newest records of all keys, unless they are outdated."""
         asked_at = time.monotonic()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_sinks.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_sinks.py
@@ -1,10 +1,12 @@
 """Applies records of the store to the state of the front."""
 
+import functools
 import time
 
 from returns import result
 
 from dotterelgrade_front import front_state
+from dotterelgrade_front import guarded_records
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import platform_port
@@ -23,8 +25,7 @@
 
     def replace_all(self, page: platform_port.Page) -> None:
         """Applies the newest record of every key."""
-        for record in page.records:
-            self.apply(record)
+        guarded_records.apply_each(page.records, self.apply)
 
     def apply(self, record: platform_port.Record) -> None:
         """Applies one record."""
@@ -98,8 +99,9 @@
             known_offset = self._offsets.get(server.id, -1)
             if server.id not in present and known_offset < page.end:
                 self._remove(server.id)
-        for record in page.records:
-            self._apply(record, copied=restored)
+        guarded_records.apply_each(
+            page.records, functools.partial(self._apply, copied=restored)
+        )
 
     def apply(self, record: platform_port.Record) -> None:
         """Applies one record."""
--- a/packages/dotterelgrade-front/tests/test_feed_follower.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower.py
@@ -111,6 +111,77 @@
     assert [server.id for server in follow.fleet.servers] == ["s"]
 
 
+def _fail_on(state, body):
+    """Makes the decoder raise an exception for one record."""
+    documents = state.platform.documents
+    decode = documents.decode_backend_server
+
+    def decode_others(*, server_id, body):
+        if body == b"odd":
+            raise ArithmeticError("odd record")
+        return decode(server_id=server_id, body=body)
+
+    documents.decode_backend_server = decode_others
+    return body
+
+
+def test_record_on_which_a_sink_fails_stops_no_other(
+    front, put_server_document, caplog
+):
+    """The reader of the list ended at the record, and again when restarted."""
+    state = front.state
+    feed = state.platform.backend_servers
+    odd = _fail_on(state, b"odd")
+    for name in ("a", "z", "later"):
+        put_server_document(state, name)
+    for key, body in (("a", b"a"), ("m", odd), ("z", b"z")):
+        feed.add(key, body)
+    follower = feed_fakes.server_follower(state)
+    running = gevent.spawn(follower.run)
+    feed_fakes.wait_until(lambda: follower.end == 3)
+    assert {s.id for s in state.fleet.servers} == {"a", "z"}
+    feed.add("n", odd)
+    feed.add("later", b"later")
+    feed_fakes.wait_until(lambda: state.fleet.get("later") is not None)
+    assert not running.ready()
+    running.kill()
+    failed = [r for r in caplog.records if r.message == "record_failed"]
+    assert [(r.key, r.offset) for r in failed] == [("m", 1), ("n", 3)]
+
+
+def test_records_that_cannot_be_relayed_are_followed_all_the_same(
+    front, put_server_document, caplog
+):
+    """The other fronts read the store when they miss what it does not relay."""
+
+    def fail(*_):
+        raise OverflowError("integer out of range")
+
+    state = front.state
+    put_server_document(state, "s")
+    state.platform.backend_servers.add("s", b"s")
+    follower = feed_fakes.server_follower(state, on_page=fail)
+    running = gevent.spawn(follower.run)
+    feed_fakes.wait_until(lambda: state.fleet.get("s") is not None)
+    gevent.sleep(0.05)
+    assert not running.ready()
+    running.kill()
+    assert "relay_failed" in [record.message for record in caplog.records]
+
+
+def test_entry_that_turns_odd_names_no_server_until_the_next_good_one(
+    follow, put_server_document
+):
+    feed = follow.platform.backend_servers
+    put_server_document(follow, "s")
+    feed.add("s", b"s")
+    feed_fakes.wait_until(lambda: follow.fleet.get("s") is not None)
+    feed.add("s", b"odd")
+    feed_fakes.wait_until(lambda: follow.fleet.get("s") is None)
+    feed.add("s", b"s")
+    feed_fakes.wait_until(lambda: follow.fleet.get("s") is not None)
+
+
 def test_removed_entry_leaves_the_fleet(follow, put_server_document):
     feed = follow.platform.backend_servers
     put_server_document(follow, "s")
--- a/packages/dotterelgrade-front/tests/test_feed_follower_relay.py
+++ b/packages/dotterelgrade-front/tests/test_feed_follower_relay.py
@@ -57,6 +57,33 @@
     running.kill()
 
 
+def test_relayed_record_on_which_a_sink_fails_stops_no_other(
+    front, follower, caplog
+):
+    """It ended the link to the planner, which sent the record again."""
+    feed, follower = follower
+    feed.add("config", b"v1")
+    running = gevent.spawn(follower.run)
+    feed_fakes.wait_until(lambda: follower.end == 1)
+    state = front.state
+    decode = state.platform.documents.decode_configuration
+
+    def decode_others(body):
+        if body == b"odd":
+            raise ArithmeticError("odd record")
+        return decode(body)
+
+    state.platform.documents.decode_configuration = decode_others
+    records = tuple(
+        platform_port.Record(key="config", value=value, offset=offset)
+        for offset, value in ((1, b"odd"), (2, b"v3"))
+    )
+    follower.apply_relayed(1, platform_port.Page(records=records, end=3))
+    assert state.configuration.version == 3
+    assert "record_failed" in [record.message for record in caplog.records]
+    running.kill()
+
+
 def test_relayed_records_after_a_gap_are_ignored(front, follower):
     _, follower = follower
     page = platform_port.Page(
