Log an entry that can't be used once while it stays so

Evidence, before the change: the three tests of test_feed_sinks failed (test_odd_entry_that_repeats_is_logged_once, test_entry_that_turns_odd_again_is_logged_again, test_removal_of_an_unknown_entry_is_not_logged).

Change: a rejection is recorded when its reason is new for the key; the memory of that is bounded. The removal of an entry that was no server is not recorded.

After: test_feed_sinks and test_feed_follower pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/feed_sinks.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/feed_sinks.py
@@ -11,6 +11,9 @@
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import platform_port
 
+# Entries of other programs that are remembered as logged.
+_MAX_REJECTIONS = 1024
+
 
 class ConfigurationSink:
     """Keeps the newest configuration, and ignores older versions."""
@@ -84,6 +87,7 @@
         """
         self._state = state
         self._offsets: dict[str, int] = {}
+        self._rejections: dict[str, str] = {}
         self._era: int | None = None
 
     def replace_all(self, page: platform_port.Page) -> None:
@@ -112,6 +116,7 @@
             return
         self._offsets[record.key] = record.offset
         if not record.value:
+            self._rejections.pop(record.key, None)
             self._remove(record.key)
             return
         documents = self._state.platform.documents
@@ -119,13 +124,12 @@
             server_id=record.key, body=record.value
         )
         if isinstance(decoded, result.Success):
+            self._rejections.pop(record.key, None)
             self._put(decoded.unwrap(), copied=copied)
             return
-        self._state.decisions.record(
-            "backend_server_rejected",
-            reason=decoded.failure().message,
-            server=record.key,
-        )
+        self._note_rejection(record.key, decoded.failure().message)
+        # An entry that can't be used names no server, also if an earlier one
+        # of its key did.
         self._remove(record.key)
 
     def note_contact(self, *, heard_at: float) -> None:
@@ -143,6 +147,17 @@
         """Notes that the store is unreachable only from this front."""
         self._state.fleet.note_contact(now=at)
 
+    def _note_rejection(self, server_id: str, reason: str) -> None:
+        """Records why an entry can't be used, once while it stays so."""
+        if self._rejections.get(server_id) == reason:
+            return
+        if len(self._rejections) >= _MAX_REJECTIONS:
+            del self._rejections[next(iter(self._rejections))]
+        self._rejections[server_id] = reason
+        self._state.decisions.record(
+            "backend_server_rejected", reason=reason, server=server_id
+        )
+
     def _put(
         self, server: backend_server.BackendServer, *, copied: bool
     ) -> None:
@@ -166,7 +181,10 @@
         )
 
     def _remove(self, server_id: str) -> None:
+        known = self._state.fleet.get(server_id) is not None
         gone = self._state.fleet.remove(server_id, now=time.monotonic())
+        if not known:
+            return
         self._state.decisions.record(
             "backend_server_gone" if gone else "backend_server_missing",
             reason="list entry removed",
