Cut the layers of an engine to those of its model

Cause: an engine that states layers beyond the model's end was never used for the last layers, since no chain ended there, and the figures of each layer were counted to the end of its range.

Evidence, before the change: test_layers_beyond_the_model_are_not_used found no chain, though an engine held every layer; test_layers_beyond_the_model_count_for_nothing saw 60,000 layers at risk instead of 8.

Change: ranges are cut where engines become candidates for chains and for placement; an engine without a layer of the model is none.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/chain_directory.py
@@ -219,7 +219,8 @@
         engine: configuration.Engine,
         server: backend_server.BackendServer,
     ) -> chain_choice.Holder | None:
-        layers = self._fleet.layers_of(server)
+        held = self._fleet.layers_of(server)
+        layers = None if held is None else held.within(engine.all_layers())
         accelerator = engine.accelerator(server.accelerator)
         if layers is None or accelerator is None:
             return None
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -304,6 +304,8 @@
             layers = server.layers
         else:
             return None
+        if layers is not None:
+            layers = layers.within(service.engine.all_layers())
         # Without a report, only an empty engine is known to have no orders.
         reported = tracked.report is not None or layers is None
         return placement_policies.Candidate(
--- a/packages/dotterelgrade-front/tests/test_chain_directory.py
+++ b/packages/dotterelgrade-front/tests/test_chain_directory.py
@@ -66,6 +66,15 @@
     assert first not in _first_ids(front)
 
 
+def test_layers_beyond_the_model_are_not_used(front):
+    """No chain ended at the last layer, so that the engine was never used."""
+    front.add("wide", fakes.silent, service="model", layers=(0, 60_000))
+    front.add("beyond", fakes.silent, service="model", layers=(9, 12))
+    (chain,) = _offer(front).chains
+    (stage,) = chain.stages
+    assert (stage.server_id, repr(stage.layers)) == ("wide", "0-8")
+
+
 def test_busy_engine_is_used_if_no_other_holds_its_layers(front):
     """Streams that fail over to a domain fill its only holder of a layer."""
     front.add("only", fakes.silent, service="model", layers=(0, 8))
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -271,6 +271,22 @@
     assert planner.tracked_engine(server).missed_polls == 0
 
 
+def test_layers_beyond_the_model_count_for_nothing(front, planner):
+    """The figures of each layer were counted to the end of the range."""
+    engines = _add_engines(front, count=1)
+    address = front.state.fleet.get("e0").address
+    engines.reports[address] = dataclasses.replace(
+        fakes.REPORT, layers=layer_range.LayerRange(0, 60_000), orders=1
+    )
+    planner.tick()
+    (row,) = [
+        row.details["single_holder"]
+        for row in front.state.decisions.journal.latest(100)
+        if row.decision == "layers_at_risk"
+    ]
+    assert row == {"e0": [f"0-{fakes.ENGINE.layers}"]}
+
+
 def test_layers_with_a_single_holder_are_recorded_once(front, planner):
     """One of two holders crashes."""
     engines = _add_engines(front, count=2)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/layer_range.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/layer_range.py
@@ -32,6 +32,13 @@
         """Returns how many layers both ranges hold."""
         return max(0, min(self.end, other.end) - max(self.first, other.first))
 
+    def within(self, whole: "LayerRange") -> "LayerRange | None":
+        """Returns the part of the range that lies in another, or None."""
+        part = LayerRange(
+            max(self.first, whole.first), min(self.end, whole.end)
+        )
+        return part if len(part) else None
+
 
 def gaps(
     whole: LayerRange, ranges: Iterable[LayerRange]
--- a/packages/dotterelgrade-routing/tests/test_layer_range.py
+++ b/packages/dotterelgrade-routing/tests/test_layer_range.py
@@ -1,5 +1,6 @@
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from dotterelgrade_routing import layer_range
 
@@ -32,3 +33,19 @@
     assert one.overlap(layer_range.LayerRange(8, 10)) == 0
     assert one.covers(layer_range.LayerRange(2, 8))
     assert not one.covers(layer_range.LayerRange(1, 8))
+
+
+@pytest.mark.parametrize(
+    ("held", "kept"),
+    [
+        ((2, 8), (2, 8)),
+        ((-5, 3), (0, 3)),
+        ((15, 10**9), (15, 20)),
+        ((20, 30), None),
+        ((-9, 0), None),
+    ],
+)
+def test_a_range_is_cut_to_another_one(held, kept):
+    whole = layer_range.LayerRange(0, 20)
+    expected = None if kept is None else layer_range.LayerRange(*kept)
+    assert layer_range.LayerRange(*held).within(whole) == expected
