Bound what a copy and a relayed page may grow to

Callers saw nothing; found after the report on odd entries.

Cause: each compressed record was limited to 16 MB, the records of a page together were not: a few kilobytes could hold gigabytes. The offsets of a copy became the position of the front that read it, also below zero.

Evidence, before the change: test_records_that_grow_beyond_the_limit_together_are_rejected decoded 144 MB; test_a_copy_with_odd_offsets_is_rejected (3 cases) took the copy.

Change: a page holds at most 64 MB, four times the longest record; the list of 12,000 backend servers takes about 4 MB. Offsets are counts.

After: test_record_copy, test_record_delta and test_relay_encoding pass.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_copy.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_copy.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns import result
 
+from dotterelgrade import bounded
 from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade_routing import compression
@@ -33,8 +34,8 @@
     """
 
     key: str
-    offset: int
-    end: int
+    offset: bounded.Count
+    end: bounded.Count
     era: int
     compressed: bytes
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/relay_encoding.py
@@ -11,6 +11,7 @@
 
 from returns import result
 
+from dotterelgrade import bounded
 from dotterelgrade import errors
 from dotterelgrade import registry
 from dotterelgrade_routing import compression
@@ -18,6 +19,9 @@
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import record_delta
 
+# All records of a page; a few kilobytes can hold compressed gigabytes.
+MAX_PAGE_BYTES = 4 * compression.MAX_RECORD_BYTES
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EncodedRecord:
@@ -32,7 +36,7 @@
     """
 
     key: str
-    offset: int
+    offset: bounded.Count
     value: bytes = b""
     compressed: bool = False
     delta: record_delta.Delta | None = None
@@ -166,10 +170,14 @@
     """
     latest = dict(bases)
     decoded = []
+    size = 0
     for record in records:
         value = _decode(record, latest.get(record.key))
         if isinstance(value, result.Failure):
             return value
+        size += len(value.unwrap())
+        if size > MAX_PAGE_BYTES:
+            return result.Failure(_too_long(record))
         latest[record.key] = value.unwrap()
         decoded.append(
             platform_port.Record(
@@ -191,6 +199,14 @@
     return decoded.alt(lambda error: _with_position(error, record))
 
 
+def _too_long(record: EncodedRecord) -> errors.Error:
+    error = errors.Error(
+        kind=errors.ErrorKind.RECORD_INVALID,
+        message=f"page longer than {MAX_PAGE_BYTES} bytes",
+    )
+    return _with_position(error, record)
+
+
 def _with_position(error: errors.Error, record: EncodedRecord) -> errors.Error:
     """Returns the error with the record that it concerns."""
     position = f"record {record.key!r} at {record.offset}"
--- a/packages/dotterelgrade-routing/tests/test_record_copy.py
+++ b/packages/dotterelgrade-routing/tests/test_record_copy.py
@@ -1,5 +1,9 @@
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
+import msgspec
+import pytest
 from returns import pipeline
 
 from dotterelgrade_routing import platform_port
@@ -26,6 +30,17 @@
     assert not pipeline.is_successful(record_copy.decode(nested))
 
 
+@pytest.mark.parametrize(
+    "change", [{"offset": -1}, {"end": -1}, {"end": 2**64 - 1}], ids=str
+)
+def test_a_copy_with_odd_offsets_is_rejected(change):
+    """Its end became the position of the front that read it."""
+    body = record_copy.encode(_RECORD, end=7, era=2)
+    copy = dataclasses.replace(record_copy.decode(body).unwrap(), **change)
+    odd = record_copy.decode(msgspec.msgpack.encode(copy))
+    assert not pipeline.is_successful(odd)
+
+
 def test_a_copy_with_truncated_contents_is_rejected():
     body = record_copy.encode(_RECORD, end=7, era=2)
     copy = record_copy.decode(body).unwrap()
--- a/packages/dotterelgrade-routing/tests/test_relay_encoding.py
+++ b/packages/dotterelgrade-routing/tests/test_relay_encoding.py
@@ -4,6 +4,7 @@
 import pytest
 from returns import pipeline
 
+from dotterelgrade_routing import compression
 from dotterelgrade_routing import latest_records
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import relay_encoding
@@ -107,3 +108,15 @@
     )
     decoded = relay_encoding.decode_all([broken], bases={})
     assert "record 'config' at 1" in decoded.failure().message
+
+
+def test_records_that_grow_beyond_the_limit_together_are_rejected():
+    """A page of a few kilobytes can hold many records of 16 MB."""
+    bomb = relay_encoding.EncodedRecord(
+        key="config",
+        offset=1,
+        value=compression.compress(bytes(compression.MAX_RECORD_BYTES)),
+        compressed=True,
+    )
+    decoded = relay_encoding.decode_all([bomb] * 9, bases={})
+    assert "longer than" in decoded.failure().message
