Reject frames with numbers that the planner can't add up

Cause: a front's reservation that is not finite, or a start time beyond 64 bits, passed the check of types.

Change: numbers in frames of fronts have bounds. An age may be infinite, as planners of earlier builds send it. Frames are decoded by the common rule.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from dotterelgrade import bounded
 from dotterelgrade import frame_codec
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import relay_encoding
@@ -25,13 +26,13 @@
         end: Offset after the last record read.
         era: Era of the store to which the offset belongs.
         age_s: Time since all records acknowledged by the store were certainly
-            before that offset, s.
+            before that offset, s; infinite if it has not read the feed.
     """
 
     feed: FeedName
-    end: int
+    end: bounded.Count
     era: int
-    age_s: float
+    age_s: bounded.SignedNumber
 
 
 @frame_codec.frame
@@ -48,8 +49,8 @@
     """
 
     feed: FeedName
-    start: int
-    end: int
+    start: bounded.Count
+    end: bounded.Count
     era: int
     records: list[platform_port.Record]
 
@@ -69,8 +70,8 @@
     """
 
     feed: FeedName
-    start: int | None
-    end: int
+    start: bounded.Count | None
+    end: bounded.Count
     era: int
     records: list[relay_encoding.EncodedRecord]
 
@@ -92,12 +93,12 @@
         reads_changes: Whether it reads `RelayedChanges`; older builds don't.
     """
 
-    number: int
-    reserved: dict[str, float]
+    number: bounded.Count
+    reserved: dict[str, bounded.Amount]
     excluded: list[str]
     refusing: list[str]
-    leaving: dict[str, int]
-    store_silent_s: float
+    leaving: dict[str, bounded.UnixMs]
+    store_silent_s: bounded.Amount
     strong: bool
     reads_changes: bool = False
 
@@ -118,10 +119,10 @@
     """
 
     id: str
-    started_ms: int
-    first: int
-    end: int
-    slowness: float
+    started_ms: bounded.UnixMs
+    first: bounded.Layer
+    end: bounded.Layer
+    slowness: bounded.Amount
     loading: bool
     silent: bool
 
@@ -146,11 +147,11 @@
         feeds: The planner's positions in the feeds of the store.
     """
 
-    reserved: dict[str, int]
+    reserved: dict[str, bounded.Count]
     servers: list[SeenServer]
     fronts: list[str]
     refusing: list[str]
-    leaving: dict[str, int]
+    leaving: dict[str, bounded.UnixMs]
     feeds: list[FeedProgress]
 
 
@@ -165,7 +166,7 @@
         number: Number of the front's report.
     """
 
-    number: int
+    number: bounded.Count
 
 
 @frame_codec.frame
--- a/packages/dotterelgrade-front/tests/test_planner_link.py
+++ b/packages/dotterelgrade-front/tests/test_planner_link.py
@@ -85,10 +85,8 @@
     running.kill()
 
 
-def _exchange(front, follower, monkeypatch, connection):
-    """Starts a link that exchanges loads over a scripted connection."""
-    monkeypatch.setattr(planner_link.wire, "dial", lambda *_, **__: connection)
-    link = planner_link.PlannerLink(
+def _make_link(front, follower):
+    return planner_link.PlannerLink(
         front.state,
         identity=handshake.ProcessIdentity(
             process="p",
@@ -101,6 +99,12 @@
         leadership=leadership.Leadership("127.0.0.1:2"),
         followers={peer_frames.FeedName.CONFIGURATIONS: follower},
     )
+
+
+def _exchange(front, follower, monkeypatch, connection):
+    """Starts a link that exchanges loads over a scripted connection."""
+    monkeypatch.setattr(planner_link.wire, "dial", lambda *_, **__: connection)
+    link = _make_link(front, follower)
     return gevent.spawn(link._exchange, _PLANNER)
 
 
@@ -123,3 +127,26 @@
     gevent.sleep(0.6)
     assert (feed.reads > reads) == reads_itself
     exchange.kill()
+
+
+@pytest.mark.parametrize(
+    "planner",
+    [
+        "127.0.0.1:99999",
+        "127.0.0.1:-1",
+        "127.0.0.1:" + "9" * 5000,
+        ":80",
+        "nowhere",
+        "\x00:80",
+        "\ufffd:80",
+    ],
+    ids=lambda planner: repr(planner)[:24],
+)
+def test_a_planner_without_a_usable_address_is_unreachable(
+    front, follower, planner
+):
+    """An odd election record ended the link again and again."""
+    link = _make_link(front, follower)
+    assert not link._exchange(planner)
+    entries = front.state.decisions.journal.latest(50)
+    assert "planner_unreachable" in [entry.decision for entry in entries]
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from dotterelgrade import bounded
 from dotterelgrade import errors
 from dotterelgrade import http_message
 from dotterelgrade_routing import backend_server
@@ -62,7 +63,7 @@
 
     key: str
     value: bytes
-    offset: int
+    offset: bounded.Count
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/dotterelgrade/src/dotterelgrade/bounded.py
+++ b/packages/dotterelgrade/src/dotterelgrade/bounded.py
@@ -30,6 +30,8 @@
 Amount = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AMOUNT)]
 # Of a value that is measured, and may be off a little below zero.
 Measured = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+# Also infinite, but never no number.
+SignedNumber = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT)]
 DurationMs = Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_DURATION_MS)]
 # Sent in headers, where a control character would end the line.
 HeaderText = Annotated[str, msgspec.Meta(pattern=r"^[^\x00-\x1f\x7f]*\Z")]
--- a/packages/dotterelgrade/src/dotterelgrade/decoding.py
+++ b/packages/dotterelgrade/src/dotterelgrade/decoding.py
@@ -39,12 +39,8 @@
     """
     try:
         return result.Success(decode(data))
-    except errors.DotterelgradeError as error:
-        reason = error.error.message
     except Exception as error:
-        reason = f"{type(error).__name__}: {error}"
-    message = f"{what}: {reason[:_MAX_REASON_LENGTH]}"
-    return result.Failure(errors.Error(kind=kind, message=message))
+        return result.Failure(_describe(error, what, kind))
 
 
 def require(
@@ -59,7 +55,20 @@
     Raises:
         errors.DotterelgradeError: The data can't be used.
     """
-    decoded = attempt(decode, data, what=what, kind=kind)
-    if isinstance(decoded, result.Failure):
-        raise errors.DotterelgradeError(decoded.failure())
-    return decoded.unwrap()
+    try:
+        return decode(data)
+    except Exception as error:
+        described = _describe(error, what, kind)
+        raise errors.DotterelgradeError(described) from error
+
+
+def _describe(
+    error: Exception, what: str, kind: errors.ErrorKind
+) -> errors.Error:
+    if isinstance(error, errors.DotterelgradeError):
+        reason = error.error.message
+    else:
+        reason = f"{type(error).__name__}: {error}"
+    return errors.Error(
+        kind=kind, message=f"{what}: {reason[:_MAX_REASON_LENGTH]}"
+    )
--- a/packages/dotterelgrade/src/dotterelgrade/frame_codec.py
+++ b/packages/dotterelgrade/src/dotterelgrade/frame_codec.py
@@ -12,6 +12,7 @@
 import msgpack
 import msgspec
 
+from dotterelgrade import decoding
 from dotterelgrade import errors
 
 _T = TypeVar("_T")
@@ -62,11 +63,14 @@
     Raises:
         errors.DotterelgradeError: FRAME_INVALID if it is not a valid frame.
     """
-    try:
-        tag, fields = value
-        cls = _FRAMES[tag]
-        return msgspec.convert(fields, cls)
-    except (TypeError, ValueError, KeyError, msgspec.ValidationError) as error:
-        raise errors.new_exception(
-            errors.ErrorKind.FRAME_INVALID, f"invalid frame: {error!r}"
-        ) from error
+    return decoding.require(
+        _convert,
+        value,
+        what="invalid frame",
+        kind=errors.ErrorKind.FRAME_INVALID,
+    )
+
+
+def _convert(value: Any) -> Any:
+    tag, fields = value
+    return msgspec.convert(fields, _FRAMES[tag])
