--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_copy.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/record_copy.py
@@ -11,6 +11,8 @@
 import msgspec
 from returns import result
 
+from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade_routing import compression
 from dotterelgrade_routing import platform_port
@@ -32,8 +34,8 @@
     """
 
     key: str
-    offset: int
-    end: int
+    offset: bounded.Count
+    end: bounded.Count
     era: int
     compressed: bytes
 
@@ -66,14 +68,7 @@
     Args:
         body: As `encode` has returned it, or anything else.
     """
-    try:
-        return result.Success(_decoder.decode(body))
-    except (msgspec.DecodeError, ValueError) as error:
-        return result.Failure(
-            errors.Error(
-                kind=errors.ErrorKind.RECORD_INVALID, message=str(error)
-            )
-        )
+    return decoding.attempt(_decoder.decode, body, what="copy")
 
 
 def restore(
