Send 100 Continue only to the request that expects it

What callers saw: an interim response 100 to a request without `Expect`, on a connection whose previous request had `Expect: 100-continue` and came in one piece with its body. Cause: the expectation was kept until a request arrived in pieces. Evidence, on the code before: test_an_expectation_ends_with_its_request failed. Change: each request begins without an expectation. After: test_request_parser.py passes.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
@@ -84,6 +84,7 @@
     def on_message_begin(self) -> None:
         """Starts a request."""
         self._started = True
+        self._expects_continue = False
         self._target = b""
         self._headers = []
         self._head_bytes = 0
--- a/packages/dotterelgrade-front/tests/test_request_parser.py
+++ b/packages/dotterelgrade-front/tests/test_request_parser.py
@@ -66,3 +66,17 @@
 def test_an_upgrade_offer_does_not_evade_the_limits(parser):
     with pytest.raises(request_parser.BadRequestError):
         parser.feed(_request(rows=_OFFER, body=b"x" * 51))
+
+
+def test_an_expectation_ends_with_its_request(parser):
+    """The caller of the next request got a 100 that it had not asked for."""
+    parser.feed(_request(rows=b"expect: 100-continue\r\n", body=b"order"))
+    assert not parser.take_expect_continue()
+    parser.feed(_request(body=b"order")[:-1])
+    assert not parser.take_expect_continue()
+
+
+def test_an_expectation_is_met_once_before_the_body(parser):
+    parser.feed(_request(rows=b"expect: 100-continue\r\n", body=b"order")[:-5])
+    assert parser.take_expect_continue()
+    assert not parser.take_expect_continue()
