Drop trailers of a chunked request instead of taking them for headers

What callers saw: nothing; a backend server got fields behind a body as headers, past the checks of the head (a second host, another key). Cause: the HTTP parser reports trailers by the same callback as headers. Evidence, on the code before: test_trailers_are_no_headers failed (key and host were added). Change: fields after the head are dropped, and still count towards its size. After: test_request_parser.py and the tests of the connection pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
@@ -46,6 +46,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._started = False
         self._expects_continue = False
+        self._head_complete = False
         self._target = b""
         self._headers: http_message.Headers = []
         self._head_bytes = 0
@@ -85,6 +86,7 @@
         """Starts a request."""
         self._started = True
         self._expects_continue = False
+        self._head_complete = False
         self._target = b""
         self._headers = []
         self._head_bytes = 0
@@ -96,12 +98,14 @@
         self._check_head_size(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header."""
-        self._headers.append((name.lower(), value))
+        """Adds a header; drops trailers, which are not checked as headers."""
         self._check_head_size(len(name) + len(value))
+        if not self._head_complete:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Checks the head before the body is read."""
+        self._head_complete = True
         names = [name for name, _ in self._headers]
         if names.count(b"host") != 1:
             raise BadRequestError(http.HTTPStatus.BAD_REQUEST)
--- a/packages/dotterelgrade-front/tests/test_request_parser.py
+++ b/packages/dotterelgrade-front/tests/test_request_parser.py
@@ -80,3 +80,19 @@
     parser.feed(_request(rows=b"expect: 100-continue\r\n", body=b"order")[:-5])
     assert parser.take_expect_continue()
     assert not parser.take_expect_continue()
+
+
+def test_trailers_are_no_headers(parser):
+    """A second host or key behind the body was forwarded as a header."""
+    chunked = _request(rows=b"transfer-encoding: chunked\r\nkey: own\r\n")
+    parser.feed(chunked + b"2\r\nab\r\n0\r\nkey: other\r\nhost: b\r\n\r\n")
+    (request,) = parser.requests
+    names = [name for name, _ in request.headers]
+    assert names == [b"host", b"transfer-encoding", b"key"]
+    assert (b"key", b"own") in request.headers
+
+
+def test_trailers_count_as_bytes_of_the_head(parser):
+    parser.feed(_request(rows=b"transfer-encoding: chunked\r\n"))
+    with pytest.raises(request_parser.BadRequestError):
+        parser.feed(b"0\r\nfiller: " + b"x" * 600 + b"\r\n\r\n")
