Answer requests to a route whose weights are unusual or whose services are unknown

What callers saw: a closed connection without an answer beside a configuration whose route has no service, or weights whose sum is infinite; 503 for a route of which another service is known. Cause: the draw of a service raised an error that nobody expects, after the request was read. An unknown service took its share of the requests.

Evidence, on the code before: three cases of test_a_route_with_unusual_weights_answers failed (no answer twice, 503 once). The decoder of the platform lets no route without a service through, and JSON neither NaN nor infinity; weights of 1e308 pass it. Change: the draw is a decision of its own (service_choice.draw_service): unknown services are left out, weights that are not positive and finite count as zero, and a route without a known service is refused as not run. After: the tests of the request handler and of the choice pass; the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -18,6 +18,7 @@
 from dotterelgrade_front import stall_detector
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import request_metadata
+from dotterelgrade_routing import service_choice
 
 _LOG = logging.getLogger(__name__)
 
@@ -294,16 +295,13 @@
     def _service(
         self, current: configuration.Configuration, route: configuration.Route
     ) -> configuration.Service:
-        weights = [share.weight for share in route.services]
-        names = [share.service for share in route.services]
-        if sum(weights) <= 0:
-            weights = [1.0] * len(names)
-        name = self._state.rng.choices(names, weights)[0]
-        service = current.service(name)
+        service = service_choice.draw_service(
+            current, route, rng=self._state.rng
+        )
         if service is None:
             raise _rejected(
                 errors.ErrorKind.NO_CAPACITY,
-                f"unknown service {name!r}",
+                f"route {route.name!r} has no known service",
                 retry_after_s=_NOT_READY_RETRY_S,
             )
         return service
--- a/packages/dotterelgrade-front/tests/test_request_handler.py
+++ b/packages/dotterelgrade-front/tests/test_request_handler.py
@@ -1,8 +1,10 @@
+import dataclasses
 import time
 
 import front_fakes as fakes
 import pytest
 
+from dotterelgrade_routing import configuration
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import feed_timing
 
@@ -67,6 +69,32 @@
     assert "'response_bytes': 0" in ended
 
 
+@pytest.mark.parametrize(
+    ("weights", "status"),
+    [
+        ((), 503),
+        ((("gone", 1),), 503),
+        ((("plain", 0),), 200),
+        ((("plain", -1), ("plain", 1)), 200),
+        ((("plain", 1e308), ("plain", 1e308)), 200),
+        ((("gone", 1), ("plain", 0)), 200),
+    ],
+)
+def test_a_route_with_unusual_weights_answers(front, weights, status):
+    """The request ended with a closed connection, or 503 by chance."""
+    front.add("s", fakes.responding())
+    services = tuple(
+        configuration.ServiceWeight(service=name, weight=weight)
+        for name, weight in weights
+    )
+    route = fakes.route("split", idempotent=True, services=services)
+    known = front.state.known_configuration
+    known.configuration = dataclasses.replace(
+        known.configuration, routes=(route,)
+    )
+    assert front.ask("/split/x")[0] == status
+
+
 def _ended(front):
     """Returns the one decision on the end of a request."""
     decisions = front.state.decisions.journal.latest()
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/service_choice.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/service_choice.py
@@ -1,4 +1,4 @@
-"""Load balancing over the backend servers of a plain service.
+"""Choice of a route's service, and of a plain service's backend server.
 
 Load pattern: a few backend servers with few slots, some of them slow, shutting
 down or failing. The one with the fewest requests of this front in flight comes
@@ -10,11 +10,47 @@
 import random
 
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import configuration
 
 # Penalty for a backend server in another failure domain, in requests.
 OTHER_DOMAIN_REQUESTS = 0.5
 
 
+def draw_service(
+    current: configuration.Configuration,
+    route: configuration.Route,
+    *,
+    rng: random.Random,
+) -> configuration.Service | None:
+    """Draws the service of a request by the weights of its route.
+
+    Weights that are not positive and finite count as zero; if all do, the
+    services are alike.
+
+    Args:
+        current: The configuration in force.
+        route: The route, with any weights.
+        rng: Draws the service.
+
+    Returns:
+        A service of the configuration, or None if the route names none.
+    """
+    shares = [s for s in route.services if current.service(s.service)]
+    if not shares:
+        return None
+    weights = [
+        share.weight if 0 < share.weight < float("inf") else 0.0
+        for share in shares
+    ]
+    largest = max(weights)
+    if not largest:
+        return current.service(rng.choice(shares).service)
+    # The sum of huge weights would be infinite.
+    weights = [weight / largest for weight in weights]
+    (drawn,) = rng.choices(shares, weights)
+    return current.service(drawn.service)
+
+
 def choose(
     servers: Iterable[backend_server.BackendServer],
     *,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -498,4 +498,12 @@
         new="        pass",
         check=_CONNECTION_TEST,
     ),
+    mutant.Mutant(
+        name="route-without-services-unanswered",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_routing.service_choice",
+        old="    if not shares:\n        return None\n",
+        new="",
+        check=_HANDLER_TEST,
+    ),
 )
