Let the last response of a connection arrive whole before it is closed

What callers saw: a reset in the middle of the last response on a connection, if they had sent a further request or the rest of a refused body meanwhile; at a stop, that is each kept connection with a request behind the one in flight. A 413 did not reach a caller that was still sending. Cause: a socket that is closed with unread bytes resets the connection, and the kernel drops what the peer has not received.

Evidence, on the code before: test_the_last_response_is_whole_with_a_request_unread_behind_it and test_a_refusal_reaches_a_caller_that_is_still_sending failed (ConnectionResetError). Change: after the last response the front ends its side only, and discards bytes until the caller closes, for one second at most. A drain shuts down those that are idle as before. After: the tests of connection, front and plain calls pass; the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -16,6 +16,8 @@
 _RECEIVE_BYTES = 65_536
 # Limit for one write to a caller that reads slowly.
 _SEND_TIMEOUT_S = 10.0
+# A caller that has received a complete response closes within this time.
+_LINGER_S = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -156,6 +158,18 @@
         except OSError as error:
             raise CallerDisconnectedError(str(error)) from error
 
+    def end_responses(self) -> None:
+        """Ends the connection such that the last response arrives whole.
+
+        Closing a socket with unread bytes resets the connection, and the caller
+        loses what it has not received. Bytes are discarded until it closes.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+        deadline = time.monotonic() + _LINGER_S
+        while time.monotonic() < deadline and self._receive(deadline):
+            pass
+
     def raise_if_disconnected(self) -> None:
         """Raises CallerDisconnectedError if the caller has closed already.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -119,6 +119,7 @@
             request = client.read_request()
         except request_parser.BadRequestError as error:
             self._reject_malformed(client, error)
+            client.end_responses()
             return False
         if request is None:
             return False
@@ -132,7 +133,10 @@
             self._in_flight -= 1
             self._state.metrics.set_in_flight(self._in_flight)
         # A response that began before the shutdown has no `Connection: close`.
-        return not close and not self._state.leaving
+        if not close and not self._state.leaving:
+            return True
+        client.end_responses()
+        return False
 
     def _serve_request(
         self,
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -130,6 +130,32 @@
         assert _statuses(_read_to_end(sock)) == statuses
 
 
+def test_the_last_response_is_whole_with_a_request_unread_behind_it(front):
+    """The close reset the connection and dropped the rest of the response."""
+    body = b"x" * 8_000_000
+    backend = front.add("s", fakes.responding(body))
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock, connection="close")
+        fakes.until(lambda: backend.arrivals)
+        front.send("/safe/2", sock=sock)
+        gevent.sleep(0.3)
+        assert fakes.read_response(sock)[2] == body
+    assert len(backend.arrivals) == 1
+
+
+def test_a_refusal_reaches_a_caller_that_is_still_sending(front):
+    """The close reset the connection before the caller read the 413."""
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"content-length: 3000000\r\n\r\n"
+        )
+        for _ in range(30):
+            sock.sendall(b"x" * 100_000)
+            gevent.sleep(0.001)
+        assert fakes.read_response(sock)[0] == 413
+
+
 def _read_to_end(sock):
     data = b""
     while piece := sock.recv(65536):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -506,4 +506,12 @@
         new="",
         check=_HANDLER_TEST,
     ),
+    mutant.Mutant(
+        name="close-resets-the-last-response",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="while time.monotonic() < deadline and self._receive(deadline):",
+        new="while False:",
+        check=_CONNECTION_TEST,
+    ),
 )
