Notice a caller's close behind a pipelined request

What callers saw: nothing; backend servers went on for callers that had left, until the timeout of the route. Cause: a close was looked for by peeking at the socket, and the bytes of a pipelined request hide it. The check was stopped at the first such byte.

Evidence, on the code before: test_a_close_behind_a_pipelined_request_cancels_the_call failed for a plain call and for a stream. Ruled out: treating a caller that only ends its sending side as one that waits. Until bytes are sent to it, it looks like one that closed, and no work may go on for that one; test_a_caller_that_ends_its_side_counts_as_gone says so, and passed before too. Change: the socket is asked for the end of the peer's side, which unread bytes do not hide; while such bytes lie there, five times a second. After: the tests of connection, front, plain calls and streams pass; the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 import contextlib
 import http
+import select
 import time
 
 import gevent
@@ -16,6 +17,8 @@
 _RECEIVE_BYTES = 65_536
 # Limit for one write to a caller that reads slowly.
 _SEND_TIMEOUT_S = 10.0
+# How soon a close behind a pipelined request is noticed.
+_CLOSE_POLL_S = 0.2
 # A caller that has received a complete response closes within this time.
 _LINGER_S = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -182,22 +185,31 @@
     def interrupt_on_disconnect(self) -> Iterator[None]:
         """Raises CallerDisconnectedError in the body on a disconnect."""
         greenlet = gevent.getcurrent()
-        watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
+        loop = gevent.get_hub().loop
+        readable = loop.io(self._sock.fileno(), 1)
+        interval = loop.timer(_CLOSE_POLL_S, repeat=_CLOSE_POLL_S)
         finished = False
 
-        def on_readable() -> None:
-            if finished or not self._caller_disconnected(watcher):
+        def check() -> None:
+            if finished:
                 return
-            watcher.stop()
-            greenlet.throw(CallerDisconnectedError("connection closed"))
-
-        watcher.start(on_readable)
+            if self._is_closed_by_caller():
+                readable.stop()
+                interval.stop()
+                greenlet.throw(CallerDisconnectedError("connection closed"))
+            elif readable.active and self._has_unread_bytes():
+                # A pipelined request keeps the socket readable.
+                readable.stop()
+                interval.start(check)
+
+        readable.start(check)
         try:
             yield
         finally:
             finished = True
-            watcher.stop()
-            watcher.close()
+            for watcher in (readable, interval):
+                watcher.stop()
+                watcher.close()
 
     def _has_unread_bytes(self) -> bool:
         try:
@@ -214,22 +226,18 @@
         finally:
             self._sock.settimeout(timeout_s)
 
-    def _caller_disconnected(self, watcher: object) -> bool:
-        if self._is_closed_by_caller():
-            return True
-        if self._has_unread_bytes():
-            # A pipelined request is pending; a close behind it is not visible
-            # to a peek.
-            watcher.stop()
-        return False
-
     def _is_closed_by_caller(self) -> bool:
+        """Returns whether the caller has ended its side, or reset the rest.
+
+        Also behind unread bytes. A caller that only ends its side and still
+        reads looks like one that closed, which must stop the work for it.
+        """
+        poll = select.poll()
         try:
-            return not self._peek()
-        except BlockingIOError:
-            return False
-        except OSError:
+            poll.register(self._sock.fileno(), select.POLLRDHUP)
+        except ValueError:
             return True
+        return bool(poll.poll(0))
 
     def _start_timeout(self) -> _ReadTimeout:
         """Returns the timeout for the rest of a request, or for a new one."""
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -4,8 +4,12 @@
 
 import front_fakes as fakes
 import gevent
+from gevent import socket
 import pytest
 
+# Well below the timeout of the routes.
+_SOON_S = 1.5
+
 
 def test_a_large_head_is_refused(front):
     status, _, _ = front.ask("/safe/x", filler="x" * 3_000)
@@ -156,6 +160,34 @@
         assert fakes.read_response(sock)[0] == 413
 
 
+@pytest.mark.parametrize("path", ["/unsafe/x", "/stream/x"])
+def test_a_close_behind_a_pipelined_request_cancels_the_call(front, path):
+    """The pending bytes hid the close, and the work went on."""
+    layers = (0, 8) if "stream" in path else None
+    backend = front.add(
+        "s",
+        fakes.silent,
+        service="plain" if layers is None else "model",
+        layers=layers,
+    )
+    sock = front.send(path, method="POST", body=b"x")
+    fakes.until(lambda: backend.arrivals)
+    front.send("/safe/2", sock=sock)
+    gevent.sleep(0.05)
+    sock.close()
+    assert backend.closed.wait(_SOON_S)
+    assert len(backend.arrivals) == 1
+
+
+def test_a_caller_that_ends_its_side_counts_as_gone(front):
+    """It looks like one that has closed, for whom no work may go on."""
+    backend = front.add("s", fakes.silent)
+    with front.send("/unsafe/x", method="POST", body=b"x") as sock:
+        fakes.until(lambda: backend.arrivals)
+        sock.shutdown(socket.SHUT_WR)
+        assert backend.closed.wait(_SOON_S)
+
+
 def _read_to_end(sock):
     data = b""
     while piece := sock.recv(65536):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -514,4 +514,12 @@
         new="while False:",
         check=_CONNECTION_TEST,
     ),
+    mutant.Mutant(
+        name="close-behind-a-request-unseen",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="                interval.start(check)",
+        new="                pass",
+        check=_CONNECTION_TEST,
+    ),
 )
