Serve the accept queue at a stop, then refuse connections

What callers saw: at a stop, connections that the kernel had accepted lay unread until the process exited: those in the queue when accepting ended, and all later ones, which a load balancer still sends if most fronts of a failure domain leave. Cause: accepting stopped, but the listening socket stayed open.

Evidence, on the code before: test_request_in_the_accept_queue_at_the_end_of_accepting_is_answered (no answer for 5 s) and test_connections_are_refused_once_the_load_balancer_knows (connected) failed. Change: one more round of the event loop accepts what is in the queue, then the listening socket is closed.

A test is replaced: test_request_on_a_connection_accepted_late_in_drain_is_answered connected 0.19 s into a wait of 0.2 s. It failed once here on the new code, with the machine at load 20 (refused; six runs after it passed), and fails on the code before if the loop is 50 ms late (no answer, tried). It now connects with a late loop by construction, at the last moment, asks the same and demands the same answer; it fails on the code before. After: test_front.py passes; the new mutant is found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -210,7 +210,7 @@
             requests=self._handler.requests_in_flight,
         )
         gevent.sleep(_DEREGISTRATION_WAIT_S)
-        self._caller_server.stop_accepting()
+        self._stop_listening()
         while self._handler.connections and time.monotonic() < deadline:
             self._handler.close_idle(for_s=_MIN_IDLE_S)
             gevent.sleep(_DRAIN_POLL_INTERVAL_S)
@@ -218,6 +218,16 @@
             "stopped", extra={"unfinished": self._handler.requests_in_flight}
         )
 
+    def _stop_listening(self) -> None:
+        """Serves the connections that are in the queue, and refuses others.
+
+        An unread connection would hold its caller until the process exits.
+        """
+        # One round of the event loop accepts them, another registers them.
+        gevent.sleep(0)
+        self._caller_server.close()
+        gevent.sleep(0)
+
     @contextlib.contextmanager
     def _serving_admin(self) -> Iterator[None]:
         app = admin.AdminApp(self)
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -1,5 +1,6 @@
 """Tests complete fronts in one process against a fake platform."""
 
+import socket as std_socket
 import time
 
 import front_fakes as fakes
@@ -88,26 +89,68 @@
     backend.stop()
 
 
-def test_request_on_a_connection_accepted_late_in_drain_is_answered(
-    running, settings, monkeypatch
-):
-    """A caller connects just before the front stops accepting."""
+@pytest.fixture
+def queued(running, settings, platform, monkeypatch):
+    """A drain, and a connection in the accept queue when accepting ends."""
     monkeypatch.setattr(front_lib, "_DEREGISTRATION_WAIT_S", 0.2)
-    running._state.platform.configurations.add("config", b"v1")
+    platform.configurations.add("config", b"v1")
     fakes.until(lambda: running.is_ready)
     drain = gevent.spawn(running.drain)
-    gevent.sleep(0.19)
+    gevent.sleep(0.1)
     host, _, port = settings.callers_address.rpartition(":")
-    sock = socket.create_connection((host, int(port)), timeout=5)
+    # Unlike a socket of gevent, it lets no other greenlet run.
+    with std_socket.create_connection((host, int(port))) as sock:
+        yield sock, drain
+
+
+def _ask_in_a_thread(sock):
+    """Sends a request; returns the thread's result, the response."""
+
+    def ask():
+        sock.sendall(
+            b"GET /safe/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n\r\n"
+        )
+        return fakes.read_response(sock)
+
+    return gevent.get_hub().threadpool.spawn(ask)
+
+
+def test_request_on_a_connection_accepted_late_in_drain_is_answered(queued):
+    """A caller connects just before the front stops accepting."""
+    sock, drain = queued
+    time.sleep(0.2)
     gevent.sleep(0.1)
-    sock.sendall(
-        b"GET /safe/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n\r\n"
-    )
-    assert fakes.read_response(sock)[0] == 503
+    answered = _ask_in_a_thread(sock)
+    assert answered.get(timeout=fakes.WAIT_S)[0] == 503
+    drain.join(fakes.WAIT_S)
+    assert drain.ready()
+
+
+def test_request_in_the_accept_queue_at_the_end_of_accepting_is_answered(
+    queued,
+):
+    """The event loop is late, and stops accepting before it accepts."""
+    sock, drain = queued
+    answered = _ask_in_a_thread(sock)
+    time.sleep(0.2)
+    assert answered.get(timeout=fakes.WAIT_S)[0] == 503
     drain.join(fakes.WAIT_S)
     assert drain.ready()
 
 
+def test_connections_are_refused_once_the_load_balancer_knows(
+    running, settings, platform, monkeypatch
+):
+    """They lay unread in the accept queue until the process exited."""
+    monkeypatch.setattr(front_lib, "_DEREGISTRATION_WAIT_S", 0.1)
+    platform.configurations.add("config", b"v1")
+    fakes.until(lambda: running.is_ready)
+    running.drain()
+    host, _, port = settings.callers_address.rpartition(":")
+    with pytest.raises(ConnectionRefusedError):
+        std_socket.create_connection((host, int(port)))
+
+
 def test_failed_task_is_restarted(running, platform, monkeypatch):
     monkeypatch.setattr("dotterelgrade.supervision.RESTART_DELAY_S", 0.01)
     platform.documents.put(b"broken", None)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -24,6 +24,7 @@
 _REPAIR_TEST = "packages/dotterelgrade-front/tests/test_stream_repair.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
 _PARSER_TEST = "packages/dotterelgrade-front/tests/test_request_parser.py"
+_FRONT_TEST = "packages/dotterelgrade-front/tests/test_front.py"
 _CONNECTION_TEST = (
     "packages/dotterelgrade-front/tests/test_client_connection.py"
 )
@@ -522,4 +523,12 @@
         new="                pass",
         check=_CONNECTION_TEST,
     ),
+    mutant.Mutant(
+        name="accept-queue-dropped-at-the-stop",
+        promise=mutant.STOP,
+        module="dotterelgrade_front.front",
+        old="        gevent.sleep(0)\n        self._caller_server.close()\n",
+        new="        self._caller_server.close()\n",
+        check=_FRONT_TEST,
+    ),
 )
