--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -4,8 +4,12 @@
 
 import front_fakes as fakes
 import gevent
+from gevent import socket
 import pytest
 
+# Well below the timeout of the routes.
+_SOON_S = 1.5
+
 
 def test_a_large_head_is_refused(front):
     status, _, _ = front.ask("/safe/x", filler="x" * 3_000)
@@ -130,6 +134,60 @@
         assert _statuses(_read_to_end(sock)) == statuses
 
 
+def test_the_last_response_is_whole_with_a_request_unread_behind_it(front):
+    """The close reset the connection and dropped the rest of the response."""
+    body = b"x" * 8_000_000
+    backend = front.add("s", fakes.responding(body))
+    with front.connect() as sock:
+        front.send("/safe/1", sock=sock, connection="close")
+        fakes.until(lambda: backend.arrivals)
+        front.send("/safe/2", sock=sock)
+        gevent.sleep(0.3)
+        assert fakes.read_response(sock)[2] == body
+    assert len(backend.arrivals) == 1
+
+
+def test_a_refusal_reaches_a_caller_that_is_still_sending(front):
+    """The close reset the connection before the caller read the 413."""
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"content-length: 3000000\r\n\r\n"
+        )
+        for _ in range(30):
+            sock.sendall(b"x" * 100_000)
+            gevent.sleep(0.001)
+        assert fakes.read_response(sock)[0] == 413
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/stream/x"])
+def test_a_close_behind_a_pipelined_request_cancels_the_call(front, path):
+    """The pending bytes hid the close, and the work went on."""
+    layers = (0, 8) if "stream" in path else None
+    backend = front.add(
+        "s",
+        fakes.silent,
+        service="plain" if layers is None else "model",
+        layers=layers,
+    )
+    sock = front.send(path, method="POST", body=b"x")
+    fakes.until(lambda: backend.arrivals)
+    front.send("/safe/2", sock=sock)
+    gevent.sleep(0.05)
+    sock.close()
+    assert backend.closed.wait(_SOON_S)
+    assert len(backend.arrivals) == 1
+
+
+def test_a_caller_that_ends_its_side_counts_as_gone(front):
+    """It looks like one that has closed, for whom no work may go on."""
+    backend = front.add("s", fakes.silent)
+    with front.send("/unsafe/x", method="POST", body=b"x") as sock:
+        fakes.until(lambda: backend.arrivals)
+        sock.shutdown(socket.SHUT_WR)
+        assert backend.closed.wait(_SOON_S)
+
+
 def _read_to_end(sock):
     data = b""
     while piece := sock.recv(65536):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -26,6 +26,7 @@
 _REPAIR_TEST = "packages/dotterelgrade-front/tests/test_stream_repair.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
 _PARSER_TEST = "packages/dotterelgrade-front/tests/test_request_parser.py"
+_FRONT_TEST = "packages/dotterelgrade-front/tests/test_front.py"
 _CONNECTION_TEST = (
     "packages/dotterelgrade-front/tests/test_client_connection.py"
 )
@@ -556,4 +557,36 @@
         new="        pass",
         check=_CONNECTION_TEST,
     ),
+    mutant.Mutant(
+        name="route-without-services-unanswered",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_routing.service_choice",
+        old="    if not shares:\n        return None\n",
+        new="",
+        check=_HANDLER_TEST,
+    ),
+    mutant.Mutant(
+        name="close-resets-the-last-response",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="while time.monotonic() < deadline and self._receive(deadline):",
+        new="while False:",
+        check=_CONNECTION_TEST,
+    ),
+    mutant.Mutant(
+        name="close-behind-a-request-unseen",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="                interval.start(check)",
+        new="                pass",
+        check=_CONNECTION_TEST,
+    ),
+    mutant.Mutant(
+        name="accept-queue-dropped-at-the-stop",
+        promise=mutant.STOP,
+        module="dotterelgrade_front.front",
+        old="        gevent.sleep(0)\n        self._caller_server.close()\n",
+        new="        self._caller_server.close()\n",
+        check=_FRONT_TEST,
+    ),
 )
