Answer a request that a fault of the front ends

Cause: the handler of a connection caught it and closed the connection. It knows whether the caller got a byte; the request's own handler knows whether a server was reached. Ruled out: `internal` (500) where no server was reached. It promises nothing, and callers may not repeat such a request; a new kind, internal_not_run, is 503 with a time to return. Also ruled out: failing only the attempt on any exception. The same fault would act on each further server, at the cost of the shared retry budget.

Change: no server reached: 503 internal_not_run. A server reached: 502 outcome_unknown, or 504 after the deadline. A byte written: the connection closes, as before, so that the response does not look complete. The line `request failed` has the request's id. A fault outside of a request's own work is answered with 500 if nothing was written. A fault while counting requests in flight no longer counts one for ever.

test_the_log_names_a_fault_in_the_front asserted that the caller gets no answer; it now asserts 503, the bytes written, the servers and the id in the log.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -75,6 +75,22 @@
             attempt.combined(self.attempts), repeatable=self.route.repeatable
         )
 
+    def fault(self, message: str) -> errors.Error:
+        """Returns the error for the caller after a fault of the front itself.
+
+        Args:
+            message: The fault.
+        """
+        execution = attempt.combined(self.attempts)
+        if self.sent_to:
+            execution = max(execution, attempt.ExecutionStatus.UNKNOWN)
+        if execution <= attempt.ExecutionStatus.REFUSED:
+            return fault_before_sending(message)
+        kind = attempt.failure_kind(
+            execution, deadline_passed=self.remaining_s <= 0
+        )
+        return errors.Error(kind=kind, message=message)
+
     def failure(
         self, message: str, *, retry_after_s: float = DEFAULT_RETRY_AFTER_S
     ) -> errors.Error:
@@ -95,3 +111,16 @@
             message=message,
             retry_after_s=retry_after_s if not_run else None,
         )
+
+
+def fault_before_sending(message: str) -> errors.Error:
+    """Returns the error for a fault of the front before a server was reached.
+
+    Args:
+        message: The fault.
+    """
+    return errors.Error(
+        kind=errors.ErrorKind.INTERNAL_NOT_RUN,
+        message=message,
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+    )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -1,5 +1,6 @@
 """Serves the requests that arrive on callers' connections."""
 
+import contextlib
 import http
 import logging
 import time
@@ -29,6 +30,7 @@
 }
 # Reading the configuration from the store takes less than this.
 _NOT_READY_RETRY_S = 0.5
+_FAULT_MESSAGE = "the front failed; its log has the details"
 
 
 class _RejectedError(Exception):
@@ -100,9 +102,8 @@
             # `request_ended` tells the two apart.
             pass
         except Exception:
-            # Closing keeps the caller from taking a partial response for a
-            # complete one.
-            _LOG.exception("request failed")
+            _LOG.exception("connection failed")
+            self._answer_connection_fault(client)
         finally:
             self._connections.discard(client)
             sock.close()
@@ -118,15 +119,15 @@
             return False
         close = self._state.leaving or not request.keep_alive
         self._in_flight += 1
-        self._state.metrics.set_in_flight(self._in_flight)
         try:
+            self._state.metrics.set_in_flight(self._in_flight)
             with client.mark_busy():
-                self._serve_request(client, request, close=close)
+                served = self._serve_request(client, request, close=close)
         finally:
             self._in_flight -= 1
             self._state.metrics.set_in_flight(self._in_flight)
         # A response that began before the shutdown has no `Connection: close`.
-        return not close and not self._state.leaving
+        return served and not close and not self._state.leaving
 
     def _serve_request(
         self,
@@ -134,14 +135,17 @@
         request: http_message.Request,
         *,
         close: bool,
-    ) -> None:
+    ) -> bool:
+        """Answers a request; returns whether no fault occurred."""
         received_at = time.monotonic()
-        facts = self._state.platform.headers.read_request(request.headers)
         known = self._state.known_configuration
         version = known.version
         outcome = "internal"
+        request_id = ""
         call = None
         try:
+            facts = self._state.platform.headers.read_request(request.headers)
+            request_id = facts.request_id
             call = self._admit_call(request, facts, received_at)
             outcome = self._dispatch(client, call, close=close)
         except client_connection.CallerDisconnectedError:
@@ -154,18 +158,19 @@
             outcome = rejected.error.kind.value
             self._record_rejection(request, facts, rejected.error)
             responses.send_error(
-                client,
-                rejected.error,
-                request_id=facts.request_id,
-                close=close,
+                client, rejected.error, request_id=request_id, close=close
             )
+        except Exception:
+            _LOG.exception("request failed", extra={"request_id": request_id})
+            _answer_fault(client, call, request_id=request_id)
+            return False
         finally:
             seconds = time.monotonic() - received_at
             self._state.metrics.count_answer(outcome, seconds=seconds)
             self._state.decisions.record(
                 "request_ended",
                 reason=outcome,
-                request_id=facts.request_id,
+                request_id=request_id,
                 seconds=round(seconds, 3),
                 path=request.path,
                 response_bytes=client.response_bytes,
@@ -175,6 +180,19 @@
                 version=version,
                 version_at_end=known.version,
             )
+        return True
+
+    def _answer_connection_fault(
+        self, client: client_connection.ClientConnection
+    ) -> None:
+        """Answers if the caller got nothing; what was done is not known."""
+        if client.response_bytes:
+            return
+        error = errors.Error(
+            kind=errors.ErrorKind.INTERNAL, message=_FAULT_MESSAGE
+        )
+        with contextlib.suppress(client_connection.CallerDisconnectedError):
+            responses.send_error(client, error, request_id="", close=True)
 
     def _record_rejection(
         self,
@@ -318,6 +336,26 @@
         )
 
 
+def _answer_fault(
+    client: client_connection.ClientConnection,
+    call: call_lib.Call | None,
+    *,
+    request_id: str,
+) -> None:
+    """Answers a request that an unexpected exception ended.
+
+    After the first byte of a response only closing the connection keeps the
+    caller from taking it for a complete one.
+    """
+    if client.response_bytes:
+        return
+    if call is None:
+        error = call_lib.fault_before_sending(_FAULT_MESSAGE)
+    else:
+        error = call.fault(_FAULT_MESSAGE)
+    responses.send_error(client, error, request_id=request_id, close=True)
+
+
 def _rejected(
     kind: errors.ErrorKind,
     message: str,
--- a/packages/dotterelgrade-front/tests/test_request_handler.py
+++ b/packages/dotterelgrade-front/tests/test_request_handler.py
@@ -61,10 +61,78 @@
 def test_the_log_names_a_fault_in_the_front(front, monkeypatch):
     """A fault was logged as `caller_gone`, and not for which request."""
     monkeypatch.setattr(front.handler, "_admit_call", None)
-    assert front.ask("/safe/x")[0] is None
+    assert front.ask("/safe/x")[0] == 503
     ended = _ended(front)
-    assert "internal" in ended
-    assert "'response_bytes': 0" in ended
+    assert "'internal'" in ended
+    assert "'servers': 0" in ended
+    assert "'response_bytes': 0" not in ended
+    assert "'r1'" in ended
+
+
+def test_a_fault_before_any_server_is_reached_is_answered_as_not_run(
+    front, monkeypatch, caplog
+):
+    """The connection was closed without an answer."""
+    server = front.add("s", fakes.responding())
+    monkeypatch.setattr(front.handler, "_dispatch", None)
+    with front.connect() as sock:
+        front.send("/unsafe/x", method="POST", body=b"p", sock=sock)
+        status, headers, body = fakes.read_response(sock)
+        assert not sock.recv(1)
+    assert status == 503
+    assert float(headers[b"retry-after"]) > 0
+    assert b'"not_run"' in body
+    assert not server.arrivals
+    assert [r.request_id for r in caplog.records if r.exc_info] == ["r1"]
+
+
+@pytest.mark.parametrize("path", ["unsafe", "safe"])
+def test_a_fault_behind_a_server_is_answered_as_of_unknown_outcome(
+    front, monkeypatch, path
+):
+    """The request may have run, and may not be promised not to have."""
+    server = front.add("s", fakes.responding())
+    monkeypatch.setattr(front.state.exclusions, "note_success", None)
+    status, headers, body = front.ask(f"/{path}/x", method="POST", body=b"p")
+    assert (status, b'"unknown"' in body) == (502, True)
+    assert b"retry-after" not in headers
+    assert len(server.arrivals) == 1
+
+
+def test_a_fault_before_the_first_event_is_answered(front, monkeypatch):
+    front.add("a1", fakes.streaming(1, 2), service="model", layers=(0, 8))
+    monkeypatch.setattr(front.state.metrics.first_event, "record", None)
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, b'"unknown"' in body) == (502, True)
+
+
+def test_a_fault_within_a_stream_leaves_it_incomplete(front, monkeypatch):
+    """An error's text in a stream is no event."""
+    front.add("a1", fakes.streaming(1, 2), service="model", layers=(0, 8))
+    monkeypatch.setattr(front.state.exclusions, "note_success", None)
+    with front.send("/stream/x", method="POST", body=b"p") as sock:
+        received = b""
+        while piece := sock.recv(65536):
+            received += piece
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.count(b"HTTP/1.1") == 1
+    assert b"error" not in received
+
+
+def test_a_fault_in_reading_a_request_is_answered(front, monkeypatch):
+    def read_request(_):
+        raise RuntimeError("unexpected")
+
+    headers = front.state.platform.headers
+    monkeypatch.setattr(headers, "read_request", read_request)
+    status, _, body = front.ask("/safe/x")
+    assert (status, b'"not_run"' in body) == (503, True)
+
+
+def test_a_fault_outside_of_requests_is_answered(front, monkeypatch):
+    monkeypatch.setattr(front.state.metrics, "set_in_flight", None)
+    status, _, body = front.ask("/safe/x")
+    assert (status, b'"unknown"' in body) == (500, True)
 
 
 def _ended(front):
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -64,6 +64,22 @@
         new="    if False:",
         check=_ATTEMPT_TEST,
     ),
+    mutant.Mutant(
+        name="front-promises-after-a-fault",
+        promise=mutant.NOT_RUN,
+        module="dotterelgrade_front.call",
+        old="        if self.sent_to:",
+        new="        if False:",
+        check=_HANDLER_TEST,
+    ),
+    mutant.Mutant(
+        name="front-adds-an-error-to-a-response",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.request_handler",
+        old="bytes:\n        return\n    if call is None:",
+        new="bytes:\n        pass\n    if call is None:",
+        check=_HANDLER_TEST,
+    ),
     mutant.Mutant(
         name="front-passes-torn-events",
         promise=mutant.OWN_ANSWER,
--- a/packages/dotterelgrade/src/dotterelgrade/error_page.py
+++ b/packages/dotterelgrade/src/dotterelgrade/error_page.py
@@ -147,6 +147,10 @@
         "An internal error; the log of the process has the details.",
         "Report it with the request ID.",
     ),
+    _KIND.INTERNAL_NOT_RUN: (
+        "An internal error before a backend server was reached.",
+        "Retry after `retry_after_s`; report it with the request ID.",
+    ),
 }
 
 _HEAD = """# Errors
--- a/packages/dotterelgrade/src/dotterelgrade/errors.py
+++ b/packages/dotterelgrade/src/dotterelgrade/errors.py
@@ -53,6 +53,7 @@
     ENGINE_FAILED = "engine_failed"
     ENGINE_REFUSED = "engine_refused"
     INTERNAL = "internal"
+    INTERNAL_NOT_RUN = "internal_not_run"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -119,6 +120,7 @@
     ErrorKind.ENGINE_FAILED: _unknown(502),
     ErrorKind.ENGINE_REFUSED: _not_run(503, retryable=True),
     ErrorKind.INTERNAL: _unknown(500),
+    ErrorKind.INTERNAL_NOT_RUN: _not_run(503, retryable=True),
 }
 
 
