Pass on no status that promises what the server did not say

What callers saw: 503, 429 or 408 of a backend server that did not state that the request had not run. Callers take these for that promise and repeat requests that may run once. Cause: a refusal without the mark counted as any response of the server. Evidence: before, test_a_status_that_promises_too_much_is_not_passed_on failed in 5 of 6 cases (the status itself in place of 502), and test_any_bytes_of_a_server_get_the_caller_a_true_answer at 429 without the mark. Ruled out: passing them on where the request may be repeated. The caller would be no better off than with another attempt or 502.

Change: such a response is a failed attempt of unknown outcome.

After: tests of upstream, plain calls and streams: pass; the new mutant is listed.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 import contextlib
 import dataclasses
+import http
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
@@ -14,6 +15,15 @@
 
 # Connecting within one region takes milliseconds.
 CONNECT_TIMEOUT_S = 0.4
+# Callers take these as a statement that the request has not run.
+_NOT_RUN_STATUSES = frozenset(
+    {
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 
 class AttemptFailedError(Exception):
@@ -150,7 +160,7 @@
 
     Raises:
         AttemptFailedError: The backend server refused the request, or the
-            response is for another one.
+            response is not one that the caller may have.
         http_connection.ResponseTimeoutError: No head before the deadline.
     """
     head = connection.read_head(deadline=deadline)
@@ -168,4 +178,9 @@
             + (", misdirected" if facts.misdirected else ""),
             faulty_address=facts.faulty_address,
         )
+    if head.status in _NOT_RUN_STATUSES:
+        raise AttemptFailedError(
+            attempt.ExecutionStatus.UNKNOWN,
+            f"status {head.status} without saying that the request has not run",
+        )
     return head, facts
--- a/packages/dotterelgrade-front/tests/test_upstream.py
+++ b/packages/dotterelgrade-front/tests/test_upstream.py
@@ -1,4 +1,6 @@
 import front_fakes as fakes
+import hypothesis
+from hypothesis import strategies
 import pytest
 import stream_fakes as streams
 
@@ -92,3 +94,69 @@
     status, _, body = front.ask("/unsafe/x", method="POST", body=b"p")
     assert (status, b'"not_run"' in body) == (503, True)
     assert sum(len(backend.arrivals) for backend in backends) == 2
+
+
+@pytest.mark.parametrize(
+    "status", [b"503 Busy", b"429 Slow Down", b"408 Timeout"]
+)
+@pytest.mark.parametrize("path", ["unsafe", "once"])
+def test_a_status_that_promises_too_much_is_not_passed_on(front, path, status):
+    """A server that does not say so may have run the request."""
+    script = fakes.responding(b"", status)
+    model = {"service": "model", "layers": (0, 8)} if path == "once" else {}
+    servers = [front.add(name, script, **model) for name in ("s1", "s2")]
+    code, _, body = front.ask(f"/{path}/x", method="POST", body=b"p")
+    assert (code, b'"unknown"' in body) == (502, True)
+    assert sum(len(server.arrivals) for server in servers) == 1
+
+
+_STATUS_LINES = (
+    b"200 OK\r\n",
+    b"429 Slow Down\r\n",
+    b"503 Busy\r\n",
+    b"101 Switching Protocols\r\n",
+    b"103 Early\r\n\r\nHTTP/1.1 200 OK\r\n",
+)
+_ROWS = (
+    b"connection: upgrade\r\nupgrade: h2c\r\n",
+    b"seal: 1\r\n",
+    b"not-run: 1\r\n",
+    b"content-length: 2\r\n",
+    b"transfer-encoding: chunked\r\n",
+    b"content-encoding: gzip\r\n",
+)
+_IDS = (b"", b"request-id: r1\r\n", b"request-id: r2\r\n")
+_BODIES = (b"", b"ok", b"2\r\nok\r\n0\r\n\r\n")
+_any_bytes = strategies.binary(max_size=3)
+_responses = strategies.builds(
+    lambda line, request_id, rows, end, body: (
+        b"HTTP/1.1 " + line + request_id + b"".join(rows) + end + body
+    ),
+    strategies.sampled_from(_STATUS_LINES) | _any_bytes,
+    strategies.sampled_from(_IDS),
+    strategies.lists(strategies.sampled_from(_ROWS) | _any_bytes, max_size=4),
+    strategies.just(b"\r\n") | _any_bytes,
+    strategies.sampled_from(_BODIES) | _any_bytes,
+)
+
+
+def test_any_bytes_of_a_server_get_the_caller_a_true_answer(front, monkeypatch):
+    """Bytes that nobody foresaw ended requests without an answer."""
+    monkeypatch.setattr(front.state, "note_failure", lambda *_, **__: None)
+    server = front.add("s1", fakes.silent)
+
+    @hypothesis.settings(max_examples=200, deadline=None)
+    @hypothesis.given(_responses)
+    def check(response):
+        server.scripts = [_sending(response)]
+        before = len(server.arrivals)
+        status, headers, _ = front.ask("/unsafe/x", method="POST", body=b"p")
+        assert len(server.arrivals) == before + 1
+        assert status is not None
+        if status in (408, 429, 503):
+            assert b"not-run: 1" in response
+            assert b"request-id: r2" not in response
+        if status < 300:
+            assert headers[b"seal"] == b"1"
+
+    check()
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -64,6 +64,14 @@
         new="    if False:",
         check=_ATTEMPT_TEST,
     ),
+    mutant.Mutant(
+        name="front-passes-an-unfounded-refusal-on",
+        promise=mutant.NOT_RUN,
+        module="dotterelgrade_front.upstream",
+        old="    if head.status in _NOT_RUN_STATUSES:",
+        new="    if False:",
+        check=_ATTEMPT_TEST,
+    ),
     mutant.Mutant(
         name="front-promises-after-a-fault",
         promise=mutant.NOT_RUN,
