Pass on no encoded success

What callers saw: nothing is known; found while listing what a response may be. Callers ask for no encoding, and an encoded body is not the server's own. Evidence: before, test_an_encoded_success_is_not_passed_on failed for a plain call and a stream (200 in place of 502). Change: a success with a Content-Encoding is a failed attempt of unknown outcome. After: the tests of upstream pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -24,6 +24,7 @@
         http.HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
+_REDIRECTION = 300
 
 
 class AttemptFailedError(Exception):
@@ -183,4 +184,13 @@
             attempt.ExecutionStatus.UNKNOWN,
             f"status {head.status} without saying that the request has not run",
         )
+    if head.status < _REDIRECTION and _is_encoded(head):
+        raise AttemptFailedError(
+            attempt.ExecutionStatus.UNKNOWN, "encoded response"
+        )
     return head, facts
+
+
+def _is_encoded(head: http_message.ResponseHead) -> bool:
+    """Returns whether the body was encoded, which no request asks for."""
+    return b"content-encoding" in http_message.by_name(head.headers)
--- a/packages/dotterelgrade-front/tests/test_upstream.py
+++ b/packages/dotterelgrade-front/tests/test_upstream.py
@@ -110,6 +110,16 @@
     assert sum(len(server.arrivals) for server in servers) == 1
 
 
+@pytest.mark.parametrize("path", ["unsafe", "once"])
+def test_an_encoded_success_is_not_passed_on(front, path):
+    """The body is not that of the server."""
+    rows = b"seal: 1\r\ncontent-encoding: gzip\r\n"
+    script = fakes.responding(b"id: 1\ndata: x\n\n", headers=rows)
+    model = {"service": "model", "layers": (0, 8)} if path == "once" else {}
+    front.add("s1", script, **model)
+    assert front.ask(f"/{path}/x", method="POST", body=b"p")[0] == 502
+
+
 _STATUS_LINES = (
     b"200 OK\r\n",
     b"429 Slow Down\r\n",
@@ -158,5 +168,6 @@
             assert b"request-id: r2" not in response
         if status < 300:
             assert headers[b"seal"] == b"1"
+            assert b"content-encoding" not in headers
 
     check()
