--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 import contextlib
 import dataclasses
+import http
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
@@ -14,6 +15,16 @@
 
 # Connecting within one region takes milliseconds.
 CONNECT_TIMEOUT_S = 0.4
+# Callers take these as a statement that the request has not run.
+_NOT_RUN_STATUSES = frozenset(
+    {
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+_REDIRECTION = 300
 
 
 class AttemptFailedError(Exception):
@@ -150,7 +161,7 @@
 
     Raises:
         AttemptFailedError: The backend server refused the request, or the
-            response is for another one.
+            response is not one that the caller may have.
         http_connection.ResponseTimeoutError: No head before the deadline.
     """
     head = connection.read_head(deadline=deadline)
@@ -168,4 +179,18 @@
             + (", misdirected" if facts.misdirected else ""),
             faulty_address=facts.faulty_address,
         )
+    if head.status in _NOT_RUN_STATUSES:
+        raise AttemptFailedError(
+            attempt.ExecutionStatus.UNKNOWN,
+            f"status {head.status} without saying that the request has not run",
+        )
+    if head.status < _REDIRECTION and _is_encoded(head):
+        raise AttemptFailedError(
+            attempt.ExecutionStatus.UNKNOWN, "encoded response"
+        )
     return head, facts
+
+
+def _is_encoded(head: http_message.ResponseHead) -> bool:
+    """Returns whether the body was encoded, which no request asks for."""
+    return b"content-encoding" in http_message.by_name(head.headers)
