Decode the answers of engines, weight store and log by the common rule

Callers saw nothing; found by looking for the same cause elsewhere.

Cause: each client of the agent and the entry listed the exceptions that it expected of an answer. An offset of 1e400 raised OverflowError in the client of the log, a deeply nested refusal RecursionError in that of an engine, and so in the part that called it. A wait of 1e400 or NaN was taken as the time before a load, and an engine's 10^30 sequences could not be encoded for the entries, so that its agent reported nothing more.

Change: typed answers with bounds, decoded by `decoding.attempt`.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_client.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_client.py
@@ -9,6 +9,8 @@
 import msgspec
 from returns import result
 
+from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade import http_bodies
 from dotterelgrade_agent import agent_settings
@@ -45,15 +47,15 @@
     accelerator: str
     model: str
     version: str
-    first_layer: int
-    last_layer: int
-    running: int
-    waiting: int
-    max_sequences: int
-    cached_prefixes: tuple[int, ...] = ()
-    fence: int = 0
+    first_layer: bounded.Layer
+    last_layer: bounded.LastLayer
+    running: bounded.Count
+    waiting: bounded.Count
+    max_sequences: bounded.Count
+    cached_prefixes: tuple[bounded.Int64, ...] = ()
+    fence: bounded.Count = 0
     checks_fence: bool = False
-    vocabulary: int = 0
+    vocabulary: bounded.Count = 0
     loading: bool = False
 
     def holds(
@@ -77,8 +79,8 @@
     """
 
     sequence: str
-    position: int
-    outputs: tuple[int, ...]
+    position: bounded.Count
+    outputs: tuple[bounded.Int64, ...]
     error: str | None = None
 
 
@@ -91,7 +93,7 @@
     """
 
     results: tuple[StepResult, ...]
-    step_ms: float
+    step_ms: bounded.DurationMs
 
 
 class _Held(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,7 +101,10 @@
 
 
 class _Fence(msgspec.Struct, frozen=True, kw_only=True):
-    fence: int
+    fence: bounded.Count
+
+
+_fence_decoder = msgspec.json.Decoder(_Fence)
 
 
 class BatchItem(msgspec.Struct, frozen=True, kw_only=True):
@@ -229,10 +234,12 @@
 def _decode(data: bytes, expected: type[_T]) -> result.Result[_T, errors.Error]:
     if expected is dict and not data:
         return result.Success({})
-    try:
-        return result.Success(msgspec.json.decode(data, type=expected))
-    except (msgspec.DecodeError, RecursionError) as error:
-        return _failed(f"invalid answer: {error}")
+    return decoding.attempt(
+        lambda encoded: msgspec.json.decode(encoded, type=expected),
+        data,
+        what="invalid answer",
+        kind=errors.ErrorKind.ENGINE_FAILED,
+    )
 
 
 def _match(
@@ -252,11 +259,10 @@
 
 
 def _refused(data: bytes) -> result.Failure[errors.Error]:
-    try:
-        fence = msgspec.json.decode(data, type=_Fence).fence
-        message = f"the engine has seen fencing number {fence}"
-    except msgspec.DecodeError:
-        message = "the engine refused the order"
+    seen = decoding.attempt(_fence_decoder.decode, data, what="refusal")
+    message = seen.map(
+        lambda wire: f"the engine has seen fencing number {wire.fence}"
+    ).value_or("the engine refused the order")
     return result.Failure(
         errors.Error(kind=errors.ErrorKind.ENGINE_REFUSED, message=message)
     )
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/weight_store_client.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/weight_store_client.py
@@ -1,11 +1,12 @@
 """Client of the platform's rate-limited weight store."""
 
-import json
-
 import geventhttpclient
 import geventhttpclient.response
+import msgspec
 from returns import result
 
+from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade import http_bodies
 from dotterelgrade import settings as settings_lib
@@ -14,13 +15,19 @@
 _HTTP_OK = 200
 _HTTP_TOO_MANY = 429
 _MS_PER_S = 1000
-_FAILURES = (
-    OSError,
-    ValueError,
-    KeyError,
-    TypeError,
-    geventhttpclient.response.HTTPParseError,
-)
+_FAILURES = (OSError, ValueError, geventhttpclient.response.HTTPParseError)
+
+
+class _Wait(msgspec.Struct, frozen=True, kw_only=True):
+    wait_ms: bounded.DurationMs
+
+
+class _Pause(msgspec.Struct, frozen=True, kw_only=True):
+    retry_after_ms: bounded.DurationMs
+
+
+_wait_decoder = msgspec.json.Decoder(_Wait)
+_pause_decoder = msgspec.json.Decoder(_Pause)
 
 
 class WeightStoreClient:
@@ -63,35 +70,50 @@
             network_timeout=self._timeout_s,
         )
         try:
-            response = client.post("/loads", body=json.dumps(body))
-            value = json.loads(http_bodies.read(response))
-            return _to_wait(response.status_code, value)
+            response = client.post("/loads", body=msgspec.json.encode(body))
+            data = http_bodies.read(response)
         except _FAILURES as error:
             return _failure(
                 errors.ErrorKind.PEER_UNREACHABLE, f"weight store: {error!r}"
             )
         finally:
             client.close()
+        return _to_wait(response.status_code, data)
 
 
-def _to_wait(
-    status: int, value: dict[str, float]
-) -> result.Result[float, errors.Error]:
+def _to_wait(status: int, data: bytes) -> result.Result[float, errors.Error]:
     if status == _HTTP_OK:
-        return result.Success(float(value["wait_ms"]) / _MS_PER_S)
-    if status == _HTTP_TOO_MANY:
-        return result.Failure(
-            errors.Error(
-                kind=errors.ErrorKind.NO_CAPACITY,
-                message="the weight store's rate is used up",
-                retry_after_s=float(value["retry_after_ms"]) / _MS_PER_S,
-            )
+        return _decode(_wait_decoder, data).map(
+            lambda wire: wire.wait_ms / _MS_PER_S
         )
+    if status == _HTTP_TOO_MANY:
+        return _decode(_pause_decoder, data).bind(_used_up)
     return _failure(
         errors.ErrorKind.PEER_UNREACHABLE, f"weight store answered {status}"
     )
 
 
+def _decode(
+    decoder: msgspec.json.Decoder, data: bytes
+) -> result.Result[msgspec.Struct, errors.Error]:
+    return decoding.attempt(
+        decoder.decode,
+        data,
+        what="weight store",
+        kind=errors.ErrorKind.PEER_UNREACHABLE,
+    )
+
+
+def _used_up(wire: _Pause) -> result.Failure[errors.Error]:
+    return result.Failure(
+        errors.Error(
+            kind=errors.ErrorKind.NO_CAPACITY,
+            message="the weight store's rate is used up",
+            retry_after_s=wire.retry_after_ms / _MS_PER_S,
+        )
+    )
+
+
 def _failure(
     kind: errors.ErrorKind, message: str
 ) -> result.Failure[errors.Error]:
--- a/packages/dotterelgrade/src/dotterelgrade/bounded.py
+++ b/packages/dotterelgrade/src/dotterelgrade/bounded.py
@@ -25,6 +25,10 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 UnixMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNIX_MS)]
 Layer = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LAYERS)]
+# Index of a last layer; without any layer the one before the first.
+LastLayer = Annotated[int, msgspec.Meta(ge=-1, le=_MAX_LAYERS)]
+# Fits into a frame as it is; for values that are passed on, not computed with.
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Amount = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AMOUNT)]
--- a/packages/dotterelgrade/src/dotterelgrade/log_client.py
+++ b/packages/dotterelgrade/src/dotterelgrade/log_client.py
@@ -1,15 +1,16 @@
 """Client of the platform's append-only log service."""
 
-import base64
 import dataclasses
-import json
 import logging
-from typing import Any, Protocol
+from typing import Protocol
 
 import geventhttpclient
 import geventhttpclient.response
+import msgspec
 from returns import result
 
+from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade import http_bodies
 from dotterelgrade import settings as settings_lib
@@ -27,13 +28,36 @@
 _REQUEST_ERRORS = (
     OSError,
     ValueError,
-    KeyError,
-    TypeError,
-    RecursionError,
     geventhttpclient.response.HTTPParseError,
 )
 
 
+class _WireOffset(msgspec.Struct, frozen=True, kw_only=True):
+    offset: bounded.Count
+
+
+class _WireExpired(msgspec.Struct, frozen=True, kw_only=True):
+    first_kept: bounded.Count
+
+
+class _WireRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A record of a page; `body` is base64."""
+
+    offset: bounded.Count
+    body: bytes
+
+
+class _WirePage(msgspec.Struct, frozen=True, kw_only=True):
+    records: tuple[_WireRecord, ...]
+    first_kept: bounded.Count
+    end: bounded.Count
+
+
+_offset_decoder = msgspec.json.Decoder(_WireOffset)
+_expired_decoder = msgspec.json.Decoder(_WireExpired)
+_page_decoder = msgspec.json.Decoder(_WirePage)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Record:
     """One record of a stream.
@@ -141,7 +165,7 @@
                 return _unavailable(
                     f"append returned HTTP {response.status_code}"
                 )
-            return result.Success(int(json.loads(data)["offset"]))
+            return decode_offset(data)
         except _REQUEST_ERRORS as error:
             return _unavailable(repr(error))
 
@@ -154,31 +178,57 @@
             response = self._http.get(path)
             data = http_bodies.read(response, max_bytes=MAX_PAGE_BYTES)
             if response.status_code == _HTTP_GONE:
-                return result.Failure(
-                    ExpiredError(
-                        message=f"offset {start} of {stream} is no longer kept",
-                        first_kept=int(json.loads(data)["first_kept"]),
-                    )
-                )
+                return _expired(stream, start, data)
             if response.status_code != _HTTP_OK:
                 return _unavailable(
                     f"read returned HTTP {response.status_code}"
                 )
-            return result.Success(_to_page(json.loads(data)))
+            return decode_page(data)
         except _REQUEST_ERRORS as error:
             return _unavailable(repr(error))
 
 
-def _to_page(value: Any) -> Page:
-    records = tuple(
-        Record(
-            offset=int(item["offset"]),
-            body=base64.b64decode(item["body"], validate=True),
+def decode_offset(body: bytes) -> result.Result[int, errors.Error]:
+    """Decodes the answer to an append, or returns why it can't be used."""
+    return _decode(_offset_decoder, body).map(lambda wire: wire.offset)
+
+
+def decode_page(body: bytes) -> result.Result[Page, errors.Error]:
+    """Decodes the answer to a read, or returns why it can't be used."""
+    return _decode(_page_decoder, body).map(_to_page)
+
+
+def _to_page(wire: _WirePage) -> Page:
+    return Page(
+        records=tuple(
+            Record(offset=record.offset, body=record.body)
+            for record in wire.records
+        ),
+        first_kept=wire.first_kept,
+        end=wire.end,
+    )
+
+
+def _expired(
+    stream: str, start: int, body: bytes
+) -> result.Failure[errors.Error]:
+    decoded = _decode(_expired_decoder, body)
+    if isinstance(decoded, result.Failure):
+        return decoded
+    return result.Failure(
+        ExpiredError(
+            message=f"offset {start} of {stream} is no longer kept",
+            first_kept=decoded.unwrap().first_kept,
         )
-        for item in value["records"]
     )
-    return Page(
-        records=records,
-        first_kept=int(value["first_kept"]),
-        end=int(value["end"]),
+
+
+def _decode(
+    decoder: msgspec.json.Decoder, body: bytes
+) -> result.Result[msgspec.Struct, errors.Error]:
+    return decoding.attempt(
+        decoder.decode,
+        body,
+        what="log service",
+        kind=errors.ErrorKind.LOG_UNAVAILABLE,
     )
--- a/packages/dotterelgrade/tests/test_log_client.py
+++ b/packages/dotterelgrade/tests/test_log_client.py
@@ -109,8 +109,10 @@
         _http(_page(records=[{"offset": 1}])),
         _http(_page(records=[{"offset": 1, "body": "%%%"}])),
         _http(_page(end=None)),
+        _http(b'{"offset": 1e400, "records": [], "first_kept": 1e400}'),
+        _http(b'{"offset": -1, "records": [], "first_kept": 1, "end": -1}'),
     ],
-    ids=range(14),
+    ids=range(16),
 )
 def test_malformed_response_is_log_unavailable(canned_server, data):
     canned_server.data = data
