Bound the numbers in records of the log

Callers saw nothing; found by fuzzing.

Cause: offsets, fences, times and statuses in records of the log were of any size. Some are passed on in frames of 64 bits, where encoding raised.

Evidence, before the change: test_record_of_the_log_is_decoded_or_an_error failed for contract records, claims and seats, with numbers such as 10^30 in what was decoded.

Change: the fields have bounds, and the records are decoded by the common rule. Fences may be below zero, since they are only compared.

After: test_fuzz_decoders, test_placement, test_claim_ledger and packages/dotterelgrade pass.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/claim_items.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/claim_items.py
@@ -2,16 +2,18 @@
 
 from collections.abc import Iterator
 import logging
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
 from dotterelgrade import appender
+from dotterelgrade import bounded
 from dotterelgrade import log_client
 
 _LOG = logging.getLogger(__name__)
 
 Key = tuple[str, str]
+_Status = Annotated[int, msgspec.Meta(ge=0, le=999)]
 
 
 class _Item(msgspec.Struct, frozen=True, kw_only=True, tag_field="type"):
@@ -39,11 +41,11 @@
         at_s: Wall-clock time when it had, s since the epoch.
     """
 
-    key_time_s: float
+    key_time_s: bounded.Amount
     digest: str
     claimer: str
-    seen: int
-    at_s: float
+    seen: bounded.Count
+    at_s: bounded.Amount
 
 
 class Outcome(_Item, frozen=True, kw_only=True, tag="outcome"):
@@ -59,7 +61,7 @@
         is_whole: Whether the body was small enough to be recorded.
     """
 
-    status: int
+    status: _Status
     headers: dict[str, str]
     body: bytes
     is_whole: bool = True
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/placement.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/placement.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from dotterelgrade import errors
+from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import log_client
 from dotterelgrade import rules
 
@@ -18,7 +19,7 @@
 
 class _Item(msgspec.Struct, frozen=True, kw_only=True, tag_field="type"):
     host: str
-    peer_port: int
+    peer_port: bounded.Port
     backend: str
 
     @property
@@ -38,7 +39,7 @@
 
     id: str
     seat: str
-    expects: int
+    expects: bounded.Int64
 
 
 class Renewal(_Item, frozen=True, kw_only=True, tag="renewal"):
@@ -51,7 +52,7 @@
     """
 
     seat: str
-    fence: int
+    fence: bounded.Int64
     version: str = ""
 
 
@@ -64,7 +65,7 @@
     """
 
     seat: str
-    fence: int
+    fence: bounded.Int64
 
 
 class Spare(_Item, frozen=True, kw_only=True, tag="spare"):
@@ -258,9 +259,8 @@
 
 
 def _decode(body: bytes) -> Item:
-    try:
-        return msgspec.json.decode(body, type=Item)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise errors.new_exception(
-            errors.ErrorKind.RECORD_INVALID, f"no placement: {error}"
-        ) from error
+    return decoding.require(
+        lambda encoded: msgspec.json.decode(encoded, type=Item),
+        body,
+        what="no placement",
+    )
--- a/packages/dotterelgrade/src/dotterelgrade/appender.py
+++ b/packages/dotterelgrade/src/dotterelgrade/appender.py
@@ -11,6 +11,7 @@
 from gevent import event
 from returns import result
 
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade import log_client
 
@@ -54,18 +55,17 @@
     Raises:
         errors.DotterelgradeError: RECORD_INVALID, for any other body.
     """
-    try:
-        value = json.loads(body)
-        items = value["items"]
-        if value["type"] != BATCH_TYPE or not isinstance(value["id"], str):
-            raise ValueError("not a batch")
-        if not all(isinstance(item, dict) for item in items):
-            raise ValueError("an item is not an object")
-        return Batch(id=value["id"], items=tuple(items))
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
-        raise errors.new_exception(
-            errors.ErrorKind.RECORD_INVALID, f"invalid batch record: {error!r}"
-        ) from error
+    return decoding.require(_to_batch, body, what="invalid batch record")
+
+
+def _to_batch(body: bytes) -> Batch:
+    value = json.loads(body)
+    items = value["items"]
+    if value["type"] != BATCH_TYPE or not isinstance(value["id"], str):
+        raise ValueError("not a batch")
+    if not all(isinstance(item, dict) for item in items):
+        raise ValueError("an item is not an object")
+    return Batch(id=value["id"], items=tuple(items))
 
 
 def _encode_batch(batch_id: str, items: list[str]) -> bytes:
--- a/packages/dotterelgrade/src/dotterelgrade/charges.py
+++ b/packages/dotterelgrade/src/dotterelgrade/charges.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from dotterelgrade import appender
+from dotterelgrade import bounded
 from dotterelgrade import errors
 from dotterelgrade import log_client
 
@@ -49,8 +50,8 @@
 
     workspace: str
     request_id: str
-    prompt_tokens: int
-    generated_tokens: int
+    prompt_tokens: bounded.Count
+    generated_tokens: bounded.Count
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/dotterelgrade/src/dotterelgrade/contract_records.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_records.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade import grammar
 
@@ -28,7 +30,7 @@
 
     identity: str
     text: str
-    offset: int
+    offset: bounded.Count
     author: str
 
 
@@ -45,7 +47,7 @@
     """
 
     identity: str
-    offset: int
+    offset: bounded.Count
     author: str
 
 
@@ -61,7 +63,7 @@
 
     identity: str
     text: str | None
-    seen: int
+    seen: bounded.Count
 
 
 @_frozen
@@ -79,7 +81,7 @@
     id: str
     author: str
     edits: tuple[Edit, ...]
-    base: int = 0
+    base: bounded.Count = 0
     type: str = "edit"
 
 
@@ -96,11 +98,11 @@
         type: Discriminates the records of the stream.
     """
 
-    covers: int
+    covers: bounded.Count
     lines: tuple[ActiveLine, ...]
     digest: str
     removals: tuple[Removal, ...] = ()
-    forgotten: int = 0
+    forgotten: bounded.Count = 0
     type: str = "snapshot"
 
 
@@ -135,7 +137,7 @@
 
     id: str
     author: str
-    base: int
+    base: bounded.Count
     lines: tuple[RestoredLine, ...]
     type: str = "restore"
 
@@ -167,17 +169,7 @@
     """
     if len(body) > MAX_RECORD_BYTES:
         raise _invalid(f"{len(body)} bytes, at most {MAX_RECORD_BYTES}")
-    try:
-        value = json.loads(body)
-        record = msgspec.convert(value, _TYPES[value["type"]])
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        RecursionError,
-        msgspec.ValidationError,
-    ) as error:
-        raise _invalid(repr(error)) from error
+    record = decoding.require(_convert, body, what="no contract record")
     if isinstance(record, EditRecord):
         _check_edit(record)
     elif isinstance(record, RestoreRecord):
@@ -185,6 +177,11 @@
     return record
 
 
+def _convert(body: bytes) -> ContractRecord:
+    value = json.loads(body)
+    return msgspec.convert(value, _TYPES[value["type"]])
+
+
 def _invalid(reason: str) -> errors.DotterelgradeError:
     return errors.new_exception(errors.ErrorKind.RECORD_INVALID, reason)
 
