Reject frames of agents with times that are no durations

Callers saw nothing; found by looking for the same cause elsewhere.

Cause: a step time or a round-trip time of NaN, infinity or below zero passed the check of types. The entry's predictions were then no numbers and compared as neither larger nor smaller; an admission with a deadline of NaN never expired.

Evidence, before the change: test_a_time_that_is_no_duration_is_frame_invalid (16 cases) and test_a_deadline_that_is_no_number_is_frame_invalid failed with "DID NOT RAISE".

Ruled out: the same bound for the deadline of a call to a plain service. The agent answers such a call `not_run` already, which is more than a closed connection (test_a_call_without_time_left_is_not_run[nan]).

After: the tests of messages, the agent and the entry pass.

--- a/packages/dotterelgrade/src/dotterelgrade/messages.py
+++ b/packages/dotterelgrade/src/dotterelgrade/messages.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 
+from dotterelgrade import bounded
 from dotterelgrade import errors
 from dotterelgrade import frame_codec
 
@@ -53,9 +54,9 @@
     sequences: int = 0
     queued_tokens: int = 0
     slots_free: int = 0
-    step_ms: float = 0.0
-    sequence_ms: float = 0.0
-    token_ms: float = 0.0
+    step_ms: bounded.DurationMs = 0.0
+    sequence_ms: bounded.DurationMs = 0.0
+    token_ms: bounded.DurationMs = 0.0
     service: str = ""
     cached_prefixes: tuple[int, ...] = ()
     healthy: bool = True
@@ -76,7 +77,9 @@
     state: ProcessState
     contract_offset: int
     backends: tuple[BackendReport, ...] = ()
-    links: dict[str, float] = dataclasses.field(default_factory=dict)
+    links: dict[str, bounded.DurationMs] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @frame_codec.frame
@@ -138,7 +141,7 @@
     next_hop: Hop | None
     workspace: str
     priority: int
-    deadline_ms: float
+    deadline_ms: bounded.SignedNumber
     prompt_tokens: int
     max_tokens: int
     mute_before: int = 0
@@ -172,7 +175,7 @@
     stage: int
     kind: errors.ErrorKind
     message: str
-    retry_after_ms: float = 0.0
+    retry_after_ms: bounded.DurationMs = 0.0
     report: BackendReport | None = None
 
 
@@ -366,7 +369,7 @@
     kind: errors.ErrorKind
     message: str
     run: errors.RunState
-    retry_after_ms: float = 0.0
+    retry_after_ms: bounded.DurationMs = 0.0
 
 
 @frame_codec.frame
--- a/packages/dotterelgrade/tests/test_messages.py
+++ b/packages/dotterelgrade/tests/test_messages.py
@@ -1,4 +1,5 @@
 import dataclasses
+import math
 
 import hypothesis
 from hypothesis import strategies as st
@@ -43,6 +44,47 @@
     assert frame_codec.from_wire(msgpack.unpackb(data)) == message
 
 
+_BACKEND = ("backends", 0)
+
+
+@pytest.mark.parametrize("odd", [math.nan, 1e300, -1.0, math.inf])
+@pytest.mark.parametrize(
+    ("message", "place"),
+    [
+        (_REPORT, ("links", "127.0.0.2:7400")),
+        (_REPORT, (*_BACKEND, "step_ms")),
+        (_REPORT, (*_BACKEND, "token_ms")),
+        (
+            messages.Refused(
+                request_id="r",
+                attempt=1,
+                stage=0,
+                kind=errors.ErrorKind.NO_CAPACITY,
+                message="full",
+            ),
+            ("retry_after_ms",),
+        ),
+    ],
+)
+def test_a_time_that_is_no_duration_is_frame_invalid(message, place, odd):
+    """Predictions with one that is no number chose any chain."""
+    tag, fields = frame_codec.to_wire(message)
+    inner = fields
+    for key in place[:-1]:
+        inner = inner[key]
+    inner[place[-1]] = odd
+    with pytest.raises(errors.DotterelgradeError) as caught:
+        frame_codec.from_wire([tag, fields])
+    assert caught.value.error.kind is errors.ErrorKind.FRAME_INVALID
+
+
+def test_a_deadline_that_is_no_number_is_frame_invalid():
+    """It never expired."""
+    tag, fields = frame_codec.to_wire(_ADMIT)
+    with pytest.raises(errors.DotterelgradeError):
+        frame_codec.from_wire([tag, {**fields, "deadline_ms": math.nan}])
+
+
 def test_every_frame_is_a_frozen_data_class():
     for cls in frame_codec.registered_frames().values():
         assert dataclasses.is_dataclass(cls)
