Play wrong answers, wrongly resumed streams and odd entries in the soak

Cause: other operators met a refusal that was written once more for another request, resumed streams answered with text, an error, nothing or from the beginning, a switch of protocols, and an entry of another writer that no reader could bear. The soak played none of them, and did not notice a front that ended by itself.

Streams carry the content type of events. The check `ended` finds a front that ends by itself. Only one greenlet starts a process at a time: two at once had left a second process that kept the addresses.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -32,9 +32,16 @@
 _LAPSE_S = 1.5
 _WORK_S = 0.02
 POLL_S = 0.02
+# Share of its requests that a faulty server answers wrongly.
+_MISTAKEN_SHARE = 0.3
+_PLAIN_TEXT = (b"content-type", b"text/plain")
+_SWITCH_OF_PROTOCOLS = (
+    b"HTTP/1.1 101 Switching Protocols\r\n"
+    b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+)
 OK = 200
 _MISDIRECTED = 421
-_ERROR = 500
+ERROR = 500
 FULL = 503
 
 
@@ -46,6 +53,20 @@
     ALL = "all"
 
 
+class Mistake(enum.Enum):
+    """An answer that a faulty backend server writes to some requests."""
+
+    SWITCH_OF_PROTOCOLS = "switch of protocols"
+    # Of an earlier request, written once more before the answer.
+    REFUSAL = "refusal"
+    # These only in place of the rest of a stream.
+    TEXT = "text"
+    ERROR = "error"
+    NOTHING = "nothing"
+    ANEW = "anew"
+    GAP = "gap"
+
+
 class BackendStandIn:
     """A plain backend server behind a proxy, with its entry in the list."""
 
@@ -71,6 +92,7 @@
         self.loses_answers = 0.0
         self.refuses = 0.0
         self.slowness = 1.0
+        self.mistake: Mistake | None = None
         self.silence: Silence | None = None
         self.full_until = float("-inf")
         self._store = store
@@ -78,6 +100,7 @@
         self._rng = rng
         self._socks: set[socket.socket] = set()
         self._entry = b""
+        self._refused = "unknown"
         self._lapsed: set[str] = set()
         self._withdrawn: set[str] = set()
         self._down_since = time.monotonic()
@@ -147,6 +170,7 @@
     def write_again(self) -> None:
         """Writes once more what a store that lost it had acknowledged."""
         self._entry = b""
+        self._refused = "unknown"
         self._lapsed |= self._withdrawn
 
     def entry(self) -> backend_server.BackendServer:
@@ -236,6 +260,7 @@
         told: backend_server_codec.ForwardedRequest,
     ) -> None:
         with self._noted(told) as run:
+            self._make_mistake(client, run)
             gevent.sleep(_WORK_S * self.slowness)
             self._wait_while_silent()
             if not self.alive or self._rng.random() < self.loses_answers:
@@ -244,12 +269,29 @@
             self._send(
                 client,
                 told,
-                _ERROR if failed else OK,
+                ERROR if failed else OK,
                 request.body + b" ran",
                 seal=f"{self.server.id}/{told.request_id}",
             )
             run.answered = True
 
+    def _make_mistake(
+        self,
+        client: client_connection.ClientConnection,
+        run: soak_evidence.Run,
+    ) -> None:
+        """Writes an answer that is not that of the run, to some requests."""
+        if self._rng.random() > _MISTAKEN_SHARE:
+            return
+        if self.mistake is Mistake.SWITCH_OF_PROTOCOLS:
+            client.write(_SWITCH_OF_PROTOCOLS)
+            self.break_off(run, "switched protocols")
+        if self.mistake is Mistake.REFUSAL:
+            headers = backend_server_codec.response_headers(
+                request_id=self._refused, not_run=True
+            )
+            self._write(client, FULL, headers, b"")
+
     def break_off(self, run: soak_evidence.Run, reason: str) -> NoReturn:
         """Ends the connection of a run without the rest of its answer."""
         run.broke_off = True
@@ -295,6 +337,7 @@
             faulty_address: Address of the stage at fault, or empty.
             retry_after_s: For how long it wants nothing, s, or 0.
         """
+        self._refused = told.request_id
         self._send(
             client,
             told,
@@ -326,9 +369,18 @@
         body: bytes,
         **facts: str | bool | float,
     ) -> None:
-        headers = self.answer_headers(told, **facts)
+        self._write(client, status, self.answer_headers(told, **facts), body)
+
+    def _write(
+        self,
+        client: client_connection.ClientConnection,
+        status: int,
+        headers: http_message.Headers,
+        body: bytes,
+    ) -> None:
         length = (b"content-length", str(len(body)).encode())
+        head = [_PLAIN_TEXT, *headers, length]
         first_line = responses.status_line(status)
-        client.write(http_message.encode_head(first_line, [*headers, length]))
+        client.write(http_message.encode_head(first_line, head))
         self._wait_while_silent()
         client.write(body)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
@@ -26,6 +26,8 @@
 _STEP_S = 0.008
 _LOAD_S = 0.3
 _STALL_S = 2.0
+_TEXT = b"internal error\n\n"
+_EVENTS = (b"content-type", b"text/event-stream")
 _ACCEPTED = 202
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -44,6 +46,25 @@
     waits_for: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _WrongAnswer:
+    status: int
+    body: bytes
+
+
+_IN_PLACE_OF_THE_REST = {
+    platform_backends.Mistake.TEXT: _WrongAnswer(
+        status=platform_backends.OK, body=_TEXT
+    ),
+    platform_backends.Mistake.ERROR: _WrongAnswer(
+        status=platform_backends.ERROR, body=_TEXT
+    ),
+    platform_backends.Mistake.NOTHING: _WrongAnswer(
+        status=platform_backends.OK, body=b""
+    ),
+}
+
+
 class EngineStandIn(platform_backends.BackendStandIn):
     """A backend server that holds layers and makes streams with others."""
 
@@ -255,16 +276,23 @@
         told: backend_server_codec.ForwardedRequest,
         stream: _Stream,
     ) -> None:
-        headers = self.answer_headers(
-            told, seal=f"{self.server.id}/{told.request_id}"
-        )
-        headers.append((b"content-type", b"text/event-stream"))
+        seal = f"{self.server.id}/{told.request_id}"
+        first = 1
+        if not told.resume_after:
+            self._make_mistake(client, stream.run)
+        elif self.mistake in _IN_PLACE_OF_THE_REST:
+            wrong = _IN_PLACE_OF_THE_REST[self.mistake]
+            self._send(client, told, wrong.status, wrong.body, seal=seal)
+            self.break_off(stream.run, "resumed wrongly")
+        else:
+            first = self._first_event(told.resume_after)
+        headers = [_EVENTS, *self.answer_headers(told, seal=seal)]
         head = http_message.ResponseHead(
             status=platform_backends.OK, reason=b"", headers=headers
         )
         data = responses.encode_stream_head(head, close=False)
         last = int(told.answer_tokens) // TOKENS_PER_EVENT
-        for number in range(int(told.resume_after or 0) + 1, last + 1):
+        for number in range(first, last + 1):
             self._make_token(stream)
             event = event_of(request.body, number)
             if self._rng.random() < self.loses_answers:
@@ -277,6 +305,15 @@
         client.write(data + responses.LAST_CHUNK)
         stream.run.answered = True
 
+    def _first_event(self, resume_after: str) -> int:
+        match self.mistake:
+            case platform_backends.Mistake.ANEW:
+                return 1
+            case platform_backends.Mistake.GAP:
+                return int(resume_after) + 2
+            case _:
+                return int(resume_after) + 1
+
     def _make_token(self, stream: _Stream) -> None:
         stalled_at = time.monotonic()
         while self.alive:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak.py
@@ -91,6 +91,7 @@
     greenlets = [
         gevent.spawn(rotation.run),
         gevent.spawn(_watch_lag, fleet.evidence),
+        gevent.spawn(_watch_processes, fleet),
     ]
     try:
         if not launcher.wait_until(
@@ -138,6 +139,16 @@
             evidence.calm(evidence.disturb(machine, began_at=began))
 
 
+def _watch_processes(fleet: soak_fleet.Fleet) -> None:
+    """Notes processes that end by themselves, and starts them again."""
+    while True:
+        for front in fleet.fronts:
+            if front.ended_by_itself:
+                fleet.evidence.broken("ended", "", f"{front}")
+                front.start()
+        gevent.sleep(_LAG_STEP_S)
+
+
 @commands.register
 class SoakCommand(command_lib.Command):
     """Runs the soak once, or with fresh seeds for some minutes."""
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
@@ -11,6 +11,7 @@
 import time
 
 import gevent
+from gevent import lock
 from gevent import subprocess
 
 from dotterelgrade_front import front_settings
@@ -49,6 +50,7 @@
     ),
 )
 _MODULE = "dotterelgrade_platform"
+_ENDING = frozenset({signal.SIGKILL, signal.SIGTERM})
 _CALLERS_PORT = 7_001
 _READY_PORT = 7_002
 _PEER_PORT = 7_003
@@ -105,6 +107,8 @@
         self._log_path = directory / f"{settings.node}.log"
         self._settings_path.write_text(operator_codec.settings_text(settings))
         self._child: subprocess.Popen | None = None
+        self._told_to_end = False
+        self._starting = lock.BoundedSemaphore(1)
 
     def __repr__(self) -> str:
         """Shows the name and the process."""
@@ -120,21 +124,31 @@
         """Whether the process exists."""
         return self._child is not None and self._child.poll() is None
 
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether the process has ended though nothing told it to."""
+        return self._child is not None and not (self.runs or self._told_to_end)
+
     def start(self) -> None:
-        """Starts the process."""
+        """Starts the process, unless it exists."""
         path = str(self._settings_path)
         environment = {**os.environ, settings_file.PATH_VARIABLE: path}
-        with self._log_path.open("ab") as log:
+        # Other greenlets go on while a process is made.
+        with self._starting, self._log_path.open("ab") as log:
+            if self.runs:
+                return
             self._child = subprocess.Popen(
                 [sys.executable, "-m", _MODULE, "serve"],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
             )
+            self._told_to_end = False
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process exists."""
         if self.runs:
+            self._told_to_end |= number in _ENDING
             self._child.send_signal(number)
 
     def kill(self) -> None:
--- a/packages/dotterelgrade-standins/tests/test_platform_backends.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_backends.py
@@ -2,6 +2,7 @@
 import time
 
 import gevent
+from gevent import socket
 import pytest
 
 from dotterelgrade import http_connection
@@ -54,6 +55,10 @@
 
 
 def _ask(backend, instance):
+    return _call(backend, instance).status
+
+
+def _call(backend, instance):
     headers = backend_server_codec.client_headers(
         request_id="r", time_left_s=1.0, api_key="k"
     )
@@ -68,7 +73,7 @@
         body=b"r",
         timeout_s=2.0,
     )
-    return head.status
+    return head
 
 
 def _listed(store):
@@ -134,3 +139,44 @@
     monkeypatch.setattr(backend, "answer_headers", then_silent)
     assert _ask(backend, "s") == 200
     assert backend.silence is None
+
+
+@pytest.fixture
+def mistaken(monkeypatch):
+    monkeypatch.setattr(platform_backends, "_MISTAKEN_SHARE", 1.0)
+
+
+def test_a_server_repeats_its_refusal_of_an_earlier_request(
+    backend, evidence, mistaken
+):
+    _note_sent(evidence)
+    backend.full_until = float("inf")
+    assert _ask(backend, "s") == 503
+    backend.full_until = 0.0
+    backend._refused = "earlier"
+    backend.mistake = platform_backends.Mistake.REFUSAL
+    head = _call(backend, "s")
+    assert head.status == 503
+    assert b"earlier" in dict(head.headers).values()
+    assert len(evidence.runs["r"]) == 1
+
+
+def test_a_server_switches_protocols_and_ends_the_run(
+    backend, evidence, mistaken
+):
+    _note_sent(evidence)
+    backend.mistake = platform_backends.Mistake.SWITCH_OF_PROTOCOLS
+    host, _, port = backend.server.address.rpartition(":")
+    instance = backend_server_codec.INSTANCE_HEADER + b": s"
+    ids = b"\r\n".join(
+        name + b": " + value
+        for name, value in backend_server_codec.client_headers(
+            request_id="r", time_left_s=1.0, api_key="k"
+        )
+    )
+    with socket.create_connection((host, int(port)), timeout=5.0) as sock:
+        head = b"GET /x HTTP/1.1\r\nhost: h\r\n"
+        sock.sendall(head + instance + b"\r\n" + ids + b"\r\n\r\n")
+        received = b"".join(iter(lambda: sock.recv(65_536), b""))
+    assert received.startswith(b"HTTP/1.1 101 ")
+    assert evidence.runs["r"][0].broke_off
--- a/packages/dotterelgrade-standins/tests/test_platform_engines.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_engines.py
@@ -62,11 +62,11 @@
         yield made
 
 
-def _stream(chain):
+def _stream(chain, resume_after=0):
     hops = ",".join(
         f"{e.server.address}={e._held.first}-{e._held.end}" for e in chain
     )
-    _, body = http_connection.call(
+    head, body = http_connection.call(
         chain[0].server.address,
         method=b"POST",
         target=b"/x",
@@ -79,11 +79,18 @@
             ),
             (backend_server_codec.INSTANCE_HEADER, b"engine-0"),
             (header_names.HOPS, hops.encode()),
+            (header_names.LAST_EVENT_ID, b"%d" % resume_after),
         ],
         body=b"r",
         timeout_s=5.0,
     )
-    return body
+    return head.status, body
+
+
+def _events(first):
+    return b"".join(
+        platform_engines.event_of(b"r", n) for n in range(first, _EVENTS + 1)
+    )
 
 
 def _report(engine):
@@ -103,9 +110,7 @@
     gevent.sleep(0.3)
     assert not streamed.ready()
     chain[stage].silence = None
-    assert streamed.get(timeout=5.0) == b"".join(
-        platform_engines.event_of(b"r", n) for n in range(1, _EVENTS + 1)
-    )
+    assert streamed.get(timeout=5.0) == (200, _events(1))
 
 
 @pytest.mark.parametrize(
@@ -124,3 +129,19 @@
     assert asked.ready() is answers
     chain[0].silence = None
     assert asked.get(timeout=5.0)[0].status == 200
+
+
+@pytest.mark.parametrize(
+    ("mistake", "answer"),
+    [
+        (None, (200, _events(3))),
+        (platform_backends.Mistake.TEXT, (200, b"internal error\n\n")),
+        (platform_backends.Mistake.ERROR, (500, b"internal error\n\n")),
+        (platform_backends.Mistake.NOTHING, (200, b"")),
+        (platform_backends.Mistake.ANEW, (200, _events(1))),
+        (platform_backends.Mistake.GAP, (200, _events(4))),
+    ],
+)
+def test_a_stream_is_resumed_wrongly(chain, mistake, answer):
+    chain[0].mistake = mistake
+    assert _stream(chain, resume_after=2) == answer
--- a/packages/dotterelgrade-standins/tests/test_soak.py
+++ b/packages/dotterelgrade-standins/tests/test_soak.py
@@ -22,6 +22,16 @@
         planned_s=15.0,
         only=("backend_frozen", "backend_stands_still"),
     ),
+    # A repeated refusal of an earlier request was taken for that of this one,
+    # a switch of protocols closed the caller's connection without a word, text
+    # and an end without events were joined to a stream, and an entry with 10^9
+    # layers held all fronts for good.
+    104: soak.Settings(
+        seed=104,
+        storm_s=12.0,
+        planned_s=0.0,
+        only=("answers_mistaken", "entry_odd", "streams_resumed_wrongly"),
+    ),
 }
 _SHORT = soak.Settings(seed=1, storm_s=5.0, planned_s=5.0)
 
