Change weights, keys, timeouts, limits and settings under load in the soak

Cause: a change of the configuration only added or removed one route, and a reload changed nothing.

Change: each version draws a weight for a second plain service (which is gone at none), a spare key, the timeout of plain routes and the idle timeout; reloads draw the retry budget, down to none. Callers reuse a connection up to 0.8 of the idle timeout, and note bytes that come while nothing is awaited. Some close their side behind the request, some offer another protocol, some use the spare key. Any 3xx or 4xx of a front's own for a proper request is `denied`. A torn answer is noted once. The configuration has a module of its own.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_callers.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_callers.py
@@ -1,15 +1,18 @@
 """Callers of a soak: they judge each answer that they get."""
 
+import contextlib
 import dataclasses
 import itertools
 import time
 
 import gevent
+from gevent import socket
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
 from dotterelgrade_platform import backend_server_codec
 from dotterelgrade_standins import platform_engines
+from dotterelgrade_standins import soak_configuration
 from dotterelgrade_standins import soak_evidence
 from dotterelgrade_standins import soak_fleet
 
@@ -20,7 +23,10 @@
 _MOST_PAUSE_S = 0.15
 _LEAVES_AFTER_S = 0.1
 _PROMISES = frozenset({408, 421, 429, 503})
-_DENIALS = frozenset({401, 403, 404})
+_KEYS = frozenset({soak_configuration.KEY, soak_configuration.SPARE_KEY})
+_UPGRADE = [(b"connection", b"upgrade"), (b"upgrade", b"h2c")]
+# A caller reuses a connection that was idle for this part of the timeout.
+_IDLE_PART = 0.8
 _OK = 200
 _NOT_FOUND = 404
 _UNAUTHORIZED = 401
@@ -37,13 +43,19 @@
         events: Events of the answer; 0 for plain ones.
         key: The caller's key.
         leaves: Whether the caller leaves early.
+        half_closes: Whether the caller closes its side behind the request,
+            which a front may take for its leaving.
+        offers_upgrade: Whether the caller offers another protocol, which a
+            front may ignore.
     """
 
     path: str
     weight: float
     events: int = 0
-    key: str = soak_fleet.KEY
+    key: str = soak_configuration.KEY
     leaves: bool = False
+    half_closes: bool = False
+    offers_upgrade: bool = False
 
 
 PLANS = (
@@ -57,6 +69,10 @@
     Plan(path="/unsafe/a", weight=6),
     Plan(path="/changing/a", weight=2),
     Plan(path="/safe/b", weight=0.5, key="no-such-key"),
+    Plan(path="/safe/c", weight=1, key=soak_configuration.SPARE_KEY),
+    Plan(path="/safe/d", weight=0.5, half_closes=True),
+    Plan(path="/stream/e", weight=0.5, events=20, half_closes=True),
+    Plan(path="/unsafe/b", weight=0.5, offers_upgrade=True),
     Plan(path="/nowhere/a", weight=0.5),
 )
 
@@ -114,6 +130,13 @@
         self._misses[front.name] = 0 if good else self._misses[front.name] + 1
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Kept:
+    sock: socket.socket
+    connection: http_connection.HttpConnection
+    used_at: float
+
+
 class Caller:
     """Makes one request after another, over connections that it keeps."""
 
@@ -127,7 +150,7 @@
         self._fleet = fleet
         self._evidence = fleet.evidence
         self._rotation = rotation
-        self._kept: dict[str, http_connection.HttpConnection] = {}
+        self._kept: dict[str, _Kept] = {}
 
     def __repr__(self) -> str:
         """Shows the open connections."""
@@ -147,23 +170,26 @@
             plan: The kind of request.
             front: The front to send it to.
         """
-        connection = self._connection(front)
-        if connection is None:
+        kept = self._connection(front)
+        if kept is None:
             self._evidence.outcomes["no connection"] += 1
             return
         sent = self._note_sent(plan, front)
         try:
-            self._exchange(connection, plan, sent)
+            self._exchange(kept, plan, sent)
         except http_connection.ResponseTimeoutError:
-            self._drop(front.name, connection)
+            self._drop(front.name, kept)
             self._evidence.outcomes["no answer in time"] += 1
         except http_connection.BrokenConnectionError as error:
-            self._drop(front.name, connection)
+            self._drop(front.name, kept)
             sent.ended_at = time.monotonic()
             self._evidence.outcomes["broken off"] += 1
-            self._fleet.losses.broken_off(
-                sent, str(error), answer_began=connection.response_started
-            )
+            if not plan.half_closes:
+                self._fleet.losses.broken_off(
+                    sent,
+                    str(error),
+                    answer_began=kept.connection.response_started,
+                )
 
     def _front(self) -> soak_fleet.FrontProcess:
         """Keeps to open connections for as long as the process exists."""
@@ -172,70 +198,83 @@
             return self._fleet.rng.choice(kept)
         return self._rotation.choose()
 
-    def _connection(
-        self, front: soak_fleet.FrontProcess
-    ) -> http_connection.HttpConnection | None:
+    def _connection(self, front: soak_fleet.FrontProcess) -> _Kept | None:
         known = self._kept.get(front.name)
-        if known is not None:
+        if known is not None and not self._is_idle_for_long(known):
+            if _has_unread_bytes(known.sock):
+                self._evidence.broken("mixed", "", f"unasked at {front}")
             return known
+        if known is not None:
+            self._drop(front.name, known)
+        address = front.settings.callers_address
+        host, _, port = address.rpartition(":")
         try:
-            made = http_connection.connect(
-                front.settings.callers_address, timeout_s=_CONNECT_TIMEOUT_S
+            sock = socket.create_connection(
+                (host, int(port)), timeout=_CONNECT_TIMEOUT_S
             )
-        except http_connection.ConnectError:
+        except OSError:
             return None
+        made = _Kept(
+            sock=sock,
+            connection=http_connection.HttpConnection(sock, address=address),
+            used_at=time.monotonic(),
+        )
         self._kept[front.name] = made
         return made
 
-    def _drop(
-        self, front: str, connection: http_connection.HttpConnection
-    ) -> None:
+    def _is_idle_for_long(self, kept: _Kept) -> bool:
+        timeout_s = self._fleet.variant.idle_timeout_s
+        return time.monotonic() - kept.used_at > timeout_s * _IDLE_PART
+
+    def _drop(self, front: str, kept: _Kept) -> None:
         self._kept.pop(front, None)
-        connection.close()
+        kept.connection.close()
 
     def _note_sent(
         self, plan: Plan, front: soak_fleet.FrontProcess
     ) -> soak_evidence.Sent:
         name = plan.path.split("/")[1]
-        routes = {r.name: r for r in soak_fleet.STEADY_ROUTES}
+        routes = {r.name: r for r in soak_configuration.STEADY_ROUTES}
         steady = routes.get(name)
         sent = soak_evidence.Sent(
             request_id=f"r{next(_ids)}",
             front=front.name,
             once=steady is not None
             and not (steady.idempotent or steady.resumable),
-            allowed=steady is not None and plan.key == soak_fleet.KEY,
-            workspace=soak_fleet.WORKSPACE,
-            timeout_s=soak_fleet.CHANGING_ROUTE.timeout_s,
+            allowed=steady is not None and plan.key == soak_configuration.KEY,
+            workspace=soak_configuration.WORKSPACE,
+            timeout_s=soak_configuration.LONGEST_TIMEOUT_S,
             sent_at=time.monotonic(),
         )
         self._evidence.sent[sent.request_id] = sent
         return sent
 
     def _exchange(
-        self,
-        connection: http_connection.HttpConnection,
-        plan: Plan,
-        sent: soak_evidence.Sent,
+        self, kept: _Kept, plan: Plan, sent: soak_evidence.Sent
     ) -> None:
+        connection = kept.connection
         body = sent.request_id.encode()
         tokens = plan.events * platform_engines.TOKENS_PER_EVENT
         connection.send(
             method=b"POST",
             target=plan.path.encode(),
             headers=[
-                (b"host", soak_fleet.HOST.encode()),
+                (b"host", soak_configuration.HOST.encode()),
                 *backend_server_codec.client_headers(
                     request_id=sent.request_id,
                     time_left_s=_PATIENCE_S,
                     api_key=plan.key,
                     answer_tokens=tokens,
                 ),
+                *(_UPGRADE if plan.offers_upgrade else []),
             ],
             body=body,
             timeout_s=1.0,
         )
         sent.sent_at = time.monotonic()
+        if plan.half_closes:
+            with contextlib.suppress(OSError):
+                kept.sock.shutdown(socket.SHUT_WR)
         until = sent.sent_at + _PATIENCE_S
         if plan.leaves:
             until = sent.sent_at + _LEAVES_AFTER_S
@@ -246,9 +285,12 @@
             if plan.leaves:
                 sent.left_at = time.monotonic()
             raise
-        sent.ended_at = time.monotonic()
+        sent.ended_at = kept.used_at = time.monotonic()
         self._judge(plan, sent, head, data)
-        self._keep(head, sent, connection)
+        found = http_message.by_name(head.headers)
+        closes = found.get(b"connection", b"").lower() == b"close"
+        if closes or plan.half_closes:
+            self._drop(sent.front, kept)
 
     def _read_body(
         self,
@@ -267,18 +309,9 @@
             if ok and not whole.startswith(data):
                 rule = "order" if plan.events else "mixed"
                 self._evidence.broken(rule, body.decode(), repr(piece))
+                ok = False
         return data
 
-    def _keep(
-        self,
-        head: http_message.ResponseHead,
-        sent: soak_evidence.Sent,
-        connection: http_connection.HttpConnection,
-    ) -> None:
-        found = http_message.by_name(head.headers)
-        if found.get(b"connection", b"").lower() == b"close":
-            self._drop(sent.front, connection)
-
     def _judge(
         self,
         plan: Plan,
@@ -290,7 +323,7 @@
         seal = backend_server_codec.seal_of(head.headers)
         if head.status in _PROMISES:
             self._evidence.promise(sent, head.status)
-        elif head.status in _DENIALS and not seal:
+        elif 300 <= head.status < 500 and not seal:
             self._judge_denial(plan, sent, head.status)
         elif head.status < 300:
             sent.succeeded = True
@@ -308,7 +341,7 @@
             self._evidence.broken("mixed", request_id, f"seal {seal!r}")
         if data != _whole_answer(plan, request_id.encode()):
             self._evidence.broken("mixed", request_id, f"{data[-60:]!r}")
-        if plan.key != soak_fleet.KEY:
+        if plan.key not in _KEYS:
             self._evidence.broken("key", request_id, "served without a key")
         if plan.path.startswith("/changing/"):
             self._judge_changing(sent, served=True)
@@ -320,7 +353,7 @@
             self._judge_changing(sent, served=False)
             return
         expected = _NOT_FOUND
-        if plan.key != soak_fleet.KEY:
+        if plan.key != soak_configuration.KEY:
             expected = _UNAUTHORIZED
         if sent.allowed or status != expected:
             self._evidence.broken("denied", sent.request_id, f"{status}")
@@ -335,12 +368,21 @@
             return
         if not self._evidence.in_touch(sent.front, since, sent.ended_at):
             return
-        if served != fleet.changing:
+        if served != fleet.variant.changing:
             self._evidence.broken(
                 "configuration", sent.request_id, f"version {fleet.version}"
             )
 
 
+def _has_unread_bytes(sock: socket.socket) -> bool:
+    """Returns whether bytes came on a connection where none is awaited."""
+    sock.settimeout(0.0)
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 def _whole_answer(plan: Plan, body: bytes) -> bytes:
     if not plan.events:
         return body + b" ran"
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
@@ -12,6 +12,7 @@
 
 from dotterelgrade_standins import fault_proxy
 from dotterelgrade_standins import platform_store
+from dotterelgrade_standins import soak_configuration
 from dotterelgrade_standins import soak_evidence
 from dotterelgrade_standins import soak_fault
 from dotterelgrade_standins import soak_fleet
@@ -23,6 +24,9 @@
 _PLANNED_EVERY_S = 1.5
 # An entry that lapsed is back about two seconds after a store's return.
 _SETTLE_S = 2.5
+# Retry budgets of new settings.
+_RETRY_RATIOS = (0.2, 0.0)
+_RETRY_SLACKS = (100.0, 0.0)
 # How long the store is away before it comes back from a copy.
 _RESTORE_S = 0.3
 
@@ -136,7 +140,10 @@
 
 @FAULTS.register("front_reloads", planned=True)
 def _front_reloads(fleet: soak_fleet.Fleet, _: float) -> None:
-    _front(fleet).signal(signal.SIGHUP)
+    _front(fleet).change_settings(
+        retry_ratio=fleet.rng.choice(_RETRY_RATIOS),
+        retry_slack=fleet.rng.choice(_RETRY_SLACKS),
+    )
 
 
 @FAULTS.register("store_away")
@@ -193,4 +200,7 @@
 
 @FAULTS.register("configuration_changes", planned=True)
 def _configuration_changes(fleet: soak_fleet.Fleet, _: float) -> None:
-    fleet.write_configuration(changing=not fleet.changing)
+    variant = soak_configuration.draw(
+        fleet.rng, changing=not fleet.variant.changing
+    )
+    fleet.write_configuration(variant)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
@@ -19,36 +19,17 @@
 from dotterelgrade_platform import settings_file
 from dotterelgrade_platform import store as store_names
 from dotterelgrade_routing import backend_server
-from dotterelgrade_routing import configuration
 from dotterelgrade_standins import fault_proxy
 from dotterelgrade_standins import loopback_range
 from dotterelgrade_standins import platform_backends
 from dotterelgrade_standins import platform_engines
 from dotterelgrade_standins import platform_store
+from dotterelgrade_standins import soak_configuration
 from dotterelgrade_standins import soak_evidence
 from dotterelgrade_standins import soak_losses
 
 DOMAINS = ("recife-a", "olinda-c")
-HOST = "shop.example"
-KEY = "key-of-bench"
-WORKSPACE = "bench"
 GRACE_S = 5.0
-ENGINE = configuration.Engine(
-    layers=12,
-    layer_mb=100,
-    token_layer_bytes=500,
-    step_s=0.01,
-    prefill_tokens_per_s=1e5,
-    load_s=0.5,
-    loads_at_once=4,
-    mean_prompt_tokens=100,
-    mean_answer_tokens=60,
-    accelerators=(
-        configuration.Accelerator(
-            name="kind", memory_mb=1_000, step_factor=1.0, prefill_factor=1.0
-        ),
-    ),
-)
 _MODULE = "dotterelgrade_platform"
 _ENDING = frozenset({signal.SIGKILL, signal.SIGTERM})
 _CALLERS_PORT = 7_001
@@ -60,33 +41,6 @@
 _STORE_HOST = 1
 
 
-def route(name: str, service: str, **rest: object) -> configuration.Route:
-    """Returns a route of the soak, reached at `/NAME/`."""
-    flags = {"idempotent": False, "streaming": False, "resumable": False}
-    return configuration.Route(
-        name=name,
-        host=HOST,
-        path_prefix=f"/{name}/",
-        services=(configuration.ServiceWeight(service=service, weight=1.0),),
-        **{**flags, **rest},
-        timeout_s=6.0,
-        objective_s=0.5,
-        longest_pause_s=0.25,
-        priority=1,
-        max_attempts=3,
-        public=False,
-    )
-
-
-STEADY_ROUTES = (
-    route("safe", "plain", idempotent=True),
-    route("unsafe", "plain"),
-    route("stream", "model", streaming=True, resumable=True),
-    route("once", "model", streaming=True),
-)
-CHANGING_ROUTE = route("changing", "plain", idempotent=True)
-
-
 class FrontProcess:
     """One real front as a process of its own."""
 
@@ -145,6 +99,14 @@
             )
             self._told_to_end = False
 
+    def change_settings(self, **changes: float) -> None:
+        """Writes its settings file anew and tells the process so."""
+        self.settings = dataclasses.replace(self.settings, **changes)
+        self._settings_path.write_text(
+            operator_codec.settings_text(self.settings)
+        )
+        self.signal(signal.SIGHUP)
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process exists."""
         if self.runs:
@@ -183,7 +145,7 @@
         losses: Finds what fronts lost.
         rng: Draws faults and callers.
         version: Version of the configuration that was written last.
-        changing: Whether that version holds the changing route.
+        variant: What that version holds.
         changed_at: Monotonic time at which it was acknowledged, s.
     """
 
@@ -196,7 +158,7 @@
     losses: soak_losses.Losses
     rng: random.Random
     version: int = 0
-    changing: bool = False
+    variant: soak_configuration.Variant = soak_configuration.Variant()
     changed_at: float = float("-inf")
 
     @property
@@ -204,57 +166,35 @@
         """All backend servers."""
         return [*self.plain, *self.engines]
 
-    def write_configuration(self, *, changing: bool) -> bool:
+    def write_configuration(self, variant: soak_configuration.Variant) -> bool:
         """Writes the next version; returns whether it was acknowledged.
 
         Args:
-            changing: Whether it holds the changing route.
+            variant: What it holds.
         """
-        if not self._write_version(self.version + 1, changing=changing):
+        if not self._write_version(self.version + 1, variant):
             return False
         self.version += 1
-        self.changing = changing
+        self.variant = variant
         self.changed_at = time.monotonic()
         return True
 
     def write_again(self) -> None:
         """Has operators and backend servers write what the store has lost."""
-        self._write_version(self.version, changing=self.changing)
+        self._write_version(self.version, self.variant)
         for backend in self.backends:
             backend.write_again()
 
-    def _write_version(self, version: int, *, changing: bool) -> bool:
+    def _write_version(
+        self, version: int, variant: soak_configuration.Variant
+    ) -> bool:
         body = operator_codec.configuration_body(
-            _configuration(version, changing=changing)
+            soak_configuration.make(version, variant)
         )
         topic = store_names.CONFIGURATION_TOPIC
         return self.store.write(topic, store_names.CONFIGURATION_KEY, body)
 
 
-def _configuration(
-    version: int, *, changing: bool
-) -> configuration.Configuration:
-    extra = (CHANGING_ROUTE,) if changing else ()
-    return configuration.Configuration(
-        version=version,
-        routes=(*STEADY_ROUTES, *extra),
-        services=(
-            configuration.Service(
-                name="plain", max_connections=500, engine=None
-            ),
-            configuration.Service(
-                name="model", max_connections=500, engine=ENGINE
-            ),
-        ),
-        limits=configuration.ClientLimits(),
-        workspaces=(
-            configuration.Workspace(
-                name=WORKSPACE, api_keys=(KEY,), priority=None
-            ),
-        ),
-    )
-
-
 @contextlib.contextmanager
 def running(
     *, fronts: int, engines: int, directory: pathlib.Path, rng: random.Random
@@ -287,7 +227,7 @@
             losses=soak_losses.Losses(evidence),
             rng=rng,
         )
-        fleet.write_configuration(changing=False)
+        fleet.write_configuration(soak_configuration.Variant())
         _start_backends(fleet, own, stack, engines)
         for number in range(fronts):
             settings = _front_settings(own, number, link.address)
@@ -312,14 +252,18 @@
         "rng": fleet.rng,
     }
     for domain in DOMAINS:
-        for number in range(2):
-            entry = _entry(f"plain-{domain}-{number}", "plain", domain)
+        for service in ("plain", "plain", "other"):
+            server_id = f"{service}-{domain}-{len(fleet.plain)}"
+            entry = _entry(server_id, service, domain)
             backend = platform_backends.BackendStandIn(entry, **shared)
             fleet.plain.append(backend)
         for number in range(engines):
             entry = _entry(f"engine-{domain}-{number}", "model", domain)
             engine = platform_engines.EngineStandIn(
-                entry, engine=ENGINE, fleet=by_address, **shared
+                entry,
+                engine=soak_configuration.ENGINE,
+                fleet=by_address,
+                **shared,
             )
             fleet.engines.append(engine)
     for number, backend in enumerate(fleet.backends):
--- a/packages/dotterelgrade-standins/tests/test_platform_engines.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_engines.py
@@ -16,11 +16,11 @@
 from dotterelgrade_standins import platform_backends
 from dotterelgrade_standins import platform_engines
 from dotterelgrade_standins import platform_store
+from dotterelgrade_standins import soak_configuration
 from dotterelgrade_standins import soak_evidence
-from dotterelgrade_standins import soak_fleet
 
 _EVENTS = 5
-_LAYERS = soak_fleet.ENGINE.layers
+_LAYERS = soak_configuration.ENGINE.layers
 
 
 @pytest.fixture
@@ -50,7 +50,7 @@
                     accelerator="kind",
                     started_ms=1,
                 ),
-                engine=soak_fleet.ENGINE,
+                engine=soak_configuration.ENGINE,
                 fleet=fleet,
                 store=store,
                 evidence=evidence,
