Let the stand-in of an engine stand still while it answers other calls

Cause: an engine that is paused answers nothing, so that entries and agents take it for lost by its status. One that only stops to run batches for a while, and then goes on, was never played.

Change: the fault `stalled`, drawn by the fuzzing of the fleet beside the others.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/engine.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/engine.py
@@ -77,12 +77,14 @@
     Attributes:
         dead: Every call is dropped, and sequences are lost.
         paused: No batch goes on, and no call is answered.
+        stalled: No batch goes on; other calls are answered.
         slow_factor: Factor on the duration of each batch.
         fail_steps: How many further batches fail without having run.
     """
 
     dead: bool = False
     paused: bool = False
+    stalled: bool = False
     slow_factor: float = 1.0
     fail_steps: int = 0
 
@@ -123,6 +125,8 @@
         self._batch_lock = lock.BoundedSemaphore(1)
         self._resumed = event.Event()
         self._resumed.set()
+        self._batches_resumed = event.Event()
+        self._batches_resumed.set()
         self._loading_until = 0.0
         self._fence = 0
         self._role = ""
@@ -198,10 +202,9 @@
         if self._faults.dead:
             self._sequences.clear()
             self._prefixes.clear()
-        if self._faults.paused and not self._faults.dead:
-            self._resumed.clear()
-        else:
-            self._resumed.set()
+        faults = self._faults
+        _set_unless(self._resumed, faults.paused and not faults.dead)
+        _set_unless(self._batches_resumed, faults.stalled and not faults.dead)
 
     def status(self) -> dict[str, Any]:
         """Returns the answer of `GET /status`, with a lagging load."""
@@ -258,6 +261,7 @@
             self._note_load()
 
     def _run_batch(self, batch: list[dict[str, Any]]) -> Any:
+        self._batches_resumed.wait()
         self._play()
         if self._faults.fail_steps > 0:
             left = self._faults.fail_steps - 1
@@ -276,6 +280,7 @@
         step_ms = self._duration_ms(sequences, prompt_tokens)
         spent_s = time.monotonic() - started
         gevent.sleep(max(0.0, step_ms / 1000 - spent_s))
+        self._batches_resumed.wait()
         self._play()
         self._busy_s += step_ms / 1000
         return {"results": results, "step_ms": step_ms}
@@ -404,6 +409,13 @@
         return dataclasses.asdict(self._faults)
 
 
+def _set_unless(resumed: event.Event, held: bool) -> None:
+    if held:
+        resumed.clear()
+    else:
+        resumed.set()
+
+
 def _checked_batch(value: Any) -> list[dict[str, Any]]:
     try:
         return [
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/fuzz_fleet.py
@@ -204,15 +204,18 @@
 
     @stateful.rule(
         agent=_agents,
-        kind=strategies.sampled_from(("pause", "dead", "slow", "fail")),
+        kind=strategies.sampled_from(
+            ("pause", "stall", "dead", "slow", "fail")
+        ),
         pause_s=_pauses_s,
     )
     def break_engine(self, agent: int, kind: str, pause_s: float) -> None:
-        """An engine freezes, dies, is slow or fails a batch."""
+        """An engine freezes, stands still, dies, is slow or fails a batch."""
         self._judge.fault()
         engine = self._fleet.engines[self._fleet.agents[agent].name]
         engine.set_faults(
             paused=kind == "pause",
+            stalled=kind == "stall",
             dead=kind == "dead",
             slow_factor=20.0 if kind == "slow" else 1.0,
             fail_steps=2 if kind == "fail" else 0,
@@ -226,7 +229,11 @@
 
     def _mend(self, engine: Any) -> None:
         engine.set_faults(
-            paused=False, dead=False, slow_factor=1.0, fail_steps=0
+            paused=False,
+            stalled=False,
+            dead=False,
+            slow_factor=1.0,
+            fail_steps=0,
         )
 
     @stateful.rule(agent=_agents)
--- a/packages/dotterelgrade-standins/tests/test_engine.py
+++ b/packages/dotterelgrade-standins/tests/test_engine.py
@@ -1,6 +1,7 @@
 import http.client
 import json
 
+import gevent
 import geventhttpclient
 
 from dotterelgrade_standins import engine
@@ -67,6 +68,19 @@
         assert client.step("other", 1, [1])["error"] == "unknown_sequence"
 
 
+def test_a_stalled_engine_answers_its_status_and_goes_on():
+    made = make_engine()
+    with engine.serving(made, host=HOST, port=PORT):
+        made.set_faults(stalled=True)
+        step = gevent.spawn(Client().step, "s", 0, [1, 2])
+        gevent.sleep(0.2)
+        assert not step.ready()
+        assert Client().call("GET", "/status")[0] == 200
+        made.set_faults(stalled=False)
+        assert step.get(timeout=5.0)["error"] is None
+        assert len(made.runs) == 1
+
+
 def test_full_and_cancelled():
     with engine.serving(make_engine(max_sequences=1), host=HOST, port=PORT):
         client = Client()
