Take an error's text in a response for no event

Cause: an event without an id was passed on in the first response, and any lines up to an empty one were an event. Evidence: test_an_error_behind_the_events_of_a_server_is_not_passed_on failed before in all 8 cases, such as "id: 4\ndaHTTP/1.1 500 Failed". A run of 4,000 drawn examples of test_resumed_responses_add_only_new_events found the torn event. Ruled out: one separator for all events of a response. The text would then stand in front of the next event's id.

Change: a line of an event without a colon is no field, unless it is the bare name of one; once an event had a number, each has to have one. Otherwise the try fails. Text without line ends that has a colon behind a torn event still does not show.

After: tests of events, streams and repair: pass; the 3 mutants concerned are found.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/event_sequence.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/event_sequence.py
@@ -149,8 +149,9 @@
         )
 
     def _check_unnumbered(self, position: _Position) -> None:
+        numbered = position.number is not None
         undeclared = not position.in_response and not self._declared
-        if position.resumed or undeclared:
+        if numbered or position.resumed or undeclared:
             raise BrokenSequenceError("event without a numeric ID")
 
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/event_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/event_stream.py
@@ -6,10 +6,16 @@
 _MAX_EVENT_BYTES = 1_048_576
 _ID = b"id:"
 _COMMENT = b":"
+# Fields without a value need no colon.
+_EMPTY_FIELDS = frozenset({b"data", b"event", b"id", b"retry"})
 _SEPARATOR = re.compile(rb"\n\n|\r\n\r\n")
 
 
-class EventTooLargeError(Exception):
+class InvalidEventError(Exception):
+    """Bytes of a stream are no event."""
+
+
+class EventTooLargeError(InvalidEventError):
     """An event exceeds the size limit."""
 
 
@@ -52,6 +58,7 @@
 
         Raises:
             EventTooLargeError: An event exceeds the size limit.
+            InvalidEventError: A line of an event is no field.
         """
         data = self._partial + piece
         end = max(_end_of_last(data, b"\n\n"), _end_of_last(data, b"\r\n\r\n"))
@@ -61,11 +68,8 @@
                 f"{len(self._partial)} bytes of an incomplete event"
             )
         blocks = _SEPARATOR.split(complete)[:-1]
-        return Events(
-            data=complete,
-            ids=tuple(_event_id(b) for b in blocks if not _is_comment(b)),
-            count=len(blocks),
-        )
+        ids = [_event_id(b) for b in blocks if not _is_comment(b)]
+        return Events(data=complete, ids=tuple(ids), count=len(blocks))
 
 
 def _end_of_last(data: bytes, separator: bytes) -> int:
@@ -78,7 +82,10 @@
 
 
 def _event_id(block: bytes) -> str:
-    for line in reversed(block.splitlines()):
+    event_id = b""
+    for line in block.splitlines():
         if line.startswith(_ID):
-            return line[len(_ID) :].strip().decode("latin-1")
-    return ""
+            event_id = line[len(_ID) :].strip()
+        elif line and b":" not in line and line not in _EMPTY_FIELDS:
+            raise InvalidEventError("line of an event is no field")
+    return event_id.decode("latin-1")
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -217,7 +217,7 @@
                 return self._relay_response(connection, chain)
         except (
             http_connection.ResponseTimeoutError,
-            event_stream.EventTooLargeError,
+            event_stream.InvalidEventError,
         ) as error:
             raise upstream.AttemptFailedError(
                 attempt.ExecutionStatus.UNKNOWN, str(error)
--- a/packages/dotterelgrade-front/tests/test_event_sequence.py
+++ b/packages/dotterelgrade-front/tests/test_event_sequence.py
@@ -104,6 +104,31 @@
     assert _resume_with(front, _answering(b"")) == streams.events(1, 3)
 
 
+@pytest.mark.parametrize("path", ["stream", "once"])
+@pytest.mark.parametrize("torn", [b"", b"id: 4\nda"])
+@pytest.mark.parametrize(
+    "error",
+    [
+        b"HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n",
+        b"internal error\n\n",
+    ],
+    ids=["head", "text"],
+)
+def test_an_error_behind_the_events_of_a_server_is_not_passed_on(
+    front, path, torn, error
+):
+    """A response that ends with its connection takes in what follows."""
+    body = streams.events(1, 3) + torn + error
+    script = _answering(body, _EVENT_STREAM)
+    streams.add_chains(front, [script], [script])
+    with front.send(f"/{path}/x", method="POST", body=b"p") as sock:
+        received = b""
+        while piece := sock.recv(65536):
+            received += piece
+    assert error.split(b"\r\n")[0].strip() not in received
+    assert not received.endswith(b"0\r\n\r\n")
+
+
 def test_ids_that_are_not_consecutive_show_no_gap(front):
     """Only increasing IDs are promised."""
 
@@ -257,11 +282,14 @@
         splitter = event_stream.EventSplitter()
         sequence.begin(_head())
         data = b"".join(parts)
-        with contextlib.suppress(event_sequence.BrokenSequenceError):
+        with contextlib.suppress(
+            event_sequence.BrokenSequenceError, event_stream.InvalidEventError
+        ):
             for start in range(0, len(data), piece_bytes):
                 events = splitter.feed(data[start : start + piece_bytes])
                 sequence.add(events)
                 passed += events.data
+    assert b"\r\n" not in passed
     blocks = [b for b in passed.split(b"\n\n")[:-1] if b != b": alive"]
     numbers = [int(block.split()[1]) for block in blocks]
     assert all(block.startswith(b"id: ") for block in blocks)
--- a/packages/dotterelgrade-front/tests/test_event_stream.py
+++ b/packages/dotterelgrade-front/tests/test_event_stream.py
@@ -45,6 +45,15 @@
         splitter.feed(b"x" * 2_000_000)
 
 
+@pytest.mark.parametrize("line", [b"internal error", b"HTTP/1.1 500 Failed"])
+def test_a_line_that_is_no_field_is_refused(line):
+    """A server writes an error in the middle of an event."""
+    splitter = event_stream.EventSplitter()
+    splitter.feed(b"id: 1\ndata\n\n: c\n\nid: 2\nda")
+    with pytest.raises(event_stream.InvalidEventError):
+        splitter.feed(line + b"\r\n\r\n")
+
+
 def test_comments_have_no_place_among_the_ids():
     splitter = event_stream.EventSplitter()
     events = splitter.feed(b": alive\n\nid: 3\ndata: x\n\ndata: y\n\n")
