Split the serving of a stream by what its parts do

model_stream.py had 417 lines and five jobs: choosing chains, sending attempts, passing events on, recording how attempts end, and the order of all these. Behaviour is the same.

- stream_admission.py chooses the chain of an attempt;
- stream_attempt.py sends one attempt and reads its response; it checks the response on its own copy of the sequence of events, which becomes the stream's when its events are passed on;
- stream_output.py writes to the caller;
- attempt_log.py records how attempts end;
- stall_guard.py (from stream_repair.py) waits for an attempt and looks into silence.

Two mutants name the places where their lines stand now; what they break is the same.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -99,7 +99,7 @@
     mutant.Mutant(
         name="front-resumes-from-the-start",
         promise=mutant.OWN_ANSWER,
-        module="dotterelgrade_front.model_stream",
+        module="dotterelgrade_front.stream_attempt",
         old="            resume_after=self._sequence.last_id,",
         new='            resume_after="",',
         check=mutant.SOAK + "answers_lost,backend_crashes",
@@ -292,8 +292,8 @@
         name="bytes-count-as-events",
         promise=mutant.OWN_ANSWER,
         module="dotterelgrade_front.model_stream",
-        old="            if self._forward_events(head, piece):\n",
-        new="            if self._forward_events(head, piece) or True:\n",
+        old="            if self._output.forward(attempt, events):\n",
+        new="            if self._output.forward(attempt, events) or True:\n",
         check=_REPAIR_TEST,
     ),
     mutant.Mutant(
