Take comments in a stream for no progress

What callers saw: nothing, until they left: an engine that stalls but sends comments (lines that begin with a colon, to keep a connection open) was never looked into. Cause: a comment counted as an event, as it ends with an empty line. Evidence: before, test_a_stream_with_comments_but_no_events_resumes_on_another_chain got no complete body within the deadline (body None). Ruled out: dropping comments; they are part of the engine's answer and passed on. Change: events are counted by their ids, of which comments have none; only they count as progress, in the pauses and as the first event. Why it works: the silence is measured from the last event, as for other bytes that are no event. After: the tests of streams, of their repair and of the order of events pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_output.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_output.py
@@ -78,18 +78,21 @@
             events: Complete events and comments.
 
         Returns:
-            Whether there was any.
+            Whether there was any event; comments are no progress.
         """
         if not events.count:
             return False
         data = responses.encode_chunk(events.data)
         if not self._head_sent:
             data = self._encoded_head(attempt.head) + data
+        if events.ids and not self._pace.events:
             self._metrics.first_event.record(self._call.age_s)
         self._client.write(data)
         self._head_sent = True
-        self._pace.record_events(events.count, at=time.monotonic())
         self._sequence = attempt.sequence
+        if not events.ids:
+            return False
+        self._pace.record_events(len(events.ids), at=time.monotonic())
         return True
 
     def finish(self, attempt: stream_attempt.StreamAttempt) -> None:
--- a/packages/dotterelgrade-front/tests/test_stream_repair.py
+++ b/packages/dotterelgrade-front/tests/test_stream_repair.py
@@ -85,6 +85,23 @@
     assert (status, body) == (200, streams.events(1, 4))
 
 
+def _commenting(sock, _):
+    """Sends comments until the connection closes."""
+    while True:
+        sock.sendall(b"3\r\n:\n\n\r\n")
+        gevent.sleep(0.05)
+
+
+def test_a_stream_with_comments_but_no_events_resumes_on_another_chain(front):
+    """An engine stalls but still sends comments to keep the connection."""
+    stuck = fakes.streaming(1, 2, after=_commenting, end=False)
+    script = streams.resuming(stuck, last=4)
+    streams.add_chains(front, [script], [script])
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert status == 200
+    assert body.replace(b":\n\n", b"") == streams.events(1, 4)
+
+
 def test_a_slow_but_healthy_stream_is_not_aborted(front):
     """Each pause is longer than the silence that triggers a query."""
     slow = fakes.streaming(1, 4, pause_s=0.4)
