Keep a silent attempt of a stream open until another one has gone on

What callers saw: a sound engine sent some events, was silent for 1.7 s and would have gone on; the front closed the attempt after 1.5 s, or as soon as a stage was suspected, and the caller's connection ended in the middle of the answer. Cause: an attempt was given up before another one was known to be possible. Retry budget, max_attempts and capacity were asked afterwards, and a call that may run once had nothing else at all. Waiting for capacity of a begun stream ended by the same 1.5 s. Ruled out: a longer bound on silence; any bound cuts a sound engine that is silent for a little longer, and delays the resumption of streams of a dead one.

Change: an attempt that was sent ends only if its connection or answer fails, at the deadline, when the caller leaves, or when another attempt of the request has sent the next event. On a faulty stage at once, on mere silence after the same 1.5 s as before, a repeatable request gets a second attempt beside the silent one (standby_set.py): if admission finds a chain, max_attempts permits it and the retry budget grants it, in this order. The first to send a valid event carries the stream, the other is closed. It starts at another first stage, or, where a stage is known to be faulty, on any chain without it. Where resuming is preferred and impossible, rerouting is tried, and the other way round. Otherwise the attempt is awaited; what is impossible is tried again every 0.1 to 0.5 s, and a reroute order is not repeated within 0.7 s, as one without an answer may take effect. A begun stream without an attempt waits for capacity until its caller leaves: coming back would show it the same fleet. It ends at once when no retry can be paid for, and after 1.5 s when max_attempts is used up and its servers don't come back: the caller's own request has new attempts. Calls that run well start no greenlet and do no more per event than before. Why it works: what may still answer stays open, and both attempts continue copies of one sequence of events, of which only one attempt's are written.

Decisions: standby_started, standby_adopted, standby_ended, standby_refused, stall_awaited. No existing test was changed.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -79,6 +79,13 @@
             left_s=round(call.remaining_s, 3),
         )
 
+    def note_replaced(self) -> None:
+        """Records an attempt that was closed since another one went on.
+
+        It may have run, whatever becomes of the other one.
+        """
+        self._count(attempt_lib.ExecutionStatus.UNKNOWN)
+
     def note_success(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Records the attempt that completed the response.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -1,5 +1,6 @@
 """State of one request while the front serves it."""
 
+from collections.abc import Collection
 import dataclasses
 import time
 
@@ -62,12 +63,17 @@
         """Time since the request was received, s."""
         return time.monotonic() - self.received_at
 
-    def may_send_to(self, server_id: str) -> bool:
-        """Returns whether `max_attempts` permits sending to a server."""
-        return (
-            server_id in self.sent_to
-            or len(self.sent_to) < self.route.max_attempts
-        )
+    def may_send_to(
+        self, server_id: str, *, pending: Collection[str] = ()
+    ) -> bool:
+        """Returns whether `max_attempts` permits sending to a server.
+
+        Args:
+            server_id: The backend server.
+            pending: IDs of backend servers that it may be sent to meanwhile.
+        """
+        used = self.sent_to.union(pending)
+        return server_id in used or len(used) < self.route.max_attempts
 
     def may_retry(self) -> bool:
         """Returns whether another attempt is safe after the failed ones."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -1,14 +1,20 @@
 """Serves one model request, from admission to its last event."""
 
+import contextlib
+import time
+
 import gevent
 
 from dotterelgrade_front import attempt_log
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
+from dotterelgrade_front import event_stream
 from dotterelgrade_front import front_state
 from dotterelgrade_front import responses
 from dotterelgrade_front import stall_detector
 from dotterelgrade_front import stall_guard
+from dotterelgrade_front import standby_attempt
+from dotterelgrade_front import standby_set
 from dotterelgrade_front import stream_admission
 from dotterelgrade_front import stream_attempt
 from dotterelgrade_front import stream_output
@@ -17,15 +23,22 @@
 from dotterelgrade_routing import admission
 from dotterelgrade_routing import attempt as attempt_lib
 from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import stall_actions
 
 # Refusals by chains after which a request without events is rejected.
 _MAX_REFUSALS = 4
-# Delay before admission is tried again for a stream that has begun.
-_ADMISSION_RETRY_S = 0.1
+# Silence of a stream without an attempt up to which it waits for one of the
+# backend servers that it was sent to, once no other is permitted. The caller
+# can resume it by a new request, which may go to others.
+_MAX_WAIT_FOR_SAME_SERVERS_S = 1.5
 
 
 class ModelStream:
-    """One streamed model request; resumes on another chain after a failure."""
+    """One streamed model request; continues on another chain after a failure.
+
+    An attempt that was sent stays open until it fails itself, the deadline
+    passes, the caller leaves, or another attempt has sent the next events.
+    """
 
     def __init__(
         self,
@@ -65,6 +78,14 @@
         self._attempts = attempt_log.AttemptLog(
             state, call=call, repair=self._repair, output=self._output
         )
+        self._standbys = standby_set.StandbySet(
+            state,
+            call=call,
+            output=self._output,
+            admissions=self._admissions,
+            attempts=self._attempts,
+            check_caller=client.raise_if_disconnected,
+        )
 
     def __repr__(self) -> str:
         """Shows the request and the events passed on."""
@@ -81,62 +102,104 @@
             client_connection.ResponseAbortedError: A response that has begun
                 can't be completed.
         """
-        with self._client.interrupt_on_disconnect():
+        with (
+            self._standbys.closed_on_exit(),
+            self._client.interrupt_on_disconnect(),
+        ):
             return self._serve()
 
     def _serve(self) -> str:
         reason = "deadline exceeded"
         retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
         while self._call.remaining_s > 0:
-            decision = self._admissions.admit(begun=self._output.begun)
+            decision = self._admissions.admit(
+                begun=self._output.begun, is_retry=self._pays_for_retry
+            )
             if isinstance(decision, admission.Refused):
                 if self._wait_for_capacity():
                     continue
                 reason = decision.reason
                 retry_after_s = decision.retry_after_s
                 break
-            attempt = self._new_attempt(decision.chain)
             try:
-                return self._run(attempt)
+                return self._run(decision.chain)
             except upstream.AttemptFailedError as failed:
                 reason = str(failed)
-                self._attempts.note_failure(failed, attempt)
                 if not self._may_retry():
                     break
         return self._give_up(reason, retry_after_s)
 
-    def _new_attempt(
-        self, chain: chain_choice.Chain
-    ) -> stream_attempt.StreamAttempt:
-        self._repair.charge_link_budget(
-            chain, tokens=self._call.facts.prompt_tokens
-        )
-        return stream_attempt.StreamAttempt(
+    def _run(self, chain: chain_choice.Chain) -> str:
+        """Runs the call on a chain, and goes on with second attempts.
+
+        Raises:
+            upstream.AttemptFailedError: The last attempt failed.
+        """
+        attempt = stream_attempt.StreamAttempt(
             self._state,
             call=self._call,
             chain=chain,
             tokens=stream_admission.total_tokens(self._call),
             sequence=self._output.sequence,
         )
+        standby = None
+        while True:
+            try:
+                if standby is None:
+                    return self._begin(attempt)
+                attempt = standby.attempt
+                return self._continue(standby)
+            except standby_set.StandbyReadyError as ready:
+                self._attempts.note_replaced()
+                standby = ready.standby
+            except upstream.AttemptFailedError as failed:
+                if standby is None or standby.error is None:
+                    self._attempts.note_failure(failed, attempt)
+                standby = self._standbys.promote(reason=str(failed))
+                if standby is None:
+                    raise
 
-    def _run(self, attempt: stream_attempt.StreamAttempt) -> str:
-        """Runs the call on one chain, which may be rerouted meanwhile."""
+    def _begin(self, attempt: stream_attempt.StreamAttempt) -> str:
         with attempt.opened(check_caller=self._client.raise_if_disconnected):
-            guard = stall_guard.StallGuard(self._repair, attempt=attempt)
+            guard = self._guard(attempt, silent_since=time.monotonic())
             guard.run(attempt.read_head)
             if attempt.failed:
                 return self._forward_error(attempt)
-            return self._relay(attempt, guard)
+            events = guard.run(attempt.read_events)
+            return self._relay(attempt, guard, events)
+
+    def _continue(self, standby: standby_attempt.StandbyAttempt) -> str:
+        attempt = standby.attempt
+        with contextlib.closing(standby):
+            guard = self._guard(attempt, silent_since=attempt.began_at)
+            if standby.ready:
+                events = standby.read_first_events(self._call.deadline)
+            else:
+                events = guard.run(standby.read_first_events)
+            with standby.adopted():
+                return self._relay(attempt, guard, events)
+
+    def _guard(
+        self, attempt: stream_attempt.StreamAttempt, *, silent_since: float
+    ) -> stall_guard.StallGuard:
+        return stall_guard.StallGuard(
+            self._repair,
+            standbys=self._standbys,
+            attempt=attempt,
+            silent_since=silent_since,
+        )
 
     def _relay(
         self,
         attempt: stream_attempt.StreamAttempt,
         guard: stall_guard.StallGuard,
+        events: event_stream.Events | None,
     ) -> str:
         """Forwards events until the end of the stream."""
-        while (events := guard.run(attempt.read_events)) is not None:
+        while events is not None:
             if self._output.forward(attempt, events):
                 guard.note_progress()
+            events = guard.run(attempt.read_events)
         self._output.finish(attempt)
         self._attempts.note_success(attempt)
         return "streamed"
@@ -149,6 +212,13 @@
         self._output.send_error_response(attempt.head, body)
         return f"answered_{attempt.head.status // 100}xx"
 
+    @property
+    def _pays_for_retry(self) -> bool:
+        """Whether the next attempt draws on the retry budget."""
+        attempts = self._call.attempts
+        unsent = attempt_lib.ExecutionStatus.NEVER_SENT
+        return bool(attempts) and attempts[-1] is not unsent
+
     def _may_retry(self) -> bool:
         call = self._call
         if not call.may_retry() or call.remaining_s <= 0:
@@ -156,11 +226,11 @@
         refusals = call.attempts.count(attempt_lib.ExecutionStatus.REFUSED)
         if refusals >= _MAX_REFUSALS and not self._output.begun:
             return False
-        if not self._output.sequence.resumable:
-            return False
-        if call.attempts[-1] is attempt_lib.ExecutionStatus.NEVER_SENT:
-            return True
-        return self._state.retry_budget_for(call.service.name).spend()
+        return self._output.sequence.resumable and self._can_pay_for_retry
+
+    @property
+    def _can_pay_for_retry(self) -> bool:
+        return not self._pays_for_retry or self._admissions.retries_left >= 1
 
     def _wait_for_capacity(self) -> bool:
         """Waits briefly if the stream has begun and the caller still waits.
@@ -171,10 +241,14 @@
         Returns:
             Whether to try admission again.
         """
-        silent_s = self._output.silent_s
-        if not self._output.begun or silent_s > stall_guard.MAX_SILENCE_S:
+        output, call = self._output, self._call
+        if not output.begun or not self._can_pay_for_retry:
+            return False
+        attempts_left = len(call.sent_to) < call.route.max_attempts
+        if not attempts_left and output.silent_s > _MAX_WAIT_FOR_SAME_SERVERS_S:
             return False
-        gevent.sleep(_ADMISSION_RETRY_S)
+        delay_s = stall_actions.retry_delay_s(output.silent_s)
+        gevent.sleep(max(min(delay_s, call.remaining_s), 0.0))
         return True
 
     def _give_up(self, reason: str, retry_after_s: float) -> str:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
@@ -5,10 +5,12 @@
 from typing import TypeVar
 
 from dotterelgrade import http_connection
+from dotterelgrade_front import standby_set
 from dotterelgrade_front import stream_attempt
 from dotterelgrade_front import stream_repair
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import attempt as attempt_lib
+from dotterelgrade_routing import stall_actions
 
 # Bounds on the silence after which the stages are queried. A stream that
 # resumes soon after the upper one stays within the usual bound on pauses.
@@ -17,34 +19,36 @@
 # The same, in multiples of the stream's mean time between events. Queries cost
 # load, and busy stages cause pauses of twice the mean now and then.
 QUERY_DELAY_FACTOR = 2.0
-# A rerouted stream continues once its new stages have processed all tokens so
-# far; until then, reports that lag still name the stage that it left.
-_REROUTE_GRACE_S = 0.7
-# Callers disconnect after about two seconds without an event.
-MAX_SILENCE_S = 1.5
+# Pause between two looks at second attempts.
+_STANDBY_POLL_S = 0.02
 
 _Heard = TypeVar("_Heard")
 
 
 class StallGuard:
-    """Waits for one attempt and handles stalls of its chain."""
+    """Waits for one attempt, and for the second ones beside it."""
 
     def __init__(
         self,
         repair: stream_repair.StreamRepair,
         *,
+        standbys: standby_set.StandbySet,
         attempt: stream_attempt.StreamAttempt,
+        silent_since: float,
     ) -> None:
         """Initializes the stall handling for one attempt.
 
         Args:
             repair: Failure handling of the request.
+            standbys: Its second attempts.
             attempt: The attempt that carries the stream.
+            silent_since: Monotonic time of its last progress, s.
         """
         self._repair = repair
+        self._standbys = standbys
         self._attempt = attempt
-        self._last_progress_at = time.monotonic()
-        self._next_query_at = self._last_progress_at + _MAX_QUERY_DELAY_S
+        self._last_progress_at = silent_since
+        self._next_query_at = silent_since + _MAX_QUERY_DELAY_S
 
     def __repr__(self) -> str:
         """Shows the first backend server of the chain."""
@@ -58,6 +62,8 @@
         """
         self._last_progress_at = time.monotonic()
         self._next_query_at = self._last_progress_at + self._query_delay_s
+        if self._standbys.any_open:
+            self._standbys.close_all(reason="another attempt went on")
 
     @property
     def _query_delay_s(self) -> float:
@@ -75,48 +81,93 @@
             read: Reads with the given deadline, a monotonic time.
 
         Raises:
-            upstream.AttemptFailedError: The chain stalled or the deadline
-                passed.
+            standby_set.StandbyReadyError: A second attempt went on first.
+            upstream.AttemptFailedError: The deadline passed.
         """
         while True:
+            if self._standbys.any_open:
+                self._standbys.check()
             if time.monotonic() >= self._next_query_at:
-                delay_s = self._handle_stall(
-                    time.monotonic() - self._last_progress_at
-                )
+                delay_s = self._handle_stall()
                 self._next_query_at = time.monotonic() + delay_s
             try:
-                return read(min(self._next_query_at, self._repair.deadline))
+                return read(self._wake_at())
             except http_connection.ResponseTimeoutError as error:
                 if time.monotonic() >= self._repair.deadline:
                     raise upstream.AttemptFailedError(
                         attempt_lib.ExecutionStatus.UNKNOWN, "deadline exceeded"
                     ) from error
 
-    def _handle_stall(self, silent_s: float) -> float:
+    def _wake_at(self) -> float:
+        """Returns when to stop reading in order to look after the rest."""
+        wake_at = min(self._next_query_at, self._repair.deadline)
+        if self._standbys.any_open:
+            return min(wake_at, time.monotonic() + _STANDBY_POLL_S)
+        return wake_at
+
+    def _handle_stall(self) -> float:
         """Queries the stages; returns the delay until the next query, s.
 
-        Raises:
-            upstream.AttemptFailedError: The request can't go on with
-                this attempt.
+        The attempt that started last is looked into. Those before it stay open,
+        since they may still go on.
         """
-        faulty = self._repair.find_faulty_stages(self._attempt.chain)
-        if not faulty:
-            if silent_s > MAX_SILENCE_S:
-                raise upstream.AttemptFailedError(
-                    attempt_lib.ExecutionStatus.UNKNOWN,
-                    f"no event for {silent_s:.1f} s",
-                )
-            return self._query_delay_s
+        latest = self._standbys.newest or self._attempt
+        silent_since = max(self._last_progress_at, latest.began_at)
+        silent_s = time.monotonic() - silent_since
+        faulty = self._repair.find_faulty_stages(latest.chain)
         for address in faulty:
             self._repair.exclude(address, reason="stalls streams")
-        other = None
-        if not self._repair.prefers_resuming:
-            other = self._repair.reroute(self._attempt.chain, faulty)
-        if other is None:
-            raise upstream.AttemptFailedError(
-                attempt_lib.ExecutionStatus.UNKNOWN,
-                f"stalled for {silent_s:.1f} s",
-                faulty_address=faulty[0],
+        actions = stall_actions.stall_actions(
+            faulty=bool(faulty),
+            silent_s=silent_s,
+            repeatable=self._repair.repeatable,
+            prefers_standby=self._repair.prefers_resuming,
+        )
+        for action in actions:
+            delay_s = self._act(
+                action, latest, silent_s=silent_s, faulty=faulty
             )
-        self._attempt.note_rerouted(other)
-        return _REROUTE_GRACE_S
+            if delay_s is not None:
+                return delay_s
+        if not actions and silent_s <= stall_actions.STANDBY_SILENCE_S:
+            return self._query_delay_s
+        self._repair.record_wait(silent_s=silent_s, faulty=faulty)
+        return stall_actions.retry_delay_s(silent_s)
+
+    def _act(
+        self,
+        action: stall_actions.StallAction,
+        latest: stream_attempt.StreamAttempt,
+        *,
+        silent_s: float,
+        faulty: tuple[str, ...],
+    ) -> float | None:
+        """Returns the delay until the next query, s; None if impossible."""
+        if action is stall_actions.StallAction.REROUTE:
+            rerouted = self._reroute(latest, faulty)
+            return stream_repair.REROUTE_GRACE_S if rerouted else None
+        started = self._standbys.start(
+            self._attempt, silent_s=silent_s, faulty=faulty
+        )
+        return _MAX_QUERY_DELAY_S if started else None
+
+    def _reroute(
+        self, attempt: stream_attempt.StreamAttempt, faulty: tuple[str, ...]
+    ) -> bool:
+        if self._is_ambiguous(attempt):
+            return False
+        other = self._repair.reroute(attempt.chain, faulty)
+        if other is None:
+            return False
+        attempt.note_rerouted(other)
+        return True
+
+    def _is_ambiguous(self, attempt: stream_attempt.StreamAttempt) -> bool:
+        """Returns whether an order could mean another attempt as well.
+
+        It names the request and its first stage, not the attempt.
+        """
+        return (
+            attempt is not self._attempt
+            and attempt.chain.first == self._attempt.chain.first
+        )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -1,5 +1,7 @@
 """Chooses the chains on which a streamed request is attempted."""
 
+from collections.abc import Collection
+import dataclasses
 import time
 
 from dotterelgrade_front import call as call_lib
@@ -8,6 +10,7 @@
 from dotterelgrade_front import stream_repair
 from dotterelgrade_routing import admission
 from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import retry_budget
 
 
 def answer_tokens(call: call_lib.Call) -> float:
@@ -25,6 +28,19 @@
     return call.facts.prompt_tokens + answer_tokens(call)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OpenAttempts:
+    """Attempts of the request that go on while another one is considered.
+
+    Attributes:
+        server_ids: First backend servers of their chains.
+        faulty: Addresses of stages that are known to be faulty.
+    """
+
+    server_ids: frozenset[str]
+    faulty: frozenset[str]
+
+
 class StreamAdmission:
     """Admits the attempts of one streamed request."""
 
@@ -45,19 +61,39 @@
         self._state = state
         self._call = call
         self._repair = repair
+        self._recorded_refusal = ""
 
     def __repr__(self) -> str:
         """Shows the request."""
         return f"<StreamAdmission {self._call.request_id}>"
 
-    def admit(self, *, begun: bool) -> admission.Admitted | admission.Refused:
-        """Chooses a chain for the next attempt, or refuses.
+    @property
+    def retries_left(self) -> float:
+        """Number of retries left in the retry budget."""
+        return self._budget.left
+
+    @property
+    def _budget(self) -> retry_budget.RetryBudget:
+        return self._state.retry_budget_for(self._call.service.name)
+
+    def admit(
+        self,
+        *,
+        begun: bool,
+        is_retry: bool,
+        beside: OpenAttempts | None = None,
+    ) -> admission.Admitted | admission.Refused:
+        """Chooses a chain and pays for it, or refuses.
+
+        Nothing is paid for an attempt that is refused.
 
         Args:
             begun: Whether the caller has received events already.
+            is_retry: Whether the attempt counts as a retry.
+            beside: Attempts that go on beside this one, if any.
         """
         offer = self._state.chains.offer(self._call.service)
-        chains = self._usable_chains(offer)
+        chains = self._usable_chains(offer, beside)
         decision = self._decide(offer, chains, begun=begun)
         inputs = {
             "fleet_version": offer.fleet_version,
@@ -65,15 +101,24 @@
             "chains": len(chains),
             "tokens": round(total_tokens(self._call)),
         }
-        if isinstance(decision, admission.Refused):
-            self._state.decisions.record(
-                "capacity_awaited" if begun else "refused",
-                reason=decision.reason,
-                request_id=self._call.request_id,
-                retry_after_s=round(decision.retry_after_s, 2),
-                **inputs,
+        admitted = isinstance(decision, admission.Admitted)
+        if admitted and is_retry and not self._budget.spend():
+            decision = admission.Refused(
+                reason="retry budget empty",
+                retry_after_s=call_lib.DEFAULT_RETRY_AFTER_S,
             )
+        if isinstance(decision, admission.Refused):
+            kind = "refused"
+            if beside is not None:
+                kind = "standby_refused"
+            elif begun:
+                kind = "capacity_awaited"
+            self._record_refusal(kind, decision, inputs)
             return decision
+        self._recorded_refusal = ""
+        self._repair.charge_link_budget(
+            decision.chain, tokens=self._call.facts.prompt_tokens
+        )
         self._state.decisions.record(
             "chain_chosen",
             reason="weighted random choice by cost",
@@ -87,18 +132,21 @@
         return decision
 
     def _usable_chains(
-        self, offer: chain_directory.Offer
+        self, offer: chain_directory.Offer, beside: OpenAttempts | None
     ) -> list[chain_choice.Chain]:
         call = self._call
+        pending = beside.server_ids if beside is not None else ()
         chains = [
             chain
             for chain in offer.chains
-            if call.may_send_to(chain.first.server_id)
+            if call.may_send_to(chain.first.server_id, pending=pending)
             and chain.first.server_id not in call.unreachable
             and self._repair.has_link_budget(
                 chain, tokens=call.facts.prompt_tokens
             )
         ]
+        if beside is not None:
+            chains = _beside(chains, beside)
         # Prefers chains without a stage that refused for lack of capacity.
         preferred = [c for c in chains if not call.refused_by & c.addresses]
         return preferred or chains
@@ -122,3 +170,37 @@
             begun=begun,
             held_off_s=state.notices.holdoff_left_s(call.service.name),
         )
+
+    def _record_refusal(
+        self,
+        kind: str,
+        refused: admission.Refused,
+        inputs: dict[str, float],
+    ) -> None:
+        """Records a refusal, once while it is repeated for the same reason."""
+        refusal = f"{kind}: {refused.reason}"
+        if refusal == self._recorded_refusal:
+            return
+        self._recorded_refusal = refusal
+        self._state.decisions.record(
+            kind,
+            reason=refused.reason,
+            request_id=self._call.request_id,
+            retry_after_s=round(refused.retry_after_s, 2),
+            **inputs,
+        )
+
+
+def _beside(
+    chains: Collection[chain_choice.Chain], attempts: OpenAttempts
+) -> list[chain_choice.Chain]:
+    """Returns the chains that may run beside open attempts.
+
+    They start at another backend server. If a stage is known to be faulty, any
+    chain without it is left as the last choice.
+    """
+    sound = [c for c in chains if not c.addresses & attempts.faulty]
+    elsewhere = [
+        c for c in sound if c.first.server_id not in attempts.server_ids
+    ]
+    return elsewhere or (sound if attempts.faulty else [])
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection
+import time
 
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import front_state
@@ -15,6 +16,9 @@
 from dotterelgrade_routing import link_budget
 from dotterelgrade_routing import platform_port
 
+# A rerouted stream continues once its new stages have processed all tokens so
+# far; until then, reports that lag still name the stage that it left.
+REROUTE_GRACE_S = 0.7
 # Several backend servers may crash together while only one is known faulty.
 _MAX_REROUTES = 4
 
@@ -46,6 +50,8 @@
         self._tokens = tokens
         self._pace = pace
         self._reroutes = 0
+        self._reroute_ordered_at = float("-inf")
+        self._recorded_wait: frozenset[str] | None = None
 
     def __repr__(self) -> str:
         """Shows the request."""
@@ -142,10 +148,14 @@
             faulty: Addresses of the backend servers to avoid.
 
         Returns:
-            The new chain, or None if the request can't be rerouted.
+            The new chain, or None if the request can't be rerouted. An order
+            without an answer may still take effect, so that no other one
+            follows it at once.
         """
         if chain.first.address in faulty:
             return None
+        if time.monotonic() - self._reroute_ordered_at < REROUTE_GRACE_S:
+            return None
         for _ in range(_MAX_REROUTES):
             other = self._alternative_chain(chain)
             if other is None:
@@ -180,6 +190,7 @@
         faulty: Collection[str],
     ) -> platform_port.RerouteAnswer:
         self.charge_link_budget(other, tokens=self._tokens)
+        self._reroute_ordered_at = time.monotonic()
         answer = self._state.platform.engines.reroute(
             chain.first.address,
             request_id=self._call.request_id,
@@ -207,6 +218,37 @@
             request_id=self._call.request_id, stages=chain.stages
         )
 
+    def record_wait(self, *, silent_s: float, faulty: Collection[str]) -> None:
+        """Records that a silent attempt is awaited, once for each diagnosis.
+
+        Args:
+            silent_s: Time since the last event, s.
+            faulty: Addresses of stages that are known to be faulty.
+        """
+        diagnosis = frozenset(faulty)
+        if diagnosis == self._recorded_wait:
+            return
+        self._recorded_wait = diagnosis
+        self._state.decisions.record(
+            "stall_awaited",
+            reason="no other attempt is possible",
+            request_id=self._call.request_id,
+            silent_s=round(silent_s, 3),
+            faulty=sorted(diagnosis),
+            repeatable=self.repeatable,
+            servers=len(self._call.sent_to),
+            retries_left=round(
+                self._state.retry_budget_for(self._call.service.name).left, 1
+            ),
+            events=self._pace.events,
+            left_s=round(self._call.remaining_s, 3),
+        )
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run at a second backend server."""
+        return self._call.route.repeatable
+
     @property
     def prefers_resuming(self) -> bool:
         """Whether resuming on another chain is better than rerouting.
--- a/packages/dotterelgrade-front/tests/support/stream_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/stream_fakes.py
@@ -10,6 +10,63 @@
     return b"".join(fakes.event_bytes(n) for n in range(first, last + 1))
 
 
+def send_events(sock, first, last):
+    """Sends events of a stream that has begun."""
+    for number in range(first, last + 1):
+        data = fakes.event_bytes(number)
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+def pausing(until, *, last, pause):
+    """A script that sends events, pauses by a call, sends the rest and ends.
+
+    A resumed stream pauses before its first event.
+    """
+
+    def script(sock, arrival):
+        first = int(arrival.headers[b"after"] or 0) + 1
+        begun = max(until, first - 1)
+
+        def rest(sock, _):
+            pause()
+            send_events(sock, begun + 1, last)
+
+        fakes.streaming(first, begun, after=rest)(sock, arrival)
+
+    return script
+
+
+def set_routes(front, **changes):
+    """Changes all routes of the configuration in force."""
+    known = front.state.known_configuration
+    routes = tuple(
+        dataclasses.replace(route, **changes)
+        for route in known.configuration.routes
+    )
+    known.configuration = dataclasses.replace(
+        known.configuration, routes=routes
+    )
+
+
+def empty_retry_budget(front):
+    """Leaves the retry budget of the model service without a retry."""
+    budget = front.state.retry_budget_for("model")
+    budget.resize(rate_per_s=0.0, capacity=0.0)
+
+
+def add_reports(front):
+    """Lets all engines answer queries; none of them is at fault."""
+    engines = front.state.platform.engines
+    for server in front.state.fleet.servers:
+        engines.reports[server.address] = report()
+
+
+def decisions(front, name):
+    """Returns the recorded decisions of one kind, oldest first."""
+    rows = front.state.decisions.journal.latest(500)
+    return [row for row in rows if row.decision == name]
+
+
 def resuming(script, *, last):
     """A script that runs another one, or resumes after a given event."""
 
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -6,13 +6,16 @@
 import gevent
 from gevent import socket
 import pytest
+import stream_fakes as streams
 
 from dotterelgrade import early_sockets
 from dotterelgrade_front import front as front_lib
 from dotterelgrade_front import paced_election
 from dotterelgrade_routing import backend_server
+from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import stall_actions
 
 
 def _get(address, path):
@@ -108,6 +111,54 @@
     assert drain.ready()
 
 
+def test_drain_finishes_a_stream_with_two_attempts(
+    running, settings, monkeypatch
+):
+    """A stop comes while an engine is silent and a second one is asked."""
+    monkeypatch.setattr(front_lib, "_DEREGISTRATION_WAIT_S", 0.05)
+    monkeypatch.setattr(stall_actions, "STANDBY_SILENCE_S", 0.2)
+    running._state.platform.configurations.add("config", b"v1")
+    fakes.until(lambda: running.is_ready)
+    drain = []
+
+    def pause():
+        fakes.until(lambda: other.arrivals)
+        drain.append(gevent.spawn(running.drain))
+        gevent.sleep(0.3)
+
+    def stuck(sock, arrival):
+        fakes.streaming(1, 0, after=fakes.silent)(sock, arrival)
+
+    first = fakes.Backend(streams.pausing(3, last=6, pause=pause))
+    other = fakes.Backend(stuck)
+    for server_id, backend in (("a1", first), ("b1", other)):
+        running._state.fleet.put(
+            backend_server.BackendServer(
+                id=server_id,
+                service="model",
+                address=backend.address,
+                failure_domain=server_id[0],
+                availability=backend_server.Availability.READY,
+                slots=4,
+                accelerator="kind",
+                layers=layer_range.LayerRange(0, 8),
+            )
+        )
+    running._state.rng.random = lambda: 0.0
+    host, _, port = settings.callers_address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), timeout=5)
+    sock.sendall(
+        b"POST /stream/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n"
+        b"request-id: r1\r\ncontent-length: 0\r\n\r\n"
+    )
+    assert fakes.read_response(sock)[2] == streams.events(1, 6)
+    drain[0].join(fakes.WAIT_S)
+    assert drain[0].ready()
+    assert other.closed.wait(fakes.WAIT_S)
+    for backend in (first, other):
+        backend.stop()
+
+
 def test_failed_task_is_restarted(running, platform, monkeypatch):
     monkeypatch.setattr("dotterelgrade.supervision.RESTART_DELAY_S", 0.01)
     platform.documents.put(b"broken", None)
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -256,6 +256,69 @@
     assert len(engine.arrivals) == 3
 
 
+def test_a_stream_that_has_begun_waits_for_capacity_as_long_as_its_caller(
+    front,
+):
+    """The only engine breaks the stream off, then is full for two seconds."""
+    streams.set_routes(front, timeout_s=10.0)
+    broken = fakes.streaming(1, 2, end=False)
+    front.add(
+        "a1",
+        broken,
+        streams.refusing_with(b"retry-after: 2.0\r\n"),
+        streams.resuming(fakes.streaming(1, 4), last=4),
+        service="model",
+        layers=(0, 8),
+    )
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, streams.events(1, 4))
+
+
+def _breaking_and_leaving(front):
+    """A script that breaks a stream off while its server leaves the fleet."""
+
+    def leave(*_):
+        front.state.fleet.remove("a1", now=time.monotonic())
+
+    return fakes.streaming(1, 2, after=leave, end=False)
+
+
+def test_a_stream_is_not_held_for_servers_that_are_gone(front):
+    """The caller may resume it elsewhere, with attempts of its own."""
+    streams.set_routes(front, timeout_s=60.0, max_attempts=1)
+    front.add(
+        "a1", _breaking_and_leaving(front), service="model", layers=(0, 8)
+    )
+    front.add("b1", fakes.streaming(3, 4), service="model", layers=(0, 8))
+    status, _, body = front.ask("/stream/x", method="POST", body=b"p")
+    assert (status, body) == (200, None)
+
+
+def test_a_retry_without_a_chain_is_not_paid_for(front):
+    """A stream breaks off, and the layers have no holder."""
+    front.add(
+        "a1", _breaking_and_leaving(front), service="model", layers=(0, 8)
+    )
+    budget = front.state.retry_budget_for("model")
+    budget.resize(rate_per_s=0.0, capacity=10.0)
+    left = budget.left
+    body = front.ask("/stream/x", method="POST", body=b"p", patience_ms="500")[
+        2
+    ]
+    assert body is None
+    assert budget.left == left
+
+
+def test_a_begun_stream_ends_at_once_when_no_retry_can_be_paid_for(front):
+    """The caller resumes it by a request that needs no retry of ours."""
+    streams.set_routes(front, timeout_s=60.0)
+    broken = fakes.streaming(1, 2, end=False)
+    first, other = streams.add_chains(front, [broken], [broken])
+    streams.empty_retry_budget(front)
+    assert front.ask("/stream/x", method="POST", body=b"p")[2] is None
+    assert len(first.arrivals) + len(other.arrivals) == 1
+
+
 def _recording(ran, name, script):
     """Wraps a script to record that the server ran the request."""
 
--- /dev/null
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/stall_actions.py
@@ -0,0 +1,62 @@
+"""Decides what to try for a stream that is silent.
+
+Load pattern: a stage crashes or goes dark, and its streams must continue
+elsewhere within their bound on pauses; or a sound backend server is silent for
+a second or two and then continues. At first the two look alike, so an attempt
+is never ended because it is silent: the running request is rerouted, or a
+second attempt starts beside it, and whichever sends the next event continues
+the stream.
+"""
+
+import enum
+
+# Silence after which a second attempt starts though no stage is known to be
+# faulty. Callers disconnect after two seconds or more without an event.
+STANDBY_SILENCE_S = 1.5
+# Pause between two attempts to act on the same silence, as a fraction of it.
+RETRY_FRACTION = 0.2
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 0.5
+
+
+class StallAction(enum.Enum):
+    """Something to try for a silent stream."""
+
+    REROUTE = "reroute"
+    STANDBY = "standby"
+
+
+def stall_actions(
+    *,
+    faulty: bool,
+    silent_s: float,
+    repeatable: bool,
+    prefers_standby: bool,
+) -> tuple[StallAction, ...]:
+    """Returns what to try, in order, until one of them is possible.
+
+    If none is, the attempt is awaited.
+
+    Args:
+        faulty: Whether a stage is known to be faulty.
+        silent_s: Time since the last event, s.
+        repeatable: Whether the request may run at a second backend server.
+        prefers_standby: Whether a second attempt is better than rerouting.
+    """
+    actions = []
+    if faulty:
+        actions.append(StallAction.REROUTE)
+    if repeatable and (faulty or silent_s > STANDBY_SILENCE_S):
+        actions.append(StallAction.STANDBY)
+    if prefers_standby:
+        actions.reverse()
+    return tuple(actions)
+
+
+def retry_delay_s(silent_s: float) -> float:
+    """Returns the time until the next try when nothing was possible, s.
+
+    Args:
+        silent_s: Time since the last event, s.
+    """
+    return min(max(RETRY_FRACTION * silent_s, MIN_RETRY_S), MAX_RETRY_S)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -24,6 +24,9 @@
 _CONNECTION_POOL_TEST = "packages/dotterelgrade/tests/test_connection_pool.py"
 _STREAM_TEST = "packages/dotterelgrade-front/tests/test_model_stream.py"
 _REPAIR_TEST = "packages/dotterelgrade-front/tests/test_stream_repair.py"
+_GUARD_TEST = "packages/dotterelgrade-front/tests/test_stall_guard.py"
+_STANDBY_TEST = "packages/dotterelgrade-front/tests/test_standby_set.py"
+_ACTIONS_TEST = "packages/dotterelgrade-routing/tests/test_stall_actions.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
 _STORE_TEST = "packages/dotterelgrade-front/tests/adapter/test_store.py"
 _FLEET_TEST = "packages/dotterelgrade-routing/tests/test_fleet.py"
@@ -408,6 +411,63 @@
         new="                if False:",
         check=_STREAM_TEST,
     ),
+    mutant.Mutant(
+        name="silence-ends-an-attempt",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.stall_guard",
+        old="self._repair.record_wait(silent_s=silent_s, faulty=faulty)",
+        new="raise upstream.AttemptFailedError("
+        'attempt_lib.ExecutionStatus.UNKNOWN, "silent")',
+        check=_GUARD_TEST,
+    ),
+    mutant.Mutant(
+        name="second-attempt-of-a-call-that-runs-once",
+        promise=mutant.ONCE,
+        module="dotterelgrade_routing.stall_actions",
+        old="    if repeatable and (faulty or",
+        new="    if (faulty or",
+        check=_ACTIONS_TEST,
+    ),
+    mutant.Mutant(
+        name="second-attempt-left-open",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.standby_set",
+        old="                self._standbys.pop().close()\n",
+        new="                self._standbys.pop()\n",
+        check=_STANDBY_TEST,
+    ),
+    mutant.Mutant(
+        name="events-of-two-attempts",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.stall_guard",
+        old="if self._standbys.any_open:\n            self._standbys.close",
+        new="if False:\n            self._standbys.close",
+        check=_STANDBY_TEST,
+    ),
+    mutant.Mutant(
+        name="second-attempt-at-the-same-server",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.stream_admission",
+        old="c for c in sound if c.first.server_id not in attempts.server_ids",
+        new="c for c in sound",
+        check=_GUARD_TEST,
+    ),
+    mutant.Mutant(
+        name="retry-paid-for-nothing",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.stream_admission",
+        old="        if admitted and is_retry and not self._budget.spend():",
+        new="        if is_retry and not self._budget.spend():",
+        check=_STREAM_TEST,
+    ),
+    mutant.Mutant(
+        name="begun-stream-held-for-nothing",
+        promise=mutant.NOT_HELD,
+        module="dotterelgrade_front.model_stream",
+        old="        if not attempts_left and",
+        new="        if False and",
+        check=_STREAM_TEST,
+    ),
     mutant.Mutant(
         name="forged-delta-applied",
         promise=mutant.IN_FORCE,
