--- a/packages/dotterelgrade-front/tests/test_plain_call.py
+++ b/packages/dotterelgrade-front/tests/test_plain_call.py
@@ -146,6 +146,23 @@
     assert (status, body, headers[b"seal"]) == (500, b"why", b"1")
 
 
+@pytest.mark.parametrize("status", [b"408 T", b"429 Many", b"503 Busy"])
+def test_a_refusal_that_is_not_stated_is_no_promise(front, status):
+    """The caller was told "not run" of a call that a server may have run."""
+    backends = [
+        front.add(name, fakes.responding(b"", status)) for name in ("s1", "s2")
+    ]
+    response = front.ask("/unsafe/x", method="POST", body=b"x")
+    assert response[0] == 502
+    assert b"seal" not in response[1]
+    assert sum(len(backend.arrivals) for backend in backends) == 1
+
+
+def test_a_refusal_of_an_idempotent_call_is_passed_on(front):
+    front.add("s", fakes.responding(b"why", b"429 Many"))
+    assert front.ask("/safe/x")[0] == 429
+
+
 def test_a_call_to_a_silent_server_is_retried_elsewhere_in_time(front):
     """A backend server accepts requests but never responds."""
     front.add("s1", fakes.silent)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -531,4 +531,12 @@
         new="        self._caller_server.close()\n",
         check=_FRONT_TEST,
     ),
+    mutant.Mutant(
+        name="unproved-refusal-passed-on",
+        promise=mutant.NOT_RUN,
+        module="dotterelgrade_front.plain_attempt",
+        old="if head.status in _NOT_RUN_STATUSES and not",
+        new="if False and not",
+        check=_PLAIN_TEST,
+    ),
 )
