Survive a reload signal that comes while the front starts

What callers saw: after a restart beside a change of the settings file, connections that lay in the queue of the new process were reset, and the host had no front again. Cause: SIGHUP ends a process that has no handler yet, and the handler came after the modules and the settings.

Evidence, on the code before: test_a_reload_signal_during_the_start_does_not_end_the_front failed (the process had ended, no line `reloaded`). Change: the signal is held back from the first lines of `serve` until its handler exists, and is then delivered, so that a change of the file in between is read as well. The interpreter's own start remains uncovered.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_process.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_process.py
@@ -18,6 +18,7 @@
 from dotterelgrade import errors
 from dotterelgrade import exit_codes
 from dotterelgrade import logs
+from dotterelgrade import reload_signal
 from dotterelgrade import stop_signal
 from dotterelgrade_front import front as front_lib
 from dotterelgrade_front import front_settings
@@ -92,6 +93,7 @@
             settings, platform=self._adapter.connect(settings)
         )
         gevent.signal_handler(signal.SIGHUP, self._reload, front)
+        reload_signal.release()
         try:
             with front.running():
                 stop.wait()
--- a/packages/dotterelgrade-front/tests/adapter/test_early_start.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_early_start.py
@@ -1,5 +1,9 @@
+import json
+import random
+import signal
 import subprocess
 import sys
+import time
 
 from gevent import socket
 import pytest
@@ -15,6 +19,16 @@
 """
 
 
+_NODE_SETTINGS = """\
+node = "front-1"
+ip = "{host}"
+zone = "a"
+internal_ports = [7003, 7003]
+[platform]
+address = "127.0.0.1:1"
+"""
+
+
 def _ports(make_port):
     return {"front": make_port(), "ready": make_port()}
 
@@ -82,3 +96,38 @@
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     )
     assert out.stdout.strip() == "[]"
+
+
+@pytest.fixture
+def starting(settings_path):
+    """A front process that listens but has not loaded its modules yet."""
+    host = f"127.{random.randrange(1, 255)}.{random.randrange(256)}.1"
+    settings_path.write_text(
+        _NODE_SETTINGS.format(host=host)
+        + _SETTINGS.format(front=7001, ready=7002).replace("127.0.0.1", host)
+    )
+    command = [sys.executable, "-m", "dotterelgrade_platform", "serve"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as front:
+        try:
+            _wait_for_socket(front, host)
+            yield front
+        finally:
+            front.kill()
+
+
+def _wait_for_socket(front, host):
+    while front.poll() is None:
+        with socket.socket() as sock:
+            if not sock.connect_ex((host, 7001)):
+                return
+        time.sleep(0.005)
+    raise AssertionError("the front has ended")
+
+
+def test_a_reload_signal_during_the_start_does_not_end_the_front(starting):
+    """The settings file changes while a front that was killed starts again."""
+    starting.send_signal(signal.SIGHUP)
+    lines = iter(starting.stdout.readline, "")
+    events = (json.loads(line).get("event") for line in lines)
+    assert "reloaded" in events
+    assert starting.poll() is None
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -24,6 +24,7 @@
 _REPAIR_TEST = "packages/dotterelgrade-front/tests/test_stream_repair.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
 _PARSER_TEST = "packages/dotterelgrade-front/tests/test_request_parser.py"
+_START_TEST = "packages/dotterelgrade-front/tests/adapter/test_early_start.py"
 _FRONT_TEST = "packages/dotterelgrade-front/tests/test_front.py"
 _CONNECTION_TEST = (
     "packages/dotterelgrade-front/tests/test_client_connection.py"
@@ -539,4 +540,12 @@
         new="if False and not",
         check=_PLAIN_TEST,
     ),
+    mutant.Mutant(
+        name="reload-signal-ends-a-start",
+        promise=mutant.STOP,
+        module="dotterelgrade.reload_signal",
+        old="signal.pthread_sigmask(signal.SIG_BLOCK, _RELOAD_SIGNALS)",
+        new="pass",
+        check=_START_TEST,
+    ),
 )
