Reject settings whose times are not positive or whose budgets are negative

What callers saw: with a grace time of `nan` (TOML has it) a stop cuts all requests in flight; with a window of 0 each first request of a service ends with a closed connection. Cause: the numbers of the settings file were not checked, neither at the start nor on SIGHUP. `now < nan` ends the drain at once, and the retry rate divides by the window.

Evidence, on the code before: test_a_time_that_is_not_positive_is_rejected (8 cases) and test_a_budget_that_is_negative_is_rejected (4 cases) failed: the file was accepted. Change: the settings check them. After: the tests of settings file and front pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -55,7 +55,7 @@
     relay_encoding: str = "delta"
 
     def __post_init__(self) -> None:
-        """Validates the names of policies and the addresses."""
+        """Validates the names of policies, the addresses and the numbers."""
         placement_policies.POLICIES.make(self.placement)
         relay_encoding_lib.ENCODINGS.make(self.relay_encoding)
         silence_bounds.BOUNDS.make(self.silence_bound)
@@ -63,6 +63,24 @@
             host, _, port = address.rpartition(":")
             if not host or not port.isdigit():
                 raise ValueError(f"expected IP:PORT, got {address!r}")
+        self._check_numbers()
+
+    def _check_numbers(self) -> None:
+        positive = {
+            "grace_s": self.grace_s,
+            "retry_window_s": self.retry_window_s,
+            "cores": self.cores,
+            "link_bits_per_s": self.link_bits_per_s,
+        }
+        for name, value in positive.items():
+            if not 0 < value < float("inf"):
+                raise ValueError(f"{name} must be positive, got {value}")
+        for name, value in (
+            ("retry_ratio", self.retry_ratio),
+            ("retry_slack", self.retry_slack),
+        ):
+            if not 0 <= value < float("inf"):
+                raise ValueError(f"{name} must not be negative, got {value}")
 
     @property
     def strong(self) -> bool:
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -56,6 +56,27 @@
         settings_file.load(str(path))
 
 
+@pytest.mark.parametrize("value", ["0", "-1", "nan", "inf"])
+@pytest.mark.parametrize("name", ["grace_s = 8", "budget_window_s = 10"])
+def test_a_time_that_is_not_positive_is_rejected(tmp_path, name, value):
+    """A stop cut all requests, or each first request of a service failed."""
+    path = tmp_path / "local.toml"
+    key = name.partition("=")[0]
+    path.write_text(_FILE.replace(name, f"{key}= {value}"))
+    with pytest.raises(errors.DotterelgradeError, match="must be positive"):
+        settings_file.load(str(path))
+
+
+@pytest.mark.parametrize("value", ["-1", "nan"])
+@pytest.mark.parametrize("name", ["retry_budget_ratio = 0.2", "_slack = 400"])
+def test_a_budget_that_is_negative_is_rejected(tmp_path, name, value):
+    path = tmp_path / "local.toml"
+    key = name.partition("=")[0]
+    path.write_text(_FILE.replace(name, f"{key}= {value}"))
+    with pytest.raises(errors.DotterelgradeError, match="must not be negative"):
+        settings_file.load(str(path))
+
+
 def test_without_a_file_the_error_names_the_variable(monkeypatch):
     monkeypatch.delenv(settings_file.PATH_VARIABLE, raising=False)
     with pytest.raises(errors.DotterelgradeError, match="names no settings"):
