Apply a changed retry ratio to the budgets that exist already

What callers saw: after SIGHUP with another ratio, retries went on at the old one for every service that had had a request. Cause: a reload resized the budgets, but not what each request earns. Evidence, on the code before: test_a_reload_changes_what_requests_earn failed. Change: the share is resized too. After: the tests of front state and budget pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -213,13 +213,14 @@
             budget.resize(
                 rate_per_s=self._retry_rate_per_s(),
                 capacity=self._retry_capacity(),
+                share=self._retry_share(),
             )
 
     def retry_budget_for(self, service: str) -> retry_budget.RetryBudget:
         """Returns the retry budget of a service."""
         if service not in self._budgets:
             self._budgets[service] = retry_budget.RetryBudget(
-                share=self._settings.retry_ratio * _EARNED_FRACTION,
+                share=self._retry_share(),
                 rate_per_s=self._retry_rate_per_s(),
                 capacity=self._retry_capacity(),
             )
@@ -312,6 +313,9 @@
         steady_retries = self._retry_slack() * _STEADY_FRACTION
         return steady_retries / self._settings.retry_window_s
 
+    def _retry_share(self) -> float:
+        return self._settings.retry_ratio * _EARNED_FRACTION
+
     def _retry_slack(self) -> float:
         """Returns this front's share of the retries not earned by requests."""
         fronts = len(self._fronts) or _DEFAULT_FRONT_COUNT
--- a/packages/dotterelgrade-front/tests/test_front_state.py
+++ b/packages/dotterelgrade-front/tests/test_front_state.py
@@ -40,3 +40,17 @@
         now[0] = step / 10
         spent += sum(budget.spend() for _ in range(100))
     assert spent * fronts <= _SLACK
+
+
+def test_a_reload_changes_what_requests_earn(settings, platform):
+    """A changed ratio held only for services without a request so far."""
+    state = _state(settings, platform, fronts=1)
+    budget = state.retry_budget_for("plain")
+    state.reload(
+        dataclasses.replace(settings, retry_slack=0.0, retry_ratio=0.0)
+    )
+    while budget.spend():
+        pass
+    for _ in range(100):
+        budget.note_request()
+    assert not budget.spend()
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
@@ -54,14 +54,23 @@
         """Whether more than half of the capacity is left."""
         return self.left > self._capacity / 2
 
-    def resize(self, *, rate_per_s: float, capacity: float) -> None:
-        """Changes the rate and capacity, such as when a shared budget is split.
+    def resize(
+        self,
+        *,
+        rate_per_s: float,
+        capacity: float,
+        share: float | None = None,
+    ) -> None:
+        """Changes the size, such as when a shared budget is split.
 
         Args:
             rate_per_s: Retries earned per second without any request.
             capacity: Maximum number of unused retries.
+            share: Retries earned by each request; None to keep it.
         """
         self._refill()
+        if share is not None:
+            self._share = share
         self._rate_per_s = rate_per_s
         self._capacity = capacity
         self._tokens = min(self._tokens, capacity)
