Keep names and addresses when the settings are read again

What callers saw: nothing directly; a front whose file named another port or host after SIGHUP claimed terms and counted itself under an address at which it does not listen. Cause: a reload took all settings, though addresses need a restart as its comment said. Evidence, on the code before: test_a_reload_keeps_the_addresses_at_which_the_front_listens failed. Change: a reload keeps what the process listens on and is known by. After: the tests of the front pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -158,8 +158,8 @@
         Args:
             settings: The new contents of the settings file.
         """
-        self._settings = settings
-        self._state.reload(settings)
+        self._settings = settings.with_identity_of(self._settings)
+        self._state.reload(self._settings)
 
     @contextlib.contextmanager
     def running(self) -> Iterator[None]:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -8,6 +8,17 @@
 from dotterelgrade_routing import silence_bounds
 
 DEFAULT_METRICS_PORT = 9464
+# A change of these needs a restart.
+_IDENTITY = (
+    "node",
+    "host",
+    "failure_domain",
+    "callers_address",
+    "ready_address",
+    "peer_port",
+    "metrics_port",
+    "store_address",
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -82,6 +93,16 @@
             if not 0 <= value < float("inf"):
                 raise ValueError(f"{name} must not be negative, got {value}")
 
+    def with_identity_of(self, running: "FrontSettings") -> "FrontSettings":
+        """Returns these settings with the names and addresses of others.
+
+        Args:
+            running: Settings by which the process listens and is known.
+        """
+        return dataclasses.replace(
+            self, **{name: getattr(running, name) for name in _IDENTITY}
+        )
+
     @property
     def strong(self) -> bool:
         """Whether the host has enough CPU and bandwidth to run a planner."""
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -1,5 +1,6 @@
 """Tests complete fronts in one process against a fake platform."""
 
+import dataclasses
 import socket as std_socket
 import time
 
@@ -47,6 +48,18 @@
     assert b'"version": 1' in _get(address, "/state")[2]
 
 
+def test_a_reload_keeps_the_addresses_at_which_the_front_listens(
+    running, settings
+):
+    """A changed port was claimed as planner, where nobody listens."""
+    running.reload(
+        dataclasses.replace(settings, peer_port=1, host="127.0.0.2", grace_s=3)
+    )
+    assert running._settings.peer_address == settings.peer_address
+    assert running._state.settings.peer_address == settings.peer_address
+    assert running._state.settings.grace_s == 3
+
+
 def test_drain_finishes_requests_in_flight(
     running, settings, platform, monkeypatch
 ):
