--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -9,6 +9,17 @@
 from dotterelgrade_routing import silence_bounds
 
 DEFAULT_METRICS_PORT = 9464
+# A change of these needs a restart.
+_IDENTITY = (
+    "node",
+    "host",
+    "failure_domain",
+    "callers_address",
+    "ready_address",
+    "peer_port",
+    "metrics_port",
+    "store_address",
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -56,12 +67,40 @@
     relay_encoding: str = "delta"
 
     def __post_init__(self) -> None:
-        """Validates the names of policies and the addresses."""
+        """Validates the names of policies, the addresses and the numbers."""
         placement_policies.POLICIES.make(self.placement)
         relay_encoding_lib.ENCODINGS.make(self.relay_encoding)
         silence_bounds.BOUNDS.make(self.silence_bound)
         for address in (self.callers_address, self.ready_address):
             addresses.validate(address)
+        self._check_numbers()
+
+    def _check_numbers(self) -> None:
+        positive = {
+            "grace_s": self.grace_s,
+            "retry_window_s": self.retry_window_s,
+            "cores": self.cores,
+            "link_bits_per_s": self.link_bits_per_s,
+        }
+        for name, value in positive.items():
+            if not 0 < value < float("inf"):
+                raise ValueError(f"{name} must be positive, got {value}")
+        for name, value in (
+            ("retry_ratio", self.retry_ratio),
+            ("retry_slack", self.retry_slack),
+        ):
+            if not 0 <= value < float("inf"):
+                raise ValueError(f"{name} must not be negative, got {value}")
+
+    def with_identity_of(self, running: "FrontSettings") -> "FrontSettings":
+        """Returns these settings with the names and addresses of others.
+
+        Args:
+            running: Settings by which the process listens and is known.
+        """
+        return dataclasses.replace(
+            self, **{name: getattr(running, name) for name in _IDENTITY}
+        )
 
     @property
     def strong(self) -> bool:
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -29,6 +29,7 @@
 _ACTIONS_TEST = "packages/dotterelgrade-routing/tests/test_stall_actions.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
 _PARSER_TEST = "packages/dotterelgrade-front/tests/test_request_parser.py"
+_START_TEST = "packages/dotterelgrade-front/tests/adapter/test_early_start.py"
 _FRONT_TEST = "packages/dotterelgrade-front/tests/test_front.py"
 _CONNECTION_TEST = (
     "packages/dotterelgrade-front/tests/test_client_connection.py"
@@ -681,4 +682,28 @@
         new="        self._caller_server.close()\n",
         check=_FRONT_TEST,
     ),
+    mutant.Mutant(
+        name="unproved-refusal-passed-on",
+        promise=mutant.NOT_RUN,
+        module="dotterelgrade_front.plain_attempt",
+        old="if head.status in _NOT_RUN_STATUSES and not",
+        new="if False and not",
+        check=_PLAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="reload-signal-ends-a-start",
+        promise=mutant.STOP,
+        module="dotterelgrade.reload_signal",
+        old="signal.pthread_sigmask(signal.SIG_BLOCK, _RELOAD_SIGNALS)",
+        new="pass",
+        check=_START_TEST,
+    ),
+    mutant.Mutant(
+        name="write-without-progress-limit",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.client_connection",
+        old="unsent = unsent[self._sock.send(unsent) :]",
+        new="unsent = unsent[self._sock.sendall(unsent) or len(unsent) :]",
+        check=_CONNECTION_TEST,
+    ),
 )
