Keep a call open at an agent that falls silent

Callers saw: a call to a plain service ended with 502 `outcome_unknown` after 0.8 s when its agent fell silent, though the agent went on a second later and the service had run the call. The only copy of the answer was dropped.

Cause: an attempt was given up before another one was known to be possible. An agent that is suspected of being silent was treated like one whose connection has ended; budget and other agents were asked afterwards, and for a call without a key no other attempt is allowed at all.

Evidence, before the change: four tests got 502 instead of 201, test_a_call_whose_agent_falls_silent_is_not_given_up (with and without a key), test_an_unkeyed_call_is_not_sent_again_when_its_agent_falls_silent and test_a_refusal_elsewhere_does_not_end_the_wait_for_a_silent_agent.

Ruled out: a longer limit for silence. The agent of a keyed call may really be dead, and another one should be asked soon.

Change: a call holds its open attempts in `PendingCall`. Silence ends none of them; it only allows a further attempt where the call may be repeated. The first answer of any agent that has the call counts. An attempt ends with its answer, its connection or the call's time. The retry budget is spent only when there is an agent to ask.

Cost: where an agent's host is dead and its connection stays open, a call without a key now ends at `call_timeout_s` (`deadline_exceeded`, unknown) and no longer after 0.8 s.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
@@ -3,9 +3,7 @@
 import dataclasses
 import random
 import time
-from typing import Any
 
-from gevent import event
 from returns import result
 
 from dotterelgrade import errors
@@ -13,11 +11,11 @@
 from dotterelgrade import messages
 from dotterelgrade import rendezvous
 from dotterelgrade import rules
-from dotterelgrade_entry import agent_peer
 from dotterelgrade_entry import entry_settings
 from dotterelgrade_entry import exchange as exchange_lib
 from dotterelgrade_entry import fleet as fleet_lib
 from dotterelgrade_entry import idempotency
+from dotterelgrade_entry import pending_call
 from dotterelgrade_entry import retry_after
 from dotterelgrade_routing import retry_budget
 
@@ -55,57 +53,6 @@
         return bool(self.key) or self.rule.repeat == "safe"
 
 
-class _PendingCall:
-    """One call sent to one agent, waiting for its answer."""
-
-    def __init__(self, order: CallOrder, peer: agent_peer.AgentPeer) -> None:
-        self._order = order
-        self._peer = peer
-        self._outcome: event.AsyncResult = event.AsyncResult()
-
-    def uses(self, peer: agent_peer.AgentPeer) -> bool:
-        return peer is self._peer
-
-    def dump(self) -> dict[str, Any]:
-        return {
-            "request_id": self._order.request_id,
-            "workspace": self._order.workspace,
-            "service": self._order.rule.name,
-            "keyed": bool(self._order.key),
-            "agent": self._peer.address,
-        }
-
-    def on_token(
-        self, peer: agent_peer.AgentPeer, token: messages.Token
-    ) -> None:
-        pass
-
-    def on_reply(self, peer: agent_peer.AgentPeer, message: Any) -> None:
-        is_answer = isinstance(
-            message, messages.CallReply | messages.CallFailed
-        )
-        if is_answer and peer is self._peer:
-            self._outcome.set(message)
-
-    def on_lost(self, peer: agent_peer.AgentPeer, reason: str) -> None:
-        failed = messages.CallFailed(
-            request_id="",
-            kind=errors.ErrorKind.OUTCOME_UNKNOWN,
-            message=f"the agent was lost: {reason}",
-            run=errors.RunState.UNKNOWN,
-        )
-        if not self._outcome.ready():
-            self._outcome.set(failed)
-
-    def on_tick(self) -> None:
-        pass
-
-    def wait(
-        self, timeout_s: float
-    ) -> messages.CallReply | messages.CallFailed | None:
-        return self._outcome.wait(max(timeout_s, 0.0))
-
-
 class ServiceCalls:
     """Sends calls to the agents beside plain services.
 
@@ -151,33 +98,89 @@
         """
         ends_at = time.monotonic() + self._settings.call_timeout_s
         self._budget.note_request()
-        tried: set[str] = set()
-        may_have_run = False
+        pending = pending_call.PendingCall(
+            {
+                "request_id": order.request_id,
+                "workspace": order.workspace,
+                "service": order.rule.name,
+                "keyed": bool(order.key),
+            }
+        )
+        self._exchange.join(order.request_id, pending)
+        try:
+            return self._run(order, pending, ends_at)
+        finally:
+            self._exchange.leave(order.request_id)
+            for peer, _ in pending.open_attempts:
+                self._fleet.note_busy(peer.address, -1)
+
+    def _run(
+        self,
+        order: CallOrder,
+        pending: pending_call.PendingCall,
+        ends_at: float,
+    ) -> result.Result[messages.CallReply, errors.Error]:
         error = _no_agent(order)
-        for number in range(_MAX_TRIES):
-            if number and not self._budget.spend():
-                break
-            candidate = self._choose(order, tried)
-            if candidate is None:
+        may_have_run = False
+        may_try = True
+        while True:
+            if may_try:
+                self._begin(order, pending, ends_at)
+            if not pending.has_news:
                 break
-            tried.add(candidate[1].key)
-            answer = self._send_once(order, candidate, ends_at)
-            if isinstance(answer, messages.CallReply):
-                return result.Success(answer)
-            error = _to_error(answer)
+            news = pending.wait(ends_at - time.monotonic())
+            if isinstance(news, pending_call.AttemptSilent):
+                may_try = order.is_repeatable
+                continue
+            if news is None:
+                news = _out_of_time(pending)
+            else:
+                self._fleet.note_busy(news.candidate[0].address, -1)
+            if isinstance(news.message, messages.CallReply):
+                return result.Success(news.message)
+            error = _to_error(news.message)
             may_have_run |= error.run_state is not errors.RunState.NOT_RUN
-            self._record_failure(order, candidate, error)
-            if not self._may_retry(order, error, ends_at):
+            self._record_failure(order, news.candidate, error)
+            if time.monotonic() >= ends_at:
                 break
+            may_try = self._may_retry(order, error)
         return result.Failure(_truthful(error, may_have_run))
 
+    def _begin(
+        self,
+        order: CallOrder,
+        pending: pending_call.PendingCall,
+        ends_at: float,
+    ) -> None:
+        """Begins an attempt, if there is an agent and budget for it."""
+        if pending.tries >= _MAX_TRIES:
+            return
+        candidate = self._choose(order, pending)
+        if candidate is None:
+            return
+        if pending.tries and not self._budget.spend():
+            return
+        peer, view = candidate
+        pending.begin(candidate)
+        self._fleet.note_busy(peer.address, 1)
+        left_s = ends_at - time.monotonic()
+        if not peer.send(_to_frame(order, view.report.backend, left_s)):
+            pending.end(
+                peer,
+                _failed(
+                    errors.ErrorKind.PEER_UNREACHABLE,
+                    "the agent's connection was closed",
+                    errors.RunState.NOT_RUN,
+                ),
+            )
+
     def _choose(
-        self, order: CallOrder, tried: set[str]
+        self, order: CallOrder, pending: pending_call.PendingCall
     ) -> fleet_lib.Candidate | None:
         found = {
-            view.key: (peer, view)
-            for peer, view in self._fleet.services(order.rule.to)
-            if view.key not in tried
+            candidate[1].key: candidate
+            for candidate in self._fleet.services(order.rule.to)
+            if pending.may_try(candidate)
         }
         if not found:
             return None
@@ -192,38 +195,7 @@
             ),
         )
 
-    def _send_once(
-        self,
-        order: CallOrder,
-        candidate: fleet_lib.Candidate,
-        ends_at: float,
-    ) -> messages.CallReply | messages.CallFailed:
-        peer, view = candidate
-        pending = _PendingCall(order, peer)
-        self._exchange.join(order.request_id, pending)
-        self._fleet.note_busy(peer.address, 1)
-        try:
-            left_s = ends_at - time.monotonic()
-            if not peer.send(_to_frame(order, view.report.backend, left_s)):
-                return _failed(
-                    errors.ErrorKind.PEER_UNREACHABLE,
-                    "the agent's connection was closed",
-                    errors.RunState.NOT_RUN,
-                )
-            return pending.wait(left_s) or _failed(
-                errors.ErrorKind.DEADLINE_EXCEEDED,
-                "the service did not answer in time",
-                errors.RunState.UNKNOWN,
-            )
-        finally:
-            self._exchange.leave(order.request_id)
-            self._fleet.note_busy(peer.address, -1)
-
-    def _may_retry(
-        self, order: CallOrder, error: errors.Error, ends_at: float
-    ) -> bool:
-        if time.monotonic() >= ends_at:
-            return False
+    def _may_retry(self, order: CallOrder, error: errors.Error) -> bool:
         if error.run_state is errors.RunState.NOT_RUN:
             return error.response.retryable and (
                 error.kind is not errors.ErrorKind.LOG_UNAVAILABLE
@@ -256,6 +228,19 @@
     )
 
 
+def _out_of_time(
+    pending: pending_call.PendingCall,
+) -> pending_call.AttemptEnded:
+    return pending_call.AttemptEnded(
+        candidate=pending.open_attempts[-1],
+        message=_failed(
+            errors.ErrorKind.DEADLINE_EXCEEDED,
+            "the service did not answer in time",
+            errors.RunState.UNKNOWN,
+        ),
+    )
+
+
 def _failed(
     kind: errors.ErrorKind, message: str, run: errors.RunState
 ) -> messages.CallFailed:
--- a/packages/dotterelgrade-entry/tests/test_service_calls.py
+++ b/packages/dotterelgrade-entry/tests/test_service_calls.py
@@ -195,6 +195,94 @@
         assert answer.value.body.decode() == headers["x-request-id"]
 
 
+def _reply(connection, frame, *, body=b"done"):
+    connection.send(
+        messages.CallReply(
+            request_id=frame.request_id, status=201, headers={}, body=body
+        )
+    )
+
+
+def _silent_for(pause_s):
+    """Returns the handler of an agent that falls silent and goes on."""
+
+    def handle(agent, connection, frame):
+        if isinstance(frame, messages.Call):
+            gevent.sleep(pause_s)
+            _reply(connection, frame)
+
+    return handle
+
+
+@pytest.mark.parametrize("is_keyed", [False, True])
+def test_a_call_whose_agent_falls_silent_is_not_given_up(cell, is_keyed):
+    """The agent was only silent, and there was no other one to ask."""
+    silent = _start_fake_worker(cell, _silent_for(1.7))
+    cell.entry = cell.start_entry(call_timeout_s=8.0)
+    cell.wait_for(cell.entry, services=1)
+    key = str(uuid6.uuid7()) if is_keyed else ""
+    assert _deposit(cell, key=key).status == 201
+    assert len(silent.of(messages.Call)) == 1
+
+
+def test_an_unkeyed_call_is_not_sent_again_when_its_agent_falls_silent(cell):
+    fakes = [_start_fake_worker(cell, _silent_for(1.7)) for _ in range(2)]
+    cell.entry = cell.start_entry(call_timeout_s=8.0)
+    cell.wait_for(cell.entry, services=2)
+    assert _deposit(cell).status == 201
+    assert sum(len(fake.of(messages.Call)) for fake in fakes) == 1
+
+
+def test_a_keyed_call_at_a_silent_agent_is_answered_by_another(cell):
+    silent = _start_fake_worker(cell, _silent_for(6.0))
+
+    def reply(agent, connection, frame):
+        if isinstance(frame, messages.Call):
+            _reply(connection, frame, body=b"other")
+
+    other = _start_fake_worker(cell, reply)
+    cell.entry = cell.start_entry(call_timeout_s=5.0)
+    cell.wait_for(cell.entry, services=2)
+    answer = _deposit(cell, key=_key_asking(silent, other))
+    assert (answer.status, answer.body) == (201, b"other")
+
+
+def test_a_refusal_elsewhere_does_not_end_the_wait_for_a_silent_agent(cell):
+    """Its answer came after another agent had refused the same call."""
+
+    def refuse(agent, connection, frame):
+        if isinstance(frame, messages.Call):
+            connection.send(
+                messages.CallFailed(
+                    request_id=frame.request_id,
+                    kind="log_unavailable",
+                    message="no log",
+                    run="not_run",
+                )
+            )
+
+    silent = _start_fake_worker(cell, _silent_for(2.0))
+    refusing = _start_fake_worker(cell, refuse)
+    cell.entry = cell.start_entry(call_timeout_s=8.0)
+    cell.wait_for(cell.entry, services=2)
+    answer = _deposit(cell, key=_key_asking(silent, refusing))
+    assert answer.status == 201
+    assert len(refusing.of(messages.Call)) == 1
+
+
+def test_a_call_whose_silent_agent_is_lost_ends_unknown(cell):
+    def vanish_later(agent, connection, frame):
+        if isinstance(frame, messages.Call):
+            gevent.sleep(1.5)
+            connection.close("the host is gone")
+
+    _start_fake_worker(cell, vanish_later)
+    cell.entry = cell.start_entry(call_timeout_s=8.0)
+    cell.wait_for(cell.entry, services=1)
+    error = _deposit(cell).error
+    assert (error["kind"], error["run"]) == ("outcome_unknown", "unknown")
+
+
 def test_a_service_that_never_answers_ends_unknown(cell):
     _start_fake_worker(cell, lambda *_: None)
     cell.entry = cell.start_entry(call_timeout_s=0.3)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
@@ -12,6 +12,7 @@
 _CLAIMS_RUNS = "packages/dotterelgrade-standins/tests/test_fuzz_claims.py"
 _LEDGER_TEST = "packages/dotterelgrade-agent/tests/test_claim_ledger.py"
 _KEYED_TEST = "packages/dotterelgrade-agent/tests/test_keyed_calls.py"
+_CALLS_TEST = "packages/dotterelgrade-entry/tests/test_service_calls.py"
 _REQUEST_TEST = "packages/dotterelgrade-entry/tests/test_request.py"
 
 MUTANTS = (
@@ -290,6 +291,14 @@
         new="return True",
         check="fleet",
     ),
+    mutant.Mutant(
+        name="entry-gives-up-a-silent-agent",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_entry.pending_call",
+        old="        if peer.is_connected:",
+        new="        if not peer.was_dialed:",
+        check=_CALLS_TEST,
+    ),
     mutant.Mutant(
         name="agent-own-result",
         promise=mutant.OWN_ANSWER,
