Test that a silent engine without a replacement is waited for

The front gave up such an attempt; the entry does not, and no test said so. It keeps looking for a chain for `give_up_s`, uses the stage that fell silent again when it answers, and continues behind the last token that the caller has.

--- a/packages/dotterelgrade-entry/tests/test_pipeline.py
+++ b/packages/dotterelgrade-entry/tests/test_pipeline.py
@@ -278,3 +278,21 @@
     answer = cell.complete(entry, PROMPT, max_tokens=2)
     assert answer.status == 200, answer.body
     assert len(lost) == 8
+
+
+@pytest.mark.parametrize(
+    ("stage", "pause_s"), [(0, 1.7), (1, 0.5), (1, 3.0), (2, 1.7)]
+)
+def test_a_silent_engine_without_a_replacement_is_waited_for(
+    cell, helpers, stage, pause_s
+):
+    """The attempt was given up though no other one was possible."""
+    _start(cell, spares=0)
+    answer = _in_background(cell)
+    request = helpers.wait_for_tokens(cell.entry, 3)
+    engine = _node(cell, request["stages"][stage]).engine
+    engine.set_faults(paused=True)
+    gevent.sleep(pause_s)
+    engine.set_faults(paused=False)
+    text = helpers.text_of(answer.get(timeout=30))
+    assert text == helpers.expected_text(PROMPT, max_tokens=12)
