Break each bound on documents from outside, and find it

Adds a mutant for each place that holds a bound or the common rule, and lets the fuzzing of list entries draw addresses at the edges of the range: before, it did not find a missing check of the port (the mutant front-uses-any-port passed).

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/mutants.py
@@ -22,12 +22,17 @@
 from dotterelgrade_standins import entry_mutants
 from dotterelgrade_standins import front_mutants
 from dotterelgrade_standins import mutant as mutant_lib
+from dotterelgrade_standins import record_mutants
 
 _TIMEOUT_S = 240.0
 _FAILURE = re.compile(r"^\s*\w*(Error|Failure|Exception)\b")
 _SOAK = ("soak", "--seed", "1", "--minutes", "0")
 _ROOT = pathlib.Path(__file__).parents[4]
-ALL = (*entry_mutants.MUTANTS, *front_mutants.MUTANTS)
+ALL = (
+    *entry_mutants.MUTANTS,
+    *front_mutants.MUTANTS,
+    *record_mutants.MUTANTS,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/dotterelgrade-standins/tests/test_fuzz_decoders.py
+++ b/packages/dotterelgrade-standins/tests/test_fuzz_decoders.py
@@ -45,7 +45,22 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 
+_odd_strings = strategies.sampled_from(
+    (
+        b'""',
+        b'"\xff\xfe"',
+        b'"\\ud800"',
+        b'"a\\r\\nX-Y: z"',
+        b'"10.0.0.1:0"',
+        b'"10.0.0.1:65536"',
+        b'"10.0.0.1:-1"',
+        b'"10.0.0.1:"',
+        b'"0.0.0.0:80"',
+        b'":80"',
+    )
+)
 _odd_literals = strategies.one_of(
+    _odd_strings,
     strategies.integers(5, 6_000).map(lambda digits: b"9" * digits),
     strategies.integers(5, 6_000).map(lambda digits: b"-" + b"9" * digits),
     strategies.sampled_from(
@@ -64,15 +79,6 @@
             b"[]",
             b"{}",
             b'""',
-            b'"\xff\xfe"',
-            b'"\\ud800"',
-            b'"a\\r\\nX-Y: z"',
-            b'"10.0.0.1:0"',
-            b'"10.0.0.1:65536"',
-            b'"10.0.0.1:-1"',
-            b'":80"',
-            b'"10.0.0.1:"',
-            b'"0.0.0.0:80"',
         )
     ),
     strategies.sampled_from((1_000, 2_000, 100_000)).map(
@@ -112,6 +118,12 @@
         yield from _places(member, (*place, key))
 
 
+def _find(value, place):
+    for key in place:
+        value = value[key]
+    return value
+
+
 def _replace(value, place, odd):
     if not place:
         return odd
@@ -126,8 +138,10 @@
     value = document
     for _ in range(draw(strategies.integers(0, 2))):
         place = draw(strategies.sampled_from(list(_places(document))))
+        is_text = isinstance(_find(document, place), str)
+        odd = draw(_odd_strings | _odd_literals if is_text else _odd_literals)
         try:
-            value = _replace(value, place, draw(_odd_literals))
+            value = _replace(value, place, odd)
         except (TypeError, IndexError):
             hypothesis.reject()
     body = _encode(value)
@@ -249,12 +263,19 @@
     return decoded
 
 
+_servers_anywhere = strategies.builds(
+    lambda host, port: _encode({**_SERVER, "address": f"{host}:{port}"}),
+    strategies.sampled_from(("10.0.0.1", "", "10.0.0.256", "::1", "a b")),
+    strategies.sampled_from((-1, 0, 80, 65_535, 65_536, 99_999, "", "x"))
+    | strategies.integers(-5, 70_000),
+)
+
+
 @_fuzzed
 @hypothesis.given(
-    body=_documents(_SERVER),
-    server_id=strategies.sampled_from(
-        ("i-1", "", "i 1", "i\r\nx: y", "\ufffd")
-    ),
+    body=_documents(_SERVER) | _servers_anywhere,
+    server_id=strategies.just("i-1")
+    | strategies.sampled_from(("", "i 1", "i\r\nx: y", "\ufffd")),
 )
 def test_list_entry_names_a_usable_server_or_none(body, server_id):
     decoded = _timed(
@@ -267,6 +288,7 @@
     server = decoded.unwrap()
     assert server_id == "i-1"
     assert str(addresses.parse(server.address)) == server.address
+    assert 1 <= int(server.address.rpartition(":")[2]) <= 65_535
     assert 0 <= server.slots <= 65_535
     assert server.layers is None or 0 <= server.layers.first < server.layers.end
     _check_bounds(server)
