Tell a caller of a fault in the middle of its stream

Callers saw: a stream whose connection was closed without a last event, where the page on errors promises one.

Cause: only the expected errors were told in the last event. Any other exception left the generator, and the server closed the connection; the class is that of a fault that nobody listed, which ends the caller's connection without a word.

Evidence, before the change: test_a_fault_in_the_middle_of_a_stream_is_told_in_its_last_event failed with "Incomplete response".

Ruled out: answering 500. The status and the first tokens are sent by then.

Change: what is not expected is logged as `request failed` and told as `internal` in the last event, without [DONE]. Requests that have sent nothing get the same error with status 500, as before.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_api.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_api.py
@@ -109,15 +109,7 @@
             self._models.note_refusal(exchange.request_id, error.error)
             return exchange.respond_error(error.error)
         except Exception:
-            _LOG.exception(
-                "request failed", extra={"request_id": exchange.request_id}
-            )
-            return exchange.respond_error(
-                errors.Error(
-                    kind=errors.ErrorKind.INTERNAL,
-                    message="the entry failed; the log has the details",
-                )
-            )
+            return exchange.respond_error(_fault_of(exchange))
 
     def _route(self, exchange: HttpExchange) -> Iterable[bytes]:
         if exchange.path in self._shapes:
@@ -229,25 +221,40 @@
         batches: Iterable[tuple[str, ...]],
     ) -> Iterator[bytes]:
         with contextlib.closing(answer):
-            opening = shape.opening()
             try:
-                with http_server.watching_caller(exchange.environ):
-                    for batch in batches:
-                        events = b"".join(map(shape.event, batch))
-                        yield opening + events
-                        opening = b""
+                yield from self._token_events(exchange, shape, answer, batches)
             except errors.DotterelgradeError as error:
-                self._models.note_refusal(exchange.request_id, error.error)
-                http_server.close_after_answer(exchange.environ)
-                body = error.error.as_body(request_id=exchange.request_id)
-                yield b"data: " + json.dumps(body).encode() + b"\n\n"
-                return
-            finally:
-                # A caller is charged for what was sent.
-                answer.charge()
-            yield shape.ending(
-                finish_reason=answer.finish_reason, usage=answer.usage
-            )
+                yield self._last_event(exchange, error.error)
+            except Exception:
+                yield self._last_event(exchange, _fault_of(exchange))
+
+    def _token_events(
+        self,
+        exchange: HttpExchange,
+        shape: openai_shape.Shape,
+        answer: model_requests.Answer,
+        batches: Iterable[tuple[str, ...]],
+    ) -> Iterator[bytes]:
+        opening = shape.opening()
+        try:
+            with http_server.watching_caller(exchange.environ):
+                for batch in batches:
+                    events = b"".join(map(shape.event, batch))
+                    yield opening + events
+                    opening = b""
+        finally:
+            # A caller is charged for what was sent.
+            answer.charge()
+        yield shape.ending(
+            finish_reason=answer.finish_reason, usage=answer.usage
+        )
+
+    def _last_event(self, exchange: HttpExchange, error: errors.Error) -> bytes:
+        """Returns the event that ends a stream with an error."""
+        self._models.note_refusal(exchange.request_id, error)
+        http_server.close_after_answer(exchange.environ)
+        body = error.as_body(request_id=exchange.request_id)
+        return b"data: " + json.dumps(body).encode() + b"\n\n"
 
     # Service calls.
 
@@ -299,6 +306,15 @@
         return checked.unwrap()
 
 
+def _fault_of(exchange: HttpExchange) -> errors.Error:
+    """Logs the current exception, and returns the error for the caller."""
+    _LOG.exception("request failed", extra={"request_id": exchange.request_id})
+    return errors.Error(
+        kind=errors.ErrorKind.INTERNAL,
+        message="the entry failed; the log has the details",
+    )
+
+
 def _expect_method(exchange: HttpExchange, method: str) -> None:
     if exchange.method != method:
         raise errors.new_exception(
--- a/packages/dotterelgrade-entry/tests/test_http_api.py
+++ b/packages/dotterelgrade-entry/tests/test_http_api.py
@@ -43,6 +43,28 @@
     assert values[-1]["usage"]["completion_tokens"] == 8
 
 
+def test_a_fault_in_the_middle_of_a_stream_is_told_in_its_last_event(
+    chain, helpers, monkeypatch
+):
+    """The connection was closed without a word."""
+    event = openai_shape.Shape.event
+    texts = []
+
+    def fail_at_the_fourth(shape, text):
+        texts.append(text)
+        if len(texts) == 4:
+            raise ArithmeticError("a fault")
+        return event(shape, text)
+
+    monkeypatch.setattr(openai_shape.Shape, "event", fail_at_the_fourth)
+    answer = chain.complete(chain.entry, "one two", stream=True)
+    events = answer.events()
+    error = json.loads(events[-1])["error"]
+    assert (error["kind"], error["run"]) == ("internal", "unknown")
+    assert "[DONE]" not in events
+    helpers.wait_until(lambda: not chain.entry.dump()["requests"])
+
+
 def test_a_chat_prompt_is_the_words_of_all_messages(chain, helpers):
     body = {
         "model": "inlay",
