Test what the agent makes of answers that are none

A change of the protocol (101), a cut answer and a reset one may have run and must not look complete; an interim answer is not the answer. No test said so.

--- a/packages/dotterelgrade-agent/tests/test_service_client.py
+++ b/packages/dotterelgrade-agent/tests/test_service_client.py
@@ -1,3 +1,8 @@
+import socket
+import struct
+
+import gevent
+from gevent import server
 import pytest
 from returns import result
 
@@ -33,6 +38,65 @@
     )
 
 
+def _answered(fleet, *parts, reset=False):
+    """Returns what the client makes of bytes that a service sends."""
+
+    def answer(sock, _):
+        sock.recv(65_536)
+        for part in parts:
+            sock.sendall(part)
+            gevent.sleep(0.05)
+        if reset:
+            no_linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+        sock.close()
+
+    address = (fleet.address(), 17_800)
+    listener = server.StreamServer(address, answer)
+    listener.start()
+    try:
+        client = _client(f"http://{address[0]}:{address[1]}")
+        return client.call(_call(), limit_s=2.0)
+    finally:
+        listener.stop()
+
+
+_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        (b"HTTP/1.1 101 Switching Protocols\r\n\r\n",),
+        (
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+            b"Connection: Upgrade\r\n\r\n",
+            _OK,
+        ),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",),
+        (_CHUNKED + b"3\r\nabc\r\n",),
+        (b"no answer",),
+        (),
+    ],
+    ids=["101", "upgrade", "cut", "cut chunks", "no answer", "nothing"],
+)
+def test_an_answer_that_is_none_may_have_run(fleet, sent):
+    """Changes of the protocol and cut answers must not look complete."""
+    error = _answered(fleet, *sent).failure()
+    assert error.run_state == errors.RunState.UNKNOWN
+
+
+def test_a_reset_answer_without_a_length_may_have_run(fleet):
+    answer = _answered(fleet, b"HTTP/1.1 200 OK\r\n\r\nabc", reset=True)
+    assert answer.failure().run_state == errors.RunState.UNKNOWN
+
+
+def test_the_answer_after_an_interim_one_counts(fleet):
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    assert _answered(fleet, interim, _OK).unwrap().body == b"ok"
+
+
 @pytest.mark.parametrize("method", ["POST", "PUT", "DELETE", "GET"])
 def test_a_lost_connection_never_sends_again(fleet, method):
     seen = []
