Leave out no last event in a wrongly resumed stream of the soak

Cause: the engine broke off behind event 19 and was resumed with the fault that leaves an event out, so that it answered with seal, content type and whole framing, and no event. A stream that broke off behind its last event is answered the same way: what a caller's front is told doesn't say how many events there are. The fault asked for what nobody can tell.

Change: an event is left out only where another one follows it.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_engines.py
@@ -277,6 +277,7 @@
         stream: _Stream,
     ) -> None:
         seal = f"{self.server.id}/{told.request_id}"
+        last = int(told.answer_tokens) // TOKENS_PER_EVENT
         first = 1
         if not told.resume_after:
             self._make_mistake(client, stream.run)
@@ -285,13 +286,12 @@
             self._send(client, told, wrong.status, wrong.body, seal=seal)
             self.break_off(stream.run, "resumed wrongly")
         else:
-            first = self._first_event(told.resume_after)
+            first = self._first_event(told.resume_after, last=last)
         headers = [_EVENTS, *self.answer_headers(told, seal=seal)]
         head = http_message.ResponseHead(
             status=platform_backends.OK, reason=b"", headers=headers
         )
         data = responses.encode_stream_head(head, close=False)
-        last = int(told.answer_tokens) // TOKENS_PER_EVENT
         for number in range(first, last + 1):
             self._make_token(stream)
             event = event_of(request.body, number)
@@ -305,14 +305,15 @@
         client.write(data + responses.LAST_CHUNK)
         stream.run.answered = True
 
-    def _first_event(self, resume_after: str) -> int:
-        match self.mistake:
-            case platform_backends.Mistake.ANEW:
-                return 1
-            case platform_backends.Mistake.GAP:
-                return int(resume_after) + 2
-            case _:
-                return int(resume_after) + 1
+    def _first_event(self, resume_after: str, *, last: int) -> int:
+        """Returns the event at which it resumes a stream, right or wrong."""
+        following = int(resume_after) + 1
+        if self.mistake is platform_backends.Mistake.ANEW:
+            return 1
+        # Without any event the answer would look like that to a stream which
+        # broke off behind its last event.
+        leaves_out = self.mistake is platform_backends.Mistake.GAP
+        return following + 1 if leaves_out and following < last else following
 
     def _make_token(self, stream: _Stream) -> None:
         stalled_at = time.monotonic()
--- a/packages/dotterelgrade-standins/tests/test_platform_engines.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_engines.py
@@ -145,3 +145,9 @@
 def test_a_stream_is_resumed_wrongly(chain, mistake, answer):
     chain[0].mistake = mistake
     assert _stream(chain, resume_after=2) == answer
+
+
+def test_the_last_event_of_a_resumed_stream_is_not_left_out(chain):
+    """An end without events can't be told from that of a whole stream."""
+    chain[0].mistake = platform_backends.Mistake.GAP
+    assert _stream(chain, resume_after=_EVENTS - 1) == (200, _events(_EVENTS))
