Ask in one place whether a status may be passed on as a refusal

Which is right: an idempotent call may run again whatever a server has done, so that its response is passed on unchanged; any other one gets 502.

Change: the check stands in upstream.py alone, and spares idempotent calls.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import functools
-import http
 import time
 
 from returns import result
@@ -18,15 +17,6 @@
 
 _MAX_BODY_BYTES = 16_777_216
 _SERVER_ERROR = 500
-# Callers repeat a call that is not idempotent after these.
-_NOT_RUN_STATUSES = frozenset(
-    {
-        http.HTTPStatus.REQUEST_TIMEOUT,
-        http.HTTPStatus.MISDIRECTED_REQUEST,
-        http.HTTPStatus.TOO_MANY_REQUESTS,
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-    }
-)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -141,10 +131,4 @@
             raise upstream.AttemptFailedError(
                 attempt.ExecutionStatus.UNKNOWN, "unsealed response"
             )
-        if head.status in _NOT_RUN_STATUSES and not call.route.idempotent:
-            # The backend server did not state that it has not run the call.
-            raise upstream.AttemptFailedError(
-                attempt.ExecutionStatus.UNKNOWN,
-                f"unproved status {head.status}",
-            )
         return PlainResponse(head=head.end_to_end(), body=body)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -15,7 +15,7 @@
 
 # Connecting within one region takes milliseconds.
 CONNECT_TIMEOUT_S = 0.4
-# Callers take these as a statement that the request has not run.
+# Callers repeat a request that is not idempotent after these.
 _NOT_RUN_STATUSES = frozenset(
     {
         http.HTTPStatus.REQUEST_TIMEOUT,
@@ -179,7 +179,7 @@
             + (", misdirected" if facts.misdirected else ""),
             faulty_address=facts.faulty_address,
         )
-    if head.status in _NOT_RUN_STATUSES:
+    if head.status in _NOT_RUN_STATUSES and not call.route.idempotent:
         raise AttemptFailedError(
             attempt.ExecutionStatus.UNKNOWN,
             f"status {head.status} without saying that the request has not run",
