Notice a disconnect also where the standard library is patched

What was seen: a soak printed BlockingSwitchOutError for each caller that left; its servers, which share the connection class of the front, went on with work for callers that had gone.

Cause: the check for a closed connection asks select.poll in a callback of the event loop. In a process that gevent has patched, that poll waits for an event, and a callback may not switch. A front is not patched: no log of a front holds the error.

Evidence before: test_a_disconnect_is_noticed_where_the_standard_library_is_ patched: nothing printed, BlockingSwitchOutError on stderr.

Change: the check asks the original poll, with a timeout of 0 as before.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -7,6 +7,7 @@
 import time
 
 import gevent
+from gevent import monkey
 from gevent import socket
 
 from dotterelgrade import http_connection
@@ -14,6 +15,8 @@
 from dotterelgrade_front import request_parser
 from dotterelgrade_routing import configuration
 
+# A patched one would switch greenlets, which callbacks of the loop must not.
+_poll = monkey.get_original("select", "poll")
 _RECEIVE_BYTES = 65_536
 # Limit for one write to a caller that reads slowly.
 _SEND_TIMEOUT_S = 10.0
@@ -232,7 +235,7 @@
         Also behind unread bytes. A caller that only ends its side and still
         reads looks like one that closed, which must stop the work for it.
         """
-        poll = select.poll()
+        poll = _poll()
         try:
             poll.register(self._sock.fileno(), select.POLLRDHUP)
         except ValueError:
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -1,5 +1,7 @@
 import dataclasses
 import re
+import subprocess
+import sys
 import time
 
 import front_fakes as fakes
@@ -315,3 +317,37 @@
             gevent.sleep(0.01)
         front.handler.close_idle()
         assert fakes.read_response(sock)[0] == 200
+
+
+_PATCHED = """
+from gevent import monkey
+monkey.patch_all()
+import gevent
+from gevent import socket
+from dotterelgrade_front import client_connection
+from dotterelgrade_routing import configuration
+
+tcp = socket.create_server(("127.0.0.1", 0))
+far = socket.create_connection(tcp.getsockname())
+near, _ = tcp.accept()
+client = client_connection.ClientConnection(
+    near, limits=configuration.ClientLimits
+)
+gevent.spawn_later(0.1, far.close)
+try:
+    with client.interrupt_on_disconnect():
+        gevent.sleep(5)
+except client_connection.CallerDisconnectedError:
+    print("noticed")
+"""
+
+
+def test_a_disconnect_is_noticed_where_the_standard_library_is_patched():
+    done = subprocess.run(
+        [sys.executable, "-c", _PATCHED],
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=30,
+    )
+    assert (done.stdout, done.stderr) == ("noticed\n", "")
