Find a stop of a front that ends too early, with long streams in the soak

Cause: nearly all streams of the soak last less than 1.5 s, and a caller's connection closes with its first answer after SIGTERM. So a front that cut what was left 3.0 s after SIGTERM, of 5 s, broke no promise in a run of 27 stops; and a front that left idle connections open to the end was not looked for.

Change: a stream of 200 events, which may run once; two mutants of the stop.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -157,6 +157,22 @@
         new="        while False and",
         check=mutant.SOAK + "front_stopped",
     ),
+    mutant.Mutant(
+        name="front-stop-ends-early",
+        promise=mutant.STOP,
+        module="dotterelgrade_front.front",
+        old="self._settings.grace_s - _ABORT_MARGIN_S",
+        new="self._settings.grace_s - 4 * _ABORT_MARGIN_S",
+        check=mutant.SOAK + "front_stopped",
+    ),
+    mutant.Mutant(
+        name="front-stop-keeps-idle-connections",
+        promise=mutant.STOP,
+        module="dotterelgrade_front.front",
+        old="            self._handler.close_idle(for_s=_MIN_IDLE_S)\n",
+        new="",
+        check=mutant.SOAK + "front_stopped",
+    ),
     mutant.Mutant(
         name="front-uses-the-leaving",
         promise=mutant.LEAVING,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_callers.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_callers.py
@@ -65,6 +65,8 @@
     Plan(path="/stream/d", weight=1, events=120),
     Plan(path="/once/a", weight=3, events=20),
     Plan(path="/once/b", weight=1, events=50),
+    # Longer than most of what a stopping front has left.
+    Plan(path="/once/c", weight=1, events=200),
     Plan(path="/safe/a", weight=4),
     Plan(path="/unsafe/a", weight=6),
     Plan(path="/changing/a", weight=2),
