Give a caller that pauses in a response as long as one that reads slowly

What callers saw: a reset in the middle of a large response if they read nothing for some seconds, though the limit for that is 10 s. Cause: the kernel gives up a connection whose peer takes nothing for TCP_USER_TIMEOUT, 3 s, which suits our own processes and backend servers.

Evidence, on the code before: test_a_caller_that_pauses_gets_the_whole_response failed (ConnectionResetError; the kernel's limit set to 0.3 s); so did a trial with the real limit and a pause of 6 s. Change: connections of callers have the limit for writes. The price: a caller that vanishes without a close is noticed after 10 s, not 3. After: the tests of the connection pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -17,6 +17,7 @@
 _RECEIVE_BYTES = 65_536
 # Limit for a caller that takes nothing of a response.
 _SEND_TIMEOUT_S = 10.0
+_MS_PER_S = 1000
 # How soon a close behind a pipelined request is noticed.
 _CLOSE_POLL_S = 0.2
 # A caller that has received a complete response closes within this time.
@@ -68,6 +69,12 @@
         """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         http_connection.enable_keepalive(sock)
+        # A caller may be slower to read than our own processes and servers.
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(_SEND_TIMEOUT_S * _MS_PER_S),
+        )
         self._sock = sock
         self._limits = limits
         self._parser = request_parser.RequestParser(limits)
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -7,6 +7,7 @@
 from gevent import socket
 import pytest
 
+from dotterelgrade import http_connection
 from dotterelgrade_front import client_connection
 
 # Well below the timeout of the routes.
@@ -204,6 +205,16 @@
             received += len(piece)
 
 
+def test_a_caller_that_pauses_gets_the_whole_response(front, monkeypatch):
+    """The kernel gave the connection up, long before the limit for writes."""
+    monkeypatch.setattr(http_connection, "_TCP_USER_TIMEOUT_MS", 300)
+    body = b"x" * 16_000_000
+    front.add("s", fakes.responding(body))
+    with front.send("/safe/x") as sock:
+        gevent.sleep(2.0)
+        assert fakes.read_response(sock)[2] == body
+
+
 def test_a_caller_that_reads_nothing_is_given_up(front, monkeypatch):
     monkeypatch.setattr(client_connection, "_SEND_TIMEOUT_S", 0.2)
     front.add("s", fakes.responding(b"x" * 16_000_000))
