Answer the requests that the end of a stop cuts

What callers saw: a reset without any answer if a request that had been read was not done at the end of the grace time, though nothing of a response had been sent. Cause: the process exits at that time with all connections open.

Evidence, on the code before: test_a_request_that_the_end_of_the_grace_time_cuts_is_answered failed, both for a request that was sent to a backend server and for one that was not (no answer). Change: half a second before the grace time ends, requests without a byte of a response get 502 `interrupted`, or 503 `leaving` if they were sent nowhere; streams that have begun still end with the connection. The attempts of a call are closed before its answer, so that none of them sends the call after the promise.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -29,6 +29,10 @@
     """The caller closed its connection or stopped reading."""
 
 
+class StoppedError(gevent.GreenletExit):
+    """The process exits before the request has an answer."""
+
+
 class ResponseAbortedError(Exception):
     """A response that has begun can't be completed."""
 
@@ -79,7 +83,7 @@
         self._limits = limits
         self._parser = request_parser.RequestParser(limits)
         self._bad_request: request_parser.BadRequestError | None = None
-        self._busy = False
+        self._serving: gevent.Greenlet | None = None
         self._active_at = time.monotonic()
         self._shut_down = False
         self._requests_read = 0
@@ -102,13 +106,18 @@
     @contextlib.contextmanager
     def mark_busy(self) -> Iterator[None]:
         """Marks the connection as busy while the context is open."""
-        self._busy = True
+        self._serving = gevent.getcurrent()
         try:
             yield
         finally:
-            self._busy = False
+            self._serving = None
             self._active_at = time.monotonic()
 
+    def interrupt_unanswered(self) -> None:
+        """Raises StoppedError where a request is served without any answer."""
+        if self._serving is not None and not self._response_bytes:
+            self._serving.kill(exception=StoppedError, block=False)
+
     def close_if_idle(self, *, for_s: float) -> None:
         """Shuts the connection down if no byte of a new request has arrived.
 
@@ -116,7 +125,7 @@
             for_s: Minimum idle time, s.
         """
         parser = self._parser
-        if self._busy or parser.started or parser.requests:
+        if self._serving or parser.started or parser.requests:
             return
         if time.monotonic() - self._active_at < for_s:
             return
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -43,6 +43,8 @@
 # Requests still in flight this long before SIGKILL are aborted.
 _ABORT_MARGIN_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.05
+# Time for the answers to requests that the exit cuts.
+_LAST_ANSWERS_S = 0.1
 # Batches updates, since each store read has a cost; a leaving backend server
 # must be known within 2 s.
 _SERVER_BATCH_S = 0.4
@@ -214,9 +216,11 @@
         while self._handler.connections and time.monotonic() < deadline:
             self._handler.close_idle(for_s=_MIN_IDLE_S)
             gevent.sleep(_DRAIN_POLL_INTERVAL_S)
-        _LOG.info(
-            "stopped", extra={"unfinished": self._handler.requests_in_flight}
-        )
+        unfinished = self._handler.requests_in_flight
+        if unfinished:
+            self._handler.answer_unfinished()
+            gevent.sleep(_LAST_ANSWERS_S)
+        _LOG.info("stopped", extra={"unfinished": unfinished})
 
     def _stop_listening(self) -> None:
         """Serves the connections that are in the queue, and refuses others.
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -132,11 +132,14 @@
 
     @contextlib.contextmanager
     def _closing_attempts(self) -> Iterator[None]:
-        """Closes the attempts that are open at the end, without a wait."""
+        """Closes the attempts that are open at the end.
+
+        None of them may send the call after this.
+        """
         try:
             yield
         finally:
-            gevent.killall(list(self._open), block=False)
+            gevent.killall(list(self._open))
 
     def _last_resort(
         self,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -79,6 +79,11 @@
         for client in list(self._connections):
             client.close_if_idle(for_s=for_s)
 
+    def answer_unfinished(self) -> None:
+        """Answers the requests in flight that have no byte of a response."""
+        for client in list(self._connections):
+            client.interrupt_unanswered()
+
     def serve_connection(self, sock: socket.socket, _address: object) -> None:
         """Serves a connection until it closes.
 
@@ -160,6 +165,8 @@
         except client_connection.ResponseAbortedError:
             outcome = "stream_broken"
             raise
+        except client_connection.StoppedError:
+            outcome = _send_interrupted(client, facts, call)
         except _RejectedError as rejected:
             outcome = rejected.error.kind.value
             self._record_rejection(request, facts, rejected.error)
@@ -325,6 +332,38 @@
         )
 
 
+def _send_interrupted(
+    client: client_connection.ClientConnection,
+    facts: request_metadata.RequestMetadata,
+    call: call_lib.Call | None,
+) -> str:
+    """Answers a request that the end of the process cuts.
+
+    Returns:
+        The outcome, for metrics and logs.
+
+    Raises:
+        client_connection.ResponseAbortedError: A response has begun meanwhile.
+    """
+    if client.response_bytes:
+        raise client_connection.ResponseAbortedError("process exits")
+    kind, retry_after_s = errors.ErrorKind.INTERRUPTED, None
+    if call is None or not call.sent_to:
+        kind = errors.ErrorKind.LEAVING
+        retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
+    responses.send_error(
+        client,
+        errors.Error(
+            kind=kind,
+            message="the front stops",
+            retry_after_s=retry_after_s,
+        ),
+        request_id=facts.request_id,
+        close=True,
+    )
+    return kind.value
+
+
 def _rejected(
     kind: errors.ErrorKind,
     message: str,
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -10,6 +10,7 @@
 import pytest
 
 from dotterelgrade import early_sockets
+from dotterelgrade import http_connection
 from dotterelgrade_front import front as front_lib
 from dotterelgrade_front import paced_election
 from dotterelgrade_routing import backend_server
@@ -102,6 +103,49 @@
     backend.stop()
 
 
+@pytest.mark.parametrize(
+    ("connects", "status", "run"),
+    [(True, 502, b"unknown"), (False, 503, b"not_run")],
+)
+def test_a_request_that_the_end_of_the_grace_time_cuts_is_answered(
+    running, settings, platform, monkeypatch, connects, status, run
+):
+    """The connection was reset without an answer when the process exited."""
+    monkeypatch.setattr(front_lib, "_DEREGISTRATION_WAIT_S", 0.0)
+    if not connects:
+        monkeypatch.setattr(
+            http_connection, "connect", lambda *_, **__: gevent.sleep(30)
+        )
+    platform.configurations.add("config", b"v1")
+    fakes.until(lambda: running.is_ready)
+    backend = fakes.Backend(fakes.silent)
+    running._state.fleet.put(
+        backend_server.BackendServer(
+            id="s",
+            service="plain",
+            address=backend.address,
+            failure_domain="a",
+            availability=backend_server.Availability.READY,
+            slots=1,
+        )
+    )
+    host, _, port = settings.callers_address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(
+            b"GET /unsafe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"key: secret\r\n\r\n"
+        )
+        fakes.until(lambda: running._handler.requests_in_flight)
+        gevent.sleep(0.1)
+        running.reload(dataclasses.replace(settings, grace_s=0.7))
+        running.drain()
+        sock.settimeout(0.5)
+        answered, headers, body = fakes.read_response(sock)
+    assert (answered, headers[b"connection"]) == (status, b"close")
+    assert run in body
+    backend.stop()
+
+
 @pytest.fixture
 def queued(running, settings, platform, monkeypatch):
     """A drain, and a connection in the accept queue when accepting ends."""
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -556,4 +556,12 @@
         new="unsent = unsent[self._sock.sendall(unsent) or len(unsent) :]",
         check=_CONNECTION_TEST,
     ),
+    mutant.Mutant(
+        name="cut-request-unanswered",
+        promise=mutant.STOP,
+        module="dotterelgrade_front.front",
+        old="            self._handler.answer_unfinished()\n",
+        new="",
+        check=_FRONT_TEST,
+    ),
 )
--- a/packages/dotterelgrade/src/dotterelgrade/error_page.py
+++ b/packages/dotterelgrade/src/dotterelgrade/error_page.py
@@ -96,7 +96,8 @@
         "See `run`; retry a keyed call with the same key.",
     ),
     _KIND.INTERRUPTED: (
-        "Stages failed and could not be replaced in time.",
+        "Stages failed and could not be replaced in time, or the process had "
+        "to exit.",
         "Send the request again.",
     ),
     _KIND.CALLER_GONE: (
