Start a part of the entry or agent anew after an unexpected error

Callers saw nothing recorded; found by looking for the same cause elsewhere: an exception of a kind that nobody listed.

The entry's parts, its dialers and the agent's parts around an engine or a service were plain greenlets, which end for good. After one fault the entry read no host list, dialed an agent never again, or looked at no time limit, so that requests at a silent agent waited until their callers left; an agent never used its engine again.

Evidence, before the change, each timed out: test_a_fault_while_the_host_list_is_read_does_not_end_the_reading, test_an_agent_whose_frame_raised_a_fault_is_dialed_again, test_a_fault_in_the_watch_over_agents_does_not_end_it and test_a_fault_in_the_look_at_an_engine_does_not_end_it.

Change: all of them run under `supervision.keep_running`, which logs the fault and starts them again after a second.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/engine_backend.py
@@ -1,5 +1,6 @@
 """A model engine: admission, queue and the continuous batching loop."""
 
+import functools
 import logging
 import time
 from typing import Any
@@ -11,6 +12,7 @@
 
 from dotterelgrade import errors
 from dotterelgrade import messages
+from dotterelgrade import supervision
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_agent import backend
 from dotterelgrade_agent import batch as batch_lib
@@ -155,10 +157,15 @@
 
     def start(self) -> None:
         """Begins to look at the engine and to run batches."""
-        self._greenlets.spawn(self._watch.run, on_recovered=self._clean_up)
-        self._greenlets.spawn(self._batch_loop)
-        self._greenlets.spawn(self._cancellations.run)
-        self._greenlets.spawn(self._clean_up_loop)
+        for body in (
+            functools.partial(self._watch.run, on_recovered=self._clean_up),
+            self._batch_loop,
+            self._cancellations.run,
+            self._clean_up_loop,
+        ):
+            self._greenlets.spawn(
+                supervision.keep_running, body, journal=self._observers.journal
+            )
 
     def stop(self) -> None:
         """Ends the greenlets and closes connections."""
--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/service_backend.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/service_backend.py
@@ -8,6 +8,7 @@
 
 from dotterelgrade import errors
 from dotterelgrade import messages
+from dotterelgrade import supervision
 from dotterelgrade_agent import agent_settings
 from dotterelgrade_agent import backend
 from dotterelgrade_agent import service_client
@@ -69,7 +70,11 @@
 
     def start(self) -> None:
         """Begins to look at the service."""
-        self._greenlets.spawn(self._probe_loop)
+        self._greenlets.spawn(
+            supervision.keep_running,
+            self._probe_loop,
+            journal=self._observers.journal,
+        )
 
     def stop(self) -> None:
         """Ends the greenlets."""
--- a/packages/dotterelgrade-agent/tests/test_engine_backend.py
+++ b/packages/dotterelgrade-agent/tests/test_engine_backend.py
@@ -197,6 +197,22 @@
             gevent.sleep(0.05)
 
 
+def test_a_fault_in_the_look_at_an_engine_does_not_end_it(fleet, monkeypatch):
+    """The engine was never used again, or was used after it had failed."""
+    status = engine_client.EngineClient.status
+    calls = []
+
+    def fail_once(client):
+        calls.append(client)
+        if len(calls) == 1:
+            raise ArithmeticError("a fault")
+        return status(client)
+
+    monkeypatch.setattr(engine_client.EngineClient, "status", fail_once)
+    target = fleet.engine_agent(0)
+    fleet.wait_usable(target)
+
+
 @pytest.mark.parametrize("checks_fence", [True, False])
 def test_an_order_with_an_old_fencing_number_is_refused(fleet, checks_fence):
     target = fleet.engine_agent(0, checks_fence=checks_fence, load_s=0.01)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -21,6 +21,7 @@
 from dotterelgrade import log_client
 from dotterelgrade import messages
 from dotterelgrade import metrics as metrics_lib
+from dotterelgrade import supervision
 from dotterelgrade import wire
 from dotterelgrade import wsgi
 from dotterelgrade_entry import admission as admission_lib
@@ -298,7 +299,12 @@
                 http_server.serving(self._api, self._settings) as server,
             ):
                 self._server = server
-                greenlets += [gevent.spawn(function) for function in work]
+                greenlets += [
+                    gevent.spawn(
+                        supervision.keep_running, body, journal=self._journal
+                    )
+                    for body in work
+                ]
                 yield
         finally:
             gevent.killall(greenlets, block=True, timeout=1)
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/fleet.py
@@ -16,6 +16,7 @@
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import messages
 from dotterelgrade import rendezvous
+from dotterelgrade import supervision
 from dotterelgrade import wire
 from dotterelgrade_entry import agent_peer
 from dotterelgrade_entry import backend_view
@@ -219,7 +220,9 @@
             shaper=self._shaper,
         )
         self._peers[address] = peer
-        self._dialers[address] = gevent.spawn(peer.run)
+        self._dialers[address] = gevent.spawn(
+            supervision.keep_running, peer.run, journal=self._journal
+        )
         self._journal.record(
             "agent_added", reason="in the host list", agent=address
         )
--- a/packages/dotterelgrade-entry/tests/test_fleet.py
+++ b/packages/dotterelgrade-entry/tests/test_fleet.py
@@ -5,6 +5,7 @@
 
 from dotterelgrade import connection_frames
 from dotterelgrade import messages
+from dotterelgrade_entry import agent_peer
 
 PROMPT = "a b c"
 
@@ -190,3 +191,50 @@
     entry.fleet.suspect(peer, "test")
     assert not entry.fleet.takes_work(peer)
     helpers.wait_until(lambda: entry.fleet.takes_work(peer))
+
+
+def _fail_once(function):
+    """Returns the function, which raises an unexpected error at first."""
+    calls = []
+
+    def failing(*args, **options):
+        calls.append(args)
+        if len(calls) == 1:
+            raise ArithmeticError("a fault")
+        return function(*args, **options)
+
+    return failing
+
+
+def test_a_fault_while_the_host_list_is_read_does_not_end_the_reading(
+    cell, monkeypatch
+):
+    """The entry knew no agent from then on."""
+    monkeypatch.setattr(cell.hosts, "read", _fail_once(cell.hosts.read))
+    cell.entry = cell.start_entry()
+    cell.start_agent(0, 8)
+    cell.wait_for(cell.entry, engines=1)
+
+
+def test_an_agent_whose_frame_raised_a_fault_is_dialed_again(cell, monkeypatch):
+    """The entry never sent that agent work again."""
+    monkeypatch.setattr(
+        agent_peer.AgentPeer,
+        "_note_report",
+        _fail_once(agent_peer.AgentPeer._note_report),
+    )
+    cell.start_agent(0, 8)
+    cell.entry = cell.start_entry()
+    cell.wait_for(cell.entry, engines=1)
+
+
+def test_a_fault_in_the_watch_over_agents_does_not_end_it(pair, helpers):
+    """Silent agents were never suspected, and no time limit was looked at."""
+    exchange = pair.entry._exchange
+    exchange.tick = _fail_once(exchange.tick)
+    helpers.wait_until(
+        lambda: "part_restarted" in helpers.decisions(pair.entry)
+    )
+    peer = next(iter(pair.entry.fleet.peers.values()))
+    pinged_s = peer.ping_age_s
+    helpers.wait_until(lambda: peer.ping_age_s < pinged_s)
