--- a/packages/dotterelgrade-entry/tests/test_pipeline.py
+++ b/packages/dotterelgrade-entry/tests/test_pipeline.py
@@ -296,3 +296,24 @@
     engine.set_faults(paused=False)
     text = helpers.text_of(answer.get(timeout=30))
     assert text == helpers.expected_text(PROMPT, max_tokens=12)
+
+
+@pytest.mark.parametrize(("stage", "pause_s"), [(0, 1.7), (1, 3.0), (2, 1.7)])
+def test_a_silent_agent_without_a_replacement_is_waited_for(
+    cell, helpers, stage, pause_s
+):
+    """Both the entry and the other agents hear nothing of it."""
+    shapers = [helpers.FreezableShaper() for _ in range(3)]
+    cell.nodes = [
+        cell.start_agent(first, first + 2, shaper=shaper, **SLOW)
+        for first, shaper in zip((0, 3, 6), shapers, strict=True)
+    ]
+    cell.entry = cell.start_entry()
+    cell.wait_for(cell.entry, engines=3)
+    answer = _in_background(cell)
+    helpers.wait_for_tokens(cell.entry, 3)
+    shapers[stage].freeze()
+    gevent.sleep(pause_s)
+    shapers[stage].thaw()
+    text = helpers.text_of(answer.get(timeout=30))
+    assert text == helpers.expected_text(PROMPT, max_tokens=12)
