Follow the host list also while one of its entries is odd

Callers saw nothing here; other operators' machines stopped following their list of workers because of one odd entry.

Cause: the host list was decoded as a whole. One entry of another type, or with a role that isn't known, made all of it invalid, and no process learnt of another host until the entry was gone. A port of 99999 and a host with a line break were taken.

Change: if the list is not valid as a whole, its entries are decoded one by one; invalid ones are left out and logged when that changes. A list without a valid entry is an error as before (test_invalid_list_is_reported_as_unreachable).

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/record_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/record_mutants.py
@@ -6,6 +6,7 @@
 _FOLLOWER_TEST = "packages/dotterelgrade-front/tests/test_feed_follower.py"
 _FRAMES_TEST = "packages/dotterelgrade-front/tests/test_peer_frames.py"
 _DIRECTORY_TEST = "packages/dotterelgrade-front/tests/test_chain_directory.py"
+_HOSTS_TEST = "packages/dotterelgrade/tests/test_host_list.py"
 _RELAY_TEST = "packages/dotterelgrade-routing/tests/test_relay_encoding.py"
 _DECODERS_RUNS = "packages/dotterelgrade-standins/tests/test_fuzz_decoders.py"
 
@@ -26,6 +27,14 @@
         new="        except KeyError:",
         check=_FOLLOWER_TEST,
     ),
+    mutant.Mutant(
+        name="odd-host-hides-the-others",
+        promise=mutant.IN_FORCE,
+        module="dotterelgrade.host_list",
+        old="        return _parse_each(items)",
+        new="        raise",
+        check=_HOSTS_TEST,
+    ),
     mutant.Mutant(
         name="front-uses-any-port",
         promise=mutant.ENOUGH_ROOM,
--- a/packages/dotterelgrade/src/dotterelgrade/host_list.py
+++ b/packages/dotterelgrade/src/dotterelgrade/host_list.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 import json
-from typing import Any
+import logging
+from typing import Annotated, Any
 
 import geventhttpclient
 import geventhttpclient.response
@@ -10,15 +11,20 @@
 from returns import result
 
 from dotterelgrade import connection_frames
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade import http_bodies
 from dotterelgrade import settings as settings_lib
 
+_LOG = logging.getLogger(__name__)
+
 _HTTP_OK = 200
 
 MAX_POLL_INTERVAL_S = 60.0
 _ENTRY_BYTES = 130
 _POLL_BYTES_PER_S = 6_000
+_Host = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:]+\Z")]
+_PortOrNone = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -34,10 +40,10 @@
         state: "live" or "leaving".
     """
 
-    host: str
+    host: _Host
     role: connection_frames.Role
-    peer_port: int
-    admin_port: int
+    peer_port: _PortOrNone
+    admin_port: _PortOrNone
     failure_domain: str
     state: str = "live"
 
@@ -75,6 +81,7 @@
         Args:
             settings: URLs of the platform's services.
         """
+        self._faults: tuple[str, ...] = ()
         self._url = geventhttpclient.URL(settings.hosts_url)
         self._http = geventhttpclient.HTTPClient.from_url(
             settings.hosts_url,
@@ -89,7 +96,7 @@
             data = http_bodies.read(response)
             if response.status_code != _HTTP_OK:
                 return _unreachable(f"HTTP status {response.status_code}")
-            return result.Success(parse_entries(json.loads(data)))
+            parsed = _parse(json.loads(data))
         except (
             OSError,
             ValueError,
@@ -99,10 +106,21 @@
             geventhttpclient.response.HTTPParseError,
         ) as error:
             return _unreachable(repr(error))
+        self._note_faults(parsed.faults)
+        return result.Success(parsed.entries)
+
+    def _note_faults(self, faults: tuple[str, ...]) -> None:
+        """Logs which entries are left out, when that has changed."""
+        if faults and faults != self._faults:
+            _LOG.warning(
+                "host entry skipped",
+                extra={"reason": faults[0], "count": len(faults)},
+            )
+        self._faults = faults
 
 
 def parse_entries(value: Any) -> tuple[HostEntry, ...]:
-    """Validates the decoded list.
+    """Validates the decoded list, and leaves out entries that are invalid.
 
     Args:
         value: The decoded JSON.
@@ -110,9 +128,43 @@
     Raises:
         KeyError: The key `hosts` is missing.
         TypeError: The value has another type.
-        ValueError: An entry is invalid.
+        ValueError: There are entries, and none is valid.
     """
-    return tuple(msgspec.convert(item, HostEntry) for item in value["hosts"])
+    return _parse(value).entries
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Parsed:
+    """The valid entries, and why the others are not."""
+
+    entries: tuple[HostEntry, ...]
+    faults: tuple[str, ...] = ()
+
+
+def _parse(value: Any) -> _Parsed:
+    items = value["hosts"]
+    try:
+        return _Parsed(entries=msgspec.convert(items, tuple[HostEntry, ...]))
+    except msgspec.ValidationError:
+        return _parse_each(items)
+
+
+def _parse_each(items: Any) -> _Parsed:
+    decoded = [
+        decoding.attempt(_convert, item, what=f"host entry {number}")
+        for number, item in enumerate(items)
+    ]
+    entries = [d.unwrap() for d in decoded if isinstance(d, result.Success)]
+    faults = [
+        d.failure().message for d in decoded if isinstance(d, result.Failure)
+    ]
+    if faults and not entries:
+        raise ValueError(faults[0])
+    return _Parsed(entries=tuple(entries), faults=tuple(faults))
+
+
+def _convert(item: Any) -> HostEntry:
+    return msgspec.convert(item, HostEntry)
 
 
 def _unreachable(reason: str) -> result.Failure[errors.Error]:
--- a/packages/dotterelgrade/tests/test_host_list.py
+++ b/packages/dotterelgrade/tests/test_host_list.py
@@ -61,6 +61,42 @@
     assert failure.kind is errors.ErrorKind.PEER_UNREACHABLE
 
 
+_GOOD = {
+    "host": "127.10.6.2",
+    "role": "agent",
+    "peer_port": 7400,
+    "admin_port": 7401,
+    "failure_domain": "recife-a",
+}
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        7,
+        None,
+        {},
+        {**_GOOD, "role": "cook"},
+        {**_GOOD, "peer_port": 99_999},
+        {**_GOOD, "peer_port": -1},
+        {**_GOOD, "admin_port": 10**30},
+        {**_GOOD, "host": ""},
+        {**_GOOD, "host": "127.0.0.1\r\nx: y"},
+        [[[[]]]],
+    ],
+    ids=lambda odd: repr(odd)[-40:],
+)
+def test_an_odd_entry_does_not_hide_the_others(odd, caplog):
+    """No process followed the list any more while it held the entry."""
+    response = {"hosts": [odd, _GOOD]}
+    with web.serving(_FixedResponseApp(response), host=_HOST, port=18_111):
+        client = _client(18_111)
+        assert client.read().unwrap() == (_ENTRY,)
+        assert client.read().unwrap() == (_ENTRY,)
+    skipped = [r for r in caplog.records if r.message == "host entry skipped"]
+    assert len(skipped) == 1
+
+
 def test_refused_connection_is_reported_as_unreachable():
     failure = _client(18_199).read().failure()
     assert failure.kind is errors.ErrorKind.PEER_UNREACHABLE
