Reject settings of entries and agents that are not finite

Operators saw nothing; found by looking for the same cause elsewhere.

Cause: JSON as Python reads it has NaN and Infinity, and a check for "positive" lets both pass. A time limit of NaN failed in a timer, or never ended.

--- a/packages/dotterelgrade/src/dotterelgrade/settings.py
+++ b/packages/dotterelgrade/src/dotterelgrade/settings.py
@@ -12,6 +12,7 @@
 from cattrs import gen
 from returns import result
 
+from dotterelgrade import bounded
 from dotterelgrade import errors
 
 _T = TypeVar("_T")
@@ -93,6 +94,8 @@
             raise TypeError(f"expected {expected}, got a boolean")
         if not isinstance(value, kinds):
             raise TypeError(f"expected {expected}, got {value!r}")
+        if float in kinds and not abs(value) <= bounded.MAX_AMOUNT:
+            raise ValueError(f"expected at most {bounded.MAX_AMOUNT:g}")
         return value
 
     return structure
--- a/packages/dotterelgrade/tests/test_settings.py
+++ b/packages/dotterelgrade/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 from returns import result
 
 from dotterelgrade import connection_frames
@@ -46,6 +47,22 @@
     assert "peer_port" in _message({**_VALID, "peer_port": 70_000})
 
 
+@pytest.mark.parametrize(
+    "text", ["NaN", "Infinity", "-Infinity", "1e400", "9" * 30, "1e300"]
+)
+def test_a_number_that_no_timer_takes_is_rejected(tmp_path, text):
+    """It passed as a positive number, and a timer failed much later."""
+    path = tmp_path / "settings.json"
+    path.write_text(
+        '{"log_url": "http://a", "hosts_url": "http://a", "timeout_s": '
+        + text
+        + "}"
+    )
+    error = settings.load(path, settings.PlatformSettings).failure()
+    assert error.kind is errors.ErrorKind.SETTINGS_INVALID
+    assert "$.timeout_s" in error.message
+
+
 def test_boolean_is_rejected_as_port():
     assert "boolean" in _message({**_VALID, "peer_port": True})
 
