Tell the answers of two attempts at one agent apart

Callers saw: 503 `not_run` for a call that was running, if its agent has two backend servers of the service and sent the refusal of the first one twice.

Cause: the answers of agents carried the request's identifier only. The second copy of a refusal was taken for the answer of the next attempt, at the same agent's other backend server, and the promise `not_run` was told.

Evidence, before the change: test_a_refusal_sent_once_more_is_not_that_of_the_next_attempt got 503 instead of 201.

Ruled out for model requests: their frames carry the attempt and the stage, and each admission has an attempt of its own. For services: each call has a connection of its own (`service_client.py`).

Change: the answers name the backend server, and one that names another than the open attempt's is ignored. Agents of earlier builds name none; their answers are taken as before.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/calls.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/calls.py
@@ -146,6 +146,7 @@
                 headers=answered.reply.headers,
                 body=answered.reply.body,
                 repeated=answered.repeated,
+                backend=call.backend,
             )
         )
 
@@ -170,6 +171,7 @@
                 message=error.message,
                 run=error.run_state,
                 retry_after_ms=(error.retry_after_s or 0.0) * _MS_PER_S,
+                backend=call.backend,
             )
         )
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pending_call.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pending_call.py
@@ -124,9 +124,18 @@
         """Does nothing; a call has no tokens."""
 
     def on_reply(self, peer: agent_peer.AgentPeer, message: Any) -> None:
-        """Ends the attempt at an agent with its answer."""
-        if isinstance(message, messages.CallReply | messages.CallFailed):
-            self.end(peer, message)
+        """Ends the attempt at an agent with its answer.
+
+        An answer that names another backend server belongs to an attempt that
+        has ended, for instance a refusal that was sent twice.
+        """
+        is_answer = isinstance(
+            message, messages.CallReply | messages.CallFailed
+        )
+        if is_answer and peer in self._open:
+            _, view = self._open[peer]
+            if message.backend in ("", view.report.backend):
+                self.end(peer, message)
 
     def on_lost(self, peer: agent_peer.AgentPeer, reason: str) -> None:
         """Ends the attempt at an agent whose connection has ended."""
--- a/packages/dotterelgrade-entry/tests/test_service_calls.py
+++ b/packages/dotterelgrade-entry/tests/test_service_calls.py
@@ -1,9 +1,12 @@
+import dataclasses
 import uuid
 
 import gevent
+import msgpack
 import pytest
 import uuid6
 
+from dotterelgrade import frame_codec
 from dotterelgrade import messages
 from dotterelgrade import rendezvous
 from dotterelgrade_standins import deposits
@@ -283,6 +286,56 @@
     assert (error["kind"], error["run"]) == ("outcome_unknown", "unknown")
 
 
+def _send_refusal(connection, call):
+    """Sends a refusal that names the backend server that refused."""
+    tag, fields = frame_codec.to_wire(
+        messages.CallFailed(
+            request_id=call.request_id,
+            kind="no_capacity",
+            message="full",
+            run="not_run",
+        )
+    )
+    connection.send_encoded(
+        msgpack.packb([tag, {**fields, "backend": call.backend}])
+    )
+
+
+def test_a_refusal_sent_once_more_is_not_that_of_the_next_attempt(
+    cell, helpers
+):
+    """A call that ran at the agent's other backend server was refused."""
+    calls = []
+
+    def handle(agent, connection, frame):
+        if not isinstance(frame, messages.Call):
+            return
+        calls.append(frame)
+        _send_refusal(connection, calls[0])
+        if len(calls) == 2:
+            gevent.sleep(0.3)
+            _reply(connection, frame)
+
+    fake = _start_fake_worker(cell, handle)
+    cell.entry = cell.start_entry()
+    cell.wait_for(cell.entry, services=1)
+    both = tuple(
+        dataclasses.replace(fake.report, backend=name)
+        for name in ("order-1", "order-2")
+    )
+    for connection in fake.connections:
+        connection.send(
+            messages.Report(
+                state=messages.ProcessState.READY,
+                contract_offset=0,
+                backends=both,
+            )
+        )
+    helpers.wait_until(lambda: len(cell.entry.fleet.services("order")) == 2)
+    assert _deposit(cell).status == 201
+    assert len({call.backend for call in calls}) == 2
+
+
 def test_a_service_that_never_answers_ends_unknown(cell):
     _start_fake_worker(cell, lambda *_: None)
     cell.entry = cell.start_entry(call_timeout_s=0.3)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
@@ -291,6 +291,14 @@
         new="return True",
         check="fleet",
     ),
+    mutant.Mutant(
+        name="entry-takes-an-earlier-refusal",
+        promise=mutant.NOT_RUN,
+        module="dotterelgrade_entry.pending_call",
+        old='if message.backend in ("", view.report.backend):',
+        new="if view.report.backend:",
+        check=_CALLS_TEST,
+    ),
     mutant.Mutant(
         name="entry-gives-up-a-silent-agent",
         promise=mutant.OWN_ANSWER,
--- a/packages/dotterelgrade/src/dotterelgrade/messages.py
+++ b/packages/dotterelgrade/src/dotterelgrade/messages.py
@@ -343,6 +343,8 @@
         headers: Response headers to forward.
         body: Response body.
         repeated: Whether it is the recorded outcome of an earlier call.
+        backend: Backend server that the call was for; empty from agents of
+            earlier builds.
     """
 
     request_id: str
@@ -350,6 +352,7 @@
     headers: dict[str, str]
     body: bytes
     repeated: bool = False
+    backend: str = ""
 
 
 @frame_codec.frame
@@ -363,6 +366,8 @@
         message: One sentence for the caller.
         run: Whether the call was run.
         retry_after_ms: Delay before a retry; 0 if unknown.
+        backend: Backend server that the call was for; empty from agents of
+            earlier builds.
     """
 
     request_id: str
@@ -370,6 +375,7 @@
     message: str
     run: errors.RunState
     retry_after_ms: bounded.DurationMs = 0.0
+    backend: str = ""
 
 
 @frame_codec.frame
