Announce the close of a connection also for a stop that came during the call

What callers saw: a response without `Connection: close` and then a closed connection, on which the next request was already on its way. Cause: whether the connection closes was decided when the request was read. Evidence, on the code before: test_a_call_that_began_before_shutdown_closes_its_connection, which now also looks for the header, failed (KeyError: connection). It demands the close of the connection as before. Change: a plain call looks again before its response. After: the tests of plain calls pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -76,6 +76,8 @@
         )
         with client.interrupt_on_disconnect():
             outcome = attempts.run()
+        # The caller is told also of a stop that came meanwhile.
+        close = close or self._state.leaving
         if isinstance(outcome, result.Failure):
             error = outcome.failure()
             responses.send_error(
--- a/packages/dotterelgrade-front/tests/test_plain_call.py
+++ b/packages/dotterelgrade-front/tests/test_plain_call.py
@@ -229,7 +229,8 @@
         while not backend.arrivals:
             gevent.sleep(0.01)
         front.state.mark_leaving()
-        assert fakes.read_response(sock)[0] == 200
+        status, headers, _ = fakes.read_response(sock)
+        assert (status, headers[b"connection"]) == (200, b"close")
         # Well below the idle timeout.
         sock.settimeout(0.5)
         assert sock.recv(1) == b""
