Limit the time between two pieces of a body, not that of the whole body

What callers saw: 408 for a large body over a slow link, though bytes arrived all the while; the limit is one for the head. Cause: head and body together had the timeout for the head. Evidence, on the code before: test_a_body_that_arrives_slowly_is_read failed (408). test_a_body_that_stalls_is_refused and test_a_head_that_arrives_slowly_is_refused passed before too and guard what stays. Change: each piece of a body starts the timeout anew; the head has one timeout as before.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -157,7 +157,8 @@
                 # Bytes that race with the shutdown count as never read.
                 return None
             self._feed(data)
-            if parser.started and not was_started:
+            if parser.reading_body or parser.started != was_started:
+                # The time for a body is limited between two pieces of it.
                 timeout = self._start_timeout()
         self._requests_read += 1
         self._response_bytes = 0
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
@@ -66,6 +66,11 @@
         """Whether a part of a further request has arrived."""
         return self._started
 
+    @property
+    def reading_body(self) -> bool:
+        """Whether the head of a further request is complete, not its body."""
+        return self._started and self._head_complete
+
     def feed(self, data: bytes) -> None:
         """Parses received bytes.
 
