Pass on no server error of a stream while another attempt is open

What callers would see: the 5xx of one attempt though a second one was still open and would have answered. Cause: the rule for 5xx asked only whether an attempt had failed before. Evidence: test_a_server_error_is_not_passed_on_while_another_attempt_is_open fails without the change. Change: an open second attempt counts as one that is left.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -205,8 +205,8 @@
         return "streamed"
 
     def _forward_error(self, attempt: stream_attempt.StreamAttempt) -> str:
-        first_failure = attempt.server_failed and not self._call.attempts
-        if self._output.begun or first_failure:
+        others_left = not self._call.attempts or self._standbys.any_open
+        if self._output.begun or (attempt.server_failed and others_left):
             raise attempt.error_as_failure()
         body = attempt.read_error_body()
         self._output.send_error_response(attempt.head, body)
--- a/packages/dotterelgrade-front/tests/test_standby_set.py
+++ b/packages/dotterelgrade-front/tests/test_standby_set.py
@@ -1,5 +1,9 @@
 """Tests streams with a second attempt beside a silent one."""
 
+import contextlib
+import random
+import re
+
 import front_fakes as fakes
 import gevent
 import pytest
@@ -133,6 +137,30 @@
     assert len(other.arrivals) == 1
 
 
+def test_a_server_error_is_not_passed_on_while_another_attempt_is_open(front):
+    """An earlier attempt has failed already, which ends the retries of 5xx."""
+
+    def failing(sock, arrival):
+        fakes.until(lambda: third.arrivals)
+        fakes.responding(b"oops", b"500 Oops")(sock, arrival)
+
+    def answering(sock, arrival):
+        fakes.until(lambda: streams.decisions(front, "standby_adopted"))
+        fakes.streaming(1, _LAST)(sock, arrival)
+
+    streams.set_routes(front, max_attempts=3)
+    streams.add_chains(front, [fakes.resetting], [failing])
+    third = front.add(
+        "c1",
+        answering,
+        service="model",
+        layers=(0, 8),
+        failure_domain="c",
+    )
+    status, _, body = _ask(front)
+    assert (status, body) == (200, streams.events(1, _LAST))
+
+
 def test_the_second_attempt_is_awaited_after_the_first_broke(front):
     """No third one is sent while it may still answer."""
 
@@ -251,3 +279,92 @@
     assert _ask(front)[2] == streams.events(1, _LAST)
     (refused,) = streams.decisions(front, "standby_refused")
     assert refused.reason == "no chain"
+
+
+class _UnsteadyEngine:
+    """An engine that pauses, breaks off, refuses or fails at random."""
+
+    def __init__(self, rng):
+        self._rng = rng
+        self.running = 0
+        self.served = 0
+
+    def __call__(self, sock, arrival):
+        if self._rng.random() < 0.15:
+            fakes.refusing()(sock, arrival)
+            return
+        self.served += 1
+        self.running += 1
+        try:
+            with contextlib.suppress(OSError):
+                self._serve(sock, arrival)
+        finally:
+            self.running -= 1
+
+    def _serve(self, sock, arrival):
+        if self._rng.random() < 0.1:
+            fakes.responding(b"oops", b"500 Oops")(sock, arrival)
+            return
+        self._pause(sock)
+        number = int(arrival.headers[b"after"] or 0)
+        fakes.streaming(number + 1, number, end=False)(sock, arrival)
+        while number < _LAST:
+            if self._rng.random() < 0.08:
+                return
+            number += 1
+            self._pause(sock)
+            streams.send_events(sock, number, number)
+        sock.sendall(b"0\r\n\r\n")
+
+    def _pause(self, sock):
+        choice = self._rng.random()
+        if choice < 0.04:
+            fakes.silent(sock, None)
+        elif choice < 0.2:
+            gevent.sleep(self._rng.uniform(0.05, 0.5))
+
+
+def _raw_response(front, path):
+    with front.send(
+        f"/{path}/x",
+        method="POST",
+        body=b"p",
+        patience_ms="2000",
+        connection="close",
+    ) as sock:
+        data = b""
+        while piece := sock.recv(65536):
+            data += piece
+    return data
+
+
+@pytest.mark.parametrize("path", ["stream", "once"])
+@pytest.mark.parametrize("seed", range(3))
+def test_unsteady_engines_give_each_caller_one_sequence_of_events(
+    front, path, seed
+):
+    """Attempts are replaced in any order, and no work is left behind."""
+    engine = _UnsteadyEngine(random.Random(seed))
+    streams.set_routes(front, max_attempts=3)
+    for name in ("a1", "b1", "c1"):
+        front.add(
+            name,
+            engine,
+            service="model",
+            layers=(0, 8),
+            failure_domain=name[0],
+        )
+    streams.add_reports(front)
+    calls = [gevent.spawn(_raw_response, front, path) for _ in range(12)]
+    gevent.joinall(calls, timeout=20, raise_error=True)
+    for call in calls:
+        data = call.get(block=False)
+        ids = [int(number) for number in re.findall(rb"id: (\d+)", data)]
+        assert ids == list(range(1, len(ids) + 1))
+        assert ids or data.split()[1] in (b"500", b"502", b"503", b"504")
+        if data.endswith(b"0\r\n\r\n"):
+            assert len(ids) == _LAST
+    fakes.until(lambda: not engine.running and not front.state.load.in_flight)
+    assert not front.state.load.own
+    if path == "once":
+        assert engine.served <= len(calls)
