Pause before a refusing engine is asked again for a begun stream

What callers saw: a stream broke off, its only engine had no room for a moment, and the caller's connection ended at once, also for other streams that broke off then. Cause: a begun stream asked the engines that had refused it again without a pause, as often as the retry budget had retries: 40 within some milliseconds. Evidence: before, test_a_begun_stream_does_not_spend_all_retries_on_a_refusing_server saw 41 requests at the engine (assert 41 <= 16). Ruled out: a pause after the first refusal. Refusals that are spread over more than 0.3 s count as several incidents, and a full engine whose report does not explain them would count as leaving; test_a_stream_that_has_begun_waits_for_capacity failed so. Change: from the fourth refusal on, chains that all have a stage that refused the request less than 0.1 s ago count as no capacity, for which a begun stream waits. Why it works: a chain without such a stage is still taken at once; the others are asked at the pace of the waits for capacity.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -61,6 +61,7 @@
                 call.sent_to.discard(chain.first.server_id)
             refused_by = failed.faulty_address or chain.first.address
             call.refused_by.add(refused_by)
+            call.refused_at = time.monotonic()
             self._repair.check_refusal(chain, refused_by)
         elif failed.faulty_address:
             self._repair.exclude(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -31,6 +31,7 @@
         sent_to: IDs of backend servers that it was sent to.
         unreachable: IDs of backend servers that could not be connected to.
         refused_by: Addresses of stages that refused it.
+        refused_at: Monotonic time of the last refusal, s.
     """
 
     request: http_message.Request
@@ -47,6 +48,7 @@
     sent_to: set[str] = dataclasses.field(default_factory=set)
     unreachable: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
+    refused_at: float = float("-inf")
 
     @property
     def request_id(self) -> str:
@@ -58,6 +60,11 @@
         """Time until the deadline, s."""
         return self.deadline - time.monotonic()
 
+    @property
+    def refusals(self) -> int:
+        """Number of attempts that were refused."""
+        return self.attempts.count(attempt.ExecutionStatus.REFUSED)
+
     @property
     def age_s(self) -> float:
         """Time since the request was received, s."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -223,8 +223,7 @@
         call = self._call
         if not call.may_retry() or call.remaining_s <= 0:
             return False
-        refusals = call.attempts.count(attempt_lib.ExecutionStatus.REFUSED)
-        if refusals >= _MAX_REFUSALS and not self._output.begun:
+        if call.refusals >= _MAX_REFUSALS and not self._output.begun:
             return False
         return self._output.sequence.resumable and self._can_pay_for_retry
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -11,6 +11,10 @@
 from dotterelgrade_routing import admission
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import retry_budget
+from dotterelgrade_routing import stall_actions
+
+# Refusals of a begun stream after which it waits before it asks again.
+_MAX_QUICK_REFUSALS = 4
 
 
 def answer_tokens(call: call_lib.Call) -> float:
@@ -95,6 +99,11 @@
         offer = self._state.chains.offer(self._call.service)
         chains = self._usable_chains(offer, beside)
         decision = self._decide(offer, chains, begun=begun)
+        if begun and self._was_just_refused(chains):
+            decision = admission.Refused(
+                reason="refused a moment ago",
+                retry_after_s=stall_actions.MIN_RETRY_S,
+            )
         inputs = {
             "fleet_version": offer.fleet_version,
             "age_s": round(time.monotonic() - offer.computed_at, 2),
@@ -151,6 +160,19 @@
         preferred = [c for c in chains if not call.refused_by & c.addresses]
         return preferred or chains
 
+    def _was_just_refused(self, chains: Collection[chain_choice.Chain]) -> bool:
+        """Returns whether all chains have a stage that refused again just now.
+
+        It is asked again, but not at once: each time uses up a retry.
+        """
+        call = self._call
+        if call.refusals < _MAX_QUICK_REFUSALS:
+            return False
+        refused_s = time.monotonic() - call.refused_at
+        if not chains or refused_s >= stall_actions.MIN_RETRY_S:
+            return False
+        return all(call.refused_by & chain.addresses for chain in chains)
+
     def _decide(
         self,
         offer: chain_directory.Offer,
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -274,6 +274,26 @@
     assert (status, body) == (200, streams.events(1, 4))
 
 
+def test_a_begun_stream_does_not_spend_all_retries_on_a_refusing_server(front):
+    """The only engine breaks a stream off and has no room for a moment."""
+    engine = front.add(
+        "a1",
+        fakes.streaming(1, 2, end=False),
+        fakes.refusing(),
+        service="model",
+        layers=(0, 8),
+    )
+    streams.add_reports(front)
+    budget = front.state.retry_budget_for("model")
+    budget.resize(rate_per_s=0.0, capacity=40.0)
+    status, _, body = front.ask(
+        "/stream/x", method="POST", body=b"p", patience_ms="1000"
+    )
+    assert (status, body) == (200, None)
+    assert 2 <= len(engine.arrivals) <= 16
+    assert budget.left >= 25
+
+
 def _breaking_and_leaving(front):
     """A script that breaks a stream off while its server leaves the fleet."""
 
