Suspect, but don't confirm, a stage that only sends no report

What callers saw: while a sound stage paused, reports included, requests that needed its layers got 503 "no chain" with a wait of 2.5 s, though it went on after 1.7 s. Cause: a stage without a reply whose streams are silent was excluded as a confirmed fault, like one that accepts no connection; a confirmed fault is left out also where nobody else holds the layers. Ruled out: no exclusion. While others hold the layers, new requests are better off there. Change: such a stage is excluded as suspected. One that accepts no connection, or that the first stage names, is confirmed as before. Why it works: a suspected stage is used only if there is no chain without it. An engine that is really gone misses the planner's poll, which a suspicion brings forward, and is then confirmed to all fronts. Until the planner's word comes, requests without another chain now go to such an engine instead of being refused.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
@@ -114,6 +114,19 @@
                 return faulty
             gevent.sleep(_MISSING_REPLY_POLL_S)
 
+    def is_silent(self, address: str) -> bool:
+        """Returns whether a stage has not replied to the last query.
+
+        Args:
+            address: `IP:PORT` of the stage.
+        """
+        replies = stall_diagnosis.ProbeResult
+        query = self._queries.get(address)
+        return query is not None and query.reply in (
+            replies.AWAITED,
+            replies.SILENT,
+        )
+
     def report(self, address: str) -> backend_server.EngineReport | None:
         """Returns an engine's report, or None if it does not reply."""
         query = self._query(address)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
@@ -115,8 +115,7 @@
         silent_since = max(self._last_progress_at, latest.began_at)
         silent_s = time.monotonic() - silent_since
         faulty = self._repair.find_faulty_stages(latest.chain)
-        for address in faulty:
-            self._repair.exclude(address, reason="stalls streams")
+        self._repair.exclude_faulty(faulty)
         actions = stall_actions.stall_actions(
             faulty=bool(faulty),
             silent_s=silent_s,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -126,6 +126,23 @@
         else:
             self._state.note_refusal(server.id)
 
+    def exclude_faulty(self, addresses: Collection[str]) -> None:
+        """Excludes the stages that stall the stream.
+
+        One that sends no reply is only suspected: it may be a sound one that
+        is silent for a moment, and its layers may have no other holder. The
+        planner confirms it if it misses polls, too.
+
+        Args:
+            addresses: `IP:PORT` of the stages.
+        """
+        for address in addresses:
+            self.exclude(
+                address,
+                reason="stalls streams",
+                firm=not self._detector.is_silent(address),
+            )
+
     def exclude(self, address: str, *, reason: str, firm: bool = True) -> None:
         """Excludes the backend server at an address for a while.
 
--- a/packages/dotterelgrade-front/tests/test_stall_guard.py
+++ b/packages/dotterelgrade-front/tests/test_stall_guard.py
@@ -112,6 +112,16 @@
     assert (status, body) == (200, streams.events(1, _LAST))
 
 
+def test_a_stage_that_pauses_with_its_reports_is_only_suspected(front):
+    """Its layers have no other holder, and the next request comes meanwhile."""
+    _add_chain_that_pauses_with_its_reports(front, "a2")
+    earlier = gevent.spawn(_ask, front, "once")
+    fakes.until(lambda: streams.decisions(front, "backend_server_excluded"))
+    status, _, body = _ask(front, "stream")
+    assert (status, body) == (200, streams.events(1, _LAST))
+    assert earlier.get()[2] == streams.events(1, _LAST)
+
+
 @pytest.mark.parametrize("path", ["stream", "once"])
 @pytest.mark.parametrize(
     "outcome",
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -442,6 +442,14 @@
         'attempt_lib.ExecutionStatus.UNKNOWN, "silent")',
         check=_GUARD_TEST,
     ),
+    mutant.Mutant(
+        name="pausing-stage-taken-for-lost",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.stream_repair",
+        old="firm=not self._detector.is_silent(address)",
+        new="firm=True",
+        check=_GUARD_TEST,
+    ),
     mutant.Mutant(
         name="second-attempt-of-a-call-that-runs-once",
         promise=mutant.ONCE,
