Hold a reload back while a front starts, instead of ending it

What callers saw: connections reset by a front that ended by itself while it started; its socket already accepted them.

Cause: SIGHUP ends a process that has no handler for it, and the handler is set only once the front is made, some 0.3 to 0.5 s after its socket was opened.

Ruled out: ignoring the signal, which loses a change of the settings that comes after they were read.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_process.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_process.py
@@ -92,6 +92,8 @@
             settings, platform=self._adapter.connect(settings)
         )
         gevent.signal_handler(signal.SIGHUP, self._reload, front)
+        # Held back until now, since it would have ended the process.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         try:
             with front.running():
                 stop.wait()
--- a/packages/dotterelgrade-front/tests/adapter/test_early_start.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_early_start.py
@@ -1,12 +1,17 @@
+import pathlib
+import signal
 import subprocess
 import sys
 
+import gevent
 from gevent import socket
 import pytest
 
 from dotterelgrade import early_sockets
 from dotterelgrade import wsgi
+from dotterelgrade_front import front_settings
 from dotterelgrade_platform import early_start
+from dotterelgrade_platform import operator_codec
 
 _SETTINGS = """\
 [listen]
@@ -56,6 +61,51 @@
     wsgi.listener("127.0.0.1", ports["ready"]).close()
 
 
+def _wait_until_listening(port):
+    """Waits for the start of a process, which connects to nobody yet."""
+    with gevent.Timeout(10):
+        while True:
+            try:
+                return socket.create_connection(("127.0.0.1", port)).close()
+            except ConnectionRefusedError:
+                gevent.sleep(0.002)
+
+
+def test_a_reload_during_the_start_does_not_end_the_process(
+    settings_path, make_port
+):
+    """The settings file may change before the handler of SIGHUP is set."""
+    ports = _ports(make_port)
+    settings = front_settings.FrontSettings(
+        node="f",
+        host="127.0.0.1",
+        failure_domain="a",
+        callers_address=f"127.0.0.1:{ports['front']}",
+        ready_address=f"127.0.0.1:{ports['ready']}",
+        peer_port=make_port(),
+        metrics_port=make_port(),
+        store_address=f"127.0.0.1:{make_port()}",
+    )
+    settings_path.write_text(operator_codec.settings_text(settings))
+    log_path = pathlib.Path(settings_path.parent, "log")
+    with log_path.open("wb") as log:
+        child = subprocess.Popen(
+            [sys.executable, "-m", "dotterelgrade_platform", "serve"],
+            stdout=log,
+            stderr=log,
+        )
+    try:
+        _wait_until_listening(ports["front"])
+        child.send_signal(signal.SIGHUP)
+        with gevent.Timeout(10):
+            while b'"reloaded"' not in log_path.read_bytes():
+                assert child.poll() is None
+                gevent.sleep(0.05)
+    finally:
+        child.kill()
+        child.wait()
+
+
 def test_an_early_socket_is_handed_over_once(make_port):
     port = make_port()
     early_sockets.listen("127.0.0.1", port)
