Tell only fronts of the soak that listen to reload

Cause: the interpreter that starts a front ends at SIGHUP before any line of the front has run, which no program can help; the soak called that `ended`.

Change: a process that accepts no connection yet is not signalled; it reads the changed file when it starts.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_fleet.py
@@ -14,6 +14,7 @@
 from gevent import lock
 from gevent import subprocess
 
+from dotterelgrade import http_connection
 from dotterelgrade_front import front_settings
 from dotterelgrade_platform import operator_codec
 from dotterelgrade_platform import settings_file
@@ -31,6 +32,7 @@
 DOMAINS = ("recife-a", "olinda-c")
 GRACE_S = 5.0
 _MODULE = "dotterelgrade_platform"
+_LISTENS_TIMEOUT_S = 1.0
 _ENDING = frozenset({signal.SIGKILL, signal.SIGTERM})
 _CALLERS_PORT = 7_001
 _READY_PORT = 7_002
@@ -100,12 +102,26 @@
             self._told_to_end = False
 
     def change_settings(self, **changes: float) -> None:
-        """Writes its settings file anew and tells the process so."""
+        """Writes its settings file anew and tells the process so.
+
+        A process that listens at no address yet reads the file anyway; the
+        interpreter that starts it would end at the signal.
+        """
         self.settings = dataclasses.replace(self.settings, **changes)
         self._settings_path.write_text(
             operator_codec.settings_text(self.settings)
         )
-        self.signal(signal.SIGHUP)
+        if self._listens():
+            self.signal(signal.SIGHUP)
+
+    def _listens(self) -> bool:
+        try:
+            http_connection.connect(
+                self.settings.callers_address, timeout_s=_LISTENS_TIMEOUT_S
+            ).close()
+        except http_connection.ConnectError:
+            return False
+        return True
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process exists."""
