Keep no count of calls for backend servers without any

What callers saw: nothing; memory grew with each backend server that ever served a call. Evidence, on the code before: test_ended_calls_leave_nothing_behind failed (a count of zero for each server stayed). Change: a count of zero is removed. After: the tests of plain calls and connection pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -125,7 +125,7 @@
             for_s: Minimum idle time, s.
         """
         parser = self._parser
-        if self._serving or parser.started or parser.requests:
+        if self._serving is not None or parser.started or parser.requests:
             return
         if time.monotonic() - self._active_at < for_s:
             return
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -237,10 +237,16 @@
         )
         self._in_flight[server.id] += 1
         greenlet = gevent.Greenlet(started.run)
-        greenlet.rawlink(lambda _: self._in_flight.subtract([server.id]))
+        greenlet.rawlink(lambda _: self._release(server.id))
         self._open[greenlet] = started
         greenlet.start()
 
+    def _release(self, server_id: str) -> None:
+        self._in_flight[server_id] -= 1
+        if not self._in_flight[server_id]:
+            # Thousands of backend servers are replaced in a day.
+            del self._in_flight[server_id]
+
     def _wait(self) -> plain_attempt.PlainResponse | None:
         """Waits until an attempt ends or the next one is due.
 
--- a/packages/dotterelgrade-front/tests/test_plain_call.py
+++ b/packages/dotterelgrade-front/tests/test_plain_call.py
@@ -358,6 +358,14 @@
     assert len(full.arrivals) == 1
 
 
+def test_ended_calls_leave_nothing_behind(front):
+    """A count of each backend server that had ever served a call stayed."""
+    front.add("s1", fakes.silent)
+    front.add("s2", fakes.responding(), failure_domain="b")
+    assert front.ask("/safe/x")[0] == 200
+    fakes.until(lambda: not front.handler._plain._in_flight)
+
+
 def _refusing_for(retry_after):
     """A script that refuses a request with `Retry-After`."""
     rows = b"not-run: 1\r\nretry-after: " + retry_after + b"\r\n"
