Test that interim responses without end are refused

They count towards the limit of a head already; no test had shown it. The test of a head without end has a second case, the first is unchanged.

--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -192,9 +192,17 @@
     assert time.monotonic() - started < 2
 
 
-def test_too_large_head_is_rejected(serve):
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 20_000,
+        b"HTTP/1.1 103 Early\r\n\r\n" * 20_000,
+    ],
+    ids=["fields", "interim-responses"],
+)
+def test_too_large_head_is_rejected(serve, head):
     def script(sock):
-        sock.sendall(b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 20_000)
+        sock.sendall(head)
         gevent.sleep(0.5)
 
     with pytest.raises(http_connection.BrokenConnectionError):
