Reject records of the log with text that no frame can carry

Cause: the records of the log were read by a JSON decoder that takes a lone surrogate as text. As the type of a claim it raised UnicodeEncodeError in the next decoder, which listed only its own exception; the reader of the claims ended, and again after each restart. In any other field it stayed, and could be encoded into no frame.

Evidence, before the change: the fuzzing of claims failed with

{"type":"batch","id":"p:1","items":[{"type":"\ud800","workspace":"bench",...

and test_text_that_no_frame_can_carry_is_no_claim failed in its three cases, one with UnicodeEncodeError. test_an_odd_item_does_not_hide_the_others passed before; no test said so.

Change: records are decoded by msgspec, which rejects such text, and the items of claims and charges by the common rule.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/claim_items.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/claim_items.py
@@ -5,9 +5,11 @@
 from typing import Annotated, Any
 
 import msgspec
+from returns import result
 
 from dotterelgrade import appender
 from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import log_client
 
 _LOG = logging.getLogger(__name__)
@@ -97,10 +99,15 @@
         errors.DotterelgradeError: RECORD_INVALID, when it is no batch.
     """
     for value in appender.decode(record.body).items:
-        try:
-            yield msgspec.convert(value, Item)
-        except msgspec.ValidationError as error:
-            _LOG.warning(
-                "claim item skipped",
-                extra={"offset": record.offset, "reason": str(error)},
-            )
+        item = decoding.attempt(_convert, value, what="claim item")
+        if isinstance(item, result.Success):
+            yield item.unwrap()
+            continue
+        _LOG.warning(
+            "claim item skipped",
+            extra={"offset": record.offset, "reason": item.failure().message},
+        )
+
+
+def _convert(value: dict[str, Any]) -> Item:
+    return msgspec.convert(value, Item)
--- a/packages/dotterelgrade/src/dotterelgrade/appender.py
+++ b/packages/dotterelgrade/src/dotterelgrade/appender.py
@@ -9,6 +9,7 @@
 
 import gevent
 from gevent import event
+import msgspec
 from returns import result
 
 from dotterelgrade import decoding
@@ -59,7 +60,7 @@
 
 
 def _to_batch(body: bytes) -> Batch:
-    value = json.loads(body)
+    value = msgspec.json.decode(body)
     items = value["items"]
     if value["type"] != BATCH_TYPE or not isinstance(value["id"], str):
         raise ValueError("not a batch")
--- a/packages/dotterelgrade/src/dotterelgrade/charges.py
+++ b/packages/dotterelgrade/src/dotterelgrade/charges.py
@@ -13,6 +13,7 @@
 
 from dotterelgrade import appender
 from dotterelgrade import bounded
+from dotterelgrade import decoding
 from dotterelgrade import errors
 from dotterelgrade import log_client
 
@@ -289,9 +290,8 @@
 
 
 def _to_charges(items: tuple[dict[str, Any], ...]) -> tuple[Charge, ...]:
-    try:
-        return tuple(msgspec.convert(item, Charge) for item in items)
-    except msgspec.ValidationError as error:
-        raise errors.new_exception(
-            errors.ErrorKind.RECORD_INVALID, f"invalid charge: {error}"
-        ) from error
+    return decoding.require(
+        lambda values: msgspec.convert(values, tuple[Charge, ...]),
+        items,
+        what="invalid charge",
+    )
--- a/packages/dotterelgrade/src/dotterelgrade/contract_records.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_records.py
@@ -1,7 +1,6 @@
 """Records of the log's contract stream, with validation on decoding."""
 
 import dataclasses
-import json
 
 import msgspec
 
@@ -178,7 +177,7 @@
 
 
 def _convert(body: bytes) -> ContractRecord:
-    value = json.loads(body)
+    value = msgspec.json.decode(body)
     return msgspec.convert(value, _TYPES[value["type"]])
 
 
