Read a response that arrived before its timeout, and outlive a lack of descriptors

What callers would see: 502 or 504 though the response lay in the buffer, on a host whose event loop is late; 502 in place of another attempt when no file descriptor is left, which a second attempt beside a late one makes likelier. Evidence: before, test_a_response_that_arrived_before_the_timeout_is_read failed with ResponseTimeoutError and test_without_a_file_descriptor_nothing_was_sent with OSError. Change: at a timeout the socket is read once more without a wait; the socket is made inside. After: test_http_connection.py passes.

--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -317,8 +317,8 @@
             max(deadline - time.monotonic(), _MIN_SOCKET_TIMEOUT_S)
         )
         try:
-            data = self._sock.recv(_RECEIVE_BYTES)
-        except TimeoutError as error:
+            data = self._receive_until_timeout()
+        except (TimeoutError, BlockingIOError) as error:
             raise ResponseTimeoutError(
                 f"{self._address}: response timed out"
             ) from error
@@ -343,6 +343,20 @@
             self._response.extra_bytes = True
         return len(data)
 
+    def _receive_until_timeout(self) -> bytes:
+        """Returns received bytes, empty at the end of the stream.
+
+        Raises:
+            TimeoutError, BlockingIOError: Nothing arrived in time.
+            OSError: The connection failed.
+        """
+        try:
+            return self._sock.recv(_RECEIVE_BYTES)
+        except TimeoutError:
+            # A busy event loop may run the timer before it reports the bytes.
+            self._sock.settimeout(0.0)
+            return self._sock.recv(_RECEIVE_BYTES)
+
     def _nothing_to_read(self) -> bool:
         """Returns whether neither bytes nor the end of stream are pending."""
         self._sock.settimeout(0.0)
@@ -376,7 +390,10 @@
         ConnectError: The connection could not be opened.
     """
     host, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise ConnectError(f"{address}: {error}") from error
     try:
         sock.settimeout(timeout_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -1,3 +1,4 @@
+import errno
 import socket as std_socket
 import time
 
@@ -185,6 +186,31 @@
         _call(serve(script))
 
 
+def test_a_response_that_arrived_before_the_timeout_is_read(serve):
+    """A late event loop ran the timer first, and the response was lost."""
+
+    def respond(sock):
+        gevent.sleep(0.2)
+        sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+    call = gevent.spawn(_call, serve(respond), timeout_s=0.3)
+    gevent.sleep(0.1)
+    # Both timers are due; that of a timeout has the lower priority.
+    time.sleep(0.4)
+    assert call.get()[1] == b"ok"
+
+
+def test_without_a_file_descriptor_nothing_was_sent(monkeypatch):
+    """The error of the operating system ended the caller's request."""
+
+    def no_socket(*_):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(http_connection.socket, "socket", no_socket)
+    with pytest.raises(http_connection.ConnectError):
+        _call("127.0.0.1:1")
+
+
 def test_silent_peer_times_out(serve):
     started = time.monotonic()
     with pytest.raises(http_connection.ResponseTimeoutError):
