Judge the end of a stop only where the process was not paused meanwhile

What was seen: a soak (trial beside the streams part): `stop`, front-0 had not ended 5 s after SIGTERM. Its log stops at 3.2 s, when a peer closed, and goes on with the next process.

The users' rules count such a process as out of touch.

Change: only a stop that no pause or kill of that front disturbed must end in time. Requests are judged as before.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_faults.py
@@ -112,7 +112,10 @@
     stop = fleet.losses.stopping(front.name, grace_s=front.settings.grace_s)
     ended = front.stop()
     stop.ended_at = time.monotonic()
-    if not ended:
+    # A process that was paused meanwhile lost that time.
+    if not ended and fleet.evidence.undisturbed(
+        soak_evidence.Part.FRONT, front.name, stop.began_at, stop.ended_at
+    ):
         fleet.evidence.broken("stop", "", f"{front} did not end in time")
     gevent.sleep(for_s / 4)
     with soak_fault.disturbing(fleet, soak_evidence.Part.FRONT, front.name):
