Hold a second attempt back that ended without events while another may go on

What callers would see: an empty stream, or the events so far, ended as complete, though the first engine was only silent and sent the rest 0.7 s later. Found by review. Cause: a response that ends without events counted as 'first to go on'. Change: such an attempt stays in the set until another one fails or goes on; one that may still send events is promoted before it.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/standby_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/standby_attempt.py
@@ -60,6 +60,11 @@
         """Whether its first events have arrived, or it has failed."""
         return self._greenlet.ready()
 
+    @property
+    def ended_empty(self) -> bool:
+        """Whether its response has ended without an event."""
+        return self.ready and self._error is None and self._events is None
+
     @property
     def error(self) -> Exception | None:
         """Why it failed, or None."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
@@ -76,8 +76,11 @@
 
     @property
     def newest(self) -> stream_attempt.StreamAttempt | None:
-        """The attempt that was started last, or None."""
-        return self._standbys[-1].attempt if self._standbys else None
+        """The attempt that was started last and may send events, or None."""
+        for standby in reversed(self._standbys):
+            if not standby.ended_empty:
+                return standby.attempt
+        return None
 
     @contextlib.contextmanager
     def closed_on_exit(self) -> Iterator[None]:
@@ -151,11 +154,15 @@
     def check(self) -> None:
         """Takes notice of second attempts that have events or have failed.
 
+        One that ended without an event waits, as another one may still go on.
+
         Raises:
             StandbyReadyError: One has sent the next events.
             client_connection.CallerDisconnectedError: The caller disconnected.
         """
         for standby in [s for s in self._standbys if s.ready]:
+            if standby.ended_empty:
+                continue
             self._standbys.remove(standby)
             try:
                 standby.read_first_events(time.monotonic())
@@ -185,11 +192,13 @@
             reason: Why the present one no longer does, in one clause.
 
         Returns:
-            The newest second attempt, or None if there is none.
+            The newest second attempt, one that has not ended if possible, or
+            None if there is none.
         """
         if not self._standbys:
             return None
-        standby = self._standbys.pop()
+        standby = max(reversed(self._standbys), key=lambda s: not s.ended_empty)
+        self._standbys.remove(standby)
         self._adopt(standby, reason=reason)
         return standby
 
--- a/packages/dotterelgrade-front/tests/test_standby_set.py
+++ b/packages/dotterelgrade-front/tests/test_standby_set.py
@@ -368,3 +368,51 @@
     assert not front.state.load.own
     if path == "once":
         assert engine.served <= len(calls)
+
+
+def test_an_empty_second_answer_does_not_end_a_stream_that_goes_on(front):
+    """It was taken for the end, and the caller got a part as complete."""
+    pausing = streams.pausing(3, last=_LAST, pause=_until_standby_ended(front))
+    streams.add_chains(
+        front, [pausing], [streams.resuming(fakes.silent, last=3)]
+    )
+    assert _ask(front)[2] == streams.events(1, _LAST)
+
+
+def test_an_empty_second_answer_does_not_end_a_stream_before_its_first_event(
+    front,
+):
+    """The caller got an empty stream as complete."""
+
+    def slow(sock, arrival):
+        _until_standby_ended(front)()
+        fakes.streaming(1, _LAST)(sock, arrival)
+
+    streams.add_chains(front, [slow], [fakes.streaming(1, 0)])
+    status, _, body = _ask(front)
+    assert (status, body) == (200, streams.events(1, _LAST))
+
+
+def test_an_empty_second_answer_ends_a_stream_whose_first_attempt_broke(front):
+    """The break came just before the end, and nothing is left to send."""
+
+    def breaking(sock, arrival):
+        pause = _until_standby_ended(front)
+        fakes.streaming(1, 3, end=False, after=lambda *_: pause())(
+            sock, arrival
+        )
+
+    streams.add_chains(
+        front, [breaking], [streams.resuming(fakes.silent, last=3)]
+    )
+    assert _ask(front)[2] == streams.events(1, 3)
+
+
+def _until_standby_ended(front):
+    """Returns a pause until some time after the second attempt has ended."""
+
+    def pause():
+        _until_arrived(front, 2)()
+        gevent.sleep(0.4)
+
+    return pause
