Start at most one second attempt at a time at each backend server

What callers would see: streams cut for want of retries, and engines full of reservations, while one stream whose stages are mute sent 14 requests to its first engine in 3 s, 13 of them open at once, or 16 if they were reset. Found by review. Cause: with a stage known to be faulty, a chain from the same first engine was always allowed, and looked for every 0.15 s. Evidence: before, test_one_server_gets_few_attempts_of_one_stream failed with 14 and 16 arrivals in place of 6 (a refusing engine passed). Change: a server at which a second attempt is open, or has started less than half of the silence ago, is left out (stall_actions.may_start_again), so that the starts there are twice as far apart each time. After: test_standby_set.py, 33 passed.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
@@ -13,6 +13,7 @@
 from dotterelgrade_front import stream_output
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import admission
+from dotterelgrade_routing import stall_actions
 
 
 class StandbyReadyError(Exception):
@@ -64,6 +65,7 @@
         self._check_caller = check_caller
         self._standbys: list[standby_attempt.StandbyAttempt] = []
         self._adopted: standby_attempt.StandbyAttempt | None = None
+        self._started_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
         """Shows the number of second attempts."""
@@ -132,6 +134,8 @@
             check_caller=self._check_caller,
         )
         self._standbys.append(standby)
+        first = decision.chain.first
+        self._started_at[first.server_id] = standby.attempt.began_at
         self._record(
             "standby_started",
             standby,
@@ -148,9 +152,24 @@
         attempts = [silent, *(standby.attempt for standby in self._standbys)]
         return stream_admission.OpenAttempts(
             server_ids=frozenset(a.chain.first.server_id for a in attempts),
+            left_out=self._servers_left_out(),
             faulty=frozenset(faulty),
         )
 
+    def _servers_left_out(self) -> frozenset[str]:
+        """Returns where a second attempt is open, or has started lately."""
+        now, silent_s = time.monotonic(), self._output.silent_s
+        started_lately = frozenset(
+            server_id
+            for server_id, at in self._started_at.items()
+            if not stall_actions.may_start_again(
+                since_start_s=now - at, silent_s=silent_s
+            )
+        )
+        return started_lately.union(
+            standby.attempt.chain.first.server_id for standby in self._standbys
+        )
+
     def check(self) -> None:
         """Takes notice of second attempts that have events or have failed.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -38,10 +38,12 @@
 
     Attributes:
         server_ids: First backend servers of their chains.
+        left_out: Backend servers at which no further attempt may start.
         faulty: Addresses of stages that are known to be faulty.
     """
 
     server_ids: frozenset[str]
+    left_out: frozenset[str]
     faulty: frozenset[str]
 
 
@@ -221,7 +223,12 @@
     They start at another backend server. If a stage is known to be faulty, any
     chain without it is left as the last choice.
     """
-    sound = [c for c in chains if not c.addresses & attempts.faulty]
+    sound = [
+        c
+        for c in chains
+        if not c.addresses & attempts.faulty
+        and c.first.server_id not in attempts.left_out
+    ]
     elsewhere = [
         c for c in sound if c.first.server_id not in attempts.server_ids
     ]
--- a/packages/dotterelgrade-front/tests/test_standby_set.py
+++ b/packages/dotterelgrade-front/tests/test_standby_set.py
@@ -416,3 +416,33 @@
         gevent.sleep(0.4)
 
     return pause
+
+
+@pytest.mark.parametrize("resumed", ["silent", "refusing", "resetting"])
+def test_one_server_gets_few_attempts_of_one_stream(front, resumed):
+    """Each one reserved memory and used up a retry that others needed."""
+    answers = {
+        "silent": fakes.streaming(1, 0, after=fakes.silent),
+        "refusing": fakes.refusing(),
+        "resetting": fakes.resetting,
+    }
+
+    def script(sock, arrival):
+        first = fakes.streaming(1, 2, after=fakes.silent)
+        (answers[resumed] if _resumed(arrival) else first)(sock, arrival)
+
+    first = front.add("a1", script, service="model", layers=(0, 4))
+    for name in ("a2", "b2", "c2", "d2", "e2"):
+        front.add(
+            name,
+            fakes.silent,
+            service="model",
+            layers=(4, 8),
+            failure_domain=name[0],
+        )
+    stalled_by = front.state.fleet.get("a2").address
+    front.state.platform.engines.reports[first.address] = streams.report(
+        stalled={"r1": stalled_by}
+    )
+    _ask(front)
+    assert 1 < len(first.arrivals) <= 6
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/stall_actions.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/stall_actions.py
@@ -17,6 +17,9 @@
 RETRY_FRACTION = 0.2
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.5
+# Least time between two second attempts at one backend server, as a fraction of
+# the silence. Each reserves memory there and uses up a retry.
+_SAME_SERVER_FRACTION = 0.5
 
 
 class StallAction(enum.Enum):
@@ -53,6 +56,16 @@
     return tuple(actions)
 
 
+def may_start_again(*, since_start_s: float, silent_s: float) -> bool:
+    """Returns whether another second attempt may start at a backend server.
+
+    Args:
+        since_start_s: Time since the last one started there, s.
+        silent_s: Time since the last event, s.
+    """
+    return since_start_s >= _SAME_SERVER_FRACTION * silent_s
+
+
 def retry_delay_s(silent_s: float) -> float:
     """Returns the time until the next try when nothing was possible, s.
 
