Await a longer silence after each attempt of a stream that was replaced

What callers would see: a stream that two sound engines, which both pause, pass to and fro until the deadline. Found by the trial of an engine that pauses after each first event. Evidence: before, test_engines_that_all_pause_do_not_replace_each_other_for_ever got no complete body in 10 s. Ruled out: no replacement on one event; a stream whose engine froze would wait for a second one. Change: the silence that is awaited without a faulty stage doubles with each replacement; the first second attempt starts as early as before.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
@@ -121,6 +121,7 @@
             silent_s=silent_s,
             repeatable=self._repair.repeatable,
             prefers_standby=self._repair.prefers_resuming,
+            replaced=self._standbys.replaced,
         )
         for action in actions:
             delay_s = self._act(
@@ -128,7 +129,10 @@
             )
             if delay_s is not None:
                 return delay_s
-        if not actions and silent_s <= stall_actions.STANDBY_SILENCE_S:
+        bound_s = stall_actions.standby_silence_s(
+            replaced=self._standbys.replaced
+        )
+        if not actions and silent_s <= bound_s:
             return self._query_delay_s
         self._repair.record_wait(silent_s=silent_s, faulty=faulty)
         return stall_actions.retry_delay_s(silent_s)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
@@ -66,6 +66,7 @@
         self._standbys: list[standby_attempt.StandbyAttempt] = []
         self._adopted: standby_attempt.StandbyAttempt | None = None
         self._started_at: dict[str, float] = {}
+        self._replaced = 0
 
     def __repr__(self) -> str:
         """Shows the number of second attempts."""
@@ -76,6 +77,11 @@
         """Whether there is any second attempt."""
         return bool(self._standbys)
 
+    @property
+    def replaced(self) -> int:
+        """How often a second attempt has replaced the one before it."""
+        return self._replaced
+
     @property
     def newest(self) -> stream_attempt.StreamAttempt | None:
         """The attempt that was started last and may send events, or None."""
@@ -225,6 +231,7 @@
         self, standby: standby_attempt.StandbyAttempt, *, reason: str
     ) -> None:
         self._adopted = standby
+        self._replaced += 1
         self._record("standby_adopted", standby, reason=reason)
 
     def _record(
--- a/packages/dotterelgrade-front/tests/test_standby_set.py
+++ b/packages/dotterelgrade-front/tests/test_standby_set.py
@@ -446,3 +446,19 @@
     )
     _ask(front)
     assert 1 < len(first.arrivals) <= 6
+
+
+def test_engines_that_all_pause_do_not_replace_each_other_for_ever(front):
+    """Each sent one event, took over, and paused for as long in turn."""
+
+    def pausing(sock, arrival):
+        after = int(arrival.headers[b"after"] or 0)
+        until = max(after + 1, 3)
+        streams.pausing(until, last=_LAST, pause=lambda: gevent.sleep(0.35))(
+            sock, arrival
+        )
+
+    streams.set_routes(front, timeout_s=10.0)
+    backends = streams.add_chains(front, [pausing], [pausing])
+    assert _ask(front)[2] == streams.events(1, _LAST)
+    assert sum(len(backend.arrivals) for backend in backends) <= 3
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/stall_actions.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/stall_actions.py
@@ -35,6 +35,7 @@
     silent_s: float,
     repeatable: bool,
     prefers_standby: bool,
+    replaced: int = 0,
 ) -> tuple[StallAction, ...]:
     """Returns what to try, in order, until one of them is possible.
 
@@ -45,17 +46,31 @@
         silent_s: Time since the last event, s.
         repeatable: Whether the request may run at a second backend server.
         prefers_standby: Whether a second attempt is better than rerouting.
+        replaced: How often an attempt of the request was replaced already.
     """
+    is_long = silent_s > standby_silence_s(replaced=replaced)
     actions = []
     if faulty:
         actions.append(StallAction.REROUTE)
-    if repeatable and (faulty or silent_s > STANDBY_SILENCE_S):
+    if repeatable and (faulty or is_long):
         actions.append(StallAction.STANDBY)
     if prefers_standby:
         actions.reverse()
     return tuple(actions)
 
 
+def standby_silence_s(*, replaced: int) -> float:
+    """Returns the silence after which a second attempt starts, s.
+
+    It doubles with each attempt that was replaced: engines that all pause must
+    not replace each other for ever.
+
+    Args:
+        replaced: How often an attempt of the request was replaced already.
+    """
+    return STANDBY_SILENCE_S * 2**replaced
+
+
 def may_start_again(*, since_start_s: float, silent_s: float) -> bool:
     """Returns whether another second attempt may start at a backend server.
 
--- a/packages/dotterelgrade-routing/tests/test_stall_actions.py
+++ b/packages/dotterelgrade-routing/tests/test_stall_actions.py
@@ -50,3 +50,24 @@
     assert delays == sorted(delays)
     assert delays[0] == stall_actions.MIN_RETRY_S
     assert delays[-1] == stall_actions.MAX_RETRY_S
+
+
+def test_the_awaited_silence_grows_with_each_replaced_attempt():
+    """Engines that all pause must not replace each other for ever."""
+    assert _actions(silent_s=_LONG_S, replaced=1) == ()
+    long_s = 2 * stall_actions.STANDBY_SILENCE_S + 0.1
+    assert _actions(silent_s=long_s, replaced=1) == (_ACTION.STANDBY,)
+    assert _actions(faulty=True, replaced=9)
+
+
+def test_second_attempts_at_one_server_come_ever_more_seldom():
+    """Load pattern: all later stages of a chain are mute."""
+    starts, silent_s = [0.15], 0.15
+    while silent_s < 3.0:
+        silent_s += 0.01
+        since_start_s = silent_s - starts[-1]
+        if stall_actions.may_start_again(
+            since_start_s=since_start_s, silent_s=silent_s
+        ):
+            starts.append(silent_s)
+    assert len(starts) <= 5
