Keep a server counted while another attempt of the request is open there

What callers would see: a request that ran at more servers than its route allows. Found by review. Cause: a refused attempt uncounted its server though a second attempt had been sent there. Evidence: before, test_a_refused_attempt_does_not_uncount_a_server_that_has_another_one saw the request at c1 with max_attempts 1. Change: the call counts its open attempts by server.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -56,7 +56,8 @@
         if failed.execution is statuses.NEVER_SENT:
             call.unreachable.add(chain.first.server_id)
         if failed.execution is statuses.REFUSED:
-            if attempt.first_at_server:
+            server_id = chain.first.server_id
+            if attempt.first_at_server and not call.open_at[server_id]:
                 # A request that never ran at a server uses up no attempt.
                 call.sent_to.discard(chain.first.server_id)
             refused_by = failed.faulty_address or chain.first.address
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -1,5 +1,6 @@
 """State of one request while the front serves it."""
 
+import collections
 from collections.abc import Collection
 import dataclasses
 import time
@@ -32,6 +33,7 @@
         unreachable: IDs of backend servers that could not be connected to.
         refused_by: Addresses of stages that refused it.
         refused_at: Monotonic time of the last refusal, s.
+        open_at: Attempts that are open, by the ID of their backend server.
     """
 
     request: http_message.Request
@@ -49,6 +51,9 @@
     unreachable: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
     refused_at: float = float("-inf")
+    open_at: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def request_id(self) -> str:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
@@ -121,6 +121,8 @@
             stages=self._chain.stages,
             resume_after=self._sequence.last_id,
         )
+        open_at = self._call.open_at
+        open_at[first.server_id] += 1
         try:
             with (
                 self._state.load.reserved(self._chain, tokens=self._tokens),
@@ -145,6 +147,8 @@
                 str(error),
                 faulty_address=first.address,
             ) from error
+        finally:
+            open_at[first.server_id] -= 1
 
     def read_head(self, deadline: float) -> None:
         """Waits for the head of the response.
--- a/packages/dotterelgrade-front/tests/test_standby_set.py
+++ b/packages/dotterelgrade-front/tests/test_standby_set.py
@@ -462,3 +462,45 @@
     backends = streams.add_chains(front, [pausing], [pausing])
     assert _ask(front)[2] == streams.events(1, _LAST)
     assert sum(len(backend.arrivals) for backend in backends) <= 3
+
+
+def test_a_refused_attempt_does_not_uncount_a_server_that_has_another_one(
+    front,
+):
+    """The request then ran at more servers than `max_attempts` permits."""
+    streams.set_routes(front, max_attempts=1)
+    refused = []
+
+    def script(sock, arrival):
+        if len(first.arrivals) == 1:
+            _until_arrived(front, 2)()
+            fakes.refusing()(sock, arrival)
+            refused.append(arrival)
+        else:
+            fakes.until(lambda: refused)
+            gevent.sleep(0.3)
+            fakes.resetting(sock, arrival)
+
+    first = front.add("a1", script, service="model", layers=(0, 4))
+    for name in ("a2", "b2"):
+        front.add(
+            name,
+            fakes.silent,
+            service="model",
+            layers=(4, 8),
+            failure_domain=name[0],
+        )
+    other = front.add(
+        "c1",
+        fakes.streaming(1, _LAST),
+        service="model",
+        layers=(0, 8),
+        failure_domain="c",
+    )
+    stalled_by = front.state.fleet.get("a2").address
+    front.state.platform.engines.reports[first.address] = streams.report(
+        stalled={"r1": stalled_by}
+    )
+    _ask(front)
+    assert len(first.arrivals) >= 2
+    assert not other.arrivals
