Pass on a server's error for a stream if nothing better can come

What callers saw: 502 of unknown outcome, without the seal, in place of the 500 that an engine had given, for streams that may run once and while the retry budget is empty. Found by review. Evidence: before, both cases of test_a_servers_error_is_passed_on_if_nothing_better_can_come failed (no seal, 502). Change: the error is dropped only if the request may be repeated, max_attempts leaves a server and the budget a retry, or a second attempt is open. After: the tests of streams, second attempts and mutants pass (254).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -205,13 +205,25 @@
         return "streamed"
 
     def _forward_error(self, attempt: stream_attempt.StreamAttempt) -> str:
-        others_left = not self._call.attempts or self._standbys.any_open
-        if self._output.begun or (attempt.server_failed and others_left):
+        if self._output.begun:
+            raise attempt.error_as_failure()
+        if attempt.server_failed and self._may_do_better:
             raise attempt.error_as_failure()
         body = attempt.read_error_body()
         self._output.send_error_response(attempt.head, body)
         return f"answered_{attempt.head.status // 100}xx"
 
+    @property
+    def _may_do_better(self) -> bool:
+        """Whether another attempt may succeed after an error of a server."""
+        if self._standbys.any_open:
+            return True
+        call = self._call
+        if call.attempts or not call.route.repeatable:
+            return False
+        servers_left = call.route.max_attempts - len(call.sent_to)
+        return servers_left > 0 and self._admissions.retries_left >= 1
+
     @property
     def _pays_for_retry(self) -> bool:
         """Whether the next attempt draws on the retry budget."""
--- a/packages/dotterelgrade-front/tests/test_model_stream.py
+++ b/packages/dotterelgrade-front/tests/test_model_stream.py
@@ -373,3 +373,13 @@
     status, _, body = front.ask("/stream/x", method="POST", body=b"p")
     assert (status, body) == (200, streams.events(1, 5))
     assert len(ran) <= 2
+
+
+@pytest.mark.parametrize("path", ["stream", "once"])
+def test_a_servers_error_is_passed_on_if_nothing_better_can_come(front, path):
+    """The caller was told that the outcome is not known, without the seal."""
+    failing = fakes.responding(b"boom", b"500 Failed")
+    streams.add_chains(front, [failing], [failing])
+    streams.empty_retry_budget(front)
+    status, headers, body = front.ask(f"/{path}/x", method="POST", body=b"p")
+    assert (status, body, headers[b"seal"]) == (500, b"boom", b"1")
