Count a timeout in the soak from before a request is sent

Cause: the front ended it at its timeout (its log: deadline exceeded, 6.001 s after it was read; an engine had stood still for 3 s). The caller notes when it has sent a request after sending it, which a busy machine may delay until the front has read it, and counted less than 6 s.

Change: the timeout counts from the time before sending, which is no later than the front's. The test failed before: a second `lost`, 1 ms behind the timeout.

After: test_soak_losses.py passes.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_evidence.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/soak_evidence.py
@@ -65,6 +65,7 @@
         succeeded: Whether it ended with a whole success.
         left_at: Monotonic time at which its caller left, s, or 0.
         promised: Whether its caller was told that it has not run.
+        begun_at: Monotonic time before its first byte was sent, s.
     """
 
     request_id: str
@@ -78,6 +79,11 @@
     succeeded: bool = False
     left_at: float = 0.0
     promised: bool = False
+    begun_at: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Keeps the time before it is sent, which `sent_at` replaces."""
+        self.begun_at = self.sent_at
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/packages/dotterelgrade-standins/tests/test_soak_losses.py
+++ b/packages/dotterelgrade-standins/tests/test_soak_losses.py
@@ -184,6 +184,20 @@
     assert scene.rules == []
 
 
+def test_a_timeout_begins_before_the_caller_notes_that_it_has_sent(scene):
+    """A busy machine lets a front read a request before that (seed 223)."""
+    scene.send()
+    scene.wait(0.002)
+    scene.sent.sent_at = time.monotonic()
+    scene.run()
+    scene.wait(scene.sent.timeout_s - 0.003)
+    scene.cut()
+    assert scene.rules == ["lost"]
+    scene.wait(0.001)
+    scene.cut()
+    assert scene.rules == ["lost"]
+
+
 @pytest.mark.parametrize(
     ("sent_s", "broken_s", "rules"),
     [
