Wait for the answers to all requests that the end of the process cuts

What callers saw: at the end of a front's grace time with some hundred requests in flight, many connections were closed without an answer.

Cause: `drain` interrupted the requests that had no byte of an answer, then waited a fixed 0.1 s. Each answer takes time on the event loop, so that those beyond the first 0.1 s were never sent.

Evidence, before: 300 requests, each answer takes 1 ms, test_all_requests_that_the_end_of_the_grace_time_cuts_are_answered:

> assert answered == _MANY E assert 100 == 300

Change: `drain` waits until no request without a byte of an answer is left, at most 0.4 s, which leaves 0.1 s (`_EXIT_MARGIN_S`). Requests that begin meanwhile are answered too. Each request is interrupted once: interrupted again, it would lose the answer that it is about to send.

Why it works: the wait ends by the state of the connections, not by a guess of the time. Its limit is counted from the interruption, so that a late event loop still gets it whole; SIGKILL takes no answer back that was sent.

After: the test passes.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -87,6 +87,7 @@
         self._parser = request_parser.RequestParser(limits)
         self._bad_request: request_parser.BadRequestError | None = None
         self._serving: gevent.Greenlet | None = None
+        self._interrupted = False
         self._active_at = time.monotonic()
         self._shut_down = False
         self._requests_read = 0
@@ -106,19 +107,26 @@
         """Bytes written since the last request was read."""
         return self._response_bytes
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a request is served without any byte of an answer."""
+        return self._serving is not None and not self._response_bytes
+
     @contextlib.contextmanager
     def mark_busy(self) -> Iterator[None]:
         """Marks the connection as busy while the context is open."""
         self._serving = gevent.getcurrent()
+        self._interrupted = False
         try:
             yield
         finally:
             self._serving = None
             self._active_at = time.monotonic()
 
-    def interrupt_unanswered(self) -> None:
-        """Raises StoppedError where a request is served without any answer."""
-        if self._serving is not None and not self._response_bytes:
+    def interrupt(self) -> None:
+        """Raises StoppedError where a request is served, once for each."""
+        if self._serving is not None and not self._interrupted:
+            self._interrupted = True
             self._serving.kill(exception=StoppedError, block=False)
 
     def close_if_idle(self, *, for_s: float) -> None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -43,8 +43,9 @@
 # Requests still in flight this long before SIGKILL are aborted.
 _ABORT_MARGIN_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.05
-# Time for the answers to requests that the exit cuts.
-_LAST_ANSWERS_S = 0.1
+# The part of that margin that is left for the exit after the last answers.
+_EXIT_MARGIN_S = 0.1
+_ANSWER_POLL_INTERVAL_S = 0.01
 # Batches updates, since each store read has a cost; a leaving backend server
 # must be known within 2 s.
 _SERVER_BATCH_S = 0.4
@@ -217,11 +218,17 @@
             self._handler.close_idle(for_s=_MIN_IDLE_S)
             gevent.sleep(_DRAIN_POLL_INTERVAL_S)
         unfinished = self._handler.requests_in_flight
-        if unfinished:
-            self._handler.answer_unfinished()
-            gevent.sleep(_LAST_ANSWERS_S)
+        self._answer_unfinished()
         _LOG.info("stopped", extra={"unfinished": unfinished})
 
+    def _answer_unfinished(self) -> None:
+        """Waits until each request in flight has some byte of an answer."""
+        deadline = time.monotonic() + _ABORT_MARGIN_S - _EXIT_MARGIN_S
+        while self._handler.answer_unfinished():
+            gevent.sleep(_ANSWER_POLL_INTERVAL_S)
+            if time.monotonic() >= deadline:
+                return
+
     def _stop_listening(self) -> None:
         """Serves the connections that are in the queue, and refuses others.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -81,10 +81,16 @@
         for client in list(self._connections):
             client.close_if_idle(for_s=for_s)
 
-    def answer_unfinished(self) -> None:
-        """Answers the requests in flight that have no byte of a response."""
-        for client in list(self._connections):
-            client.interrupt_unanswered()
+    def answer_unfinished(self) -> bool:
+        """Answers the requests in flight that have no byte of a response.
+
+        Returns:
+            Whether there are any; their answers follow later.
+        """
+        unanswered = [c for c in self._connections if c.is_unanswered]
+        for client in unanswered:
+            client.interrupt()
+        return bool(unanswered)
 
     def serve_connection(self, sock: socket.socket, _address: object) -> None:
         """Serves a connection until it closes.
--- a/packages/dotterelgrade-front/tests/test_front.py
+++ b/packages/dotterelgrade-front/tests/test_front.py
@@ -1,5 +1,6 @@
 """Tests complete fronts in one process against a fake platform."""
 
+import contextlib
 import dataclasses
 import socket as std_socket
 import time
@@ -14,12 +15,16 @@
 from dotterelgrade import http_connection
 from dotterelgrade_front import front as front_lib
 from dotterelgrade_front import paced_election
+from dotterelgrade_front import request_handler
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import stall_actions
 
+# More answers than fit into any short fixed wait.
+_MANY = 300
+
 
 def _get(address, path):
     host, _, port = address.rpartition(":")
@@ -149,6 +154,64 @@
     backend.stop()
 
 
+def test_all_requests_that_the_end_of_the_grace_time_cuts_are_answered(
+    running, settings, platform, monkeypatch
+):
+    """The process exited after a fixed time, before the last answers."""
+    monkeypatch.setattr(front_lib, "_DEREGISTRATION_WAIT_S", 0.0)
+    # No limit on the answers is reached on a slow host.
+    monkeypatch.setattr(front_lib, "_ABORT_MARGIN_S", 30.0)
+    monkeypatch.setattr(
+        http_connection, "connect", lambda *_, **__: gevent.sleep(60)
+    )
+    send_interrupted = request_handler._send_interrupted
+
+    def send_slowly(*args, **options):
+        # Keeps the event loop busy, unlike a sleep of gevent.
+        time.sleep(0.001)
+        return send_interrupted(*args, **options)
+
+    monkeypatch.setattr(request_handler, "_send_interrupted", send_slowly)
+    platform.configurations.add("config", b"v1")
+    fakes.until(lambda: running.is_ready)
+    running._state.fleet.put(
+        backend_server.BackendServer(
+            id="s",
+            service="plain",
+            address="127.0.0.1:1",
+            failure_domain="a",
+            availability=backend_server.Availability.READY,
+            slots=1,
+        )
+    )
+    host, _, port = settings.callers_address.rpartition(":")
+    with contextlib.ExitStack() as stack:
+        callers = []
+        for _ in range(_MANY):
+            # Unlike a socket of gevent, it lets no other greenlet run.
+            sock = std_socket.create_connection((host, int(port)))
+            callers.append(stack.enter_context(sock))
+            sock.sendall(
+                b"GET /unsafe/x HTTP/1.1\r\nhost: shop.example\r\n"
+                b"key: secret\r\n\r\n"
+            )
+            gevent.sleep(0)
+        fakes.until(lambda: running._handler.requests_in_flight == _MANY)
+        running.reload(dataclasses.replace(settings, grace_s=30.1))
+        running.drain()
+        # The process exits here: what is sent later, no caller receives.
+        answered = sum(_has_received(sock) for sock in callers)
+    assert answered == _MANY
+
+
+def _has_received(sock):
+    sock.setblocking(False)
+    try:
+        return sock.recv(12) == b"HTTP/1.1 503"
+    except BlockingIOError:
+        return False
+
+
 @pytest.fixture
 def queued(running, settings, platform, monkeypatch):
     """A drain, and a connection in the accept queue when accepting ends."""
--- a/packages/dotterelgrade-front/tests/test_request_handler.py
+++ b/packages/dotterelgrade-front/tests/test_request_handler.py
@@ -2,8 +2,10 @@
 import time
 
 import front_fakes as fakes
+import gevent
 import pytest
 
+from dotterelgrade_front import request_handler
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import feed_timing
@@ -137,6 +139,23 @@
     assert (status, b'"unknown"' in body) == (500, True)
 
 
+def test_an_answer_to_a_cut_request_is_not_cut_itself(front, monkeypatch):
+    """The stop interrupted the request again before its answer was sent."""
+    front.add("s", fakes.silent)
+    send_interrupted = request_handler._send_interrupted
+
+    def send_late(*args, **options):
+        gevent.sleep(0.05)
+        return send_interrupted(*args, **options)
+
+    monkeypatch.setattr(request_handler, "_send_interrupted", send_late)
+    with front.send("/unsafe/x", method="POST", body=b"p") as sock:
+        fakes.until(lambda: front.handler.requests_in_flight)
+        while front.handler.answer_unfinished():
+            gevent.sleep(0.01)
+        assert fakes.read_response(sock)[0] in (502, 503)
+
+
 @pytest.mark.parametrize(
     ("weights", "status"),
     [
