Count an agent's work in flight where attempts open and close

What was seen: after a call with two attempts that ended together, one of the agents counted as busy for ever. Calls went to others first, and the agent was pinged and judged as one with work.

Cause: `call` took back the count of the attempts still open, and the loop that of each end it read. An end still in the queue when the call returned was neither.

Evidence, before: both agents answer before the caller's greenlet runs, test_an_answered_call_leaves_no_work_in_flight[2]:

E AssertionError: assert not +Counter({'two': 1, 'one': 0})

(The case [1], one answer and one open attempt, passed before.)

Change: `PendingCall` counts when it opens and closes an attempt, and `close` closes the rest at the end of the call.

Why it works: one map holds the open attempts, and each change of it changes the count, whoever reads the events.

After: both cases pass. Mutants entry-counts-an-ended-attempt and entry-counts-an-attempt-of-an-ended-call, found by test_service_calls.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/pending_call.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/pending_call.py
@@ -5,6 +5,7 @@
 answered, its connection ends or the call's time is over.
 """
 
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 
@@ -43,13 +44,21 @@
 class PendingCall:
     """The open attempts of one call, and what comes from them."""
 
-    def __init__(self, dumped: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        dumped: dict[str, Any],
+        *,
+        note_busy: Callable[[str, int], None],
+    ) -> None:
         """Initializes a call without attempts.
 
         Args:
             dumped: What a dump of the entry says of the call.
+            note_busy: Counts an attempt at the address of an agent, by 1 when
+                it is opened and -1 when it is closed.
         """
         self._dumped = dumped
+        self._note_busy = note_busy
         self._open: dict[agent_peer.AgentPeer, fleet_lib.Candidate] = {}
         self._tried: set[str] = set()
         self._events: queue.SimpleQueue = queue.SimpleQueue()
@@ -82,6 +91,7 @@
         """Opens an attempt."""
         self._tried.add(candidate[1].key)
         self._open[candidate[0]] = candidate
+        self._note_busy(candidate[0].address, 1)
 
     def end(
         self,
@@ -96,8 +106,15 @@
         """
         candidate = self._open.pop(peer, None)
         if candidate is not None:
+            self._note_busy(peer.address, -1)
             self._events.put(AttemptEnded(candidate=candidate, message=message))
 
+    def close(self) -> None:
+        """Closes the attempts that are still open, without an event."""
+        for peer in self._open:
+            self._note_busy(peer.address, -1)
+        self._open.clear()
+
     def wait(self, timeout_s: float) -> AttemptEnded | AttemptSilent | None:
         """Returns the next event, or None if there is none in time.
 
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/service_calls.py
@@ -104,15 +104,15 @@
                 "workspace": order.workspace,
                 "service": order.rule.name,
                 "keyed": bool(order.key),
-            }
+            },
+            note_busy=self._fleet.note_busy,
         )
         self._exchange.join(order.request_id, pending)
         try:
             return self._run(order, pending, ends_at)
         finally:
             self._exchange.leave(order.request_id)
-            for peer, _ in pending.open_attempts:
-                self._fleet.note_busy(peer.address, -1)
+            pending.close()
 
     def _run(
         self,
@@ -134,8 +134,6 @@
                 continue
             if news is None:
                 news = _out_of_time(pending)
-            else:
-                self._fleet.note_busy(news.candidate[0].address, -1)
             if isinstance(news.message, messages.CallReply):
                 return result.Success(news.message)
             error = _to_error(news.message)
@@ -162,7 +160,6 @@
             return
         peer, view = candidate
         pending.begin(candidate)
-        self._fleet.note_busy(peer.address, 1)
         left_s = ends_at - time.monotonic()
         if not peer.send(_to_frame(order, view.report.backend, left_s)):
             pending.end(
--- a/packages/dotterelgrade-entry/tests/test_service_calls.py
+++ b/packages/dotterelgrade-entry/tests/test_service_calls.py
@@ -1,4 +1,6 @@
+import collections
 import dataclasses
+import types
 import uuid
 
 import gevent
@@ -7,8 +9,12 @@
 import uuid6
 
 from dotterelgrade import frame_codec
+from dotterelgrade import journal
 from dotterelgrade import messages
 from dotterelgrade import rendezvous
+from dotterelgrade import rules
+from dotterelgrade_entry import service_calls
+from dotterelgrade_routing import retry_budget
 from dotterelgrade_standins import deposits
 
 DEPOSIT = {"account": "a1", "amount": 5}
@@ -350,3 +356,101 @@
     helpers.wait_until(lambda: cell.entry.is_ready)
     error = _deposit(cell).error
     assert (error["kind"], error["run"]) == ("no_capacity", "not_run")
+
+
+class _Peer:
+    """Takes frames, and answers nothing by itself."""
+
+    is_connected = True
+
+    def __init__(self, address):
+        self.address = address
+
+    def send(self, frame):
+        return True
+
+
+class _Fleet:
+    """Counts the work in flight at agents."""
+
+    def __init__(self, candidates):
+        self.busy = collections.Counter()
+        self._candidates = candidates
+
+    def note_busy(self, address, change):
+        self.busy[address] += change
+
+    def in_flight(self, address):
+        return self.busy[address]
+
+    def services(self, service):
+        return self._candidates
+
+
+class _Exchange:
+    """Holds the call in flight."""
+
+    pending = None
+
+    def join(self, request_id, pending):
+        self.pending = pending
+
+    def leave(self, request_id):
+        self.pending = None
+
+
+def _candidate(name):
+    report = messages.BackendReport(
+        backend=name, kind="service", service="order"
+    )
+    view = types.SimpleNamespace(key=name, report=report)
+    return _Peer(name), view
+
+
+def _get_order():
+    return service_calls.CallOrder(
+        request_id="r1",
+        workspace="w",
+        rule=rules.ServiceRule(name="order", to="order", repeat="safe"),
+        method="GET",
+        path="/",
+        headers={},
+        body=b"",
+    )
+
+
+def _answer(pending, count):
+    """Delivers the answers of some agents before any greenlet runs."""
+    for peer, view in pending.open_attempts[:count]:
+        answer = messages.CallReply(
+            request_id="r1",
+            status=200,
+            headers={},
+            body=b"done",
+            backend=view.report.backend,
+        )
+        pending.on_reply(peer, answer)
+
+
+@pytest.mark.parametrize("answers", [1, 2])
+def test_an_answered_call_leaves_no_work_in_flight(helpers, answers):
+    """The agent whose answer came second counted as busy for ever."""
+    fleet = _Fleet([_candidate("one"), _candidate("two")])
+    exchange = _Exchange()
+    calls = service_calls.ServiceCalls(
+        types.SimpleNamespace(call_timeout_s=5.0),
+        fleet=fleet,
+        exchange=exchange,
+        budget=retry_budget.RetryBudget(),
+        journal=journal.Journal(),
+    )
+    caller = gevent.spawn(calls.call, _get_order())
+    helpers.wait_until(lambda: exchange.pending and fleet.busy.total() == 1)
+    pending = exchange.pending
+    pending.on_lost(pending.open_attempts[0][0], "silent")
+    helpers.wait_until(lambda: fleet.busy.total() == 2)
+    _answer(pending, answers)
+    answer = caller.get(timeout=5).unwrap()
+    assert (answer.status, answer.body) == (200, b"done")
+    assert not +fleet.busy
+    assert not -fleet.busy
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
@@ -307,6 +307,23 @@
         new="        if not peer.was_dialed:",
         check=_CALLS_TEST,
     ),
+    mutant.Mutant(
+        name="entry-counts-an-ended-attempt",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_entry.pending_call",
+        old="            self._note_busy(peer.address, -1)\n"
+        "            self._events.put(",
+        new="            self._events.put(",
+        check=_CALLS_TEST,
+    ),
+    mutant.Mutant(
+        name="entry-counts-an-attempt-of-an-ended-call",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_entry.service_calls",
+        old="            pending.close()\n",
+        new="",
+        check=_CALLS_TEST,
+    ),
     mutant.Mutant(
         name="agent-own-result",
         promise=mutant.OWN_ANSWER,
