Let a fault in one attempt of a plain call leave the others

What callers saw: 502 for an idempotent call whose first server would have answered, since a fault of the front ended the attempt beside it.

Cause: an unexpected exception in an attempt's greenlet was raised again where the call waits, and ended all its attempts.

Evidence, before: the second attempt raises RuntimeError, the first answers later, test_a_fault_in_one_attempt_leaves_the_one_beside_it:

> assert (status, body) == (200, b"late") E assert (502, b'{"err...r_s": null}}') == (200, b'late')

Change: an attempt that ends so is logged with the request ID (`attempt failed`) and counts as failed: outcome unknown if the call was sent to its server, otherwise never sent. No server is blamed for it.

Ruled out: unknown in each case; a call that no server has would then be answered 502 instead of 503 `not_run`.

Why it works: a failed attempt is what the loop of the call is made for; it waits for the others, retries what may be repeated, and answers by what is known of all attempts.

Mutants fault-in-an-attempt-ends-the-call and fault-in-an-attempt-as-never-sent, found by test_plain_call.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import logging
 import time
 
 from returns import result
@@ -15,6 +16,8 @@
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import backend_server
 
+_LOG = logging.getLogger(__name__)
+
 _MAX_BODY_BYTES = 16_777_216
 _SERVER_ERROR = 500
 
@@ -103,6 +106,19 @@
             client_connection.CallerDisconnectedError,
         ) as error:
             return result.Failure(error)
+        except Exception:
+            # An attempt beside this one may still be answered.
+            _LOG.exception(
+                "attempt failed", extra={"request_id": self._call.request_id}
+            )
+            return result.Failure(self._fault())
+
+    def _fault(self) -> upstream.AttemptFailedError:
+        """Returns the failure by a fault of the front; no server is blamed."""
+        execution = attempt.ExecutionStatus.NEVER_SENT
+        if self.server_id in self._call.sent_to:
+            execution = attempt.ExecutionStatus.UNKNOWN
+        return upstream.AttemptFailedError(execution, "fault in the front")
 
     def _exchange(self) -> PlainResponse:
         state, call = self._state, self._call
--- a/packages/dotterelgrade-front/tests/test_plain_call.py
+++ b/packages/dotterelgrade-front/tests/test_plain_call.py
@@ -5,6 +5,8 @@
 import gevent
 import pytest
 
+from dotterelgrade import http_connection
+from dotterelgrade_front import upstream
 from dotterelgrade_routing import backend_server
 
 # Well below the timeout of the routes.
@@ -477,3 +479,51 @@
     gevent.sleep(0.5)
     assert not plain.arrivals
     assert not first.arrivals
+
+
+@pytest.fixture
+def failing_exchange(front, monkeypatch):
+    """Makes the second response that is read end in a fault of the front."""
+    read_response_head = upstream.read_response_head
+    reads = []
+
+    def read(call, connection, **options):
+        reads.append(connection)
+        is_second = len(reads) == 2
+        head = read_response_head(call, connection, **options)
+        if is_second:
+            raise RuntimeError("unexpected")
+        return head
+
+    monkeypatch.setattr(upstream, "read_response_head", read)
+
+
+def test_a_fault_in_one_attempt_leaves_the_one_beside_it(
+    front, failing_exchange, caplog
+):
+    """The caller got 502 though the first server would have answered."""
+    front.add("s1", _late(body=b"late"))
+    other = front.add("s2", fakes.responding(), failure_domain="b")
+    status, _, body = front.ask("/safe/x")
+    assert (status, body) == (200, b"late")
+    assert len(other.arrivals) == 1
+    assert [r.request_id for r in caplog.records if r.exc_info] == ["r1"]
+
+
+@pytest.mark.parametrize("reached", [True, False])
+def test_a_fault_in_the_only_attempt_is_answered_as_far_as_it_is_known(
+    front, monkeypatch, reached
+):
+    """A call that a server has may have run; one never sent has not."""
+    server = front.add("s", fakes.responding())
+    if reached:
+        monkeypatch.setattr(upstream, "read_response_head", None)
+    else:
+        monkeypatch.setattr(http_connection, "connect", None)
+    status, headers, body = front.ask("/unsafe/x", method="POST", body=b"x")
+    assert len(server.arrivals) <= reached
+    assert status == (502 if reached else 503)
+    assert (b'"unknown"' if reached else b'"not_run"') in body
+    assert (b"retry-after" in headers) is not reached
+    excluded = front.state.exclusions.excluded_ids(now=time.monotonic())
+    assert not excluded
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -626,6 +626,22 @@
         new="        hedges = bool(self._open)\n        self._open.clear()\n",
         check=_PLAIN_TEST,
     ),
+    mutant.Mutant(
+        name="fault-in-an-attempt-ends-the-call",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.plain_attempt",
+        old="            return result.Failure(self._fault())",
+        new="            raise",
+        check=_PLAIN_TEST,
+    ),
+    mutant.Mutant(
+        name="fault-in-an-attempt-as-never-sent",
+        promise=mutant.NOT_RUN,
+        module="dotterelgrade_front.plain_attempt",
+        old="        if self.server_id in self._call.sent_to:",
+        new="        if False:",
+        check=_PLAIN_TEST,
+    ),
     mutant.Mutant(
         name="server-error-dropped-for-its-retry",
         promise=mutant.OWN_ANSWER,
