Read a socket up to a deadline in one place

Change: http_connection.receive does it for both; its mutant moves with it. A passed deadline waits a millisecond on both sides now, as it did towards servers. No other behaviour changes. After: 273 tests of both connections, the pool, the handler, stalls and mutants pass; the mutant is found. The whole checks were not run again.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -295,23 +295,9 @@
 
     def _receive(self, deadline: float) -> bytes | None:
         """Returns received bytes, empty at the end, None at the deadline."""
-        self._sock.settimeout(max(0.0, deadline - time.monotonic()))
         try:
-            return self._sock.recv(_RECEIVE_BYTES)
-        except (TimeoutError, BlockingIOError):
-            return self._receive_pending()
-        except OSError:
-            return b""
-
-    def _receive_pending(self) -> bytes | None:
-        """Returns bytes that have arrived, None without any.
-
-        A busy event loop may run the timer before it reports the bytes.
-        """
-        self._sock.settimeout(0.0)
-        try:
-            return self._sock.recv(_RECEIVE_BYTES)
-        except BlockingIOError:
+            return http_connection.receive(self._sock, deadline=deadline)
+        except TimeoutError:
             return None
         except OSError:
             return b""
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
@@ -145,9 +145,9 @@
     mutant.Mutant(
         name="timeout-beside-unread-bytes",
         promise=mutant.OWN_ANSWER,
-        module="dotterelgrade_front.client_connection",
-        old="            return self._receive_pending()",
-        new="            return None",
+        module="dotterelgrade.http_connection",
+        old="        sock.settimeout(0.0)\n",
+        new="        raise\n",
         check=_CONNECTION_TEST,
     ),
     mutant.Mutant(
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -313,12 +313,9 @@
         return bytes(body)
 
     def _receive(self, deadline: float) -> int:
-        self._sock.settimeout(
-            max(deadline - time.monotonic(), _MIN_SOCKET_TIMEOUT_S)
-        )
         try:
-            data = self._receive_until_timeout()
-        except (TimeoutError, BlockingIOError) as error:
+            data = receive(self._sock, deadline=deadline)
+        except TimeoutError as error:
             raise ResponseTimeoutError(
                 f"{self._address}: response timed out"
             ) from error
@@ -343,20 +340,6 @@
             self._response.extra_bytes = True
         return len(data)
 
-    def _receive_until_timeout(self) -> bytes:
-        """Returns received bytes, empty at the end of the stream.
-
-        Raises:
-            TimeoutError, BlockingIOError: Nothing arrived in time.
-            OSError: The connection failed.
-        """
-        try:
-            return self._sock.recv(_RECEIVE_BYTES)
-        except TimeoutError:
-            # A busy event loop may run the timer before it reports the bytes.
-            self._sock.settimeout(0.0)
-            return self._sock.recv(_RECEIVE_BYTES)
-
     def _nothing_to_read(self) -> bool:
         """Returns whether neither bytes nor the end of stream are pending."""
         self._sock.settimeout(0.0)
@@ -412,6 +395,29 @@
     return HttpConnection(sock, address=address)
 
 
+def receive(sock: socket.socket, *, deadline: float) -> bytes:
+    """Returns received bytes, empty at the end of the stream.
+
+    Args:
+        sock: A connected socket.
+        deadline: Monotonic time at which to give up, s.
+
+    Raises:
+        TimeoutError: Nothing had arrived at the deadline.
+        OSError: The connection failed.
+    """
+    sock.settimeout(max(deadline - time.monotonic(), _MIN_SOCKET_TIMEOUT_S))
+    try:
+        return sock.recv(_RECEIVE_BYTES)
+    except TimeoutError:
+        # A busy event loop may run the timer before it reports the bytes.
+        sock.settimeout(0.0)
+    try:
+        return sock.recv(_RECEIVE_BYTES)
+    except BlockingIOError as error:
+        raise TimeoutError("nothing received") from error
+
+
 def enable_keepalive(sock: socket.socket) -> None:
     """Makes the kernel close the connection when the peer is dead."""
     tcp = socket.IPPROTO_TCP
