Name in failed attempts what their requests may have in common

Cause: try_failed names the server and the bytes of the whole stream, never the request's segments nor what this attempt itself had received.

Change: the platform's header with the segments of a prompt is read into RequestMetadata (all its occurrences, odd ones included). A call has fingerprints of fixed length for them, or one of the whole request if it names none. try_failed carries them, and received, the events of this attempt.

Ruled out: logging the segments themselves; callers choose them, of any length.

No decision changes.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -78,6 +78,8 @@
             faulty_address=failed.faulty_address,
             known=failed.execution.name,
             events=self._output.pace.events,
+            received=attempt.received,
+            fingerprints=call.fingerprints,
             left_s=round(call.remaining_s, 3),
         )
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -3,9 +3,11 @@
 import collections
 from collections.abc import Collection
 import dataclasses
+import functools
 import time
 
 from dotterelgrade import errors
+from dotterelgrade import fingerprint
 from dotterelgrade import http_message
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import configuration
@@ -60,6 +62,24 @@
         """ID of the request, as given by the caller."""
         return self.facts.request_id
 
+    @functools.cached_property
+    def fingerprints(self) -> tuple[str, ...]:
+        """What it may have in common with others.
+
+        These are the segments of its prompt, or the whole request if it names
+        none.
+        """
+        if self.facts.prompt_segments:
+            return fingerprint.of_segments(
+                self.service.name, self.facts.prompt_segments
+            )
+        return fingerprint.of_request(
+            self.service.name,
+            method=self.request.method,
+            target=self.request.target,
+            body=self.request.body,
+        )
+
     @property
     def remaining_s(self) -> float:
         """Time until the deadline, s."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -323,6 +323,7 @@
             request_id=call.request_id,
             server=ended.server_id,
             known=failed.execution.name,
+            fingerprints=call.fingerprints,
             left_s=round(call.remaining_s, 3),
         )
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
@@ -53,6 +53,7 @@
         self._splitter = event_stream.EventSplitter()
         self._connection: http_connection.HttpConnection | None = None
         self._head: http_message.ResponseHead | None = None
+        self._received = 0
 
     def __repr__(self) -> str:
         """Shows the request and the first backend server."""
@@ -86,6 +87,11 @@
         """The events passed on and those that it has received."""
         return self._sequence
 
+    @property
+    def received(self) -> int:
+        """Number of events that this attempt has received."""
+        return self._received
+
     @property
     def server_failed(self) -> bool:
         """Whether the response is an error of the backend server itself."""
@@ -198,6 +204,7 @@
         if piece:
             events = self._splitter.feed(piece)
             self._sequence.add(events)
+            self._received += len(events.ids)
             return events
         if self._splitter.partial:
             raise upstream.AttemptFailedError(
--- a/packages/dotterelgrade-front/tests/adapter/test_headers.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_headers.py
@@ -168,3 +168,20 @@
         status=503, headers=[(b"at-server", b"10.0.0.2:80")]
     )
     assert facts.faulty_address == "10.0.0.2:80"
+
+
+@pytest.mark.parametrize(
+    ("values", "segments"),
+    [
+        ([], ()),
+        ([b""], ()),
+        ([b"5C1e:800, 91bd:410 ,e4402b7d:250"], ("5c1e", "91bd", "e4402b7d")),
+        ([b"a", b"b:1"], ("a", "b")),
+        ([b":12,,x:y:z"], ("x",)),
+        ([b"\xff\x00:1"], ("\xff\x00",)),
+        ([b"a" * 10_000 + b":1"], ("a" * 10_000,)),
+    ],
+)
+def test_segments_of_a_prompt_are_read(values, segments):
+    rows = [(headers.PROMPT_PREFIX, value) for value in values]
+    assert headers.read_request(rows).prompt_segments == segments
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -24,6 +24,9 @@
             max_answer_tokens=10,
             expected_answer_tokens=None,
             last_event_id=found.get(b"after", b"").decode(),
+            prompt_segments=tuple(
+                filter(None, found.get(b"segments", b"").decode().split(","))
+            ),
         )
 
     def write_request(self, headers, orders):
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/request_metadata.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/request_metadata.py
@@ -17,6 +17,8 @@
         max_answer_tokens: Maximum tokens of the answer.
         expected_answer_tokens: The caller's estimate, or None.
         last_event_id: The event after which a stream resumes, or empty.
+        prompt_segments: Identifiers of the segments of the prompt, in order;
+            requests share them, but mostly not the last one.
     """
 
     request_id: str
@@ -26,6 +28,7 @@
     max_answer_tokens: float
     expected_answer_tokens: float | None
     last_event_id: str
+    prompt_segments: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
