Hold back requests under which backend servers crash, at one front

Cause: a failure was put down to the server that showed it, never to what was asked. Nothing read the segments, so each request that repeated the cause was new. Ruled out: second attempts alone, since max_attempts bounds one request and no two were alike; the server's exclusion, which is right and no help, as the next server is sound until it is asked.

Two crashes: one request at a time, no second attempt. Three that are at least half of all crashes, or five: refused at once with 503, not run, and the time of the next probe. A request is not refused for a segment if another one in quarantine, which it lacks, accounts for the same crashes. What was served within 30 s is never counted against. Begun streams go on under a mere suspicion. An answer without framing that ends with no event, or within one, counts as a crash too. try_failed, request_suspected, request_quarantined, request_held_back, request_released and two metrics tell it.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -4,6 +4,7 @@
 
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import front_state
+from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import stream_attempt
 from dotterelgrade_front import stream_output
 from dotterelgrade_front import stream_repair
@@ -34,6 +35,7 @@
         self._call = call
         self._repair = repair
         self._output = output
+        self._proven = False
 
     def __repr__(self) -> str:
         """Shows the number of failed attempts."""
@@ -70,6 +72,13 @@
                 reason=str(failed),
                 firm=failed.execution is statuses.NEVER_SENT,
             )
+        if failed.connection_lost:
+            self._state.quarantine.note_crash(
+                call,
+                attempt.incarnation,
+                began_at=attempt.began_at,
+                proven=attempt.received >= request_quarantine.PROOF_EVENTS,
+            )
         self._state.decisions.record(
             "try_failed",
             reason=str(failed),
@@ -90,6 +99,17 @@
         """
         self._count(attempt_lib.ExecutionStatus.UNKNOWN)
 
+    def note_progress(self, attempt: stream_attempt.StreamAttempt) -> None:
+        """Records that an attempt has received further events.
+
+        Args:
+            attempt: The attempt.
+        """
+        proven = attempt.received >= request_quarantine.PROOF_EVENTS
+        if proven and not self._proven:
+            self._proven = True
+            self._state.quarantine.note_served(self._call)
+
     def note_success(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Records the attempt that completed the response.
 
@@ -101,6 +121,7 @@
             self._state.exclusions.note_success(
                 stage.server_id, now=now, began_at=attempt.began_at
             )
+        self._state.quarantine.note_served(self._call)
         self._state.metrics.count_attempt("answered")
         pace, route = self._output.pace, self._call.route
         self._state.decisions.record(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -107,6 +107,12 @@
         used = self.sent_to.union(pending)
         return server_id in used or len(used) < self.route.max_attempts
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a failed attempt may have run."""
+        execution = attempt.combined(self.attempts)
+        return execution > attempt.ExecutionStatus.REFUSED
+
     def may_retry(self) -> bool:
         """Returns whether another attempt is safe after the failed ones."""
         return attempt.may_retry(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -27,6 +27,15 @@
             "front_delayed_snapshots",
             "Snapshots left out since the connection had not taken the last.",
         )
+        self._refused_suspects = self._metrics.counter(
+            "front_quarantine_refusals",
+            "Requests refused for crashes under others like them, by level.",
+            ("level",),
+        )
+        self._quarantined = self._metrics.gauge(
+            "front_quarantined_fingerprints",
+            "Fingerprints of which requests are refused.",
+        )
         self._in_flight = self._metrics.gauge(
             "front_requests_in_flight", "Requests that are worked on."
         )
@@ -76,6 +85,14 @@
         """Counts a notice of a backend server that it is draining or full."""
         self._notices.labels(notice).inc()
 
+    def count_quarantined(self, level: str) -> None:
+        """Counts a request refused for crashes under others like it."""
+        self._refused_suspects.labels(level).inc()
+
+    def set_quarantined(self, fingerprints: int) -> None:
+        """Sets the number of fingerprints in quarantine."""
+        self._quarantined.set(fingerprints)
+
     def set_in_flight(self, requests: int) -> None:
         """Sets the number of requests in flight."""
         self._in_flight.set(requests)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from dotterelgrade import addresses
+from dotterelgrade import quarantine_policies
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import relay_encoding as relay_encoding_lib
@@ -45,6 +46,7 @@
         placement: Name of the placement policy.
         silence_bound: How long a queried stage may stay silent.
         relay_encoding: How the planner encodes records for the other fronts.
+        quarantine: When requests are refused for crashes under others.
     """
 
     node: str
@@ -65,12 +67,14 @@
     placement: str = "balanced"
     silence_bound: str = "observed"
     relay_encoding: str = "delta"
+    quarantine: str = "share"
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
         placement_policies.POLICIES.make(self.placement)
         relay_encoding_lib.ENCODINGS.make(self.relay_encoding)
         silence_bounds.BOUNDS.make(self.silence_bound)
+        quarantine_policies.POLICIES.make(self.quarantine)
         for address in (self.callers_address, self.ready_address):
             addresses.validate(address)
         self._check_numbers()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -7,10 +7,12 @@
 
 from dotterelgrade import decision_log
 from dotterelgrade import journal
+from dotterelgrade import quarantine as quarantine_lib
 from dotterelgrade_front import chain_directory
 from dotterelgrade_front import front_metrics
 from dotterelgrade_front import front_settings
 from dotterelgrade_front import paced_election
+from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import server_notices
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration as configuration_lib
@@ -98,6 +100,11 @@
             decisions=self._decisions,
             metrics=self._metrics,
         )
+        self._quarantine = request_quarantine.RequestQuarantine(
+            quarantine_lib.Quarantine(policy=settings.quarantine),
+            decisions=self._decisions,
+            metrics=self._metrics,
+        )
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._links: dict[str, link_budget.LinkBudget] = {}
         self._fronts: tuple[str, ...] = ()
@@ -142,6 +149,11 @@
         """Leaving and full notices from backend servers."""
         return self._notices
 
+    @property
+    def quarantine(self) -> request_quarantine.RequestQuarantine:
+        """Which requests are refused since servers crashed under them."""
+        return self._quarantine
+
     @property
     def load(self) -> reservations.Reservations:
         """Memory reserved by requests in flight."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -199,6 +199,7 @@
         while events is not None:
             if self._output.forward(attempt, events):
                 guard.note_progress()
+                self._attempts.note_progress(attempt)
             events = guard.run(attempt.read_events)
         self._output.finish(attempt)
         self._attempts.note_success(attempt)
@@ -210,6 +211,7 @@
         if attempt.server_failed and self._may_do_better:
             raise attempt.error_as_failure()
         body = attempt.read_error_body()
+        self._state.quarantine.note_served(self._call)
         self._output.send_error_response(attempt.head, body)
         return f"answered_{attempt.head.status // 100}xx"
 
@@ -237,6 +239,10 @@
             return False
         if call.refusals >= _MAX_REFUSALS and not self._output.begun:
             return False
+        if call.may_have_run and not self._state.quarantine.may_repeat(
+            call, begun=self._output.begun
+        ):
+            return False
         return self._output.sequence.resumable and self._can_pay_for_retry
 
     @property
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
@@ -9,6 +9,7 @@
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
+from dotterelgrade import suspect_state
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
 from dotterelgrade_front import front_state
@@ -80,6 +81,13 @@
         """ID of the backend server."""
         return self._server.id
 
+    @property
+    def incarnation(self) -> suspect_state.Incarnation:
+        """The backend server, as it was when the attempt began."""
+        return suspect_state.Incarnation(
+            server_id=self._server.id, started_ms=self._server.started_ms
+        )
+
     @property
     def started_at(self) -> float:
         """Monotonic time of the start, s."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -188,6 +188,9 @@
         call = self._call
         if not call.may_retry():
             return False
+        repeats = bool(self._open) or call.may_have_run
+        if repeats and not self._state.quarantine.may_repeat(call):
+            return False
         if self._server_error is not None:
             return call.remaining_s > call.route.objective_s / 2
         return call.remaining_s > 0
@@ -277,6 +280,7 @@
             self._record_failure(ended, error)
             return None
         response = outcome.unwrap()
+        self._state.quarantine.note_served(self._call)
         if response.is_server_error and self._call.route.idempotent:
             self._server_error = response
             self._record_failure(
@@ -315,6 +319,13 @@
             call.unreachable.add(ended.server_id)
             self._free_sends += 1
         state.metrics.count_attempt(failed.execution.name.lower())
+        if failed.connection_lost:
+            state.quarantine.note_crash(
+                call,
+                ended.incarnation,
+                began_at=ended.started_at,
+                proven=False,
+            )
         if failed.faulty_address:
             state.note_failure(ended.server_id, reason=str(failed))
         state.decisions.record(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -15,6 +15,7 @@
 from dotterelgrade_front import model_stream
 from dotterelgrade_front import plain_call
 from dotterelgrade_front import request_parser
+from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import responses
 from dotterelgrade_front import stall_detector
 from dotterelgrade_routing import configuration
@@ -168,7 +169,8 @@
             facts = self._state.platform.headers.read_request(request.headers)
             request_id = facts.request_id
             call = self._admit_call(request, facts, received_at)
-            outcome = self._dispatch(client, call, close=close)
+            with self._state.quarantine.admitted(call):
+                outcome = self._dispatch(client, call, close=close)
         except client_connection.CallerDisconnectedError:
             outcome = "caller_gone"
             raise
@@ -177,6 +179,11 @@
             raise
         except client_connection.StoppedError:
             outcome = _send_interrupted(client, call, request_id=request_id)
+        except request_quarantine.QuarantinedError as refused:
+            outcome = refused.error.kind.value
+            responses.send_error(
+                client, refused.error, request_id=request_id, close=close
+            )
         except _RejectedError as rejected:
             outcome = rejected.error.kind.value
             self._record_rejection(request, facts, rejected.error)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
@@ -120,6 +120,10 @@
         """
         if not self._output.sequence.resumable:
             return False
+        if not self._state.quarantine.may_repeat(
+            self._call, begun=self._output.begun
+        ):
+            return False
         decision = self._admissions.admit(
             begun=self._output.begun,
             is_retry=True,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
@@ -8,6 +8,7 @@
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
+from dotterelgrade import suspect_state
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import event_sequence
 from dotterelgrade_front import event_stream
@@ -50,10 +51,12 @@
         self._sequence = copy.copy(sequence)
         self._began_at = time.monotonic()
         self._first_at_server = chain.first.server_id not in call.sent_to
+        self._incarnation = _incarnation(state, chain.first.server_id)
         self._splitter = event_stream.EventSplitter()
         self._connection: http_connection.HttpConnection | None = None
         self._head: http_message.ResponseHead | None = None
         self._received = 0
+        self._cut_off = False
 
     def __repr__(self) -> str:
         """Shows the request and the first backend server."""
@@ -92,6 +95,11 @@
         """Number of events that this attempt has received."""
         return self._received
 
+    @property
+    def incarnation(self) -> suspect_state.Incarnation:
+        """The first backend server, as it was when the attempt began."""
+        return self._incarnation
+
     @property
     def server_failed(self) -> bool:
         """Whether the response is an error of the backend server itself."""
@@ -152,6 +160,7 @@
                 attempt.ExecutionStatus.UNKNOWN,
                 str(error),
                 faulty_address=first.address,
+                connection_lost=self._cut_off,
             ) from error
         finally:
             open_at[first.server_id] -= 1
@@ -206,11 +215,16 @@
             self._sequence.add(events)
             self._received += len(events.ids)
             return events
+        # The end of its connection may be the end of such a response, or of
+        # the server.
+        self._cut_off = not self._connection.response_delimited
         if self._splitter.partial:
             raise upstream.AttemptFailedError(
-                attempt.ExecutionStatus.UNKNOWN, "stream ended within an event"
+                attempt.ExecutionStatus.UNKNOWN,
+                "stream ended within an event",
+                connection_lost=self._cut_off,
             )
-        self._sequence.end(delimited=self._connection.response_delimited)
+        self._sequence.end(delimited=not self._cut_off)
         return None
 
     def error_as_failure(self) -> upstream.AttemptFailedError:
@@ -231,3 +245,13 @@
         return self._connection.read_body(
             deadline=self._call.deadline, max_body_bytes=_MAX_BODY_BYTES
         )
+
+
+def _incarnation(
+    state: front_state.FrontState, server_id: str
+) -> suspect_state.Incarnation:
+    server = state.fleet.get(server_id)
+    return suspect_state.Incarnation(
+        server_id=server_id,
+        started_ms=0 if server is None else server.started_ms,
+    )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -36,6 +36,7 @@
         reason: str,
         *,
         faulty_address: str = "",
+        connection_lost: bool = False,
     ) -> None:
         """Initializes the exception.
 
@@ -43,10 +44,13 @@
             execution: Whether the request was sent, refused or run there.
             reason: The failure, in one clause.
             faulty_address: Address of the backend server at fault, if known.
+            connection_lost: Whether its connection ended, as it does when the
+                backend server crashes.
         """
         super().__init__(reason)
         self._execution = execution
         self._faulty_address = faulty_address
+        self._connection_lost = connection_lost
 
     @property
     def execution(self) -> attempt.ExecutionStatus:
@@ -58,6 +62,11 @@
         """Address of the backend server at fault, or empty."""
         return self._faulty_address
 
+    @property
+    def connection_lost(self) -> bool:
+        """Whether its connection ended before the response."""
+        return self._connection_lost
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Target:
@@ -133,6 +142,9 @@
             attempt.ExecutionStatus.UNKNOWN,
             str(error),
             faulty_address=target.address,
+            connection_lost=isinstance(
+                error, http_connection.LostConnectionError
+            ),
         ) from error
     finally:
         connection.close()
--- a/packages/dotterelgrade-front/tests/test_crashing_prompt.py
+++ b/packages/dotterelgrade-front/tests/test_crashing_prompt.py
@@ -4,6 +4,8 @@
 requests are alike, and sound ones share their caller and the other segments.
 """
 
+import dataclasses
+
 import crash_fakes
 import front_fakes as fakes
 import gevent
@@ -91,16 +93,19 @@
     answers = [_ask_bad(front, number) for number in range(_REQUESTS)]
     assert {status for status, _, _ in answers[-5:]} == {503}
     assert all(
-        float(headers[b"Retry-After"]) >= 1 for _, headers, _ in answers[-5:]
+        float(headers[b"retry-after"]) >= 1 for _, headers, _ in answers[-5:]
     )
 
 
 def test_a_call_that_ends_plain_servers_is_not_repeated_for_ever(front):
-    """Its caller sends the same again and again."""
+    """Its caller sends the same again and again, and the servers restart."""
     servers = [front.add(f"p{n}", fakes.resetting) for n in range(6)]
     for number in range(_REQUESTS):
         front.ask("/safe/x", method="POST", body=b"p", request_id=f"r{number}")
         for server in front.state.fleet.servers:
+            front.state.fleet.put(
+                dataclasses.replace(server, started_ms=number + 1)
+            )
             front.state.exclusions.reset(server.id)
     arrivals = sum(len(server.arrivals) for server in servers)
     assert arrivals <= 5 + crash_fakes.MOST_AFTER_THE_FIFTH
--- a/packages/dotterelgrade-front/tests/test_crashing_prompt_fleet.py
+++ b/packages/dotterelgrade-front/tests/test_crashing_prompt_fleet.py
@@ -19,11 +19,13 @@
 from dotterelgrade_front import front as front_lib
 
 _FRONTS = 4
+_PLANNER = 0
 # From then on the users' rule counts arrivals, s after the fifth crash.
 _STABILITY_S = 3.0
-_RULE_OBSERVED_S = 2.0
-_PAUSE_S = 0.05
+_ROUNDS = 4
+_PAUSE_S = 0.02
 _DOWN_S = 0.3
+_REFUSED = 503
 
 
 class Fleet:
@@ -103,18 +105,25 @@
             sock.sendall(rows.encode())
             return fakes.read_response(sock)[0]
 
-    def ask_bad(self):
-        """Sends one bad request to each front."""
-        for number in list(self._fronts):
-            segments = crash_fakes.bad_segments(next(self._numbers))
-            self.ask(number, segments)
-
-    def ask_bad_until_the_rule_is_observed(self):
-        """Goes on asking while the rule counts arrivals, or nothing ends."""
-        until = time.monotonic() + _STABILITY_S + _RULE_OBSERVED_S
-        while time.monotonic() < until:
-            self.ask_bad()
+    def ask_bad(self, number):
+        """Sends a bad request to a front; returns the status, or None."""
+        return self.ask(number, crash_fakes.bad_segments(next(self._numbers)))
+
+    def teach(self, number):
+        """Sends bad requests to one front until it refuses them."""
+        with gevent.Timeout(fakes.WAIT_S):
+            while self.ask_bad(number) != _REFUSED:
+                gevent.sleep(_PAUSE_S)
+
+    def check_that_all_know(self):
+        """Asks at all fronts once the rule counts arrivals."""
+        gevent.sleep(_STABILITY_S)
+        asked_at = time.monotonic()
+        for number in list(self._fronts) * _ROUNDS:
+            self.ask_bad(number)
             gevent.sleep(_PAUSE_S)
+        arrivals = sum(at > asked_at for at in self.engines.bad_arrivals)
+        assert arrivals <= crash_fakes.MOST_AFTER_THE_FIFTH
 
 
 @pytest.fixture
@@ -127,19 +136,24 @@
     made.stop()
 
 
-def _check_the_rule(fleet):
-    assert fleet.engines.crashes >= 1
-    arrivals = fleet.engines.arrivals_after_the_fifth(later_s=_STABILITY_S)
-    assert arrivals <= crash_fakes.MOST_AFTER_THE_FIFTH
+def test_what_one_front_learns_of_a_bad_prompt_reaches_the_others(fleet):
+    fleet.teach(1)
+    fleet.check_that_all_know()
 
 
-def test_what_one_front_learns_of_a_bad_prompt_reaches_the_others(fleet):
-    fleet.ask_bad_until_the_rule_is_observed()
-    _check_the_rule(fleet)
+def test_fronts_that_see_one_crash_each_know_a_bad_prompt_together(fleet):
+    for number in range(_FRONTS):
+        fleet.ask_bad(number)
+    fleet.check_that_all_know()
+
+
+def test_a_bad_prompt_is_known_though_the_planner_is_lost(fleet):
+    fleet.teach(1)
+    fleet.kill(_PLANNER)
+    fleet.check_that_all_know()
 
 
-def test_a_bad_prompt_is_known_while_the_planner_is_lost(fleet):
-    fleet.ask(1, crash_fakes.bad_segments(1))
-    fleet.kill(0)
-    fleet.ask_bad_until_the_rule_is_observed()
-    _check_the_rule(fleet)
+def test_a_bad_prompt_is_known_though_the_planner_was_lost_before(fleet):
+    fleet.kill(_PLANNER)
+    fleet.teach(1)
+    fleet.check_that_all_know()
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_request_quarantine.py
@@ -0,0 +1,166 @@
+import dataclasses
+
+import front_fakes as fakes
+import gevent
+import pytest
+import stream_fakes as streams
+
+from dotterelgrade import fingerprint
+from dotterelgrade import suspect_state
+
+_SERVERS = 8
+
+
+def _ask(front, segments, *, path="stream", number=1):
+    return front.ask(
+        f"/{path}/x",
+        method="POST",
+        body=b"p",
+        segments=segments,
+        request_id=f"r{number}",
+    )
+
+
+def _add_engines(front, *scripts):
+    backends = [
+        front.add(f"m{n}", *scripts, service="model", layers=(0, 8))
+        for n in range(_SERVERS)
+    ]
+    streams.add_reports(front)
+    return backends
+
+
+def _restart_all(front):
+    """Lists all servers as new processes."""
+    for server in front.state.fleet.servers:
+        front.state.fleet.put(
+            dataclasses.replace(server, started_ms=server.started_ms + 1)
+        )
+        front.state.exclusions.reset(server.id)
+
+
+def _arrivals(backends):
+    return sum(len(backend.arrivals) for backend in backends)
+
+
+def _suspect(front, segments):
+    """Lets two servers crash under a request."""
+    assert _ask(front, segments)[0] == 502
+    _restart_all(front)
+
+
+def test_a_suspected_request_is_sent_only_once(front):
+    backends = _add_engines(front, fakes.resetting)
+    _suspect(front, "bad,1")
+    assert _arrivals(backends) == 2
+    assert _ask(front, "bad,2")[0] == 502
+    assert _arrivals(backends) == 3
+
+
+def test_suspected_requests_are_sent_one_at_a_time(front):
+    released = gevent.event.Event()
+
+    def slow(sock, arrival):
+        released.wait(fakes.WAIT_S)
+        fakes.streaming(1, 9)(sock, arrival)
+
+    backends = _add_engines(front, fakes.resetting, slow)
+    for number in range(_SERVERS):
+        # Two of them crash; the others are slow from their first request on.
+        backends[number].scripts[:] = [fakes.resetting, slow]
+    _suspect(front, "bad,1")
+    for backend in backends:
+        backend.scripts[:] = [slow]
+    first = gevent.spawn(_ask, front, "bad,2", number=2)
+    fakes.until(lambda: _arrivals(backends) == 3)
+    status, headers, _ = _ask(front, "bad,3", number=3)
+    assert (status, float(headers[b"retry-after"])) == (503, 0.5)
+    assert _arrivals(backends) == 3
+    released.set()
+    assert first.get()[0] == 200
+    # It was served, so that nothing speaks against it any longer.
+    assert _ask(front, "bad,4", number=4)[0] == 200
+
+
+def test_a_refused_request_names_the_crashes_that_led_there(front):
+    _add_engines(front, fakes.resetting)
+    for number in range(6):
+        _ask(front, f"bad,{number}", number=number)
+        _restart_all(front)
+    status, _, body = _ask(front, "bad,9", number=9)
+    assert status == 503
+    assert b'"kind":"quarantined"' in body.replace(b" ", b"")
+    row = streams.decisions(front, "request_held_back")[-1]
+    assert row.request_id == "r9"
+    assert len(row.details["crashes"]) >= 3
+    assert "under r" in row.details["crashes"][0]
+
+
+def test_what_is_known_of_a_fingerprint_is_recorded_as_it_changes(front):
+    _add_engines(front, fakes.resetting)
+    for number in range(6):
+        _ask(front, f"bad,{number}", number=number)
+        _restart_all(front)
+    (bad,) = fingerprint.of_segments("model", ["bad"])
+    for name in ("request_suspected", "request_quarantined"):
+        rows = streams.decisions(front, name)
+        assert [r.details["fingerprint"] for r in rows].count(bad) == 1
+    assert (
+        b"front_quarantined_fingerprints 1.0" in front.state.metrics.as_text()
+    )
+
+
+def test_a_begun_stream_goes_on_though_it_is_suspected(front):
+    """Engines break it off one after another, each after some events."""
+    cut = fakes.streaming(1, 2, end=False)
+    again = streams.resuming(fakes.resetting, last=12)
+    streams.add_chains(front, [cut], [again])
+    front.add("c1", again, service="model", layers=(0, 8))
+    shared = fingerprint.of_segments("model", ["shared"])
+    quarantine = front.state.quarantine.quarantine
+    quarantine.note_crash(
+        suspect_state.Incarnation(server_id="x", started_ms=1),
+        shared,
+        began_at=0.0,
+        request_id="r0",
+    )
+    status, _, body = _ask(front, "shared,own")
+    assert streams.decisions(front, "request_suspected")
+    assert (status, body) == (200, streams.events(1, 12))
+
+
+def test_a_served_prompt_is_not_suspected_when_servers_crash(front):
+    backends = _add_engines(front, fakes.streaming(1, 9))
+    assert _ask(front, "shared,1")[0] == 200
+    for backend in backends:
+        backend.scripts[:] = [fakes.resetting]
+    for number in range(2, 8):
+        assert _ask(front, f"shared,{number}", number=number)[0] == 502
+        _restart_all(front)
+    for backend in backends:
+        backend.scripts[:] = [fakes.streaming(1, 9)]
+    assert _ask(front, "shared,9", number=9)[0] == 200
+
+
+def test_a_stream_that_broke_off_late_speaks_against_no_prompt(front):
+    """Its server has shown that it can answer."""
+    cut = fakes.streaming(1, 9, end=False)
+    _add_engines(front, cut)
+    for number in range(6):
+        _ask(front, f"long,{number}", path="once", number=number)
+        _restart_all(front)
+    assert not front.state.quarantine.quarantine.suspects
+
+
+@pytest.mark.parametrize("path", ["stream", "once"])
+def test_an_answer_without_framing_that_ends_empty_is_a_crash(front, path):
+    def cut(sock, arrival):
+        del arrival
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nseal: 1\r\nrequest-id: r1\r\n"
+            b"content-type: text/event-stream\r\n\r\n"
+        )
+
+    _add_engines(front, cut)
+    _ask(front, "bad,1", path=path)
+    assert front.state.quarantine.quarantine.suspects
--- a/packages/dotterelgrade/src/dotterelgrade/error_page.py
+++ b/packages/dotterelgrade/src/dotterelgrade/error_page.py
@@ -59,6 +59,12 @@
         "No backend server has free capacity.",
         "Retry after `retry_after_s`.",
     ),
+    _KIND.QUARANTINED: (
+        "Backend servers crashed under requests that share a segment of their "
+        "prompt with this one, or equal it.",
+        "Do not repeat it before `retry_after_s`; change the prompt, or ask "
+        "the operators.",
+    ),
     _KIND.LEAVING: (
         "The process is shutting down and accepts no new requests.",
         "Retry; another process accepts the request.",
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -38,6 +38,10 @@
     """The connection failed, or the response was incomplete or invalid."""
 
 
+class LostConnectionError(BrokenConnectionError):
+    """The peer ended or reset the connection, as it does when it crashes."""
+
+
 class ResponseTimeoutError(Exception):
     """The peer sent nothing within the time limit."""
 
@@ -240,6 +244,8 @@
         self._sock.settimeout(max(timeout_s, _MIN_SOCKET_TIMEOUT_S))
         try:
             self._sock.sendall(head + body)
+        except ConnectionError as error:
+            raise LostConnectionError(f"{self._address}: {error}") from error
         except OSError as error:
             raise BrokenConnectionError(f"{self._address}: {error}") from error
 
@@ -319,6 +325,8 @@
             raise ResponseTimeoutError(
                 f"{self._address}: response timed out"
             ) from error
+        except ConnectionError as error:
+            raise LostConnectionError(f"{self._address}: {error}") from error
         except OSError as error:
             raise BrokenConnectionError(f"{self._address}: {error}") from error
         if not data:
@@ -356,7 +364,7 @@
         if response.head is not None and not response.known_end:
             response.complete = True
         if not response.complete:
-            raise BrokenConnectionError(
+            raise LostConnectionError(
                 f"{self._address}: closed before the response ended"
             )
 
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine_policies.py
@@ -0,0 +1,74 @@
+"""When the crashes under one fingerprint mean that it is at fault.
+
+Load patterns: each server that begins to answer a certain prompt crashes; or a
+rack, a failure domain or a release fails, and takes along whatever runs there.
+In the first the fingerprint is there each time, in the second it is not.
+"""
+
+import dataclasses
+from typing import Protocol
+
+from dotterelgrade import registry
+
+# With as many crashes it is quarantined whatever else crashed meanwhile.
+CERTAIN_CRASHES = 5
+# With as many if it was there in most crashes since its first one.
+LIKELY_CRASHES = 3
+_LIKELY_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Evidence:
+    """Crashes since a fingerprint was last served.
+
+    Attributes:
+        crashes: Those under the fingerprint.
+        total: All that are known since the first of them.
+        settled: Whether others had the time to report crashes of theirs.
+    """
+
+    crashes: int
+    total: int
+    settled: bool
+
+
+class QuarantinePolicy(Protocol):
+    """Decides from the evidence on one fingerprint."""
+
+    def is_at_fault(self, evidence: Evidence) -> bool:
+        """Returns whether requests with it are to be refused."""
+
+
+POLICIES = registry.Registry[QuarantinePolicy]("quarantine policy")
+
+
+@POLICIES.register("count")
+class CountPolicy:
+    """Counts the crashes under the fingerprint alone."""
+
+    def is_at_fault(self, evidence: Evidence) -> bool:
+        """See `QuarantinePolicy`."""
+        return evidence.crashes >= LIKELY_CRASHES
+
+
+@POLICIES.register("share")
+class SharePolicy:
+    """Asks for more crashes while others happen without the fingerprint."""
+
+    def is_at_fault(self, evidence: Evidence) -> bool:
+        """See `QuarantinePolicy`."""
+        if evidence.crashes >= CERTAIN_CRASHES:
+            return True
+        if evidence.crashes < LIKELY_CRASHES or not evidence.settled:
+            return False
+        return evidence.crashes >= _LIKELY_SHARE * evidence.total
+
+
+@POLICIES.register("off")
+class NoPolicy:
+    """Never refuses a request for what others like it have done."""
+
+    def is_at_fault(self, evidence: Evidence) -> bool:
+        """See `QuarantinePolicy`."""
+        del evidence
+        return False
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect.py
@@ -0,0 +1,261 @@
+"""The crashes under one fingerprint, and its quarantine."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from dotterelgrade import suspect_state
+
+# A crash so long ago counts no longer, unless it led to a quarantine.
+CRASH_VALID_S = 60.0
+# A request of a quarantined fingerprint is sent as a probe after this time, and
+# after so many times longer following each probe under which a server crashed.
+FIRST_PROBE_S = 30.0
+PROBE_BACKOFF = 4.0
+# Each probe may crash a server. After these only a time without any request
+# ends the quarantine.
+MAX_PROBES = 3
+FORGET_S = 600.0
+# How exactly processes need to know when a request was last refused.
+_WANTED_STEP_S = 60.0
+_NEVER = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sighting:
+    """How a crash was seen.
+
+    Attributes:
+        at: Monotonic time, s.
+        request_id: A request that waited for its answer there.
+    """
+
+    at: float
+    request_id: str
+
+
+class Suspect:
+    """What is known of one fingerprint under which a server crashed."""
+
+    def __init__(self, fingerprint: str) -> None:
+        """Initializes a suspect without crashes.
+
+        Args:
+            fingerprint: The fingerprint.
+        """
+        self._fingerprint = fingerprint
+        self._crashes: dict[suspect_state.Crash, Sighting] = {}
+        self._quarantined_at: float | None = None
+        self._wanted_at = _NEVER
+        self._probes = 0
+        self._probed_at = _NEVER
+
+    def __repr__(self) -> str:
+        """Shows the fingerprint and what is known of it."""
+        state = "quarantined, " if self.quarantined else ""
+        return (
+            f"<Suspect {self._fingerprint} {state}{len(self._crashes)} crashes>"
+        )
+
+    @property
+    def fingerprint(self) -> str:
+        """The fingerprint."""
+        return self._fingerprint
+
+    @property
+    def crashes(self) -> Mapping[suspect_state.Crash, Sighting]:
+        """The crashes that count."""
+        return self._crashes
+
+    @property
+    def last_crash_at(self) -> float:
+        """Monotonic time of the last crash, s."""
+        return max((s.at for s in self._crashes.values()), default=_NEVER)
+
+    @property
+    def first_crash_at(self) -> float:
+        """Monotonic time of the first crash, s."""
+        return min((s.at for s in self._crashes.values()), default=float("inf"))
+
+    @property
+    def quarantined(self) -> bool:
+        """Whether requests with it are refused."""
+        return self._quarantined_at is not None
+
+    @property
+    def probes(self) -> int:
+        """Number of probes granted since it was quarantined."""
+        return self._probes
+
+    @property
+    def next_probe_at(self) -> float:
+        """Monotonic time from which the next probe may be sent, s."""
+        if self._quarantined_at is None or self._probes >= MAX_PROBES:
+            return float("inf")
+        pause_s = FIRST_PROBE_S * PROBE_BACKOFF**self._probes
+        return max(self._quarantined_at, self._probed_at) + pause_s
+
+    def retry_after_s(self, *, now: float) -> float:
+        """Returns when it is worth asking again, s.
+
+        Args:
+            now: Monotonic time, s.
+        """
+        return min(max(self.next_probe_at - now, 1.0), FORGET_S)
+
+    def add_crash(
+        self, crash: suspect_state.Crash, *, at: float, request_id: str
+    ) -> bool:
+        """Adds a crash.
+
+        Args:
+            crash: The crash.
+            at: Monotonic time, s.
+            request_id: A request that waited for its answer there.
+
+        Returns:
+            Whether it was not known before.
+        """
+        known = self._crashes.get(crash)
+        if known is not None or len(self._crashes) >= suspect_state.MAX_CRASHES:
+            return False
+        self._crashes[crash] = Sighting(at=at, request_id=request_id)
+        return True
+
+    def quarantine(self, *, at: float) -> bool:
+        """Refuses requests from now on.
+
+        Args:
+            at: Monotonic time from which they are refused, s.
+
+        Returns:
+            Whether they were not before.
+        """
+        if self.quarantined:
+            return False
+        self._quarantined_at = at
+        self._wanted_at = max(self._wanted_at, at)
+        return True
+
+    def note_wanted(self, *, at: float) -> bool:
+        """Records that a request with it was refused.
+
+        Args:
+            at: Monotonic time, s.
+
+        Returns:
+            Whether others need to know.
+        """
+        if at < self._wanted_at + _WANTED_STEP_S:
+            return False
+        self._wanted_at = at
+        return True
+
+    def note_probe(self, *, number: int, at: float) -> bool:
+        """Records that a probe was granted.
+
+        Args:
+            number: Number of the probe, from 1.
+            at: Monotonic time, s.
+
+        Returns:
+            Whether it was not known before.
+        """
+        if number <= self._probes:
+            return False
+        self._probes = number
+        self._probed_at = at
+        return True
+
+    def merge(
+        self,
+        state: suspect_state.SuspectState,
+        *,
+        now: float,
+        shielded_until: float,
+    ) -> bool:
+        """Takes in the quarantine and the probes that another process knows.
+
+        Args:
+            state: What it tells.
+            now: Monotonic time, s.
+            shielded_until: Until then no quarantine may begin, s; the other
+                process may not have known.
+
+        Returns:
+            Whether anything of it was not known.
+        """
+        changed = False
+        if state.quarantined_age_s is not None:
+            at = now - state.quarantined_age_s
+            changed |= at > shielded_until and self.quarantine(at=at)
+        if state.wanted_age_s is not None:
+            changed |= self.note_wanted(at=now - state.wanted_age_s)
+        if state.probed_age_s is not None:
+            at = now - state.probed_age_s
+            changed |= self.note_probe(number=state.probes, at=at)
+        return changed
+
+    def acquit(self, *, until: float) -> bool:
+        """Drops the crashes up to a time, and a quarantine that began by then.
+
+        Args:
+            until: Monotonic time, s.
+
+        Returns:
+            Whether nothing is left that speaks against it.
+        """
+        for crash, sighting in list(self._crashes.items()):
+            if sighting.at <= until:
+                del self._crashes[crash]
+        if self._quarantined_at is not None:
+            if self._quarantined_at > until:
+                return False
+            self._quarantined_at = None
+        return not self._crashes
+
+    def expire(self, *, now: float) -> bool:
+        """Drops what is too old to count.
+
+        Args:
+            now: Monotonic time, s.
+
+        Returns:
+            Whether nothing is left.
+        """
+        if self.quarantined:
+            return now - self._wanted_at > FORGET_S
+        for crash, sighting in list(self._crashes.items()):
+            if now - sighting.at > CRASH_VALID_S:
+                del self._crashes[crash]
+        return not self._crashes
+
+    def state(
+        self, *, now: float, served_at: float
+    ) -> suspect_state.SuspectState:
+        """Returns what to tell others.
+
+        Args:
+            now: Monotonic time, s.
+            served_at: Monotonic time at which it was last served, s.
+        """
+        return suspect_state.SuspectState(
+            fingerprint=self._fingerprint,
+            crashes=[
+                suspect_state.CrashReport(
+                    crash=crash,
+                    age_s=max(now - sighting.at, 0.0),
+                    request_id=sighting.request_id,
+                )
+                for crash, sighting in self._crashes.items()
+            ],
+            served_age_s=age_s(served_at, now=now),
+            quarantined_age_s=age_s(self._quarantined_at, now=now),
+            wanted_age_s=age_s(self._wanted_at, now=now),
+            probes=self._probes,
+            probed_age_s=age_s(self._probed_at, now=now),
+        )
+
+
+def age_s(at: float | None, *, now: float) -> float | None:
+    """Returns the time since a moment, s, or None if there was none."""
+    return None if at in (None, _NEVER) else max(now - at, 0.0)
--- /dev/null
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect_state.py
@@ -0,0 +1,122 @@
+"""What processes tell each other about requests that may crash servers.
+
+Times are ages, since the clocks of hosts differ.
+"""
+
+import dataclasses
+from typing import Annotated
+
+import msgspec
+from returns import result
+
+from dotterelgrade import bounded
+from dotterelgrade import decoding
+from dotterelgrade import errors
+
+Fingerprint = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{16}\Z")]
+# Ample for identifiers; longer ones are not passed on.
+_Identifier = Annotated[str, msgspec.Meta(max_length=256)]
+# Crashes of one fingerprint that are told.
+MAX_CRASHES = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Incarnation:
+    """A process of a backend server.
+
+    Attributes:
+        server_id: The backend server.
+        started_ms: Start of the process, ms since the epoch, or 0.
+    """
+
+    server_id: _Identifier
+    started_ms: bounded.UnixMs
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Crash:
+    """The end of a backend server, whatever it took along.
+
+    Attributes:
+        incarnation: The backend server.
+        number: Counts the crashes of an incarnation that took requests again,
+            as one that was restarted does until its entry in the list changes.
+    """
+
+    incarnation: Incarnation
+    number: bounded.Count = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashReport:
+    """A crash, and a request that waited for its answer there.
+
+    Attributes:
+        crash: The crash.
+        age_s: Time since it was seen, s.
+        request_id: The request, or empty if none is known.
+    """
+
+    crash: Crash
+    age_s: bounded.Amount
+    request_id: _Identifier = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuspectState:
+    """What one process knows of a fingerprint.
+
+    Attributes:
+        fingerprint: The fingerprint.
+        crashes: Backend servers that crashed under it.
+        served_age_s: Time since a request with it was last served, s, or None.
+        quarantined_age_s: Time since it was quarantined, s, or None.
+        wanted_age_s: Time since a request with it was last refused, s, or None.
+        probes: Probes that were granted since it was quarantined.
+        probed_age_s: Time since the last one, s, or None.
+    """
+
+    fingerprint: Fingerprint
+    crashes: Annotated[
+        list[CrashReport], msgspec.Meta(max_length=MAX_CRASHES)
+    ] = dataclasses.field(default_factory=list)
+    served_age_s: bounded.Amount | None = None
+    quarantined_age_s: bounded.Amount | None = None
+    wanted_age_s: bounded.Amount | None = None
+    probes: bounded.Count = 0
+    probed_age_s: bounded.Amount | None = None
+
+    @property
+    def accuses(self) -> bool:
+        """Whether anything speaks against the fingerprint."""
+        return bool(self.crashes) or self.quarantined_age_s is not None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuspectNews:
+    """What has changed since a process told another one.
+
+    Attributes:
+        suspects: Fingerprints, also those that were acquitted lately.
+        crashes: Crashes under any request or none.
+    """
+
+    suspects: list[SuspectState] = dataclasses.field(default_factory=list)
+    crashes: list[CrashReport] = dataclasses.field(default_factory=list)
+
+
+_decoder = msgspec.msgpack.Decoder(SuspectState)
+
+
+def encode(state: SuspectState) -> bytes:
+    """Encodes a state for a record."""
+    return msgspec.msgpack.encode(state)
+
+
+def decode(body: bytes) -> result.Result[SuspectState, errors.Error]:
+    """Decodes a record, or returns why it can't be used.
+
+    Args:
+        body: As `encode` has returned it, or anything else.
+    """
+    return decoding.attempt(_decoder.decode, body, what="suspect")
