Tell the other fronts under which requests servers crashed

Cause: nothing that fronts exchange is about requests. Ruled out: a call of the store for each crash and front (priced, and silent with the store); asking the planner for each request.

Fronts of earlier builds ignore the field.

A write without reading first lost what others had written: found by a test of three fronts, hence the compare-and-set.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -31,6 +31,7 @@
 from dotterelgrade_front import planner_hub
 from dotterelgrade_front import planner_link
 from dotterelgrade_front import request_handler
+from dotterelgrade_front import suspect_sync
 from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
@@ -96,6 +97,11 @@
             leadership=self._leadership,
             followers=self._followers,
         )
+        self._suspects = suspect_sync.SuspectSync(
+            self._state,
+            leads=lambda: self._is_planner,
+            planner_silent_s=lambda: self._link.snapshot_age_s,
+        )
         self._is_planner = False
         self._planner_since = float("-inf")
         self._term_read_at = float("-inf")
@@ -191,14 +197,15 @@
             yield
 
     def _wait_for_first_read(self) -> None:
-        """Waits for the configuration and the list of backend servers.
+        """Waits for the configuration, the backend servers and the suspects.
 
         Until then connections queue in the listen backlog; without a
         configuration the front could only answer 503.
         """
         deadline = time.monotonic() + _FIRST_READ_TIMEOUT_S
         while time.monotonic() < deadline:
-            if self._state.configuration and self._state.fleet.servers:
+            known = self._state.configuration and self._state.fleet.servers
+            if known and self._suspects.has_read:
                 return
             gevent.sleep(_FIRST_READ_POLL_INTERVAL_S)
 
@@ -295,6 +302,7 @@
             self._run_planner,
             self._exchange_loads,
             self._drop_missing_servers,
+            self._suspects.run,
             loop_monitor.LoopMonitor(self._state).run,
             copy_publisher.CopyPublisher(
                 self._state,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -5,6 +5,7 @@
 
 from dotterelgrade import bounded
 from dotterelgrade import frame_codec
+from dotterelgrade import suspect_state
 from dotterelgrade_routing import platform_port
 from dotterelgrade_routing import relay_encoding
 
@@ -91,6 +92,8 @@
         store_silent_s: Time since the store last answered the front, s.
         strong: Whether its host has the capacity for a planner.
         reads_changes: Whether it reads `RelayedChanges`; older builds don't.
+        suspects: What has changed about requests that may crash servers since
+            the last report over the connection, or None.
     """
 
     number: bounded.Count
@@ -101,6 +104,7 @@
     store_silent_s: bounded.Amount
     strong: bool
     reads_changes: bool = False
+    suspects: suspect_state.SuspectNews | None = None
 
 
 @frame_codec.frame
@@ -145,6 +149,8 @@
         leaving: Leaving backend servers, with the start of the process that
             announced it, ms since the epoch.
         feeds: The planner's positions in the feeds of the store.
+        suspects: What has changed about requests that may crash servers since
+            the last snapshot sent over the connection, or None.
     """
 
     reserved: dict[str, bounded.Count]
@@ -153,6 +159,7 @@
     refusing: list[str]
     leaving: dict[str, bounded.UnixMs]
     feeds: list[FeedProgress]
+    suspects: suspect_state.SuspectNews | None = None
 
 
 @frame_codec.frame
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -51,13 +51,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Listing:
-    """Fronts and engines as a snapshot listed them."""
+    """Fronts, engines and suspects as a snapshot listed them.
+
+    Attributes:
+        fronts: `IP:PORT` of all fronts.
+        servers: Engines by their ID.
+        suspects: Version of what is known of suspects.
+    """
 
     fronts: list[str]
     servers: Mapping[str, peer_frames.SeenServer]
+    suspects: int
 
 
-_EMPTY_LISTING = _Listing(fronts=[], servers={})
+_EMPTY_LISTING = _Listing(fronts=[], servers={}, suspects=0)
 
 
 class PlannerHub:
@@ -125,6 +132,7 @@
                     self._reported_at[_address_of(connection)] = now
                     self._planner.add_suspects(frame.excluded)
                     self._state.notices.note_all_leaving(frame.leaving)
+                    self._state.quarantine.merge(frame.suspects)
         finally:
             self._reports.pop(connection, None)
             self._listings.pop(connection, None)
@@ -300,7 +308,11 @@
 
     def _current_listing(self) -> _Listing:
         """Returns the fronts and engines that the next snapshot lists."""
-        return _Listing(fronts=self._live_fronts(), servers=self._server_rows())
+        return _Listing(
+            fronts=self._live_fronts(),
+            servers=self._server_rows(),
+            suspects=self._state.quarantine.version,
+        )
 
     def _encode_snapshot(
         self, totals: dict[str, int], current: _Listing, *, since: _Listing
@@ -318,6 +330,7 @@
                 refusing=sorted(self.refusing),
                 leaving=self._state.fleet.leaving,
                 feeds=self._feed_progress(),
+                suspects=self._state.quarantine.news_since(since.suspects),
             )
         )
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -67,10 +67,15 @@
         """Shows the front and the last known planner."""
         return f"<PlannerLink of {self._identity.host} to {self._planner}>"
 
+    @property
+    def snapshot_age_s(self) -> float:
+        """Time since a planner sent a snapshot over an open link, s."""
+        return time.monotonic() - self._last_snapshot_at
+
     @property
     def has_recent_snapshot(self) -> bool:
         """Whether a planner has sent a snapshot lately."""
-        return time.monotonic() - self._last_snapshot_at <= SNAPSHOT_TIMEOUT_S
+        return self.snapshot_age_s <= SNAPSHOT_TIMEOUT_S
 
     def set_successor(self, successor: str) -> None:
         """Sets the front that this one named as its successor."""
@@ -201,6 +206,7 @@
     def _send_loads(self, connection: wire.Connection) -> None:
         state = self._state
         connected_at = time.monotonic()
+        known_suspects = 0
         while connection.is_open:
             now = time.monotonic()
             last_contact_at = max(self._last_snapshot_at, connected_at)
@@ -211,6 +217,8 @@
                 connection.close("planner silent")
                 return
             report = state.load.report()
+            suspects = state.quarantine.news_since(known_suspects)
+            known_suspects = state.quarantine.version
             self._report_times.note_sent(report.number, at=now)
             connection.send(
                 peer_frames.FrontLoad(
@@ -224,6 +232,7 @@
                     ),
                     strong=state.settings.strong,
                     reads_changes=True,
+                    suspects=suspects,
                 )
             )
             gevent.sleep(EXCHANGE_INTERVAL_S)
@@ -267,6 +276,7 @@
                 era=progress.era,
             )
         state.notices.note_all_leaving(snapshot.leaving)
+        state.quarantine.merge(snapshot.suspects)
         for row in snapshot.servers:
             self._apply_server(row, now)
         # A front that observed the refusals retries by itself; its own report
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
@@ -55,6 +55,7 @@
         self._decisions = decisions
         self._metrics = metrics
         self._open: collections.Counter[str] = collections.Counter()
+        self._requests = 0
         self._on_probe_due: Callable[[str], None] = lambda fingerprint: None
 
     def __repr__(self) -> str:
@@ -62,10 +63,15 @@
         return f"<RequestQuarantine {self._quarantine!r}>"
 
     @property
-    def quarantine(self) -> quarantine_lib.Quarantine:
+    def rules(self) -> quarantine_lib.Quarantine:
         """The rules, and what is known."""
         return self._quarantine
 
+    @property
+    def requests(self) -> int:
+        """Number of requests so far, refused ones included."""
+        return self._requests
+
     def set_on_probe_due(self, on_probe_due: Callable[[str], None]) -> None:
         """Sets what is called when a fingerprint may be tried again.
 
@@ -84,6 +90,7 @@
         Raises:
             QuarantinedError: It is refused.
         """
+        self._requests += 1
         self._check(call)
         fingerprints = call.fingerprints
         self._open.update(fingerprints)
@@ -136,6 +143,36 @@
         self._quarantine.note_served(call.fingerprints)
         self.record_changes()
 
+    @property
+    def version(self) -> int:
+        """Grows with each change that other fronts need to know."""
+        return self._quarantine.version
+
+    def news_since(self, version: int) -> suspect_state.SuspectNews | None:
+        """Returns what has changed, or None if nothing has.
+
+        Args:
+            version: The version that the receiver knows.
+        """
+        if version == self._quarantine.version:
+            return None
+        return self._quarantine.news_since(version)
+
+    def merge(self, news: suspect_state.SuspectNews | None) -> None:
+        """Takes in what another front or the store knows.
+
+        Args:
+            news: What it tells, or None if nothing has changed.
+        """
+        if news is not None:
+            self._quarantine.merge(news)
+            self.record_changes()
+
+    def expire(self) -> None:
+        """Drops what is too old to count."""
+        self._quarantine.expire()
+        self.record_changes()
+
     def record_changes(self) -> None:
         """Records what has changed in the quarantine."""
         changes = self._quarantine.take_changes()
--- a/packages/dotterelgrade-front/tests/conftest.py
+++ b/packages/dotterelgrade-front/tests/conftest.py
@@ -16,6 +16,7 @@
         configurations=platform_fakes.FakeFeed(),
         backend_servers=platform_fakes.FakeFeed(),
         copies=platform_fakes.FakeCopies(),
+        suspects=platform_fakes.FakeValues(),
         configuration_key="config",
         election=platform_fakes.FakeElection(),
         engines=platform_fakes.FakeEngines(),
--- a/packages/dotterelgrade-front/tests/support/crash_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/crash_fakes.py
@@ -16,6 +16,7 @@
 MOST_AFTER_THE_FIFTH = 3
 _CRASHES = 5
 _LAST_EVENT = 12
+_PREFILL_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -60,6 +61,7 @@
         self.crashed_at = []
         self.bad_arrivals = []
         self.served = 0
+        self._open = {}
         self.backends = [
             fakes.Backend(self._script(number)) for number in range(ENGINES)
         ]
@@ -83,6 +85,9 @@
 
     def crash_all(self):
         """Ends all engines at once, with no request at fault."""
+        for sock, arrival in list(self._open.items()):
+            fakes.resetting(sock, arrival)
+            sock.close()
         for number in range(ENGINES):
             self._restart(number)
 
@@ -114,9 +119,20 @@
 
     def _script(self, number):
         def script(sock, arrival):
+            self._open[sock] = arrival
+            try:
+                answer(sock, arrival)
+            except OSError:
+                # It crashed meanwhile.
+                pass
+            finally:
+                del self._open[sock]
+
+        def answer(sock, arrival):
             bad = BAD in arrival.headers.get(b"segments", b"").decode()
             if bad:
                 self.bad_arrivals.append(time.monotonic())
+            gevent.sleep(_PREFILL_S)
             if self._crash.after_head or self._crash.events or not bad:
                 self._send_head(sock, arrival)
             first = int(arrival.headers[b"after"] or 0) + 1
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -178,6 +178,51 @@
             raise platform_port.StoreError("down")
 
 
+class FakeValues:
+    """Values by their keys; fails while `down`."""
+
+    def __init__(self):
+        self.records = {}
+        self.end = 0
+        self.era = 0
+        self.reads = 0
+        self.writes = 0
+        self.down = False
+
+    @property
+    def keys(self):
+        return list(self.records)
+
+    def put(self, key, value):
+        """Writes a value, as another front does."""
+        self.records.pop(key, None)
+        if value:
+            self.records[key] = platform_port.Record(
+                key=key, value=value, offset=self.end
+            )
+        self.end += 1
+
+    def read(self):
+        self._answer()
+        self.reads += 1
+        return platform_port.Page(
+            records=tuple(self.records.values()), end=self.end, era=self.era
+        )
+
+    def write_if_unchanged(self, values, *, since):
+        self._answer()
+        if since.end != self.end:
+            return False
+        self.writes += 1
+        for key, value in values.items():
+            self.put(key, value)
+        return True
+
+    def _answer(self):
+        if self.down:
+            raise platform_port.StoreError("down")
+
+
 class FakeElection:
     """Grants a claim of the term that follows the current one."""
 
--- a/packages/dotterelgrade-front/tests/support/stream_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/stream_fakes.py
@@ -63,8 +63,12 @@
 
 def decisions(front, name):
     """Returns the recorded decisions of one kind, oldest first."""
-    rows = front.state.decisions.journal.latest(500)
-    return [row for row in rows if row.decision == name]
+    return decisions_of(front.state.decisions, name)
+
+
+def decisions_of(log, name):
+    """Returns the decisions of one kind in a log, oldest first."""
+    return [row for row in log.journal.latest(500) if row.decision == name]
 
 
 def resuming(script, *, last):
--- a/packages/dotterelgrade-front/tests/test_crashing_prompt_fleet.py
+++ b/packages/dotterelgrade-front/tests/test_crashing_prompt_fleet.py
@@ -26,6 +26,9 @@
 _PAUSE_S = 0.02
 _DOWN_S = 0.3
 _REFUSED = 503
+# Reports and snapshots are sent four times a second.
+_SHARED_WITHIN_S = 1.0
+_MASS_CRASH_PAUSE_S = 1.0
 
 
 class Fleet:
@@ -35,6 +38,7 @@
         self._platform = platform
         self._numbers = itertools.count()
         self._fronts = {}
+        self._stopped = False
         platform.documents.put(b"v1", fakes.CONFIGURATION)
         platform.configurations.add("config", b"v1")
         self.all_settings = [
@@ -109,12 +113,37 @@
         """Sends a bad request to a front; returns the status, or None."""
         return self.ask(number, crash_fakes.bad_segments(next(self._numbers)))
 
+    def ask_sound(self, number):
+        """Sends a sound request to a front; returns the status, or None."""
+        segments = crash_fakes.sound_segments(next(self._numbers))
+        return self.ask(number, segments)
+
+    def keep_asking(self, number):
+        """Sends sound requests to a front until it is stopped."""
+        while not self._stopped:
+            self.ask_sound(number)
+            gevent.sleep(_PAUSE_S)
+
+    def stop_asking(self):
+        self._stopped = True
+
     def teach(self, number):
         """Sends bad requests to one front until it refuses them."""
         with gevent.Timeout(fakes.WAIT_S):
             while self.ask_bad(number) != _REFUSED:
                 gevent.sleep(_PAUSE_S)
 
+    def silence_the_store(self):
+        """No call of any front to the store is answered."""
+        platform = self._platform
+        for part in (
+            platform.configurations,
+            platform.backend_servers,
+            platform.suspects,
+            platform.election,
+        ):
+            part.down = True
+
     def check_that_all_know(self):
         """Asks at all fronts once the rule counts arrivals."""
         gevent.sleep(_STABILITY_S)
@@ -157,3 +186,70 @@
     fleet.kill(_PLANNER)
     fleet.teach(1)
     fleet.check_that_all_know()
+
+
+def test_a_bad_prompt_is_known_though_the_front_that_saw_it_is_killed(fleet):
+    fleet.teach(1)
+    gevent.sleep(_SHARED_WITHIN_S)
+    fleet.kill(1)
+    fleet.check_that_all_know()
+
+
+def test_a_bad_prompt_is_known_while_the_store_is_silent(fleet):
+    fleet.silence_the_store()
+    fleet.teach(1)
+    fleet.check_that_all_know()
+
+
+def test_a_bad_prompt_is_known_though_the_planner_saw_it_alone(fleet):
+    """It is the planner's own front that is lost afterwards."""
+    fleet.teach(_PLANNER)
+    gevent.sleep(_SHARED_WITHIN_S)
+    fleet.kill(_PLANNER)
+    fleet.check_that_all_know()
+
+
+def test_a_front_that_has_just_started_knows_a_bad_prompt(fleet):
+    fleet.teach(1)
+    gevent.sleep(_SHARED_WITHIN_S)
+    fleet.start(_FRONTS)
+    fleet.check_that_all_know()
+
+
+def test_fronts_that_were_all_replaced_know_a_bad_prompt(fleet):
+    fleet.teach(1)
+    gevent.sleep(_SHARED_WITHIN_S)
+    for number in range(_FRONTS):
+        fleet.kill(number)
+    for number in (_FRONTS, _FRONTS + 1):
+        fleet.start(number)
+    fleet.check_that_all_know()
+
+
+def test_sound_requests_are_served_while_a_bad_prompt_is_known(fleet):
+    fleet.teach(1)
+    gevent.sleep(_STABILITY_S)
+    answers = []
+    for number in list(range(_FRONTS)) * _ROUNDS:
+        fleet.ask_bad(number)
+        answers.append(fleet.ask_sound(number))
+    assert answers == [200] * len(answers)
+
+
+def test_no_sound_prompt_is_refused_after_engines_crashed_together(fleet):
+    """Three times, with requests of one prompt at all of them."""
+    callers = [
+        gevent.spawn(fleet.keep_asking, number)
+        for number in list(range(_FRONTS)) * _ROUNDS
+    ]
+    for _ in range(3):
+        gevent.sleep(_MASS_CRASH_PAUSE_S)
+        fleet.engines.crash_all()
+    gevent.sleep(_MASS_CRASH_PAUSE_S)
+    fleet.stop_asking()
+    gevent.joinall(callers, raise_error=True)
+    assert {fleet.ask_sound(n) for n in range(_FRONTS)} == {200}
+    for front in fleet.fronts:
+        assert not streams.decisions_of(
+            front._state.decisions, "request_quarantined"
+        )
--- a/packages/dotterelgrade-front/tests/test_peer_frames.py
+++ b/packages/dotterelgrade-front/tests/test_peer_frames.py
@@ -4,9 +4,17 @@
 
 from dotterelgrade import errors
 from dotterelgrade import frame_codec
+from dotterelgrade import suspect_state
 from dotterelgrade_front import peer_frames
 from dotterelgrade_routing import platform_port
 
+_CRASH = suspect_state.CrashReport(
+    crash=suspect_state.Crash(
+        incarnation=suspect_state.Incarnation(server_id="e", started_ms=1)
+    ),
+    age_s=0.5,
+    request_id="r",
+)
 _FRAMES = {
     "load": peer_frames.FrontLoad(
         number=1,
@@ -16,6 +24,16 @@
         leaving={"e": 1},
         store_silent_s=0.0,
         strong=True,
+        suspects=suspect_state.SuspectNews(
+            suspects=[
+                suspect_state.SuspectState(
+                    fingerprint="0123456789abcdef",
+                    crashes=[_CRASH],
+                    quarantined_age_s=1.0,
+                )
+            ],
+            crashes=[_CRASH],
+        ),
     ),
     "snapshot": peer_frames.FleetSnapshot(
         reserved={"e": 1},
@@ -74,6 +92,8 @@
         ("load", ("reserved", "e")),
         ("load", ("store_silent_s",)),
         ("load", ("leaving", "e")),
+        ("load", ("suspects", "crashes", 0, "age_s")),
+        ("load", ("suspects", "suspects", 0, "quarantined_age_s")),
         ("snapshot", ("reserved", "e")),
         ("snapshot", ("servers", 0, "end")),
         ("snapshot", ("servers", 0, "started_ms")),
@@ -100,3 +120,10 @@
     assert frame.feeds[0].age_s == math.inf
     with pytest.raises(errors.DotterelgradeError):
         frame_codec.from_wire([tag, _with(fields, path, math.nan)])
+
+
+@pytest.mark.parametrize("name", ["load", "snapshot"])
+def test_a_frame_of_an_earlier_build_names_no_suspects(name):
+    tag, fields = frame_codec.to_wire(_FRAMES[name])
+    del fields["suspects"]
+    assert frame_codec.from_wire([tag, fields]).suspects is None
--- a/packages/dotterelgrade-front/tests/test_request_quarantine.py
+++ b/packages/dotterelgrade-front/tests/test_request_quarantine.py
@@ -117,7 +117,7 @@
     streams.add_chains(front, [cut], [again])
     front.add("c1", again, service="model", layers=(0, 8))
     shared = fingerprint.of_segments("model", ["shared"])
-    quarantine = front.state.quarantine.quarantine
+    quarantine = front.state.quarantine.rules
     quarantine.note_crash(
         suspect_state.Incarnation(server_id="x", started_ms=1),
         shared,
@@ -149,7 +149,7 @@
     for number in range(6):
         _ask(front, f"long,{number}", path="once", number=number)
         _restart_all(front)
-    assert not front.state.quarantine.quarantine.suspects
+    assert not front.state.quarantine.rules.suspects
 
 
 @pytest.mark.parametrize("path", ["stream", "once"])
@@ -163,4 +163,4 @@
 
     _add_engines(front, cut)
     _ask(front, "bad,1", path=path)
-    assert front.state.quarantine.quarantine.suspects
+    assert front.state.quarantine.rules.suspects
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -1,5 +1,6 @@
 """Interface between the front and a platform, independent of its formats."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 from typing import Protocol
@@ -288,6 +289,34 @@
         """
 
 
+class ValueStore(Protocol):
+    """Holds small values by their keys."""
+
+    def read(self) -> Page:
+        """Returns all values.
+
+        Raises:
+            StoreError: There was no usable answer.
+        """
+
+    def write_if_unchanged(
+        self, values: Mapping[str, bytes], *, since: Page
+    ) -> bool:
+        """Replaces values unless any has been written meanwhile.
+
+        Args:
+            values: By their keys; an empty one removes the key. Their offsets
+                follow the end of the page, in order.
+            since: As `read` has returned it.
+
+        Returns:
+            Whether they were replaced.
+
+        Raises:
+            StoreError: There was no usable answer; they may be replaced.
+        """
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Platform:
     """The adapters of one platform.
@@ -296,6 +325,7 @@
         configurations: Feed with the operators' configuration.
         backend_servers: Feed with the list of backend servers.
         copies: Holds a copy of the configuration.
+        suspects: Holds what is known of requests that may crash servers.
         configuration_key: Key of the configuration in its feed.
         election: Elects the planner.
         engines: Calls to engines.
@@ -306,6 +336,7 @@
     configurations: Feed
     backend_servers: Feed
     copies: CopyStore
+    suspects: ValueStore
     configuration_key: str
     election: Election
     engines: EngineClient
--- a/packages/dotterelgrade-standins/tests/test_platform_store.py
+++ b/packages/dotterelgrade-standins/tests/test_platform_store.py
@@ -106,3 +106,38 @@
     second = election.claim("other", after=election.current())
     assert second.number == first.number
     assert second.rank > first.rank
+
+
+@pytest.fixture
+def values(client):
+    return store_client.ValueTopic(client, topic="keyed.values")
+
+
+def _write(values, changes):
+    assert values.write_if_unchanged(changes, since=values.read())
+
+
+def test_values_are_replaced_and_removed_together(values):
+    assert values.read() == platform_port.Page(records=(), end=0, era=1)
+    _write(values, {"a": b"1", "b": b"2"})
+    _write(values, {"a": b"", "b": b"3"})
+    page = values.read()
+    assert page.records == (
+        platform_port.Record(key="b", value=b"3", offset=3),
+    )
+
+
+def test_values_that_were_written_meanwhile_are_not_replaced(values):
+    """Of two fronts that claim the same, one gets it."""
+    since = values.read()
+    assert values.write_if_unchanged({"a": b"2"}, since=since)
+    assert not values.write_if_unchanged({"a": b"3"}, since=since)
+    assert [r.value for r in values.read().records] == [b"2"]
+
+
+@pytest.mark.parametrize("outage", platform_store.Outage)
+def test_values_that_are_not_acknowledged_are_an_error(store, values, outage):
+    since = values.read()
+    store.outage = outage
+    with pytest.raises(platform_port.StoreError):
+        values.write_if_unchanged({"a": b"2"}, since=since)
--- a/packages/dotterelgrade/src/dotterelgrade/suspect.py
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect.py
@@ -118,7 +118,9 @@
         known = self._crashes.get(crash)
         if known is not None or len(self._crashes) >= suspect_state.MAX_CRASHES:
             return False
-        self._crashes[crash] = Sighting(at=at, request_id=request_id)
+        self._crashes[crash] = Sighting(
+            at=at, request_id=request_id[: suspect_state.MAX_IDENTIFIER_LENGTH]
+        )
         return True
 
     def quarantine(self, *, at: float) -> bool:
--- a/packages/dotterelgrade/src/dotterelgrade/suspect_state.py
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect_state.py
@@ -14,8 +14,9 @@
 from dotterelgrade import errors
 
 Fingerprint = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{16}\Z")]
-# Ample for identifiers; longer ones are not passed on.
-_Identifier = Annotated[str, msgspec.Meta(max_length=256)]
+# Others choose the identifiers; longer ones are cut.
+MAX_IDENTIFIER_LENGTH = 128
+_Identifier = Annotated[str, msgspec.Meta(max_length=MAX_IDENTIFIER_LENGTH)]
 # Crashes of one fingerprint that are told.
 MAX_CRASHES = 16
 
@@ -32,6 +33,12 @@
     server_id: _Identifier
     started_ms: bounded.UnixMs
 
+    def __post_init__(self) -> None:
+        """Cuts an identifier that is too long to be told to others."""
+        object.__setattr__(
+            self, "server_id", self.server_id[:MAX_IDENTIFIER_LENGTH]
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Crash:
@@ -91,6 +98,25 @@
         """Whether anything speaks against the fingerprint."""
         return bool(self.crashes) or self.quarantined_age_s is not None
 
+    def undated(self) -> "SuspectState":
+        """Returns the state as if all of it were of now.
+
+        The ages in a record are those of the moment at which it was written,
+        which its reader doesn't know. How long ago a request was served or
+        refused is left out.
+        """
+        return dataclasses.replace(
+            self,
+            crashes=[
+                dataclasses.replace(report, age_s=0.0)
+                for report in self.crashes
+            ],
+            served_age_s=None,
+            wanted_age_s=None,
+            quarantined_age_s=_now_if_any(self.quarantined_age_s),
+            probed_age_s=_now_if_any(self.probed_age_s),
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SuspectNews:
@@ -105,6 +131,10 @@
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
 
 
+def _now_if_any(age_s: float | None) -> float | None:
+    return None if age_s is None else 0.0
+
+
 _decoder = msgspec.msgpack.Decoder(SuspectState)
 
 
--- a/packages/dotterelgrade/tests/test_quarantine.py
+++ b/packages/dotterelgrade/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from dotterelgrade import quarantine as quarantine_lib
@@ -350,3 +351,39 @@
             _tell(sender, receiver)
     for fingerprint in (_BAD, _SHARED):
         assert len({process.level(fingerprint) for process in processes}) == 1
+
+
+def test_identifiers_of_any_length_can_be_told_to_others(clock):
+    """Callers choose those of their requests."""
+    one, other = Process(clock), Process(clock)
+    long = "\xff\x00" * 5_000
+    one.quarantine.note_crash(
+        suspect_state.Incarnation(server_id=long, started_ms=1),
+        [f"{1:016x}"],
+        began_at=clock.now,
+        request_id=long,
+    )
+    told = msgspec.to_builtins(one.quarantine.news_since(0))
+    news = msgspec.convert(told, suspect_state.SuspectNews)
+    other.quarantine.merge(news)
+    assert other.quarantine.suspects == (f"{1:016x}",)
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_a_record_that_is_no_suspect_is_an_error(body):
+    assert suspect_state.decode(body).map(lambda _: False).value_or(True)
+
+
+def test_a_record_is_read_as_of_now(clock):
+    """How long ago it was written is not known."""
+    one, other = Process(clock), Process(clock)
+    fingerprint = f"{1:016x}"
+    _quarantine(one, fingerprint)
+    one.level(fingerprint)
+    clock.now += 20.0
+    body = suspect_state.encode(one.quarantine.state_of(fingerprint))
+    state = suspect_state.decode(body).unwrap().undated()
+    other.quarantine.merge(suspect_state.SuspectNews(suspects=[state]))
+    assessment = other.quarantine.assess([fingerprint])
+    assert assessment.level is suspicion.Level.QUARANTINED
+    assert assessment.retry_after_s == suspect_lib.FIRST_PROBE_S
