Ask for different requests before a fingerprint is quarantined by share

Its two attempts and those of its caller's repetition met three servers that reset connections within 5 ms, though they were alive. No request was refused for it.

Change: by three crashes a fingerprint is quarantined only if at least two different requests met them. Attempts and repetitions of one share a fingerprint of all their segments, which travels with the sighting. Five crashes quarantine in any case. Of two sightings of one crash all processes keep the same one.

--- a/packages/dotterelgrade/src/dotterelgrade/fingerprint.py
+++ b/packages/dotterelgrade/src/dotterelgrade/fingerprint.py
@@ -49,6 +49,11 @@
     return (_digest(b"request", scope, whole),)
 
 
+def of_all(fingerprints: Iterable[str]) -> str:
+    """Returns the fingerprint of a request that has all of the given ones."""
+    return _digest(b"all", "", " ".join(fingerprints).encode())
+
+
 def _digest(kind: bytes, scope: str, value: bytes) -> str:
     content = _SEPARATOR.join((kind, scope.encode(), value))
     return hashlib.blake2b(content, digest_size=_DIGEST_BYTES).hexdigest()
--- a/packages/dotterelgrade/src/dotterelgrade/quarantine.py
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine.py
@@ -16,6 +16,7 @@
 import time
 
 from dotterelgrade import crash_history
+from dotterelgrade import fingerprint as fingerprint_lib
 from dotterelgrade import quarantine_policies
 from dotterelgrade import served_requests
 from dotterelgrade import suspect as suspect_lib
@@ -148,28 +149,30 @@
             began_at: Monotonic time at which the request was sent there, s.
             request_id: The request.
         """
+        fingerprints = tuple(fingerprints)
         self._add_crash(
             self._history.identify(incarnation, began_at=began_at),
             fingerprints,
-            at=self._clock(),
-            request_id=request_id,
+            suspect_lib.Sighting(
+                at=self._clock(),
+                request_id=request_id[: suspect_state.MAX_IDENTIFIER_LENGTH],
+                request=fingerprint_lib.of_all(fingerprints),
+            ),
         )
 
     def _add_crash(
         self,
         crash: suspect_state.Crash,
         fingerprints: Iterable[str],
-        *,
-        at: float,
-        request_id: str,
+        sighting: suspect_lib.Sighting,
     ) -> None:
-        if self._history.add(crash, at=at):
+        if self._history.add(crash, at=sighting.at):
             self._news.note_crash(crash)
         for fingerprint in fingerprints:
-            if at <= self._served.shielded_until(fingerprint):
+            if sighting.at <= self._served.shielded_until(fingerprint):
                 continue
             suspect = self._suspect(fingerprint)
-            if suspect.add_crash(crash, at=at, request_id=request_id):
+            if suspect.add_crash(crash, sighting):
                 self._news.note_suspect(fingerprint)
             self._update(suspect)
 
@@ -265,12 +268,7 @@
         """
         now = self._clock()
         for report in news.crashes:
-            self._add_crash(
-                report.crash,
-                (),
-                at=now - report.age_s,
-                request_id=report.request_id,
-            )
+            self._add_crash(report.crash, (), _sighting(report, now=now))
         for state in news.suspects:
             self._merge_one(state, now)
 
@@ -279,12 +277,8 @@
         if state.served_age_s is not None:
             self._note_served([fingerprint], at=now - state.served_age_s)
         for report in state.crashes:
-            self._add_crash(
-                report.crash,
-                [fingerprint],
-                at=now - report.age_s,
-                request_id=report.request_id,
-            )
+            sighting = _sighting(report, now=now)
+            self._add_crash(report.crash, [fingerprint], sighting)
         suspect = self._suspects.get(fingerprint)
         shielded_until = self._served.shielded_until(fingerprint)
         if suspect is not None and suspect.merge(
@@ -375,6 +369,7 @@
         return self._policy.is_at_fault(
             quarantine_policies.Evidence(
                 crashes=len(suspect.crashes),
+                requests=suspect.requests,
                 total=self._history.count_since(since),
                 settled=now - suspect.last_crash_at >= _SETTLE_S,
             )
@@ -398,3 +393,13 @@
                 kind=kind, reason=reason, state=self._state(suspect)
             )
         )
+
+
+def _sighting(
+    report: suspect_state.CrashReport, *, now: float
+) -> suspect_lib.Sighting:
+    return suspect_lib.Sighting(
+        at=now - report.age_s,
+        request_id=report.request_id,
+        request=report.request,
+    )
--- a/packages/dotterelgrade/src/dotterelgrade/quarantine_policies.py
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine_policies.py
@@ -2,7 +2,9 @@
 
 Load patterns: each server that begins to answer a certain prompt crashes; or a
 rack, a failure domain or a release fails, and takes along whatever runs there.
-In the first the fingerprint is there each time, in the second it is not.
+In the first the fingerprint is there each time, in the second it is not. A
+server that resets connections looks like one that crashes, to each attempt of a
+request that meets it, so that different requests must have met the same.
 """
 
 import dataclasses
@@ -12,8 +14,10 @@
 
 # With as many crashes it is quarantined whatever else crashed meanwhile.
 CERTAIN_CRASHES = 5
-# With as many if it was there in most crashes since its first one.
+# With as many, under different requests, if it was there in most crashes since
+# its first one.
 LIKELY_CRASHES = 3
+_DIFFERENT_REQUESTS = 2
 _LIKELY_SHARE = 0.5
 
 
@@ -23,11 +27,14 @@
 
     Attributes:
         crashes: Those under the fingerprint.
+        requests: Different requests that waited at one of them; the attempts
+            and repetitions of one count once.
         total: All that are known since the first of them.
         settled: Whether others had the time to report crashes of theirs.
     """
 
     crashes: int
+    requests: int
     total: int
     settled: bool
 
@@ -61,6 +68,8 @@
             return True
         if evidence.crashes < LIKELY_CRASHES or not evidence.settled:
             return False
+        if evidence.requests < _DIFFERENT_REQUESTS:
+            return False
         return evidence.crashes >= _LIKELY_SHARE * evidence.total
 
 
--- a/packages/dotterelgrade/src/dotterelgrade/suspect.py
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect.py
@@ -27,10 +27,17 @@
     Attributes:
         at: Monotonic time, s.
         request_id: A request that waited for its answer there.
+        request: Fingerprint that only its repetitions share, or None.
     """
 
     at: float
     request_id: str
+    request: str | None
+
+    @property
+    def order(self) -> tuple[str, str]:
+        """Orders sightings of one crash, so that all keep the same one."""
+        return (self.request or "", self.request_id)
 
 
 class Suspect:
@@ -66,6 +73,11 @@
         """The crashes that count."""
         return self._crashes
 
+    @property
+    def requests(self) -> int:
+        """Number of different requests that waited at one of the crashes."""
+        return len({s.request for s in self._crashes.values()})
+
     @property
     def last_crash_at(self) -> float:
         """Monotonic time of the last crash, s."""
@@ -102,25 +114,25 @@
         """
         return min(max(self.next_probe_at - now, 1.0), FORGET_S)
 
-    def add_crash(
-        self, crash: suspect_state.Crash, *, at: float, request_id: str
-    ) -> bool:
+    def add_crash(self, crash: suspect_state.Crash, sighting: Sighting) -> bool:
         """Adds a crash.
 
         Args:
             crash: The crash.
-            at: Monotonic time, s.
-            request_id: A request that waited for its answer there.
+            sighting: How it was seen.
 
         Returns:
-            Whether it was not known before.
+            Whether others need to know.
         """
         known = self._crashes.get(crash)
-        if known is not None or len(self._crashes) >= suspect_state.MAX_CRASHES:
+        if known is None:
+            if len(self._crashes) >= suspect_state.MAX_CRASHES:
+                return False
+            self._crashes[crash] = sighting
+            return True
+        if sighting.order >= known.order:
             return False
-        self._crashes[crash] = Sighting(
-            at=at, request_id=request_id[: suspect_state.MAX_IDENTIFIER_LENGTH]
-        )
+        self._crashes[crash] = dataclasses.replace(sighting, at=known.at)
         return True
 
     def quarantine(self, *, at: float) -> bool:
@@ -247,6 +259,7 @@
                     crash=crash,
                     age_s=max(now - sighting.at, 0.0),
                     request_id=sighting.request_id,
+                    request=sighting.request,
                 )
                 for crash, sighting in self._crashes.items()
             ],
--- a/packages/dotterelgrade/src/dotterelgrade/suspect_state.py
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect_state.py
@@ -62,11 +62,13 @@
         crash: The crash.
         age_s: Time since it was seen, s.
         request_id: The request, or empty if none is known.
+        request: Fingerprint that only its repetitions share, or None.
     """
 
     crash: Crash
     age_s: bounded.Amount
     request_id: _Identifier = ""
+    request: Fingerprint | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
