Begin no request that a stop would cut

What callers saw: in a planned stop, requests that came late in the grace period on open connections were passed on and cut at its end, with 502 at best, among them requests that may run once (LOST).

Cause: nothing between reading a request and passing it on asks how much of the grace period is left. A kept connection, a slow upload or a pipelined request bring one at any time. Ruled out: closing kept connections sooner; a request that crosses the close would be lost.

Change: once the load balancer has noticed, a request whose deadline lies behind the end of the stop is refused at once, not run, with the connection closed and 0.05 s to come back, since other fronts can take it. Before, and with a shorter deadline, it is served as ever.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -33,6 +33,7 @@
 from dotterelgrade_front import request_handler
 from dotterelgrade_front import suspect_sync
 from dotterelgrade_routing import feed_timing
+from dotterelgrade_routing import graceful_stop
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
 
@@ -213,7 +214,12 @@
         """Finishes the requests in flight, within the grace period."""
         stopped_at = time.monotonic()
         deadline = stopped_at + self._settings.grace_s - _ABORT_MARGIN_S
-        self._state.mark_leaving()
+        self._state.mark_leaving(
+            graceful_stop.GracefulStop(
+                deregistered_at=stopped_at + _DEREGISTRATION_WAIT_S,
+                aborts_at=deadline,
+            )
+        )
         self._state.decisions.record(
             "leaving",
             reason="stop requested",
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -19,6 +19,7 @@
 from dotterelgrade_routing import exclusions as exclusions_lib
 from dotterelgrade_routing import feed_freshness
 from dotterelgrade_routing import fleet as fleet_lib
+from dotterelgrade_routing import graceful_stop
 from dotterelgrade_routing import holdoff
 from dotterelgrade_routing import link_budget
 from dotterelgrade_routing import platform_port
@@ -109,6 +110,7 @@
         self._links: dict[str, link_budget.LinkBudget] = {}
         self._fronts: tuple[str, ...] = ()
         self._leaving = False
+        self._stop: graceful_stop.GracefulStop | None = None
 
     def __repr__(self) -> str:
         """Shows the host."""
@@ -202,9 +204,26 @@
         self._settings = settings
         self._resize_budgets()
 
-    def mark_leaving(self) -> None:
-        """Marks the front as leaving after a stop request."""
+    def mark_leaving(
+        self, stop: graceful_stop.GracefulStop | None = None
+    ) -> None:
+        """Marks the front as leaving after a stop request.
+
+        Args:
+            stop: The times of the stop, if it has an end.
+        """
         self._leaving = True
+        self._stop = stop
+
+    def may_begin(self, *, deadline: float) -> bool:
+        """Returns whether a request that has just been read is begun.
+
+        Args:
+            deadline: Deadline of the request as monotonic time, s.
+        """
+        if self._stop is None:
+            return True
+        return self._stop.permits(deadline=deadline, now=time.monotonic())
 
     @property
     def fronts(self) -> tuple[str, ...]:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -33,6 +33,8 @@
 }
 # Reading the configuration from the store takes less than this.
 _NOT_READY_RETRY_S = 0.5
+# Other fronts take the request at once.
+_OTHER_FRONT_RETRY_S = 0.05
 _FAULT_MESSAGE = "the front failed; its log has the details"
 
 
@@ -169,6 +171,12 @@
             facts = self._state.platform.headers.read_request(request.headers)
             request_id = facts.request_id
             call = self._admit_call(request, facts, received_at)
+            if not self._state.may_begin(deadline=call.deadline):
+                raise _rejected(
+                    errors.ErrorKind.LEAVING,
+                    "the front stops before the request's deadline",
+                    retry_after_s=_OTHER_FRONT_RETRY_S,
+                )
             with self._state.quarantine.admitted(call):
                 outcome = self._dispatch(client, call, close=close)
         except client_connection.CallerDisconnectedError:
