--- a/review/build.sh
+++ b/review/build.sh
@@ -7,4 +7,4 @@
 PYTHONPYCACHEPREFIX=target/review python3 -m compileall -q \
   review/common packages/dotterelgrade-standins/src
 . review/common/paths.sh
-python3 -c 'import deployment, engines, plain_servers'
+python3 -c 'import crashing_prompts, deployment, engines, plain_servers, sheet'
