Review: an error of a worker acquits a prompt that crashes workers

While some workers answer a part of their requests with a 500, a request with the part that crashes workers gets one, and the fronts take it for a service: they drop the crashes and count none for 30 s.

--- a/review/common/engines.py
+++ b/review/common/engines.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 import json
+import random
 import socket
 import struct
 import threading
@@ -30,7 +31,7 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found"}
 _REASONS |= {409: "Conflict", 421: "Misdirected Request"}
-_REASONS |= {503: "Service Unavailable"}
+_REASONS |= {500: "Internal Server Error", 503: "Service Unavailable"}
 
 
 def engine_description(kinds: dict[str, float]) -> dict:
@@ -147,6 +148,8 @@
         self.kind = kind
         self.address = ""
         self.alive = False
+        # Share of its requests that it answers with a 500.
+        self.errors = 0.0
         self.server_id = ""
         self.born = 0
         self.sequence = 0
@@ -382,6 +385,11 @@
             status, address = faulty
             self._send(sock, status, At_Server=address, **not_run)
             return
+        if random.random() < self.errors:
+            time.sleep(_PREFILL_S)
+            seal = {"X_Dotterelgrade_Response_Seal": self.server_id}
+            self._send(sock, 500, {"error": "failed"}, **ids, **seal)
+            return
         stream = _Stream(hops, self._incarnations(hops))
         self._streams[request_id] = stream
         try:
