--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,8 @@
 """An error of a worker acquits a part of a prompt that crashes workers.
 
-Some workers fail a part of their requests with a 500 while they are healthy. The
-fronts take any answer to a request with the part for a service, and count no
-crash against it for thirty seconds.
+Some workers fail a part of their requests with a 500 while they are healthy.
+The fronts take any answer to a request with the part for a service, and count
+no crash against it for thirty seconds.
 """
 
 import threading
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -238,17 +238,23 @@
 
 
 @contextlib.contextmanager
-def running(record: Record, *, fronts: int) -> Iterator[Deployment]:
+def running(
+    record: Record,
+    *,
+    fronts: int,
+    store: platform_store.PlatformStore | None = None,
+) -> Iterator[Deployment]:
     """Runs the store and makes fronts; the case starts them.
 
     Args:
         record: Record of the case.
         fronts: How many fronts.
+        store: The store, or None for one without disruptions.
     """
     with contextlib.ExitStack() as stack:
         directory = stack.enter_context(tempfile.TemporaryDirectory())
         own = stack.enter_context(loopback_range.reserved())
-        store = platform_store.PlatformStore()
+        store = store or platform_store.PlatformStore()
         ip, port = stack.enter_context(store.serving(own.host(_STORE_HOST)))
         made = Deployment(own, store, record)
         logs = os.environ.get("FRONT_LOGS")
