--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -278,6 +278,8 @@
             broke the rule, empty if it held.
         path: The file of the case.
     """
+    # So that the fronts are ended when the time for the script is over.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(_EXIT_NOT_RUN))
     record = Record(pathlib.Path(path).with_name("record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"case: disruption {'on' if trouble else 'off'}")
