Tell the kernel's time-out from our own when a response is read

What callers saw: half of an answer without length or chunks came as a whole 200, with the worker's seal, when its connection fell silent (MIXED).

Cause: Python raises the kernel's ETIMEDOUT as TimeoutError, as gevent does for a timer. receive() reads once more after a timer; behind an error that the kernel has reported, a read returns the end of the stream, and an unframed response ends with its connection.

Ruled out: an orderly end by the peer (the case keeps its sockets open), the parser (the answer came after 3.2 s, the kernel's time, not at once).

Change: receive() tells them apart by the error number and raises UnresponsivePeerError, neither a wait that may be repeated nor the end that a crashed process causes.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
@@ -190,6 +190,14 @@
         new="        self._caller_server.close()\n",
         check=_FRONT_TEST,
     ),
+    mutant.Mutant(
+        name="kernel-timeout-taken-for-an-own-one",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade.http_connection",
+        old="if error.errno == errno.ETIMEDOUT:",
+        new="if False:",
+        check=_UPSTREAM_TEST,
+    ),
     mutant.Mutant(
         name="reload-signal-ends-a-start",
         promise=mutant.STOP,
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 import contextlib
+import errno
 import http
 import re
 import time
@@ -46,6 +47,14 @@
     """The peer sent nothing within the time limit."""
 
 
+class UnresponsivePeerError(OSError):
+    """The kernel gave up the connection: the peer's host acknowledged nothing.
+
+    Unlike the kernel's own error, it is no `TimeoutError`, which stands for a
+    wait that may be repeated.
+    """
+
+
 class _InvalidHeadError(Exception):
     """The parser accepts a head that is none of a response."""
 
@@ -412,20 +421,33 @@
 
     Raises:
         TimeoutError: Nothing had arrived at the deadline.
+        UnresponsivePeerError: The kernel gave up the connection.
         OSError: The connection failed.
     """
-    sock.settimeout(max(deadline - time.monotonic(), _MIN_SOCKET_TIMEOUT_S))
+    timeout_s = max(deadline - time.monotonic(), _MIN_SOCKET_TIMEOUT_S)
     try:
-        return sock.recv(_RECEIVE_BYTES)
+        return _receive_once(sock, timeout_s=timeout_s)
     except TimeoutError:
         # A busy event loop may run the timer before it reports the bytes.
-        sock.settimeout(0.0)
+        pass
     try:
-        return sock.recv(_RECEIVE_BYTES)
+        return _receive_once(sock, timeout_s=0.0)
     except BlockingIOError as error:
         raise TimeoutError("nothing received") from error
 
 
+def _receive_once(sock: socket.socket, *, timeout_s: float) -> bytes:
+    sock.settimeout(timeout_s)
+    try:
+        return sock.recv(_RECEIVE_BYTES)
+    except TimeoutError as error:
+        if error.errno == errno.ETIMEDOUT:
+            # The socket's error is cleared now: another read would report the
+            # end of the stream.
+            raise UnresponsivePeerError(*error.args) from error
+        raise
+
+
 def enable_keepalive(sock: socket.socket) -> None:
     """Makes the kernel close the connection when the peer is dead."""
     tcp = socket.IPPROTO_TCP
--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -186,6 +186,53 @@
         _call(serve(script))
 
 
+def _falls_silent_after(sent):
+    """Sends a part of a response; its kernel then acknowledges nothing."""
+
+    def script(sock):
+        sock.sendall(sent)
+        gevent.sleep(1.5)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\nhalf of",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf of",
+        b"HTTP/1.1 200 OK\r\nx: y\r\n",
+    ],
+    ids=["unframed", "length", "head"],
+)
+def test_a_response_that_ends_with_the_kernels_timeout_is_incomplete(
+    serve, monkeypatch, sent
+):
+    """Half of an unframed response was taken for the whole (MIXED)."""
+    monkeypatch.setattr(http_connection, "_TCP_USER_TIMEOUT_MS", 300)
+    address = serve(_falls_silent_after(sent))
+    with pytest.raises(http_connection.BrokenConnectionError) as failure:
+        # The server leaves most of the body unread, so that the kernel waits.
+        _call(address, method=b"POST", body=bytes(1_000_000), timeout_s=6.0)
+    # A host that acknowledges nothing is no sign that a process crashed.
+    assert failure.type is http_connection.BrokenConnectionError
+
+
+def test_the_kernels_timeout_is_not_taken_for_an_own_timeout():
+    """Each wait that may be repeated would find the end of the stream."""
+
+    class Socket:
+        def settimeout(self, _):
+            pass
+
+        def recv(self, _):
+            raise TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+
+    with pytest.raises(http_connection.UnresponsivePeerError) as failure:
+        http_connection.receive(Socket(), deadline=time.monotonic() + 1.0)
+    assert not isinstance(failure.value, TimeoutError | ConnectionError)
+
+
 def test_a_response_that_arrived_before_the_timeout_is_read(serve):
     """A late event loop ran the timer first, and the response was lost."""
 
