Count no error as a service that acquits a crashing prompt

What callers saw: requests with a prompt segment that crashes servers went on being sent, 28 to 39 times after the fifth crash, while some servers answered with a 500 (BUDGET); sound streams were cut with them.

Cause: each answer that a front passed on counted as a service of its fingerprints, which drops their crashes and shields them for 30 s; an error too, though its server had written nothing.

Ruled out: late reports of other fronts (the tests have one front), repeats (the case's requests are all different).

Change: a stream speaks for its prompt once a server has written on it (eight events, or the end behind events of its own), a plain call by a whole answer below 500.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -121,7 +121,9 @@
             self._state.exclusions.note_success(
                 stage.server_id, now=now, began_at=attempt.began_at
             )
-        self._state.quarantine.note_served(self._call)
+        if attempt.received:
+            # The end alone, of a stream that others wrote, shows nothing.
+            self._state.quarantine.note_served(self._call)
         self._state.metrics.count_attempt("answered")
         pace, route = self._output.pace, self._call.route
         self._state.decisions.record(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -211,7 +211,6 @@
         if attempt.server_failed and self._may_do_better:
             raise attempt.error_as_failure()
         body = attempt.read_error_body()
-        self._state.quarantine.note_served(self._call)
         self._output.send_error_response(attempt.head, body)
         return f"answered_{attempt.head.status // 100}xx"
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -280,7 +280,8 @@
             self._record_failure(ended, error)
             return None
         response = outcome.unwrap()
-        self._state.quarantine.note_served(self._call)
+        if not response.is_server_error:
+            self._state.quarantine.note_served(self._call)
         if response.is_server_error and self._call.route.idempotent:
             self._server_error = response
             self._record_failure(
--- a/packages/dotterelgrade-front/tests/test_request_quarantine.py
+++ b/packages/dotterelgrade-front/tests/test_request_quarantine.py
@@ -174,6 +174,59 @@
     assert _ask(front, "shared,9", number=9)[0] == 200
 
 
+@pytest.mark.parametrize(
+    "status", [b"500 Error", b"504 Timeout", b"400 Bad"], ids=lambda s: s[:3]
+)
+def test_an_error_acquits_no_prompt_that_crashes_servers(front, status):
+    """A server that fails before it writes an answer has shown nothing."""
+    backends = _add_engines(front, fakes.resetting)
+    _quarantine(front)
+    (bad,) = fingerprint.of_segments("model", ["bad"])
+    front.state.quarantine.rules.grant_probe(bad)
+    for backend in backends:
+        backend.scripts[:] = [fakes.responding(status=status)]
+    probed = _ask(front, "bad,3", path="once", number=3)
+    assert probed[0] == int(status[:3])
+    assert _ask(front, "bad,4", number=4)[0] == 503
+
+
+def test_an_error_shields_no_prompt_from_the_crashes_that_follow(front):
+    """Requests with it went on for 30 s after a 500 (BUDGET)."""
+    backends = _add_engines(front, fakes.responding(status=b"500 Error"))
+    assert _ask(front, "bad,0", path="once")[0] == 500
+    for backend in backends:
+        backend.scripts[:] = [fakes.resetting]
+    _restart_all(front)
+    _quarantine(front)
+    assert _ask(front, "bad,9", number=9)[0] == 503
+
+
+@pytest.mark.parametrize(
+    ("status", "acquits"), [(b"500 Error", False), (b"404 None", True)]
+)
+def test_a_server_error_acquits_no_plain_call(front, status, acquits):
+    """Another status is what the service answers to this call."""
+    backend = front.add("p1", fakes.resetting)
+    front.ask("/unsafe/x", method="POST", body=b"p")
+    assert front.state.quarantine.rules.suspects
+    backend.scripts[:] = [fakes.responding(status=status)]
+    assert front.ask("/unsafe/x", method="POST", body=b"p")[0] == int(
+        status[:3]
+    )
+    assert bool(front.state.quarantine.rules.suspects) is not acquits
+
+
+def test_the_end_of_a_stream_acquits_no_prompt(front):
+    """The server that wrote it crashed; the next one only ended it."""
+    cut = fakes.streaming(1, 2, end=False)
+    rest = streams.resuming(fakes.streaming(3, 2), last=2)
+    streams.add_chains(front, [cut], [rest])
+    streams.add_reports(front)
+    status, _, body = _ask(front, "bad,1")
+    assert (status, body) == (200, streams.events(1, 2))
+    assert front.state.quarantine.rules.suspects
+
+
 def test_a_stream_that_broke_off_late_speaks_against_no_prompt(front):
     """Its server has shown that it can answer."""
     cut = fakes.streaming(1, 9, end=False)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
@@ -11,6 +11,9 @@
 _CONNECTION_TEST = (
     "packages/dotterelgrade-front/tests/test_client_connection.py"
 )
+_QUARANTINE_TEST = (
+    "packages/dotterelgrade-front/tests/test_request_quarantine.py"
+)
 _HANDLER_TEST = "packages/dotterelgrade-front/tests/test_request_handler.py"
 
 MUTANTS = (
@@ -190,6 +193,14 @@
         new="        self._caller_server.close()\n",
         check=_FRONT_TEST,
     ),
+    mutant.Mutant(
+        name="error-acquits-a-prompt",
+        promise=mutant.OWN_ANSWER,
+        module="dotterelgrade_front.plain_call",
+        old="        if not response.is_server_error:\n",
+        new="        if True:\n",
+        check=_QUARANTINE_TEST,
+    ),
     mutant.Mutant(
         name="kernel-timeout-taken-for-an-own-one",
         promise=mutant.OWN_ANSWER,
