Bound the memory of bodies by their sum, and pass large responses on

What callers saw: one server that sends without end took a front out of memory; the requests of all other callers of that front ended with it (LOST).

Cause: bodies of responses were held whole, up to 16 MiB each, unfinished events up to 1 MiB and bodies of callers up to max_body_bytes each; nothing added them up. A greenlet that reads a socket with unread bytes never yields.

Change: a MemoryBudget of a quarter of memory_mb is charged for responses, events and bodies of callers. Half of it belongs to each connection evenly, so that small bodies can't be starved. A response above 256 KiB, or without room, is passed on as it comes; a request's body without room is refused at once, not run. Servers above the limits are excluded, named and counted. Loops over bodies yield after each piece.

The entry, the agent and frames of other fronts stay open.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -72,6 +72,12 @@
                 reason=str(failed),
                 firm=failed.execution is statuses.NEVER_SENT,
             )
+        if failed.oversized:
+            self._state.note_oversized(
+                chain.first.server_id,
+                reason=str(failed),
+                request_id=call.request_id,
+            )
         if failed.connection_lost:
             self._state.quarantine.note_crash(
                 call,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -12,6 +12,7 @@
 
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
+from dotterelgrade import memory_budget
 from dotterelgrade_front import request_parser
 from dotterelgrade_routing import configuration
 
@@ -67,12 +68,15 @@
         sock: socket.socket,
         *,
         limits: Callable[[], configuration.ClientLimits],
+        account: memory_budget.Account,
     ) -> None:
         """Initializes the connection.
 
         Args:
             sock: A connected socket; the creator closes it.
             limits: Returns the size and time limits in force.
+            account: Is charged for the bodies of requests; the creator closes
+                it.
         """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         http_connection.enable_keepalive(sock)
@@ -84,7 +88,7 @@
         )
         self._sock = sock
         self._limits = limits
-        self._parser = request_parser.RequestParser(limits)
+        self._parser = request_parser.RequestParser(limits, account=account)
         self._bad_request: request_parser.BadRequestError | None = None
         self._serving: gevent.Greenlet | None = None
         self._interrupted = False
@@ -158,6 +162,7 @@
                 acceptable request.
         """
         parser = self._parser
+        parser.release_taken()
         timeout = self._start_timeout()
         while not parser.requests:
             if self._bad_request is not None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/event_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/event_stream.py
@@ -3,6 +3,8 @@
 import dataclasses
 import re
 
+from dotterelgrade import memory_budget
+
 _MAX_EVENT_BYTES = 1_048_576
 _ID = b"id:"
 _COMMENT = b":"
@@ -15,6 +17,10 @@
     """Bytes of a stream are no event."""
 
 
+class NoRoomError(InvalidEventError):
+    """The memory for events is used up, whoever uses it."""
+
+
 class EventTooLargeError(InvalidEventError):
     """An event exceeds the size limit."""
 
@@ -37,8 +43,14 @@
 class EventSplitter:
     """Buffers an incomplete event until the rest of it arrives."""
 
-    def __init__(self) -> None:
-        """Initializes an empty splitter."""
+    def __init__(self, account: memory_budget.Account) -> None:
+        """Initializes an empty splitter.
+
+        Args:
+            account: Is charged for the events until the next bytes are added,
+                since their reader may take them slowly.
+        """
+        self._account = account
         self._partial = b""
 
     def __repr__(self) -> str:
@@ -58,8 +70,12 @@
 
         Raises:
             EventTooLargeError: An event exceeds the size limit.
+            NoRoomError: There is no room for the events.
             InvalidEventError: A line of an event is no field.
         """
+        size = len(self._partial) + len(piece)
+        if not self._account.resize(size):
+            raise NoRoomError(f"no room for {size} bytes of events")
         data = self._partial + piece
         end = max(_end_of_last(data, b"\n\n"), _end_of_last(data, b"\r\n\r\n"))
         complete, self._partial = data[:end], data[end:]
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -36,6 +36,10 @@
             "front_quarantined_fingerprints",
             "Fingerprints of which requests are refused.",
         )
+        self._oversized = self._metrics.counter(
+            "front_oversized_responses",
+            "Responses of backend servers above the size limit.",
+        )
         self._in_flight = self._metrics.gauge(
             "front_requests_in_flight", "Requests that are worked on."
         )
@@ -89,6 +93,10 @@
         """Counts a request refused for crashes under others like it."""
         self._refused_suspects.labels(level).inc()
 
+    def count_oversized(self) -> None:
+        """Counts a response above the size limit."""
+        self._oversized.inc()
+
     def set_quarantined(self, fingerprints: int) -> None:
         """Sets the number of fingerprints in quarantine."""
         self._quarantined.set(fingerprints)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -39,6 +39,7 @@
         most_connections: Maximum number of open file descriptors.
         cores: CPU limit of the process, cores.
         link_bits_per_s: Bandwidth of the host's link, bit/s.
+        memory_bytes: Memory limit of the process, bytes.
         grace_s: Time between SIGTERM and SIGKILL, s.
         retry_ratio: Retry budget per request, over all fronts.
         retry_slack: Additional retries per window, over all fronts.
@@ -60,6 +61,7 @@
     most_connections: int = 1024
     cores: float = 1.0
     link_bits_per_s: float = 1e9
+    memory_bytes: float = 256e6
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_slack: float = 100.0
@@ -85,6 +87,7 @@
             "retry_window_s": self.retry_window_s,
             "cores": self.cores,
             "link_bits_per_s": self.link_bits_per_s,
+            "memory_bytes": self.memory_bytes,
         }
         for name, value in positive.items():
             if not 0 < value < float("inf"):
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -7,6 +7,7 @@
 
 from dotterelgrade import decision_log
 from dotterelgrade import journal
+from dotterelgrade import memory_budget
 from dotterelgrade import quarantine as quarantine_lib
 from dotterelgrade_front import chain_directory
 from dotterelgrade_front import front_metrics
@@ -34,6 +35,9 @@
 _STEADY_FRACTION = 0.1
 # Fraction of the retry ratio that each request adds to the budget.
 _EARNED_FRACTION = 0.4
+# Fraction of the memory for what others send. The rest holds the program,
+# what it knows of the fleet, and copies of bodies while they are joined.
+_BODY_MEMORY_FRACTION = 0.25
 # Assumed number of fronts until the planner reports it.
 _DEFAULT_FRONT_COUNT = 16
 
@@ -106,6 +110,10 @@
             decisions=self._decisions,
             metrics=self._metrics,
         )
+        self._memory = memory_budget.MemoryBudget(
+            capacity_bytes=settings.memory_bytes * _BODY_MEMORY_FRACTION,
+            accounts=settings.most_connections,
+        )
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._links: dict[str, link_budget.LinkBudget] = {}
         self._fronts: tuple[str, ...] = ()
@@ -171,6 +179,11 @@
         """Random numbers that break ties and add jitter."""
         return self._rng
 
+    @property
+    def memory(self) -> memory_budget.MemoryBudget:
+        """Bounds what is buffered of bodies, for the settings at the start."""
+        return self._memory
+
     @property
     def decisions(self) -> decision_log.DecisionLog:
         """Log of decisions."""
@@ -292,6 +305,25 @@
                 firm=confirmed,
             )
 
+    def note_oversized(
+        self, server_id: str, *, reason: str, request_id: str
+    ) -> None:
+        """Excludes a backend server whose response exceeds the size limit.
+
+        Args:
+            server_id: The backend server.
+            reason: The observed fault, in one clause.
+            request_id: The request.
+        """
+        self._metrics.count_oversized()
+        self._decisions.record(
+            "response_too_large",
+            reason=reason,
+            server=server_id,
+            request_id=request_id,
+        )
+        self.note_failure(server_id, reason=reason)
+
     def note_report(
         self, server_id: str, report: backend_server.EngineReport
     ) -> bool:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_attempt.py
@@ -1,5 +1,7 @@
 """One attempt to serve a plain call at one backend server."""
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import functools
 import logging
@@ -13,27 +15,28 @@
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
 from dotterelgrade_front import front_state
+from dotterelgrade_front import response_body
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import backend_server
 
 _LOG = logging.getLogger(__name__)
 
-_MAX_BODY_BYTES = 16_777_216
+_REDIRECTION = 300
 _SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlainResponse:
-    """A complete response of a backend server.
+    """A response of a backend server.
 
     Attributes:
         head: Status and end-to-end headers.
-        body: The body.
+        body: The body; of a large one only the start has been read.
     """
 
     head: http_message.ResponseHead
-    body: bytes
+    body: response_body.ResponseBody
 
     @property
     def is_server_error(self) -> bool:
@@ -48,7 +51,10 @@
 
 
 class PlainAttempt:
-    """An attempt, from its connection to the complete response."""
+    """An attempt, from its connection to a response that can be passed on.
+
+    It holds the connection and the memory of the response until it is closed.
+    """
 
     def __init__(
         self,
@@ -71,6 +77,7 @@
         self._call = call
         self._server = server
         self._started_at = time.monotonic()
+        self._resources = contextlib.ExitStack()
 
     def __repr__(self) -> str:
         """Shows the backend server and the age."""
@@ -99,7 +106,10 @@
         return time.monotonic() - self._started_at
 
     def run(self) -> AttemptResult:
-        """Sends the call and waits for the response until the deadline."""
+        """Sends the call and waits for the response until the deadline.
+
+        Of a response that is too large to be held, only the start is awaited.
+        """
         try:
             return result.Success(self._exchange())
         except http_connection.ResponseTimeoutError as error:
@@ -121,6 +131,20 @@
             )
             return result.Failure(self._fault())
 
+    @contextlib.contextmanager
+    def adopted(self) -> Iterator[None]:
+        """Holds the connection for the rest of the response until exit.
+
+        Raises:
+            upstream.AttemptFailedError: The rest could not be read.
+        """
+        with self._resources:
+            yield
+
+    def close(self) -> None:
+        """Closes the connection and releases the memory of the response."""
+        self._resources.close()
+
     def _fault(self) -> upstream.AttemptFailedError:
         """Returns the failure by a fault of the front; no server is blamed."""
         execution = attempt.ExecutionStatus.NEVER_SENT
@@ -129,30 +153,49 @@
         return upstream.AttemptFailedError(execution, "fault in the front")
 
     def _exchange(self) -> PlainResponse:
-        state, call = self._state, self._call
-        names = state.platform.headers
-        with upstream.send(
-            call,
+        call = self._call
+        with contextlib.ExitStack() as resources:
+            connection = resources.enter_context(self._sent())
+            head = self._read_head(connection)
+            body = response_body.ResponseBody(
+                connection,
+                head=head,
+                account=resources.enter_context(self._state.memory.open()),
+                deadline=call.deadline,
+            )
+            body.read_start()
+            if body.whole:
+                connection.close()
+            self._resources = resources.pop_all()
+        return PlainResponse(head=head.end_to_end(), body=body)
+
+    def _sent(
+        self,
+    ) -> contextlib.AbstractContextManager[http_connection.HttpConnection]:
+        return upstream.send(
+            self._call,
             upstream.Target(
                 server_id=self.server_id, address=self._server.address
             ),
-            headers=names,
+            headers=self._state.platform.headers,
             check_caller=self._client.raise_if_disconnected,
-        ) as connection:
-            head, facts = upstream.read_response_head(
-                call,
-                connection,
-                headers=names,
-                deadline=call.deadline,
-                on_response=functools.partial(
-                    state.notices.note_response, self._server
-                ),
-            )
-            body = connection.read_body(
-                deadline=call.deadline, max_body_bytes=_MAX_BODY_BYTES
-            )
-        if not facts.sealed and head.status < 300:
+        )
+
+    def _read_head(
+        self, connection: http_connection.HttpConnection
+    ) -> http_message.ResponseHead:
+        state, call = self._state, self._call
+        head, facts = upstream.read_response_head(
+            call,
+            connection,
+            headers=state.platform.headers,
+            deadline=call.deadline,
+            on_response=functools.partial(
+                state.notices.note_response, self._server
+            ),
+        )
+        if not facts.sealed and head.status < _REDIRECTION:
             raise upstream.AttemptFailedError(
                 attempt.ExecutionStatus.UNKNOWN, "unsealed response"
             )
-        return PlainResponse(head=head.end_to_end(), body=body)
+        return head
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterator
 import contextlib
+import dataclasses
 import enum
 import time
 
@@ -14,6 +15,7 @@
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import http_connection
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
 from dotterelgrade_front import front_state
@@ -74,25 +76,95 @@
         attempts = _Attempts(
             self._state, client=client, call=call, in_flight=self._in_flight
         )
-        with client.interrupt_on_disconnect():
-            outcome = attempts.run()
-        # The caller is told also of a stop that came meanwhile.
-        close = close or self._state.leaving
-        if isinstance(outcome, result.Failure):
-            error = outcome.failure()
-            responses.send_error(
-                client, error, request_id=call.request_id, close=close
-            )
-            return error.kind.value
-        response = outcome.unwrap()
-        responses.send_response(
-            client,
-            head=response.head,
-            body=response.body,
-            close=close,
-            bodiless=call.request.method == b"HEAD",
+        with attempts.closed_on_exit():
+            with client.interrupt_on_disconnect():
+                outcome = attempts.run()
+            # The caller is told also of a stop that came meanwhile.
+            close = close or self._state.leaving
+            if isinstance(outcome, result.Failure):
+                error = outcome.failure()
+                responses.send_error(
+                    client, error, request_id=call.request_id, close=close
+                )
+                return error.kind.value
+            answered = outcome.unwrap()
+            response = answered.response
+            if response.body.whole:
+                responses.send_response(
+                    client,
+                    head=response.head,
+                    body=response.body.start,
+                    close=close,
+                    bodiless=call.request.method == b"HEAD",
+                )
+            else:
+                self._pass_on(client, call, answered, close=close)
+            return f"answered_{response.head.status // 100}xx"
+
+    def _pass_on(
+        self,
+        client: client_connection.ClientConnection,
+        call: call_lib.Call,
+        answered: "_Answered",
+        *,
+        close: bool,
+    ) -> None:
+        """Passes a response on that is too large to be held.
+
+        Raises:
+            client_connection.ResponseAbortedError: It broke off; the caller
+                must not take what it has for all of it.
+        """
+        response = answered.response
+        length = response.body.length
+        head = responses.encode_piecewise_head(
+            response.head, length=length, close=close
+        )
+        try:
+            with (
+                client.interrupt_on_disconnect(),
+                answered.attempt.adopted(),
+            ):
+                client.write(head)
+                for piece in response.body.pieces():
+                    framed = length is not None
+                    client.write(
+                        piece if framed else responses.encode_chunk(piece)
+                    )
+                if length is None:
+                    client.write(responses.LAST_CHUNK)
+        except http_connection.ResponseTimeoutError as error:
+            self._state.note_timeout(answered.attempt.server_id)
+            raise self._broken(call, answered, str(error)) from error
+        except upstream.AttemptFailedError as failed:
+            server_id = answered.attempt.server_id
+            if failed.oversized:
+                self._state.note_oversized(
+                    server_id, reason=str(failed), request_id=call.request_id
+                )
+            else:
+                self._state.note_failure(server_id, reason=str(failed))
+            raise self._broken(call, answered, str(failed)) from failed
+
+    def _broken(
+        self, call: call_lib.Call, answered: "_Answered", reason: str
+    ) -> client_connection.ResponseAbortedError:
+        """Records a response that broke off when a part was passed on."""
+        self._state.decisions.record(
+            "response_broken",
+            reason=reason,
+            request_id=call.request_id,
+            server=answered.attempt.server_id,
         )
-        return f"answered_{response.head.status // 100}xx"
+        return client_connection.ResponseAbortedError(reason)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Answered:
+    """A response to pass on, and the attempt that holds it."""
+
+    response: plain_attempt.PlainResponse
+    attempt: plain_attempt.PlainAttempt
 
 
 class _Attempts:
@@ -111,30 +183,38 @@
         self._call = call
         self._in_flight = in_flight
         self._open: dict[gevent.Greenlet, plain_attempt.PlainAttempt] = {}
+        self._started: list[plain_attempt.PlainAttempt] = []
         self._reason = "no backend server available"
-        self._server_error: plain_attempt.PlainResponse | None = None
+        self._server_error: _Answered | None = None
         # Sends that need no retry budget: the first one, and one for each
         # attempt that could not connect.
         self._free_sends = 1
         self._asked_at = float("-inf")
         self._hedge_outcome: _HedgeOutcome | None = None
 
-    def run(
-        self,
-    ) -> result.Result[plain_attempt.PlainResponse, errors.Error]:
+    @contextlib.contextmanager
+    def closed_on_exit(self) -> Iterator[None]:
+        """Releases what the attempts hold when the context ends."""
+        try:
+            yield
+        finally:
+            for started in self._started:
+                started.close()
+
+    def run(self) -> result.Result[_Answered, errors.Error]:
         """Returns the response for the caller, or the error without one."""
-        with self._closing_attempts():
+        with self._ending_attempts():
             while True:
                 self._start_next()
                 if not self._open:
                     return self._last_resort()
-                response = self._wait()
-                if response is not None:
-                    return result.Success(response)
+                answered = self._wait()
+                if answered is not None:
+                    return result.Success(answered)
 
     @contextlib.contextmanager
-    def _closing_attempts(self) -> Iterator[None]:
-        """Closes the attempts that are open at the end.
+    def _ending_attempts(self) -> Iterator[None]:
+        """Ends the attempts that still wait when the context ends.
 
         None of them may send the call after this.
         """
@@ -143,9 +223,7 @@
         finally:
             gevent.killall(list(self._open))
 
-    def _last_resort(
-        self,
-    ) -> result.Result[plain_attempt.PlainResponse, errors.Error]:
+    def _last_resort(self) -> result.Result[_Answered, errors.Error]:
         if self._server_error is not None:
             return result.Success(self._server_error)
         call = self._call
@@ -242,6 +320,7 @@
         greenlet = gevent.Greenlet(started.run)
         greenlet.rawlink(lambda _: self._release(server.id))
         self._open[greenlet] = started
+        self._started.append(started)
         greenlet.start()
 
     def _release(self, server_id: str) -> None:
@@ -250,7 +329,7 @@
             # Thousands of backend servers are replaced in a day.
             del self._in_flight[server_id]
 
-    def _wait(self) -> plain_attempt.PlainResponse | None:
+    def _wait(self) -> _Answered | None:
         """Waits until an attempt ends or the next one is due.
 
         Returns:
@@ -262,16 +341,16 @@
             timeout_s = max(0.0, next_start_at - time.monotonic())
         ended = gevent.wait(list(self._open), timeout=timeout_s, count=1)
         for greenlet in ended:
-            response = self._take(self._open.pop(greenlet), greenlet.get())
-            if response is not None:
-                return response
+            answered = self._take(self._open.pop(greenlet), greenlet.get())
+            if answered is not None:
+                return answered
         return None
 
     def _take(
         self,
         ended: plain_attempt.PlainAttempt,
         outcome: plain_attempt.AttemptResult,
-    ) -> plain_attempt.PlainResponse | None:
+    ) -> _Answered | None:
         """Notes how an attempt ended; returns a response to pass on."""
         if isinstance(outcome, result.Failure):
             error = outcome.failure()
@@ -282,8 +361,14 @@
         response = outcome.unwrap()
         if not response.is_server_error:
             self._state.quarantine.note_served(self._call)
-        if response.is_server_error and self._call.route.idempotent:
-            self._server_error = response
+        answered = _Answered(response=response, attempt=ended)
+        # Another attempt beside an unfinished response would be held up by it.
+        if (
+            response.is_server_error
+            and response.body.whole
+            and self._call.route.idempotent
+        ):
+            self._server_error = answered
             self._record_failure(
                 ended,
                 upstream.AttemptFailedError(
@@ -293,7 +378,7 @@
             )
             return None
         self._record_success(ended)
-        return response
+        return answered
 
     def _record_success(self, answered: plain_attempt.PlainAttempt) -> None:
         state = self._state
@@ -327,7 +412,13 @@
                 sent_at=ended.started_at,
                 proven=False,
             )
-        if failed.faulty_address:
+        if failed.oversized:
+            state.note_oversized(
+                ended.server_id,
+                reason=str(failed),
+                request_id=call.request_id,
+            )
+        elif failed.faulty_address:
             state.note_failure(ended.server_id, reason=str(failed))
         state.decisions.record(
             "try_failed",
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -30,6 +30,7 @@
     http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: (
         errors.ErrorKind.HEAD_TOO_LARGE
     ),
+    http.HTTPStatus.SERVICE_UNAVAILABLE: errors.ErrorKind.NO_MEMORY,
 }
 # Reading the configuration from the store takes less than this.
 _NOT_READY_RETRY_S = 0.5
@@ -102,9 +103,18 @@
             sock: The connected socket.
             _address: The caller's address.
         """
-        client = client_connection.ClientConnection(
-            sock, limits=self._current_limits
-        )
+        try:
+            with self._state.memory.open() as account:
+                client = client_connection.ClientConnection(
+                    sock, limits=self._current_limits, account=account
+                )
+                self._serve_requests(client)
+        finally:
+            sock.close()
+
+    def _serve_requests(
+        self, client: client_connection.ClientConnection
+    ) -> None:
         self._connections.add(client)
         try:
             while self._serve_next(client):
@@ -120,7 +130,6 @@
             self._answer_connection_fault(client)
         finally:
             self._connections.discard(client)
-            sock.close()
 
     def _current_limits(self) -> configuration.ClientLimits:
         current = self._state.configuration
@@ -363,9 +372,14 @@
     ) -> None:
         kind = _STATUS_KINDS.get(error.status, errors.ErrorKind.BAD_REQUEST)
         self._state.decisions.record("bytes_rejected", reason=str(error))
+        retry_after_s = None
+        if kind is errors.ErrorKind.NO_MEMORY:
+            retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
         responses.send_error(
             client,
-            errors.Error(kind=kind, message=str(error)),
+            errors.Error(
+                kind=kind, message=str(error), retry_after_s=retry_after_s
+            ),
             request_id="",
             close=True,
         )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_parser.py
@@ -7,6 +7,7 @@
 import httptools
 
 from dotterelgrade import http_message
+from dotterelgrade import memory_budget
 from dotterelgrade_routing import configuration
 
 
@@ -32,14 +33,19 @@
     """Collects requests; the HTTP parser calls the `on_` methods."""
 
     def __init__(
-        self, limits: Callable[[], configuration.ClientLimits]
+        self,
+        limits: Callable[[], configuration.ClientLimits],
+        *,
+        account: memory_budget.Account,
     ) -> None:
         """Initializes a parser without any bytes.
 
         Args:
             limits: Returns the size limits in force.
+            account: Is charged for the bodies.
         """
         self._limits = limits
+        self._account = account
         self._requests: collections.deque[http_message.Request] = (
             collections.deque()
         )
@@ -80,6 +86,10 @@
         while data:
             data = self._feed_until_upgrade(data)
 
+    def release_taken(self) -> None:
+        """Stops charging for the requests that were taken; they have ended."""
+        self._account.resize(self._buffered_bytes())
+
     def take_expect_continue(self) -> bool:
         """Returns whether the caller waits for a 100 response, only once."""
         expected = self._expects_continue and self._started
@@ -126,6 +136,12 @@
         self._body += part
         if len(self._body) > self._limits().body_bytes:
             raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if not self._account.resize(self._buffered_bytes()):
+            raise BadRequestError(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _buffered_bytes(self) -> int:
+        complete = sum(len(request.body) for request in self._requests)
+        return complete + len(self._body)
 
     def on_message_complete(self) -> None:
         """Queues the request, unless it is parsed again without its offer."""
@@ -141,6 +157,7 @@
                 keep_alive=self._parser.should_keep_alive(),
             )
         )
+        self._body = bytearray()
 
     def _feed_until_upgrade(self, data: bytes) -> bytes:
         """Parses bytes; returns those to parse anew after an upgrade offer."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/responses.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/responses.py
@@ -49,6 +49,29 @@
     client.write(encoded_head if bodiless else encoded_head + body)
 
 
+def encode_piecewise_head(
+    head: http_message.ResponseHead, *, length: int | None, close: bool
+) -> bytes:
+    """Returns the encoded head of a response whose body follows in pieces.
+
+    Args:
+        head: Status and end-to-end headers.
+        length: Size of the body, bytes, or None for a chunked one.
+        close: Whether to send `Connection: close`.
+    """
+    if length is None:
+        return encode_stream_head(head, close=close)
+    headers = [
+        *head.headers,
+        (b"content-length", str(length).encode()),
+    ]
+    if close:
+        headers.append(_CLOSE)
+    return http_message.encode_head(
+        status_line(head.status, head.reason), headers
+    )
+
+
 def send_error(
     client: client_connection.ClientConnection,
     error: errors.Error,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
@@ -13,11 +13,11 @@
 from dotterelgrade_front import event_sequence
 from dotterelgrade_front import event_stream
 from dotterelgrade_front import front_state
+from dotterelgrade_front import response_body
 from dotterelgrade_front import upstream
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import chain_choice
 
-_MAX_BODY_BYTES = 16_777_216
 _FIRST_ERROR_STATUS = 300
 _SERVER_ERROR = 500
 
@@ -52,7 +52,7 @@
         self._began_at = time.monotonic()
         self._first_at_server = chain.first.server_id not in call.sent_to
         self._server_process = _listed_process(state, chain.first.server_id)
-        self._splitter = event_stream.EventSplitter()
+        self._splitter: event_stream.EventSplitter | None = None
         self._connection: http_connection.HttpConnection | None = None
         self._head: http_message.ResponseHead | None = None
         self._received = 0
@@ -146,8 +146,17 @@
                     headers=self._state.platform.headers,
                     check_caller=check_caller,
                 ) as self._connection,
+                self._state.memory.open() as account,
             ):
+                self._splitter = event_stream.EventSplitter(account)
                 yield
+        except event_stream.EventTooLargeError as error:
+            raise upstream.AttemptFailedError(
+                attempt.ExecutionStatus.UNKNOWN,
+                str(error),
+                faulty_address=first.address,
+                oversized=True,
+            ) from error
         except (
             http_connection.ResponseTimeoutError,
             event_stream.InvalidEventError,
@@ -242,9 +251,13 @@
 
     def read_error_body(self) -> bytes:
         """Waits for the body of an error response."""
-        return self._connection.read_body(
-            deadline=self._call.deadline, max_body_bytes=_MAX_BODY_BYTES
-        )
+        with self._state.memory.open() as account:
+            return response_body.read_whole(
+                self._connection,
+                head=self._head,
+                account=account,
+                deadline=self._call.deadline,
+            )
 
 
 def _listed_process(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/upstream.py
@@ -37,6 +37,7 @@
         *,
         faulty_address: str = "",
         connection_lost: bool = False,
+        oversized: bool = False,
     ) -> None:
         """Initializes the exception.
 
@@ -46,11 +47,13 @@
             faulty_address: Address of the backend server at fault, if known.
             connection_lost: Whether its connection ended, as it does when the
                 backend server crashes.
+            oversized: Whether its response exceeded the size limit.
         """
         super().__init__(reason)
         self._execution = execution
         self._faulty_address = faulty_address
         self._connection_lost = connection_lost
+        self._oversized = oversized
 
     @property
     def execution(self) -> attempt.ExecutionStatus:
@@ -67,6 +70,11 @@
         """Whether its connection ended before the response."""
         return self._connection_lost
 
+    @property
+    def oversized(self) -> bool:
+        """Whether its response exceeded the size limit."""
+        return self._oversized
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Target:
@@ -145,6 +153,7 @@
             connection_lost=isinstance(
                 error, http_connection.LostConnectionError
             ),
+            oversized=isinstance(error, http_connection.ResponseTooLargeError),
         ) from error
     finally:
         connection.close()
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -14,6 +14,7 @@
 ready = "10.1.0.40:8220"
 [limits]
 file_descriptors = 1570
+memory_mb = 222
 [bounds]
 grace_s = 8
 retry_budget_ratio = 0.2
@@ -31,6 +32,7 @@
     assert settings.failure_domain == "a"
     assert settings.peer_address == "10.1.0.40:7340"
     assert settings.retry_slack == 400
+    assert settings.memory_bytes == 222e6
 
 
 def test_the_environment_names_the_file(tmp_path, monkeypatch):
@@ -51,6 +53,7 @@
         _FILE.replace("[7340, 7355]", "[-7340, 7355]"),
         _FILE.replace("grace_s = 8", "grace_s = nan"),
         _FILE.replace("grace_s = 8", "grace_s = inf"),
+        _FILE.replace("memory_mb = 222", "memory_mb = 0"),
         _FILE.replace("a_new_field = 1", "a = " + "[" * 100_000),
     ],
     ids=[
@@ -62,6 +65,7 @@
         "negative port",
         "not a number",
         "infinite",
+        "no memory",
         "nested",
     ],
 )
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -395,6 +395,7 @@
 monkey.patch_all()
 import gevent
 from gevent import socket
+from dotterelgrade import memory_budget
 from dotterelgrade_front import client_connection
 from dotterelgrade_routing import configuration
 
@@ -402,7 +403,9 @@
 far = socket.create_connection(tcp.getsockname())
 near, _ = tcp.accept()
 client = client_connection.ClientConnection(
-    near, limits=configuration.ClientLimits
+    near,
+    limits=configuration.ClientLimits,
+    account=memory_budget.unlimited(),
 )
 gevent.spawn_later(0.1, far.close)
 try:
--- a/packages/dotterelgrade-front/tests/test_event_sequence.py
+++ b/packages/dotterelgrade-front/tests/test_event_sequence.py
@@ -7,6 +7,7 @@
 import stream_fakes as streams
 
 from dotterelgrade import http_message
+from dotterelgrade import memory_budget
 from dotterelgrade_front import event_sequence
 from dotterelgrade_front import event_stream
 
@@ -279,7 +280,7 @@
     sequence.begin(_head())
     sequence.add(_events("1", "2"))
     for parts in responses:
-        splitter = event_stream.EventSplitter()
+        splitter = event_stream.EventSplitter(memory_budget.unlimited())
         sequence.begin(_head())
         data = b"".join(parts)
         with contextlib.suppress(
--- a/packages/dotterelgrade-front/tests/test_request_handler.py
+++ b/packages/dotterelgrade-front/tests/test_request_handler.py
@@ -195,3 +195,32 @@
         current_at=time.monotonic() - age_s,
         source=feed_freshness.ContactSource.PLANNER,
     )
+
+
+@pytest.fixture
+def small_front(settings, platform):
+    """Each connection owns 976 bytes; all share 1 MB."""
+    small = dataclasses.replace(settings, memory_bytes=8e6)
+    running = fakes.FrontUnderTest(small, platform)
+    yield running
+    running.stop()
+
+
+def test_a_body_without_memory_is_refused_at_once_and_not_run(small_front):
+    """Bodies of callers took any amount of memory (LOST)."""
+    front = small_front
+    backend = front.add("s", fakes.responding())
+    body = bytes(4_000)
+    memory = front.state.memory
+    with memory.open() as account:
+        # Leaves each connection what it owns.
+        assert account.resize(int(memory.shared_bytes))
+        for _ in range(3):
+            status, headers, text = front.ask(
+                "/unsafe/x", method="POST", body=body
+            )
+            assert (status, headers[b"retry-after"]) == (503, b"0.50")
+            assert b'"no_memory"' in text
+        assert not backend.arrivals
+        assert front.ask("/unsafe/x", method="POST", body=b"small")[0] == 200
+    assert front.ask("/unsafe/x", method="POST", body=body)[0] == 200
--- a/packages/dotterelgrade-front/tests/test_request_parser.py
+++ b/packages/dotterelgrade-front/tests/test_request_parser.py
@@ -1,5 +1,6 @@
 import pytest
 
+from dotterelgrade import memory_budget
 from dotterelgrade_front import request_parser
 from dotterelgrade_routing import configuration
 
@@ -8,9 +9,17 @@
 
 
 @pytest.fixture
-def parser():
+def memory():
+    """Owns nothing for each account; all share 60 bytes."""
+    return memory_budget.MemoryBudget(capacity_bytes=120, accounts=10**6)
+
+
+@pytest.fixture
+def parser(memory):
     limits = configuration.ClientLimits(header_bytes=500, body_bytes=50)
-    return request_parser.RequestParser(lambda: limits)
+    return request_parser.RequestParser(
+        lambda: limits, account=memory_budget.Account(memory)
+    )
 
 
 def _request(target=b"/x", rows=b"", body=b"", version=b"1.1"):
@@ -96,3 +105,24 @@
     parser.feed(_request(rows=b"transfer-encoding: chunked\r\n"))
     with pytest.raises(request_parser.BadRequestError):
         parser.feed(b"0\r\nfiller: " + b"x" * 600 + b"\r\n\r\n")
+
+
+def test_bodies_of_callers_share_the_memory(parser, memory):
+    """Each was held up to the limit, at any number of connections."""
+    limits = configuration.ClientLimits(header_bytes=500, body_bytes=50)
+    other = request_parser.RequestParser(
+        lambda: limits, account=memory_budget.Account(memory)
+    )
+    parser.feed(_request(body=b"x" * 50)[:-1])
+    with pytest.raises(request_parser.BadRequestError) as refused:
+        other.feed(_request(body=b"x" * 50))
+    assert refused.value.status == 503
+
+
+def test_a_body_is_charged_until_its_request_has_ended(parser, memory):
+    parser.feed(_request(body=b"x" * 20) + _request(body=b"x" * 30))
+    assert memory.used_bytes == pytest.approx(50, abs=0.1)
+    parser.requests.popleft()
+    assert memory.used_bytes == pytest.approx(50, abs=0.1)
+    parser.release_taken()
+    assert memory.used_bytes == pytest.approx(30, abs=0.1)
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
@@ -11,6 +11,7 @@
 _CONNECTION_TEST = (
     "packages/dotterelgrade-front/tests/test_client_connection.py"
 )
+_BODY_TEST = "packages/dotterelgrade-front/tests/test_response_body.py"
 _QUARANTINE_TEST = (
     "packages/dotterelgrade-front/tests/test_request_quarantine.py"
 )
@@ -201,6 +202,38 @@
         new="        if True:\n",
         check=_QUARANTINE_TEST,
     ),
+    mutant.Mutant(
+        name="response-without-end-is-held",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.response_body",
+        old="self._account.resize(held_bytes) and held_bytes <= MAX_HELD_BYTES",
+        new="held_bytes <= MAX_BODY_BYTES",
+        check=_BODY_TEST,
+    ),
+    mutant.Mutant(
+        name="response-without-end-takes-all-turns",
+        promise=mutant.NOT_HELD,
+        module="dotterelgrade_front.response_body",
+        old="        gevent.sleep(0)\n",
+        new="",
+        check=_BODY_TEST,
+    ),
+    mutant.Mutant(
+        name="bodies-of-callers-uncounted",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.request_parser",
+        old="if not self._account.resize(self._buffered_bytes()):",
+        new="if False:",
+        check=_PARSER_TEST,
+    ),
+    mutant.Mutant(
+        name="events-uncounted",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.event_stream",
+        old="if not self._account.resize(size):",
+        new="if False:",
+        check=_BODY_TEST,
+    ),
     mutant.Mutant(
         name="kernel-timeout-taken-for-an-own-one",
         promise=mutant.OWN_ANSWER,
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/platform_backends.py
@@ -17,6 +17,7 @@
 from gevent import socket
 
 from dotterelgrade import http_message
+from dotterelgrade import memory_budget
 from dotterelgrade_front import client_connection
 from dotterelgrade_front import request_parser
 from dotterelgrade_front import responses
@@ -217,7 +218,9 @@
     def _serve(self, sock: socket.socket, _: object) -> None:
         self._socks.add(sock)
         client = client_connection.ClientConnection(
-            sock, limits=configuration.ClientLimits
+            sock,
+            limits=configuration.ClientLimits,
+            account=memory_budget.unlimited(),
         )
         try:
             while self.alive and (request := client.read_request()):
--- a/packages/dotterelgrade/src/dotterelgrade/error_page.py
+++ b/packages/dotterelgrade/src/dotterelgrade/error_page.py
@@ -59,6 +59,10 @@
         "No backend server has free capacity.",
         "Retry after `retry_after_s`.",
     ),
+    _KIND.NO_MEMORY: (
+        "The process has no memory left for the body of the request.",
+        "Retry after `retry_after_s`; another process may accept it.",
+    ),
     _KIND.QUARANTINED: (
         "Backend servers crashed under requests that share a segment of their "
         "prompt with this one, or equal it.",
--- a/packages/dotterelgrade/src/dotterelgrade/errors.py
+++ b/packages/dotterelgrade/src/dotterelgrade/errors.py
@@ -31,6 +31,7 @@
     CONCURRENCY_LIMITED = "concurrency_limited"
     OVER_BOUND = "over_bound"
     NO_CAPACITY = "no_capacity"
+    NO_MEMORY = "no_memory"
     QUARANTINED = "quarantined"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
@@ -98,6 +99,7 @@
     ErrorKind.CONCURRENCY_LIMITED: _not_run(429, retryable=True),
     ErrorKind.OVER_BOUND: _not_run(503, retryable=True),
     ErrorKind.NO_CAPACITY: _not_run(503, retryable=True),
+    ErrorKind.NO_MEMORY: _not_run(503, retryable=True),
     ErrorKind.QUARANTINED: _not_run(503, retryable=True),
     ErrorKind.LEAVING: _not_run(503, retryable=True),
     ErrorKind.NOT_READY: _not_run(503, retryable=True),
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -13,8 +13,10 @@
 
 from dotterelgrade import http_message
 
-_RECEIVE_BYTES = 65_536
+# Each of many connections may hold as much while its peer is slow.
+_RECEIVE_BYTES = 32_768
 _MAX_HEAD_BYTES = 65_536
+_MAX_BODY_BYTES = 4_194_304
 # Limits chunk headers and trailers, which arrive between pieces of a body.
 _MAX_FRAMING_BYTES = 65_536
 # Detects a dead peer within about three seconds, even in a longer wait.
@@ -39,6 +41,10 @@
     """The connection failed, or the response was incomplete or invalid."""
 
 
+class ResponseTooLargeError(BrokenConnectionError):
+    """The body of the response is larger than permitted."""
+
+
 class LostConnectionError(BrokenConnectionError):
     """The peer ended or reset the connection, as it does when it crashes."""
 
@@ -142,6 +148,11 @@
         """Shows the peer."""
         return f"<HttpConnection {self._address}>"
 
+    @property
+    def address(self) -> str:
+        """`IP:PORT` of the peer."""
+        return self._address
+
     @property
     def response_started(self) -> bool:
         """Whether any byte of the current response has arrived."""
@@ -252,7 +263,11 @@
         )
         self._sock.settimeout(max(timeout_s, _MIN_SOCKET_TIMEOUT_S))
         try:
-            self._sock.sendall(head + body)
+            # Joined they take one packet; a large body isn't copied.
+            if len(body) <= _RECEIVE_BYTES:
+                head, body = head + body, b""
+            self._sock.sendall(head)
+            self._sock.sendall(body)
         except ConnectionError as error:
             raise LostConnectionError(f"{self._address}: {error}") from error
         except OSError as error:
@@ -322,7 +337,7 @@
         while piece := self.read_piece(deadline=deadline):
             body += piece
             if len(body) > max_body_bytes:
-                raise BrokenConnectionError(
+                raise ResponseTooLargeError(
                     f"{self._address}: response body too large"
                 )
         return bytes(body)
@@ -488,7 +503,7 @@
     connect_timeout_s: float = 1.0,
     head_timeout_s: float | None = None,
     timeout_s: float,
-    max_body_bytes: int = 16_777_216,
+    max_body_bytes: int = _MAX_BODY_BYTES,
 ) -> tuple[http_message.ResponseHead, bytes]:
     """Makes one call on a new connection.
 
--- a/packages/dotterelgrade/src/dotterelgrade/http_message.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_message.py
@@ -76,6 +76,16 @@
     return dict(headers)
 
 
+def content_length(headers: Headers) -> int | None:
+    """Returns the size of a body that headers state, bytes, or None.
+
+    Args:
+        headers: Headers with names in lower case.
+    """
+    length = by_name(headers).get(b"content-length", b"")
+    return int(length) if length.isdigit() else None
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Returns the headers that are not hop-by-hop."""
     listed = {
