Take no report of another process for that of a listed engine

What operators saw: a small engine that started at the address of a larger one, while its entry still stood in the list, was ordered to hold the layers of the other's model, and crashed (LIMIT).

Cause: the planner stored the report and reset the count of missed polls before it compared the start of the process with the list; the order named no engine.

Ruled out: a wrong entry in the list (the case writes the new engine's own kind).

Change: such a report counts as a missed poll of the listed engine, and orders name the engine that they are for, so that another one refuses them.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner.py
@@ -181,6 +181,12 @@
         was_silent = tracked.silent
         try:
             report = state.platform.engines.report(server.address)
+            if report.started_ms != server.started_ms:
+                # The list will show that process. Until then nothing is known
+                # of it, and the listed one is gone.
+                raise platform_port.EngineUnreachableError(
+                    f"another process answers at {server.address}"
+                )
         except platform_port.EngineUnreachableError as error:
             tracked.missed_polls += 1
             if tracked.silent and not was_silent:
@@ -193,10 +199,6 @@
             tracked.poll_in_flight = False
         tracked.missed_polls = 0
         tracked.report = report
-        if report.started_ms != server.started_ms:
-            # Not the incarnation in the list of backend servers, which will
-            # show the new one.
-            return
         if state.note_report(server.id, report):
             state.decisions.record(
                 "engine_changed",
@@ -328,7 +330,10 @@
         report = tracked.report
         orders = 0 if report is None else report.orders
         outcome = self._state.platform.engines.place(
-            server.address, layers=order.layers, orders=orders
+            server.address,
+            server_id=server.id,
+            layers=order.layers,
+            orders=orders,
         )
         if outcome in (
             platform_port.OrderOutcome.CONFLICT,
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -60,6 +60,7 @@
     def __init__(self):
         self.reports = {}
         self.place_orders = []
+        self.ordered_ids = []
         self.reroute_orders = []
         self.rejecting_addresses = set()
         self.down = set()
@@ -76,8 +77,9 @@
             raise platform_port.EngineUnreachableError(address)
         return self.reports[address]
 
-    def place(self, address, *, layers, orders):
+    def place(self, address, *, server_id, layers, orders):
         self.place_orders.append((address, layers, orders))
+        self.ordered_ids.append(server_id)
         return self.outcome
 
     def reroute(self, address, *, request_id, stages):
--- a/packages/dotterelgrade-front/tests/test_planner.py
+++ b/packages/dotterelgrade-front/tests/test_planner.py
@@ -86,6 +86,24 @@
     assert "e1" in front.state.exclusions.excluded_ids(now=0.0)
 
 
+def test_another_process_at_the_address_gets_no_orders(front, planner):
+    """It was ordered to hold the layers of its larger predecessor (LIMIT)."""
+    engines = _add_engines(front, count=1)
+    server = front.state.fleet.get("e0")
+    engines.reports[server.address] = dataclasses.replace(
+        fakes.REPORT, started_ms=server.started_ms + 2_000
+    )
+    for _ in range(5):
+        planner.tick()
+    assert engines.place_orders == []
+    assert "e0" in front.state.exclusions.excluded_ids(now=time.monotonic())
+    front.state.fleet.put(
+        dataclasses.replace(server, started_ms=server.started_ms + 2_000)
+    )
+    planner.tick()
+    assert engines.ordered_ids == ["e0"]
+
+
 def test_engine_listed_as_leaving_gets_no_orders(front, planner):
     engines = _add_engines(front, count=1)
     server = front.state.fleet.get("e0")
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/platform_port.py
@@ -209,6 +209,7 @@
         self,
         address: str,
         *,
+        server_id: str,
         layers: layer_range.LayerRange,
         orders: int,
     ) -> OrderOutcome:
@@ -216,6 +217,7 @@
 
         Args:
             address: `IP:PORT`.
+            server_id: ID of the engine; another one at its address refuses.
             layers: Layers that it is to hold.
             orders: Number of orders that it must have accepted so far.
         """
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -31,6 +31,14 @@
 _SCHEDULE_TEST = "packages/dotterelgrade-routing/tests/test_poll_schedule.py"
 
 MUTANTS = (
+    mutant.Mutant(
+        name="report-of-another-process-counts",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_front.planner",
+        old="if report.started_ms != server.started_ms:",
+        new="if False:",
+        check="packages/dotterelgrade-front/tests/test_planner.py",
+    ),
     mutant.Mutant(
         name="front-repeats-unknown",
         promise=mutant.ONCE,
