Weigh a service against the crashes that follow it

Cause: a service shielded its fingerprints from all crashes of the next 30 s; where the shield was missing, resets by one listed process counted as crashes of it however soon they followed.

Change: crashes before a service are dropped; those in the 30 s after it count only towards the five that are certain. The end of a stream is no second service. A further crash of the same process counts after a second, as no process starts sooner.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/attempt_log.py
@@ -127,7 +127,7 @@
             self._state.exclusions.note_success(
                 stage.server_id, now=now, began_at=attempt.began_at
             )
-        if attempt.received:
+        if attempt.received and not self._proven:
             # The end alone, of a stream that others wrote, shows nothing.
             self._state.quarantine.note_served(self._call)
         self._state.metrics.count_attempt("answered")
--- a/packages/dotterelgrade/src/dotterelgrade/quarantine.py
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine.py
@@ -4,9 +4,9 @@
 that begins to answer them. They come at any process, no two alike, beside sound
 requests that share the other segments. A failed attempt is therefore put down
 not only to the server, but also to what was asked: a fingerprint that was there
-in several crashes, and under which nothing was served for a while, is suspected
-and then refused. A crash for which another fingerprint in quarantine accounts
-speaks less against it.
+in several crashes, and under which nothing was served since, is suspected and
+then refused; soon after a service it takes more of them. A crash for which
+another fingerprint in quarantine accounts speaks less against it.
 
 This module holds the rules, and does no input or output. Processes tell each
 other what has changed; that may arrive late, twice and in any order.
@@ -179,7 +179,7 @@
         if self._history.add(crash, at=sighting.at):
             self._news.note_crash(crash)
         for fingerprint in fingerprints:
-            if sighting.at <= self._served.shielded_until(fingerprint):
+            if sighting.at <= self._served.served_at(fingerprint):
                 continue
             suspect = self._suspect(fingerprint)
             if suspect.add_crash(crash, sighting):
@@ -201,14 +201,30 @@
 
     def _acquit(self, fingerprint: str) -> None:
         suspect = self._suspects[fingerprint]
-        until = self._served.shielded_until(fingerprint)
-        if suspect.acquit(until=until):
+        suspect.acquit(until=self._served.served_at(fingerprint))
+        if suspect.quarantined and not self._may_be_quarantined(
+            suspect, at=suspect.quarantined_at
+        ):
+            suspect.lift()
+        if not suspect.accused:
             self._release(fingerprint, "a request with it was served")
             self._tell_served(fingerprint)
             return
         self._news.note_suspect(fingerprint)
         self._update(suspect)
 
+    def _may_be_quarantined(
+        self, suspect: suspect_lib.Suspect, *, at: float
+    ) -> bool:
+        """Returns whether a quarantine may have begun, s, though it was served.
+
+        Another process may not have known how lately.
+        """
+        if at > suspect.served_at + served_requests.SERVED_VALID_S:
+            return True
+        certain = quarantine_policies.CERTAIN_CRASHES
+        return suspect.tally().rounds >= certain
+
     def note_refused(self, fingerprint: str) -> None:
         """Records that a request was refused for one of its fingerprints."""
         suspect = self._suspects.get(fingerprint)
@@ -240,10 +256,7 @@
     def _state(
         self, suspect: suspect_lib.Suspect
     ) -> suspect_state.SuspectState:
-        return suspect.state(
-            now=self._clock(),
-            served_at=self._served.served_at(suspect.fingerprint),
-        )
+        return suspect.state(now=self._clock())
 
     def news_since(self, version: int) -> suspect_state.SuspectNews:
         """Returns what has changed.
@@ -290,15 +303,32 @@
             sighting = _sighting(report, now=now)
             self._add_crash(report.crash, [fingerprint], sighting)
         suspect = self._suspects.get(fingerprint)
-        shielded_until = self._served.shielded_until(fingerprint)
-        if suspect is not None and suspect.merge(
-            state, now=now, shielded_until=shielded_until
-        ):
-            self._news.note_suspect(fingerprint)
-            self._update(suspect)
+        if suspect is not None:
+            changed = self._merge_quarantine(suspect, state, now=now)
+            changed |= suspect.merge(state, now=now)
+            if changed:
+                self._news.note_suspect(fingerprint)
+                self._update(suspect)
         if state.accuses and self._served_later(state, now):
             self._tell_served(fingerprint)
 
+    def _merge_quarantine(
+        self,
+        suspect: suspect_lib.Suspect,
+        state: suspect_state.SuspectState,
+        *,
+        now: float,
+    ) -> bool:
+        """Takes a quarantine over; returns whether it was not known."""
+        if state.quarantined_age_s is None:
+            return False
+        at = now - state.quarantined_age_s
+        if at <= suspect.served_at:
+            return False
+        if not self._may_be_quarantined(suspect, at=at):
+            return False
+        return suspect.quarantine(at=at)
+
     def _served_later(
         self, state: suspect_state.SuspectState, now: float
     ) -> bool:
@@ -334,7 +364,9 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             self._make_room()
-            suspect = suspect_lib.Suspect(fingerprint)
+            suspect = suspect_lib.Suspect(
+                fingerprint, served_at=self._served.served_at(fingerprint)
+            )
             self._suspects[fingerprint] = suspect
         return suspect
 
@@ -370,20 +402,27 @@
             suspect.quarantine(at=now)
             self._news.note_suspect(suspect.fingerprint)
             return suspicion.Level.QUARANTINED
-        repeated = suspect.requests if suspect.repeats else 0
-        if max(suspect.rounds, repeated) >= SUSPECTED_CRASHES:
+        tally = self._tally(suspect)
+        repeated = tally.requests if tally.repeats else 0
+        if max(tally.rounds, repeated) >= SUSPECTED_CRASHES:
             return suspicion.Level.SUSPECTED
         return suspicion.Level.NONE
 
+    def _tally(self, suspect: suspect_lib.Suspect) -> suspect_lib.CrashTally:
+        """Counts the crashes, but for those soon after it was served."""
+        shielded_until = suspect.served_at + served_requests.SERVED_VALID_S
+        return suspect.tally(after=shielded_until)
+
     def _is_at_fault(self, suspect: suspect_lib.Suspect, now: float) -> bool:
-        since = suspect.first_crash_at - SETTLE_S
+        tally = self._tally(suspect)
         return self._policy.is_at_fault(
             quarantine_policies.Evidence(
-                rounds=suspect.rounds,
-                repeats=suspect.repeats,
-                crashes=len(suspect.crashes),
-                total=len(self._history.since(since)),
-                requests=suspect.requests,
+                certain_rounds=suspect.tally().rounds,
+                rounds=tally.rounds,
+                repeats=tally.repeats,
+                crashes=tally.crashes,
+                total=len(self._history.since(tally.first_at - SETTLE_S)),
+                requests=tally.requests,
                 settled=now - suspect.last_crash_at >= SETTLE_S,
             )
         )
--- a/packages/dotterelgrade/src/dotterelgrade/quarantine_policies.py
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine_policies.py
@@ -29,7 +29,11 @@
 class Evidence:
     """Crashes since a fingerprint was last served.
 
+    All but `certain_rounds` leave out the crashes soon after that.
+
     Attributes:
+        certain_rounds: Servers that crashed under the fingerprint one after
+            another, also soon after it was served.
         rounds: Servers that crashed under the fingerprint one after another.
         repeats: Crashes under it of servers that had crashed before, and are
             listed as the same process.
@@ -40,6 +44,7 @@
         settled: Whether others had the time to report crashes of theirs.
     """
 
+    certain_rounds: int
     rounds: int
     repeats: int
     crashes: int
@@ -73,7 +78,7 @@
 
     def is_at_fault(self, evidence: Evidence) -> bool:
         """See `QuarantinePolicy`."""
-        if evidence.rounds >= CERTAIN_CRASHES:
+        if evidence.certain_rounds >= CERTAIN_CRASHES:
             return True
         if min(evidence.repeats, evidence.requests) >= REPEATED_CRASHES:
             return evidence.crashes >= _REPEATED_SHARE * evidence.total
--- a/packages/dotterelgrade/src/dotterelgrade/served_requests.py
+++ b/packages/dotterelgrade/src/dotterelgrade/served_requests.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Iterable
 
-# A request that was served so lately shows that its segments are sound.
+# Crashes so soon after a request was served may have any cause.
 SERVED_VALID_S = 30.0
 _MAX_FINGERPRINTS = 2048
 
@@ -30,7 +30,7 @@
         return self._served_at.get(fingerprint, float("-inf"))
 
     def shielded_until(self, fingerprint: str) -> float:
-        """Returns up to when crashes don't speak against a fingerprint.
+        """Returns up to when crashes speak less against a fingerprint.
 
         Args:
             fingerprint: The fingerprint.
--- a/packages/dotterelgrade/src/dotterelgrade/suspect.py
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect.py
@@ -1,6 +1,6 @@
 """The crashes under one fingerprint, and its quarantine."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 import dataclasses
 
 from dotterelgrade import suspect_state
@@ -42,16 +42,76 @@
         return (self.at, self.request or "", self.request_id)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashTally:
+    """What some crashes under a fingerprint amount to.
+
+    Attributes:
+        crashes: Their number.
+        rounds: Number of crashes that followed one another. Of servers that
+            crash together, whatever the cause, one counts: the requests at the
+            others were sent before it was known.
+        repeats: Number of crashes of servers that had crashed before.
+        requests: Number of different requests that waited at one of them.
+        first_at: Monotonic time of the first one, s.
+    """
+
+    crashes: int
+    rounds: int
+    repeats: int
+    requests: int
+    first_at: float
+
+    @classmethod
+    def of(
+        cls, crashes: Mapping[suspect_state.Crash, Sighting]
+    ) -> "CrashTally":
+        """Counts crashes."""
+        first = _first_of_each(crashes)
+        return cls(
+            crashes=len(crashes),
+            rounds=_rounds(first),
+            repeats=len(crashes) - len(first),
+            requests=len({s.request for s in crashes.values()}),
+            first_at=min(
+                (s.at for s in crashes.values()), default=float("inf")
+            ),
+        )
+
+
+def _first_of_each(
+    crashes: Mapping[suspect_state.Crash, Sighting],
+) -> list[Sighting]:
+    """Returns the first crash of each process of a server."""
+    first: dict[suspect_state.ServerProcess, Sighting] = {}
+    for crash, sighting in crashes.items():
+        known = first.setdefault(crash.process, sighting)
+        if sighting.at < known.at:
+            first[crash.process] = sighting
+    return list(first.values())
+
+
+def _rounds(sightings: Iterable[Sighting]) -> int:
+    rounds, last_at = 0, _NEVER
+    for sighting in sorted(sightings, key=lambda s: s.at):
+        if sighting.sent_at > last_at:
+            rounds += 1
+            last_at = sighting.at
+    return rounds
+
+
 class Suspect:
     """What is known of one fingerprint under which a server crashed."""
 
-    def __init__(self, fingerprint: str) -> None:
+    def __init__(self, fingerprint: str, *, served_at: float) -> None:
         """Initializes a suspect without crashes.
 
         Args:
             fingerprint: The fingerprint.
+            served_at: Monotonic time at which it was last served, s.
         """
         self._fingerprint = fingerprint
+        self._served_at = served_at
         self._crashes: dict[suspect_state.Crash, Sighting] = {}
         self._last_crash_at = _NEVER
         self._quarantined_at: float | None = None
@@ -76,49 +136,22 @@
         """The crashes that count."""
         return self._crashes
 
-    @property
-    def rounds(self) -> int:
-        """Number of crashes that followed one another.
-
-        Of servers that crash together, whatever the cause, one counts: the
-        requests at the others were sent before it was known.
-        """
-        rounds, last_at = 0, _NEVER
-        for sighting in sorted(self._first_of_each(), key=lambda s: s.at):
-            if sighting.sent_at > last_at:
-                rounds += 1
-                last_at = sighting.at
-        return rounds
-
-    @property
-    def repeats(self) -> int:
-        """Number of crashes of servers that had crashed under it before."""
-        return len(self._crashes) - len(self._first_of_each())
-
-    def _first_of_each(self) -> list[Sighting]:
-        """Returns the first crash of each process of a server."""
-        first: dict[suspect_state.ServerProcess, Sighting] = {}
-        for crash, sighting in self._crashes.items():
-            known = first.setdefault(crash.process, sighting)
-            if sighting.at < known.at:
-                first[crash.process] = sighting
-        return list(first.values())
-
     @property
     def requests(self) -> int:
         """Number of different requests that waited at one of the crashes."""
-        return len({s.request for s in self._crashes.values()})
+        return self.tally().requests
+
+    def tally(self, *, after: float = _NEVER) -> "CrashTally":
+        """Counts the crashes after a monotonic time, s."""
+        return CrashTally.of(
+            {c: s for c, s in self._crashes.items() if s.at > after}
+        )
 
     @property
     def last_crash_at(self) -> float:
         """Monotonic time at which a crash was last seen, s."""
         return self._last_crash_at
 
-    @property
-    def first_crash_at(self) -> float:
-        """Monotonic time of the first crash, s."""
-        return min((s.at for s in self._crashes.values()), default=float("inf"))
-
     @property
     def quarantined(self) -> bool:
         """Whether requests with it are refused."""
@@ -212,28 +245,17 @@
         self._probed_at = at
         return True
 
-    def merge(
-        self,
-        state: suspect_state.SuspectState,
-        *,
-        now: float,
-        shielded_until: float,
-    ) -> bool:
-        """Takes in the quarantine and the probes that another process knows.
+    def merge(self, state: suspect_state.SuspectState, *, now: float) -> bool:
+        """Takes in the refusals and the probes that another process knows.
 
         Args:
             state: What it tells.
             now: Monotonic time, s.
-            shielded_until: Until then no quarantine may begin, s; the other
-                process may not have known.
 
         Returns:
             Whether anything of it was not known.
         """
         changed = False
-        if state.quarantined_age_s is not None:
-            at = now - state.quarantined_age_s
-            changed |= at > shielded_until and self.quarantine(at=at)
         if state.wanted_age_s is not None:
             changed |= self.note_wanted(at=now - state.wanted_age_s)
         if state.probed_age_s is not None:
@@ -241,23 +263,37 @@
             changed |= self.note_probe(number=state.probes, at=at)
         return changed
 
-    def acquit(self, *, until: float) -> bool:
+    @property
+    def served_at(self) -> float:
+        """Monotonic time at which it was last served, s."""
+        return self._served_at
+
+    def acquit(self, *, until: float) -> None:
         """Drops the crashes up to a time, and a quarantine that began by then.
 
         Args:
-            until: Monotonic time, s.
-
-        Returns:
-            Whether nothing is left that speaks against it.
+            until: Monotonic time at which it was served, s.
         """
+        self._served_at = until
         for crash, sighting in list(self._crashes.items()):
             if sighting.at <= until:
                 del self._crashes[crash]
-        if self._quarantined_at is not None:
-            if self._quarantined_at > until:
-                return False
+        if self._quarantined_at is not None and self._quarantined_at <= until:
             self._quarantined_at = None
-        return not self._crashes
+
+    def lift(self) -> None:
+        """Ends a quarantine whose crashes turn out not to suffice."""
+        self._quarantined_at = None
+
+    @property
+    def accused(self) -> bool:
+        """Whether anything speaks against it."""
+        return bool(self._crashes) or self.quarantined
+
+    @property
+    def quarantined_at(self) -> float | None:
+        """Monotonic time from which requests are refused, s, or None."""
+        return self._quarantined_at
 
     def expire(self, *, now: float) -> bool:
         """Drops what is too old to count.
@@ -275,14 +311,11 @@
                 del self._crashes[crash]
         return not self._crashes
 
-    def state(
-        self, *, now: float, served_at: float
-    ) -> suspect_state.SuspectState:
+    def state(self, *, now: float) -> suspect_state.SuspectState:
         """Returns what to tell others.
 
         Args:
             now: Monotonic time, s.
-            served_at: Monotonic time at which it was last served, s.
         """
         return suspect_state.SuspectState(
             fingerprint=self._fingerprint,
@@ -296,7 +329,7 @@
                 )
                 for crash, sighting in self._crashes.items()
             ],
-            served_age_s=age_s(served_at, now=now),
+            served_age_s=age_s(self._served_at, now=now),
             quarantined_age_s=age_s(self._quarantined_at, now=now),
             wanted_age_s=age_s(self._wanted_at, now=now),
             probes=self._probes,
--- a/packages/dotterelgrade/tests/test_quarantine.py
+++ b/packages/dotterelgrade/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from dotterelgrade import crash_history
 from dotterelgrade import fingerprint
 from dotterelgrade import quarantine as quarantine_lib
 from dotterelgrade import quarantine_policies
@@ -140,6 +141,7 @@
     """It was started again, and its entry in the list has not changed."""
     arrivals = 0
     while process.level(_BAD) is not suspicion.Level.QUARANTINED:
+        process.clock.now += crash_history.MIN_RESTART_S
         process.crash(_BAD, f"own{arrivals}", server="s")
         arrivals += 1
     assert arrivals == quarantine_policies.REPEATED_CRASHES + 1
@@ -154,6 +156,63 @@
     assert process.level(_SHARED) is not suspicion.Level.QUARANTINED
 
 
+def test_resets_that_follow_at_once_are_one_crash_of_a_process(process):
+    """A link resets connections for half a second, after a start of all.
+
+    Nothing was served yet, and a sound segment was refused for 31 s (LOST).
+    """
+    ends_at = process.clock.now + 0.5
+    while process.clock.now < ends_at:
+        for server in ("first", "second"):
+            own = f"own{process.clock.now}{server}"
+            process.crash(_SHARED, own, server=server)
+    process.clock.now += _SETTLED_S
+    assert process.level(_SHARED) is not suspicion.Level.QUARANTINED
+
+
+def test_a_prompt_that_was_served_until_now_is_refused_in_the_end(process):
+    """Crashes were not counted for 30 s after a service (BUDGET, LOST)."""
+    process.serve(_BAD)
+    _crash(process, _BAD, times=quarantine_policies.CERTAIN_CRASHES - 1)
+    process.clock.now += _SETTLED_S
+    assert process.level(_BAD) is suspicion.Level.NONE
+    process.crash(_BAD, _OWN)
+    assert process.level(_BAD) is suspicion.Level.QUARANTINED
+
+
+def test_a_service_between_two_crashes_drops_those_before_it(process):
+    for _ in range(3):
+        times = quarantine_policies.CERTAIN_CRASHES - 1
+        _crash(process, _SHARED, times=times)
+        process.serve(_SHARED)
+    assert process.level(_SHARED) is suspicion.Level.NONE
+
+
+def test_crashes_soon_after_a_service_do_not_weigh_more_with_time(process):
+    """Nothing is served in an outage, and nothing crashes either."""
+    process.serve(_SHARED)
+    _crash(process, _SHARED, times=quarantine_policies.CERTAIN_CRASHES - 1)
+    for _ in range(40):
+        process.clock.now += 1.0
+        process.quarantine.expire()
+        assert process.level(_SHARED) is suspicion.Level.NONE
+
+
+def test_a_quarantine_from_another_process_ends_at_an_older_service(clock):
+    """It did not know that the prompt had been served so lately."""
+    one, other = Process(clock), Process(clock)
+    other.serve(_SHARED)
+    _quarantine(one, _SHARED)
+    one.level(_SHARED)
+    _tell(one, other)
+    _tell(other, one)
+    assert one.level(_SHARED) is suspicion.Level.NONE
+    _crash(one, _SHARED, times=2)
+    _tell(one, other)
+    assert one.level(_SHARED) is suspicion.Level.QUARANTINED
+    assert other.level(_SHARED) is suspicion.Level.QUARANTINED
+
+
 def test_what_was_served_lately_is_not_suspected_in_a_mass_crash(process):
     """A zone fails, with requests of a popular prompt at each server."""
     process.serve(_SHARED)
