Put a stage that ends under a stream down to its prompt, too

Cause: crashes were known from the connection to the first stage alone. A last stage that ends leaves it open; the server was excluded, whatever had been asked. Reroutes, and retries after a refusal, never asked the quarantine.

Ruled out: counting refusals that name a dead stage. It may have ended before the request came; in a mass crash dead stages are found one after the other, and a popular segment would be refused.

Change: a stage whose host refuses a query while a stream waits for it is a crash under that stream's prompt, if the request was sent before the crash was known. Reroutes and retries after a refusal ask the quarantine.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -238,12 +238,18 @@
             return False
         if call.refusals >= _MAX_REFUSALS and not self._output.begun:
             return False
-        if call.may_have_run and not self._state.quarantine.may_repeat(
+        if self._was_sent and not self._state.quarantine.may_repeat(
             call, begun=self._output.begun
         ):
             return False
         return self._output.sequence.resumable and self._can_pay_for_retry
 
+    @property
+    def _was_sent(self) -> bool:
+        """Whether any attempt reached a server, which may have crashed."""
+        unsent = attempt_lib.ExecutionStatus.NEVER_SENT
+        return any(status is not unsent for status in self._call.attempts)
+
     @property
     def _can_pay_for_retry(self) -> bool:
         return not self._pays_for_retry or self._admissions.retries_left >= 1
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
@@ -140,6 +140,31 @@
         )
         self.record_changes()
 
+    def note_found_dead(
+        self,
+        call: call_lib.Call,
+        process: suspect_state.ServerProcess,
+        *,
+        sent_at: float,
+        proven: bool,
+    ) -> None:
+        """Records that a stage that a request waits for is not there.
+
+        Args:
+            call: The request.
+            process: The server, as it is listed.
+            sent_at: Monotonic time at which the request was sent there, s.
+            proven: Whether the answer was well under way.
+        """
+        self._quarantine.note_found_dead(
+            process,
+            () if proven else call.fingerprints,
+            request=call.request_fingerprint,
+            sent_at=sent_at,
+            request_id=call.request_id,
+        )
+        self.record_changes()
+
     def note_served(self, call: call_lib.Call) -> None:
         """Records that a server answers a request, or has done so."""
         self._quarantine.note_served(call.fingerprints)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_detector.py
@@ -114,6 +114,18 @@
                 return faulty
             gevent.sleep(_MISSING_REPLY_POLL_S)
 
+    def is_down(self, address: str) -> bool:
+        """Returns whether a stage's host refused the last query.
+
+        Args:
+            address: `IP:PORT` of the stage.
+        """
+        query = self._queries.get(address)
+        return (
+            query is not None
+            and query.reply is stall_diagnosis.ProbeResult.DOWN
+        )
+
     def is_silent(self, address: str) -> bool:
         """Returns whether a stage has not replied to the last query.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
@@ -116,6 +116,7 @@
         silent_s = time.monotonic() - silent_since
         faulty = self._repair.find_faulty_stages(latest.chain)
         self._repair.exclude_faulty(faulty)
+        self._repair.note_dead_stages(latest, faulty)
         actions = stall_actions.stall_actions(
             faulty=bool(faulty),
             silent_s=silent_s,
@@ -157,7 +158,7 @@
     def _reroute(
         self, attempt: stream_attempt.StreamAttempt, faulty: tuple[str, ...]
     ) -> bool:
-        if self._is_ambiguous(attempt):
+        if self._is_ambiguous(attempt) or not self._repair.may_repeat:
             return False
         other = self._repair.reroute(attempt.chain, faulty)
         if other is None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_attempt.py
@@ -52,6 +52,7 @@
         self._began_at = time.monotonic()
         self._first_at_server = chain.first.server_id not in call.sent_to
         self._server_process = _listed_process(state, chain.first.server_id)
+        self._sent_at = self._began_at
         self._splitter: event_stream.EventSplitter | None = None
         self._connection: http_connection.HttpConnection | None = None
         self._head: http_message.ResponseHead | None = None
@@ -110,6 +111,11 @@
         """Whether the response is an error, not a stream."""
         return self._head.status >= _FIRST_ERROR_STATUS
 
+    @property
+    def sent_at(self) -> float:
+        """Monotonic time at which it was sent over its present chain, s."""
+        return self._sent_at
+
     def note_rerouted(self, chain: chain_choice.Chain) -> None:
         """Records that the running request was moved to another chain.
 
@@ -117,6 +123,7 @@
             chain: The new chain; its first stage is the same.
         """
         self._chain = chain
+        self._sent_at = time.monotonic()
 
     @contextlib.contextmanager
     def opened(self, *, check_caller: Callable[[], None]) -> Iterator[None]:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -5,12 +5,15 @@
 the links between failure domains have capacity.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 import time
 
+from dotterelgrade import suspect_state
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import front_state
+from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import stall_detector
+from dotterelgrade_front import stream_attempt
 from dotterelgrade_front import stream_pace
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import link_budget
@@ -155,6 +158,37 @@
         if server is not None:
             self._state.note_failure(server.id, reason=reason, confirmed=firm)
 
+    def note_dead_stages(
+        self, attempt: stream_attempt.StreamAttempt, addresses: Iterable[str]
+    ) -> None:
+        """Puts stages that are not there down to what was asked, too.
+
+        The last stage writes the answer: if it crashes, the connection to the
+        first one stays.
+
+        Args:
+            attempt: The attempt that waits for them.
+            addresses: `IP:PORT` of stages that may have crashed.
+        """
+        proven = attempt.received >= request_quarantine.PROOF_EVENTS
+        for address in addresses:
+            server = self._state.fleet.by_address(address)
+            if server is not None and self._detector.is_down(address):
+                self._state.quarantine.note_found_dead(
+                    self._call,
+                    suspect_state.ServerProcess(
+                        server_id=server.id, started_ms=server.started_ms
+                    ),
+                    sent_at=attempt.sent_at,
+                    proven=proven,
+                )
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the request may go on at further backend servers."""
+        begun = self._pace.events > 0
+        return self._state.quarantine.may_repeat(self._call, begun=begun)
+
     def reroute(
         self, chain: chain_choice.Chain, faulty: Collection[str]
     ) -> chain_choice.Chain | None:
--- a/packages/dotterelgrade-front/tests/test_request_quarantine.py
+++ b/packages/dotterelgrade-front/tests/test_request_quarantine.py
@@ -267,3 +267,63 @@
     _add_engines(front, cut)
     _ask(front, "bad,1", path=path)
     assert front.state.quarantine.rules.suspects
+
+
+class _LastStages:
+    """First stages whose streams stall as the last stage of the chain ends."""
+
+    def __init__(self, front, *, count=8):
+        self._front = front
+        self.arrivals = []
+        self.crashes = 0
+        for number in range(count):
+            front.add(f"a{number}", self, service="model", layers=(0, 4))
+            front.add(
+                f"z{number}", fakes.silent, service="model", layers=(4, 8)
+            )
+        streams.add_reports(front)
+
+    def restart(self):
+        """Lists the engines that ended as new processes."""
+        self._front.state.platform.engines.down.clear()
+        _restart_all(self._front)
+
+    def __call__(self, sock, arrival):
+        self.arrivals.append(arrival.headers[b"segments"])
+        if b"bad" not in arrival.headers[b"segments"]:
+            fakes.streaming(1, 9)(sock, arrival)
+            return
+        last = arrival.headers[b"chain"].decode().split(",")[-1]
+        server = self._front.state.fleet.get(last.partition("=")[0])
+        self._front.state.platform.engines.down.add(server.address)
+        self.crashes += 1
+        fakes.silent(sock, arrival)
+
+
+def test_a_prompt_that_crashes_the_last_stage_of_each_chain_is_refused(front):
+    """The first stage stays, so that no connection is lost (BUDGET)."""
+    engines = _LastStages(front)
+    streams.set_routes(front, timeout_s=1.0)
+    statuses = []
+    for number in range(6):
+        statuses.append(_ask(front, f"shared,bad,{number}", number=number)[0])
+        engines.restart()
+        assert _ask(front, f"shared,{number}", number=50 + number)[0] == 200
+        _settle()
+    assert statuses[-2:] == [503, 503]
+    assert engines.crashes <= 4
+
+
+def test_a_stage_that_ended_before_the_request_is_not_put_down_to_it(front):
+    """It was known to be dead, whatever is asked since."""
+    rules = front.state.quarantine.rules
+    process = suspect_state.ServerProcess(server_id="z0", started_ms=1)
+    for number, sent_at in enumerate((0.0, 1e9)):
+        rules.note_found_dead(
+            process,
+            [f"{number:016x}"],
+            request=f"{number:016x}",
+            sent_at=sent_at,
+            request_id=f"r{number}",
+        )
+    assert rules.suspects == (f"{0:016x}",)
--- a/packages/dotterelgrade/src/dotterelgrade/crash_history.py
+++ b/packages/dotterelgrade/src/dotterelgrade/crash_history.py
@@ -53,6 +53,22 @@
             return latest
         return dataclasses.replace(latest, number=latest.number + 1)
 
+    def found_dead(
+        self, process: suspect_state.ServerProcess, *, sent_at: float
+    ) -> suspect_state.Crash | None:
+        """Returns the crash of a process that is not there, if it is new.
+
+        Args:
+            process: The backend server, as it is listed.
+            sent_at: Monotonic time at which a request that needs it was sent,
+                s. One that was sent after the crash was known has not caused
+                it.
+        """
+        latest = self._latest.get(process)
+        if latest is None:
+            return suspect_state.Crash(process=process)
+        return latest if sent_at <= self._seen_at[latest] else None
+
     def add(self, crash: suspect_state.Crash, *, at: float) -> bool:
         """Adds a crash.
 
--- a/packages/dotterelgrade/src/dotterelgrade/quarantine.py
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine.py
@@ -161,14 +161,44 @@
             sent_at: Monotonic time at which the request was sent there, s.
             request_id: The request.
         """
-        sighting = suspect_lib.Sighting(
+        crash = self._history.identify(process, sent_at=sent_at)
+        self._add_crash(
+            crash,
+            fingerprints,
+            self._sighting(request, sent_at=sent_at, request_id=request_id),
+        )
+
+    def note_found_dead(
+        self,
+        process: suspect_state.ServerProcess,
+        fingerprints: Iterable[str],
+        *,
+        request: str,
+        sent_at: float,
+        request_id: str,
+    ) -> None:
+        """Records that a stage that a request waits for is not there.
+
+        The arguments are those of `note_crash`; here the crash may have been
+        long before the request.
+        """
+        crash = self._history.found_dead(process, sent_at=sent_at)
+        if crash is not None:
+            self._add_crash(
+                crash,
+                fingerprints,
+                self._sighting(request, sent_at=sent_at, request_id=request_id),
+            )
+
+    def _sighting(
+        self, request: str, *, sent_at: float, request_id: str
+    ) -> suspect_lib.Sighting:
+        return suspect_lib.Sighting(
             at=self._clock(),
             sent_at=sent_at,
             request_id=request_id[: suspect_state.MAX_IDENTIFIER_LENGTH],
             request=request,
         )
-        crash = self._history.identify(process, sent_at=sent_at)
-        self._add_crash(crash, fingerprints, sighting)
 
     def _add_crash(
         self,
@@ -291,7 +321,9 @@
         """
         now = self._clock()
         for report in news.crashes:
-            self._add_crash(report.crash, (), _sighting(report, now=now))
+            self._add_crash(
+                report.crash, (), _reported_sighting(report, now=now)
+            )
         for state in news.suspects:
             self._merge_one(state, now)
 
@@ -300,7 +332,7 @@
         if state.served_age_s is not None:
             self._note_served([fingerprint], at=now - state.served_age_s)
         for report in state.crashes:
-            sighting = _sighting(report, now=now)
+            sighting = _reported_sighting(report, now=now)
             self._add_crash(report.crash, [fingerprint], sighting)
         suspect = self._suspects.get(fingerprint)
         if suspect is not None:
@@ -447,7 +479,7 @@
         )
 
 
-def _sighting(
+def _reported_sighting(
     report: suspect_state.CrashReport, *, now: float
 ) -> suspect_lib.Sighting:
     return suspect_lib.Sighting(
