Ask for an answer at silent servers while everything changes

Asked of each field of the configuration what a request that was read under the old value meets: route, service, deadline and key are taken once, at the admission; limits on size hold while a body arrives and are answered (413); times to read take the longer of both values; the retry budget and the list of servers are asked at each attempt. None of them leaves a request unanswered.

The test held also before; it is kept as a guard.

--- a/packages/dotterelgrade-front/tests/test_request_handler_changes.py
+++ b/packages/dotterelgrade-front/tests/test_request_handler_changes.py
@@ -15,6 +15,7 @@
 import front_fakes as fakes
 import gevent
 import pytest
+import stream_fakes as streams
 
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import configuration
@@ -22,6 +23,9 @@
 _CALLERS = 8
 _RUN_S = 1.5
 _MOST_PAUSE_S = 0.05
+# A sound server may fall silent for so long and go on.
+_SILENCE_S = 1.2
+_SILENT_RUN_S = 4.0
 _STOP_ROUNDS = 20
 _EVENTS = 5
 _KEYS = ("secret", "other")
@@ -34,7 +38,7 @@
 class _Server:
     """Answers as drawn, and counts which requests it ran."""
 
-    def __init__(self, rng, ran):
+    def __init__(self, rng, ran, *, silent):
         self._rng = rng
         self._ran = ran
         self._scripts = (
@@ -45,6 +49,13 @@
             self._refuse,
             self._reset,
         )
+        if silent:
+            self._scripts = (
+                self._respond,
+                self._respond_unframed,
+                self._respond_after_a_silence,
+                self._pause_in_the_answer,
+            )
 
     def __call__(self, sock, arrival):
         self._rng.choice(self._scripts)(sock, arrival)
@@ -61,6 +72,23 @@
         gevent.sleep(self._rng.random() * 0.4)
         self._respond(sock, arrival)
 
+    def _respond_unframed(self, sock, arrival, *, silence_s=0.0):
+        self._run(arrival)
+        name = arrival.headers[b"request-id"]
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nseal: 1\r\nrequest-id: %s\r\n\r\n%s"
+            % (name, name[:3])
+        )
+        gevent.sleep(silence_s)
+        sock.sendall(name[3:])
+
+    def _respond_after_a_silence(self, sock, arrival):
+        gevent.sleep(_SILENCE_S)
+        self._respond(sock, arrival)
+
+    def _pause_in_the_answer(self, sock, arrival):
+        self._respond_unframed(sock, arrival, silence_s=_SILENCE_S)
+
     def _fail(self, sock, arrival):
         self._run(arrival)
         fakes.responding(b"", b"500 Ill")(sock, arrival)
@@ -122,8 +150,9 @@
 class _Storm:
     """Callers, operators and servers around one front."""
 
-    def __init__(self, front, settings, seed):
+    def __init__(self, front, settings, seed, *, silent):
         self.rng = random.Random(seed)
+        self.silent = silent
         self.front = front
         self.settings = settings
         self.ran = collections.Counter()
@@ -142,7 +171,7 @@
         self._change_configuration()
         callers = [gevent.spawn(self._call) for _ in range(_CALLERS)]
         operator = gevent.spawn(self._operate)
-        gevent.sleep(_RUN_S)
+        gevent.sleep(_SILENT_RUN_S if self.silent else _RUN_S)
         self._stop()
         self.ended = True
         gevent.joinall([*callers, operator], timeout=30, raise_error=True)
@@ -160,13 +189,17 @@
         for name in ("a", "b", "c"):
             self.front.add(
                 name,
-                _Server(self.rng, self.ran),
+                _Server(self.rng, self.ran, silent=self.silent),
                 service=_SERVICES[name == "c"],
                 failure_domain="ab"[name == "b"],
             )
-        self.front.add(
-            "e", fakes.streaming(1, _EVENTS), service="model", layers=(0, 8)
-        )
+        engine = fakes.streaming(1, _EVENTS)
+        if self.silent:
+            engine = streams.pausing(
+                2, last=_EVENTS, pause=lambda: gevent.sleep(_SILENCE_S)
+            )
+        self.front.add("e", engine, service="model", layers=(0, 8))
+        streams.add_reports(self.front)
         self._servers = list(self.front.state.fleet.servers)
 
     def _operate(self):
@@ -238,11 +271,17 @@
             streaming=streaming,
             resumable=streaming,
             public=name == "public",
-            timeout_s=0.1 if name == "brief" else rng.choice((0.8, 3.0)),
+            timeout_s=self._timeout_s(name),
             objective_s=rng.choice((0.0, 0.1, 0.5)),
             max_attempts=rng.choice((1, 2, 3)),
         )
 
+    def _timeout_s(self, name):
+        if self.silent:
+            # Longer than a server is silent, so that no answer is cut.
+            return self.rng.choice((5.0, 8.0))
+        return 0.1 if name == "brief" else self.rng.choice((0.8, 3.0))
+
     def _delay_event_loop(self):
         time.sleep(self.rng.random() * _MOST_PAUSE_S)
 
@@ -363,7 +402,20 @@
 def test_each_whole_request_is_answered_while_everything_changes(
     front, settings, caplog, seed
 ):
-    storm = _Storm(front, settings, seed)
+    storm = _Storm(front, settings, seed, silent=False)
+    storm.run()
+    assert not storm.lost
+    assert not storm.untrue
+    assert storm.answers[200] > 10
+    assert "request failed" not in caplog.text
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_request_is_lost_at_a_silent_server_while_everything_changes(
+    front, settings, caplog, seed
+):
+    """A sound server falls silent beside changes of the configuration."""
+    storm = _Storm(front, settings, seed, silent=True)
     storm.run()
     assert not storm.lost
     assert not storm.untrue
