Read answers of services at the agent as the front does

It failed before: test_an_answer_that_is_cut_anywhere_may_have_run[interim] and test_an_answer_may_arrive_in_pieces[interim].

Cause: the library that the agent used takes an interim response for the end of the answer and releases the connection.

Ruled out: the front's reader; the same cuts behind each byte hold there (test_http_connection.py).

Change: the agent calls services by http_connection, with limits on head, framing and body; what can't be sent is recognized before.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/service_client.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/service_client.py
@@ -1,20 +1,19 @@
 """HTTP client of a plain service that sends each call at most once."""
 
 import dataclasses
-from typing import Any
+import time
 import urllib.parse
 
 import gevent
-import geventhttpclient.connectionpool
 from returns import result
 
 from dotterelgrade import errors
+from dotterelgrade import http_connection
+from dotterelgrade import http_message
 from dotterelgrade import messages
 from dotterelgrade_agent import agent_settings
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-_READ_BYTES = 64 * 1024
-_FAILURES = (OSError, ValueError, geventhttpclient.response.HTTPParseError)
 _KEY_HEADER = "idempotency-key"
 _HOP_BY_HOP = frozenset(
     {
@@ -51,45 +50,6 @@
     body: bytes
 
 
-class _SecondSendError(OSError):
-    """The library wanted to send a request again."""
-
-
-class _SingleUsePool(geventhttpclient.connectionpool.ConnectionPool):
-    """Hands out one fresh connection, so that a request is sent once."""
-
-    def __init__(self, *args: Any, **options: Any) -> None:
-        super().__init__(*args, **options)
-        self.is_connected = False
-
-    def get_socket(self) -> Any:
-        if self.is_connected:
-            raise _SecondSendError("a request is sent only once")
-        sock = super().get_socket()
-        self.is_connected = True
-        return sock
-
-
-class _SingleUseClient(geventhttpclient.HTTPClient):
-    """Sends one request over one fresh connection."""
-
-    def __init__(self, host: str, port: int, *, timeout_s: float) -> None:
-        super().__init__(host, port)
-        self._connection_pool = _SingleUsePool(
-            host,
-            port,
-            host,
-            port,
-            size=1,
-            connection_timeout=timeout_s,
-            network_timeout=timeout_s,
-        )
-
-    @property
-    def is_connected(self) -> bool:
-        return self._connection_pool.is_connected
-
-
 class ServiceClient:
     """Calls one plain service; it tells what may have run."""
 
@@ -102,6 +62,7 @@
         parts = urllib.parse.urlsplit(settings.url)
         self._host = parts.hostname or ""
         self._port = parts.port or 80
+        self._address = f"{self._host}:{self._port}"
         self._prefix = parts.path.rstrip("/")
 
     def __repr__(self) -> str:
@@ -132,73 +93,101 @@
             The answer, or an error whose run state is `not_run` only when
             nothing of the call reached the service.
         """
-        client = _SingleUseClient(self._host, self._port, timeout_s=limit_s)
+        request = self._request(call)
+        if request is None:
+            return _failed(
+                errors.ErrorKind.BAD_REQUEST,
+                "a name or value can't be sent",
+                run=errors.RunState.NOT_RUN,
+            )
+        ends_at = time.monotonic() + limit_s
+        try:
+            with http_connection.open_connection(
+                self._address, timeout_s=limit_s
+            ) as connection:
+                return self._exchange(connection, request, ends_at=ends_at)
+        except http_connection.ConnectError as error:
+            return _failed(
+                errors.ErrorKind.PEER_UNREACHABLE,
+                str(error),
+                run=errors.RunState.NOT_RUN,
+            )
+        except http_connection.ResponseTooLargeError as error:
+            return _failed(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                str(error),
+                run=errors.RunState.RAN,
+            )
+        except (
+            http_connection.BrokenConnectionError,
+            http_connection.ResponseTimeoutError,
+        ) as error:
+            return _failed(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                str(error),
+                run=errors.RunState.UNKNOWN,
+            )
+
+    def _request(self, call: messages.Call) -> http_message.Request | None:
+        """Returns the request of a call, or None if it can't be sent."""
+        path = call.path if call.path.startswith("/") else f"/{call.path}"
         try:
-            with gevent.Timeout(limit_s, TimeoutError("no answer in time")):
-                return self._exchange(client, call)
-        except _FAILURES as error:
-            return _failed(error, may_have_run=client.is_connected)
-        finally:
-            client.close()
+            request = http_message.Request(
+                method=call.method.encode("latin-1"),
+                target=(self._prefix + path).encode("latin-1"),
+                headers=_forwarded(call),
+                body=call.body,
+                keep_alive=False,
+            )
+        except UnicodeEncodeError:
+            return None
+        return request if http_message.is_sendable(request) else None
 
     def _exchange(
-        self, client: _SingleUseClient, call: messages.Call
+        self,
+        connection: http_connection.HttpConnection,
+        request: http_message.Request,
+        *,
+        ends_at: float,
     ) -> result.Result[Reply, errors.Error]:
-        path = call.path if call.path.startswith("/") else f"/{call.path}"
-        response = client.request(
-            call.method,
-            self._prefix + path,
-            body=call.body,
-            headers=_forwarded(call),
+        head, body = connection.exchange(
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            timeout_s=ends_at - time.monotonic(),
+            max_body_bytes=MAX_RESPONSE_BYTES,
         )
-        body = bytearray()
-        while chunk := response.read(_READ_BYTES):
-            body += chunk
-            if len(body) > MAX_RESPONSE_BYTES:
-                return result.Failure(
-                    errors.Error(
-                        kind=errors.ErrorKind.OUTCOME_UNKNOWN,
-                        message="the service's answer is too large",
-                        run=errors.RunState.RAN,
-                    )
-                )
         return result.Success(
             Reply(
-                status=response.status_code,
-                headers=_returned(response.items()),
-                body=bytes(body),
+                status=head.status, headers=_returned(head.headers), body=body
             )
         )
 
 
-def _forwarded(call: messages.Call) -> dict[str, str]:
-    headers = {
-        name: value
+def _forwarded(call: messages.Call) -> http_message.Headers:
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in call.headers.items()
         if name.lower() not in _NOT_FORWARDED
-    }
+    ]
     if call.key:
-        headers["Idempotency-Key"] = call.key
+        headers.append((_KEY_HEADER.encode(), call.key.encode()))
     return headers
 
 
-def _returned(items: Any) -> dict[str, str]:
+def _returned(headers: http_message.Headers) -> dict[str, str]:
     return {
-        name: value
-        for name, value in items
-        if name.lower() not in _HOP_BY_HOP | {"content-length"}
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in headers
+        if name.decode("latin-1").lower()
+        not in _HOP_BY_HOP | {"content-length"}
     }
 
 
 def _failed(
-    error: Exception, *, may_have_run: bool
+    kind: errors.ErrorKind, message: str, *, run: errors.RunState
 ) -> result.Failure[errors.Error]:
-    if may_have_run:
-        kind, run = errors.ErrorKind.OUTCOME_UNKNOWN, errors.RunState.UNKNOWN
-    elif isinstance(error, ValueError):
-        kind, run = errors.ErrorKind.BAD_REQUEST, errors.RunState.NOT_RUN
-    else:
-        kind, run = errors.ErrorKind.PEER_UNREACHABLE, errors.RunState.NOT_RUN
     return result.Failure(
-        errors.Error(kind=kind, message=f"service: {error!r}", run=run)
+        errors.Error(kind=kind, message=f"service: {message}", run=run)
     )
--- a/packages/dotterelgrade-agent/tests/test_service_client.py
+++ b/packages/dotterelgrade-agent/tests/test_service_client.py
@@ -43,9 +43,9 @@
 
     def answer(sock, _):
         sock.recv(65_536)
-        for part in parts:
+        for number, part in enumerate(parts):
+            gevent.sleep(0.05 if number else 0.0)
             sock.sendall(part)
-            gevent.sleep(0.05)
         if reset:
             no_linger = struct.pack("ii", 1, 0)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
@@ -87,6 +87,36 @@
     assert error.run_state == errors.RunState.UNKNOWN
 
 
+_INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+_WHOLE_CHUNKS = _CHUNKED + b"2\r\nok\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [_OK, _WHOLE_CHUNKS, _INTERIM + _OK, b"HTTP/1.1 200 OK\r\nX: y\r\n\r\n"],
+    ids=["length", "chunks", "interim", "head without framing"],
+)
+def test_an_answer_that_is_cut_anywhere_may_have_run(fleet, answer):
+    """A service stops in its head or in its framing, and closes."""
+    taken_for_whole = [
+        answer[:end]
+        for end in range(len(answer))
+        if isinstance(_answered(fleet, answer[:end]), result.Success)
+    ]
+    assert taken_for_whole == []
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [_OK, _WHOLE_CHUNKS, _INTERIM + _OK, b"HTTP/1.1 200 OK\r\n\r\nok"],
+    ids=["length", "chunks", "interim", "unframed"],
+)
+def test_an_answer_may_arrive_in_pieces(fleet, answer):
+    for middle in (1, 20, len(answer) - 1):
+        reply = _answered(fleet, answer[:middle], answer[middle:])
+        assert reply.unwrap().body == b"ok"
+
+
 def test_a_reset_answer_without_a_length_may_have_run(fleet):
     answer = _answered(fleet, b"HTTP/1.1 200 OK\r\n\r\nabc", reset=True)
     assert answer.failure().run_state == errors.RunState.UNKNOWN
@@ -125,6 +155,8 @@
         {"headers": {"X-A": "1\r\nInjected: 2"}},
         {"path": "/deposits HTTP/1.1\r\nX: "},
         {"method": "PO ST"},
+        {"headers": {"X-A": "\u20ac"}},
+        {"headers": {"X A": "1"}},
     ],
 )
 def test_a_request_that_can_not_be_sent_is_not_run(fleet, changes):
--- a/packages/dotterelgrade/src/dotterelgrade/http_message.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_message.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+import re
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -23,6 +24,11 @@
 )
 
 
+_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_TARGET = re.compile(rb"[!-~\x80-\xff]+")
+_VALUE = re.compile(rb"[\t -~\x80-\xff]*")
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Request:
     """A complete request.
@@ -108,3 +114,19 @@
     lines = [first_line]
     lines.extend(name + b": " + value for name, value in headers)
     return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def is_sendable(request: Request) -> bool:
+    """Returns whether no part of a request would be read as another one.
+
+    Args:
+        request: The request; its parts may come from a caller.
+    """
+    return (
+        _TOKEN.fullmatch(request.method) is not None
+        and _TARGET.fullmatch(request.target) is not None
+        and all(
+            _TOKEN.fullmatch(name) and _VALUE.fullmatch(value)
+            for name, value in request.headers
+        )
+    )
--- a/packages/dotterelgrade/tests/test_http_connection.py
+++ b/packages/dotterelgrade/tests/test_http_connection.py
@@ -102,6 +102,63 @@
         _call(serve(lambda sock: sock.sendall(response)))
 
 
+_LENGTH = b"HTTP/1.1 200 OK\r\nseal: 1\r\ncontent-length: 4\r\n\r\ndone"
+_CHUNKS = (
+    b"HTTP/1.1 200 OK\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+    b"2\r\ndo\r\n2\r\nne\r\n0\r\n\r\n"
+)
+_INTERIM = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+_UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nseal: 1\r\n\r\n"
+
+
+def _cuts(response):
+    """Returns a response cut before each of its bytes."""
+    return [response[:end] for end in range(len(response))]
+
+
+def _is_broken_off(address):
+    try:
+        _call(address)
+    except http_connection.BrokenConnectionError:
+        return True
+    return False
+
+
+@pytest.mark.parametrize(
+    "response",
+    [_LENGTH, _CHUNKS, _INTERIM + _LENGTH, _INTERIM + _CHUNKS],
+    ids=["length", "chunks", "interim, length", "interim, chunks"],
+)
+def test_a_response_that_is_cut_anywhere_is_not_complete(serve, response):
+    """A server stops in its head or in its framing, and closes."""
+    cuts = iter(_cuts(response))
+    address = serve(lambda sock: sock.sendall(next(cuts)))
+    broken_off = [_is_broken_off(address) for _ in response]
+    assert all(broken_off)
+
+
+def test_a_head_without_framing_that_is_cut_is_not_complete(serve):
+    cuts = iter(_cuts(_UNFRAMED_HEAD))
+    address = serve(lambda sock: sock.sendall(next(cuts)))
+    broken_off = [_is_broken_off(address) for _ in _UNFRAMED_HEAD]
+    assert all(broken_off)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [_LENGTH, _CHUNKS, _INTERIM + _CHUNKS, _UNFRAMED_HEAD + b"done"],
+    ids=["length", "chunks", "interim", "unframed"],
+)
+def test_a_response_may_arrive_byte_by_byte(serve, response):
+    def script(sock):
+        for number in range(len(response)):
+            sock.sendall(response[number : number + 1])
+            gevent.sleep(0)
+
+    head, body = _call(serve(script))
+    assert (head.status, body) == (200, b"done")
+
+
 @pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
 def test_a_status_without_meaning_is_rejected_at_once(serve, status):
     """Such a head was passed on, or the rest of the response awaited."""
