Take the parser of responses out of the connection

Cause: http_connection.py had grown to 544 lines with two ideas, the connection and what its bytes mean.

Change: response_parser.py parses bytes into one response and says when the end of the connection is the end of it; http_connection.py has the sockets and the limits. Behaviour stays. The mutants name the new places.

--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/connection_mutants.py
@@ -53,7 +53,7 @@
     mutant.Mutant(
         name="front-mixes-answers",
         promise=mutant.OWN_ANSWER,
-        module="dotterelgrade.http_connection",
+        module="dotterelgrade.response_parser",
         old="        if self.complete:\n            return\n        status",
         new="        status",
         check=_UPSTREAM_TEST,
@@ -61,7 +61,7 @@
     mutant.Mutant(
         name="front-waits-behind-a-switch-of-protocols",
         promise=mutant.OWN_ANSWER,
-        module="dotterelgrade.http_connection",
+        module="dotterelgrade.response_parser",
         old="        if switched or status not in _STATUSES:",
         new="        if False:",
         check=_UPSTREAM_TEST,
@@ -150,8 +150,8 @@
         name="timeout-beside-unread-bytes",
         promise=mutant.OWN_ANSWER,
         module="dotterelgrade.http_connection",
-        old="        sock.settimeout(0.0)\n",
-        new="        raise\n",
+        old="before it reports the bytes.\n        pass\n",
+        new="before it reports the bytes.\n        raise\n",
         check=_CONNECTION_TEST,
     ),
     mutant.Mutant(
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/entry_mutants.py
@@ -279,8 +279,8 @@
         name="service-may-have-run",
         promise=mutant.NOT_RUN,
         module="dotterelgrade_agent.service_client",
-        old="return _failed(error, may_have_run=client.is_connected)",
-        new="return _failed(error, may_have_run=False)",
+        old="run=errors.RunState.UNKNOWN,",
+        new="run=errors.RunState.NOT_RUN,",
         check="fleet",
     ),
     mutant.Mutant(
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -1,17 +1,14 @@
 """Reusable HTTP/1.1 client connections with a limit on every wait."""
 
-import collections
 from collections.abc import Iterator
 import contextlib
 import errno
-import http
-import re
 import time
 
 from gevent import socket
-import httptools
 
 from dotterelgrade import http_message
+from dotterelgrade import response_parser
 
 # Each of many connections may hold as much while its peer is slow.
 _RECEIVE_BYTES = 32_768
@@ -25,8 +22,6 @@
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 3_000
 _MIN_SOCKET_TIMEOUT_S = 0.001
-_STATUSES = range(100, 600)
-_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class ConnectError(Exception):
@@ -61,74 +56,6 @@
     """
 
 
-class _InvalidHeadError(Exception):
-    """The parser accepts a head that is none of a response."""
-
-
-class _Response:
-    """Collects the parts of a response; the parser calls the `on_` methods."""
-
-    def __init__(self, *, without_body: bool) -> None:
-        self.head: http_message.ResponseHead | None = None
-        self.pieces: collections.deque[bytes] = collections.deque()
-        self.complete = False
-        self.known_end = False
-        self.extra_bytes = False
-        self.keeps_alive = False
-        self.headers: http_message.Headers = []
-        self.parser: httptools.HttpResponseParser | None = None
-        self._reason = b""
-        self._without_body = without_body
-
-    def on_message_begin(self) -> None:
-        self.extra_bytes = self.extra_bytes or self.complete
-
-    def on_status(self, reason: bytes) -> None:
-        self._reason += reason
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self.head is not None:
-            # Trailers, or an extra response that belongs to no request.
-            return
-        lower = name.lower()
-        self.headers.append((lower, value))
-        if lower in (b"content-length", b"transfer-encoding"):
-            self.known_end = True
-
-    def on_headers_complete(self) -> None:
-        if self.complete:
-            return
-        status = self.parser.get_status_code()
-        self._check_status_line(status)
-        if status < 200:
-            self.headers = []
-            self._reason = b""
-            return
-        self.head = http_message.ResponseHead(
-            status=status, reason=self._reason, headers=self.headers
-        )
-        if self._without_body or status in (204, 304):
-            self.known_end = True
-            self.complete = True
-
-    def _check_status_line(self, status: int) -> None:
-        # No request asks for another protocol.
-        switched = status == http.HTTPStatus.SWITCHING_PROTOCOLS
-        if switched or status not in _STATUSES:
-            raise _InvalidHeadError(f"unexpected status {status}")
-        if _CONTROL_CHARACTER.search(self._reason):
-            raise _InvalidHeadError("control character in the status line")
-
-    def on_body(self, piece: bytes) -> None:
-        if not self.complete:
-            self.pieces.append(piece)
-
-    def on_message_complete(self) -> None:
-        if self.head is not None and not self.complete:
-            self.complete = True
-            self.keeps_alive = self.parser.should_keep_alive()
-
-
 class HttpConnection:
     """One TCP connection to a peer, with a timeout on every wait."""
 
@@ -141,7 +68,7 @@
         """
         self._sock = sock
         self._address = address
-        self._response: _Response | None = None
+        self._response: response_parser.ResponseParser | None = None
         self._any_received = False
 
     def __repr__(self) -> str:
@@ -256,8 +183,9 @@
         Raises:
             BrokenConnectionError: Sending failed; a part may have been sent.
         """
-        response = _Response(without_body=method == b"HEAD")
-        response.parser = httptools.HttpResponseParser(response)
+        response = response_parser.ResponseParser(
+            without_body=method == b"HEAD"
+        )
         self._response = response
         self._any_received = False
         length_header = []
@@ -363,18 +291,9 @@
             return 0
         self._any_received = True
         try:
-            self._response.parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            # Bytes after a complete response belong to no request.
-            if not self._response.complete:
-                reason = error.__context__ or error
-                raise BrokenConnectionError(
-                    f"{self._address}: {reason}"
-                ) from error
-            self._response.extra_bytes = True
+            self._response.feed(data)
+        except response_parser.InvalidResponseError as error:
+            raise BrokenConnectionError(f"{self._address}: {error}") from error
         return len(data)
 
     def _nothing_to_read(self) -> bool:
@@ -389,10 +308,8 @@
         return False
 
     def _handle_end_of_stream(self) -> None:
-        response = self._response
-        if response.head is not None and not response.known_end:
-            response.complete = True
-        if not response.complete:
+        self._response.end()
+        if not self._response.complete:
             raise LostConnectionError(
                 f"{self._address}: closed before the response ended"
             )
