Send a response in pieces where responses are sent

Cause: plain_call.py encoded the head and the chunks of a large response itself, and the head with a length stood twice in responses.py. Behaviour stays.

Before and after: the tests of response bodies, plain calls and the request handler pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -116,23 +116,18 @@
                 must not take what it has for all of it.
         """
         response = answered.response
-        length = response.body.length
-        head = responses.encode_piecewise_head(
-            response.head, length=length, close=close
-        )
         try:
             with (
                 client.interrupt_on_disconnect(),
                 answered.attempt.adopted(),
             ):
-                client.write(head)
-                for piece in response.body.pieces():
-                    framed = length is not None
-                    client.write(
-                        piece if framed else responses.encode_chunk(piece)
-                    )
-                if length is None:
-                    client.write(responses.LAST_CHUNK)
+                responses.send_piecewise(
+                    client,
+                    head=response.head,
+                    pieces=response.body.pieces(),
+                    length=response.body.length,
+                    close=close,
+                )
         except http_connection.ResponseTimeoutError as error:
             self._state.note_timeout(answered.attempt.server_id)
             raise self._broken(call, answered, str(error)) from error
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/responses.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/responses.py
@@ -1,5 +1,6 @@
 """Encodes and sends HTTP responses to a caller."""
 
+from collections.abc import Iterable
 import http
 import json
 
@@ -40,36 +41,47 @@
         close: Whether to send `Connection: close`.
         bodiless: Whether to send only the head, as for HEAD requests.
     """
-    headers = list(head.headers)
-    headers.append((b"content-length", str(len(body)).encode()))
-    if close:
-        headers.append(_CLOSE)
-    first_line = status_line(head.status, head.reason)
-    encoded_head = http_message.encode_head(first_line, headers)
+    encoded_head = _encode_head(head, length=len(body), close=close)
     client.write(encoded_head if bodiless else encoded_head + body)
 
 
-def encode_piecewise_head(
-    head: http_message.ResponseHead, *, length: int | None, close: bool
+def _encode_head(
+    head: http_message.ResponseHead, *, length: int, close: bool
 ) -> bytes:
-    """Returns the encoded head of a response whose body follows in pieces.
+    headers = [*head.headers, (b"content-length", str(length).encode())]
+    if close:
+        headers.append(_CLOSE)
+    return http_message.encode_head(
+        status_line(head.status, head.reason), headers
+    )
+
+
+def send_piecewise(
+    client: client_connection.ClientConnection,
+    *,
+    head: http_message.ResponseHead,
+    pieces: Iterable[bytes],
+    length: int | None,
+    close: bool,
+) -> None:
+    """Sends a response whose body arrives in pieces.
 
     Args:
+        client: The connection to the caller.
         head: Status and end-to-end headers.
-        length: Size of the body, bytes, or None for a chunked one.
+        pieces: The body; none of them is empty.
+        length: Size of the body, bytes, or None for a chunked response.
         close: Whether to send `Connection: close`.
     """
     if length is None:
-        return encode_stream_head(head, close=close)
-    headers = [
-        *head.headers,
-        (b"content-length", str(length).encode()),
-    ]
-    if close:
-        headers.append(_CLOSE)
-    return http_message.encode_head(
-        status_line(head.status, head.reason), headers
-    )
+        client.write(encode_stream_head(head, close=close))
+        for piece in pieces:
+            client.write(encode_chunk(piece))
+        client.write(LAST_CHUNK)
+        return
+    client.write(_encode_head(head, length=length, close=close))
+    for piece in pieces:
+        client.write(piece)
 
 
 def send_error(
