Date a dead stage's crash by its first sighting

Cause: streams that wait for a dead stage look at it several times a second; each look moved the time of the last crash under their prompts, so that the crashes never settled and the likely quarantine waited for the streams to end. Found by reading again.

Ruled out: crashes of first stages; each is seen once by each request.

Change: only a crash that was not known moves that time.

Before and after: test_a_dead_stage_that_is_looked_at_again_is_no_later_crash failed, and passes.

--- a/packages/dotterelgrade/src/dotterelgrade/suspect.py
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect.py
@@ -188,9 +188,9 @@
         Returns:
             Whether others need to know.
         """
-        self._last_crash_at = max(self._last_crash_at, sighting.at)
         known = self._crashes.get(crash)
         if known is None:
+            self._last_crash_at = max(self._last_crash_at, sighting.at)
             if len(self._crashes) >= suspect_state.MAX_CRASHES:
                 return False
             self._crashes[crash] = sighting
--- a/packages/dotterelgrade/tests/test_quarantine.py
+++ b/packages/dotterelgrade/tests/test_quarantine.py
@@ -180,6 +180,26 @@
     assert process.level(_BAD) is suspicion.Level.QUARANTINED
 
 
+def test_a_dead_stage_that_is_looked_at_again_is_no_later_crash(process):
+    """Streams that wait for it ask for it several times a second."""
+    for number in range(quarantine_policies.LIKELY_CRASHES):
+        server = suspect_state.ServerProcess(
+            server_id=f"stage{number}", started_ms=1
+        )
+        process.clock.now += 0.01
+        sent_at = process.clock.now
+        for _ in range(10):
+            process.clock.now += 0.15
+            process.quarantine.note_found_dead(
+                server,
+                [_BAD],
+                request=f"{number:016x}",
+                sent_at=sent_at,
+                request_id=f"r{number}",
+            )
+    assert process.level(_BAD) is suspicion.Level.QUARANTINED
+
+
 def test_a_service_between_two_crashes_drops_those_before_it(process):
     for _ in range(3):
         times = quarantine_policies.CERTAIN_CRASHES - 1
