Keep little for a peer that has proven nothing

Cause: the decoder of a connection between processes takes frames of up to 16 MiB, also in the handshake, so that any process that reaches the port could make another one keep 16 MiB a connection.

Ruled out: proven peers, which are our own processes; their frames may be large.

Change: the handshake ends after 64 KiB without its frame.

Before and after: test_little_is_kept_for_a_peer_that_has_proven_nothing failed (BufferFull, the decoder at its own limit), and passes.

--- a/packages/dotterelgrade/src/dotterelgrade/handshake.py
+++ b/packages/dotterelgrade/src/dotterelgrade/handshake.py
@@ -13,6 +13,8 @@
 from dotterelgrade import frame_codec
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+# Until a peer has shown that it knows the key, few bytes are kept for it.
+_MAX_UNPROVEN_BYTES = 65_536
 _READ_BYTES = 4 * 1024
 _NONCE_BYTES = 16
 
@@ -121,7 +123,8 @@
 def _receive_frame(
     sock: gevent.socket.socket, unpacker: msgpack.Unpacker, expected: type
 ) -> Any:
-    while True:
+    received = 0
+    while received <= _MAX_UNPROVEN_BYTES:
         for value in unpacker:
             message = frame_codec.from_wire(value)
             if not isinstance(message, expected):
@@ -137,4 +140,9 @@
                 errors.ErrorKind.PEER_UNREACHABLE,
                 "peer closed the connection during the handshake",
             )
+        received += len(data)
         unpacker.feed(data)
+    raise errors.new_exception(
+        errors.ErrorKind.FRAME_INVALID,
+        f"over {_MAX_UNPROVEN_BYTES} bytes before the end of the handshake",
+    )
--- a/packages/dotterelgrade/tests/test_wire.py
+++ b/packages/dotterelgrade/tests/test_wire.py
@@ -121,3 +121,28 @@
     assert good.send(messages.Ping(sequence=7))
     assert server.get(timeout=5) == messages.Ping(sequence=7)
     good.close("done")
+
+
+class _EndlessSocket:
+    """A peer that sends the head of a long value, and bytes without end."""
+
+    def __init__(self):
+        self.received_bytes = 0
+
+    def sendall(self, data):
+        pass
+
+    def recv(self, size):
+        head = b"\xc6\x00\xff\xff\xff" if not self.received_bytes else b""
+        data = head + b"z" * (size - len(head))
+        self.received_bytes += len(data)
+        return data
+
+
+def test_little_is_kept_for_a_peer_that_has_proven_nothing():
+    """Each connection could take 16 MiB, whoever had opened it."""
+    sock = _EndlessSocket()
+    with pytest.raises(errors.DotterelgradeError) as refused:
+        handshake.perform(sock, identity=_identity("127.0.9.2"), dialing=False)
+    assert refused.value.error.kind is errors.ErrorKind.FRAME_INVALID
+    assert sock.received_bytes < 100_000
