--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
@@ -131,14 +131,13 @@
             sent_at: Monotonic time at which the request was sent there, s.
             proven: Whether the answer was well under way.
         """
-        self._quarantine.note_crash(
+        self._note(
+            self._quarantine.note_crash,
+            call,
             process,
-            () if proven else call.fingerprints,
-            request=call.request_fingerprint,
             sent_at=sent_at,
-            request_id=call.request_id,
+            proven=proven,
         )
-        self.record_changes()
 
     def note_found_dead(
         self,
@@ -156,7 +155,25 @@
             sent_at: Monotonic time at which the request was sent there, s.
             proven: Whether the answer was well under way.
         """
-        self._quarantine.note_found_dead(
+        self._note(
+            self._quarantine.note_found_dead,
+            call,
+            process,
+            sent_at=sent_at,
+            proven=proven,
+        )
+
+    def _note(
+        self,
+        note: Callable[..., None],
+        call: call_lib.Call,
+        process: suspect_state.ServerProcess,
+        *,
+        sent_at: float,
+        proven: bool,
+    ) -> None:
+        """Tells the rules of a crash, by one of their two methods for it."""
+        note(
             process,
             () if proven else call.fingerprints,
             request=call.request_fingerprint,
