Count quick resets of a server only beside crashes of others

Cause: a further crash of the same listed process counted as a repeat however soon it came. No process restarts within milliseconds; a link that resets does so.

Ruled out: to count no crash within a second of the last: servers of the users' trials are back at once, and a prompt that crashes them was refused too late. There a prompt reaches several servers, a link only those behind it.

Change: repeats sooner than MIN_RESTART_S count only once three servers have crashed one after another.

--- a/packages/dotterelgrade/src/dotterelgrade/quarantine.py
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine.py
@@ -452,6 +452,7 @@
                 certain_rounds=suspect.tally().rounds,
                 rounds=tally.rounds,
                 repeats=tally.repeats,
+                quick_repeats=tally.quick_repeats,
                 crashes=tally.crashes,
                 total=len(self._history.since(tally.first_at - SETTLE_S)),
                 requests=tally.requests,
--- a/packages/dotterelgrade/src/dotterelgrade/quarantine_policies.py
+++ b/packages/dotterelgrade/src/dotterelgrade/quarantine_policies.py
@@ -37,6 +37,7 @@
         rounds: Servers that crashed under the fingerprint one after another.
         repeats: Crashes under it of servers that had crashed before, and are
             listed as the same process.
+        quick_repeats: Those of them that came sooner than a process restarts.
         crashes: All crashes under it.
         total: All crashes since the first of them.
         requests: Different requests that waited at one under it; the attempts
@@ -47,11 +48,23 @@
     certain_rounds: int
     rounds: int
     repeats: int
+    quick_repeats: int
     crashes: int
     total: int
     requests: int
     settled: bool
 
+    @property
+    def credible_repeats(self) -> int:
+        """Repeats that a few connections that are reset don't explain.
+
+        A link resets those to the servers behind it again and again; a prompt
+        crashes whatever server it reaches.
+        """
+        if self.rounds >= LIKELY_CRASHES:
+            return self.repeats
+        return self.repeats - self.quick_repeats
+
 
 class QuarantinePolicy(Protocol):
     """Decides from the evidence on one fingerprint."""
@@ -80,7 +93,10 @@
         """See `QuarantinePolicy`."""
         if evidence.certain_rounds >= CERTAIN_CRASHES:
             return True
-        if min(evidence.repeats, evidence.requests) >= REPEATED_CRASHES:
+        if (
+            min(evidence.credible_repeats, evidence.requests)
+            >= REPEATED_CRASHES
+        ):
             return evidence.crashes >= _REPEATED_SHARE * evidence.total
         if evidence.rounds < LIKELY_CRASHES or not evidence.settled:
             return False
--- a/packages/dotterelgrade/src/dotterelgrade/suspect.py
+++ b/packages/dotterelgrade/src/dotterelgrade/suspect.py
@@ -1,7 +1,8 @@
 """The crashes under one fingerprint, and its quarantine."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 import dataclasses
+import itertools
 
 from dotterelgrade import suspect_state
 
@@ -17,6 +18,9 @@
 FORGET_S = 600.0
 # How exactly processes need to know when a request was last refused.
 _WANTED_STEP_S = 60.0
+# A process that is started again takes longer. A link that resets connections
+# looks like a server that crashes again sooner.
+MIN_RESTART_S = 1.0
 _NEVER = float("-inf")
 
 
@@ -52,6 +56,8 @@
             crash together, whatever the cause, one counts: the requests at the
             others were sent before it was known.
         repeats: Number of crashes of servers that had crashed before.
+        quick_repeats: Those of them that followed the last crash of the server
+            sooner than a process restarts.
         requests: Number of different requests that waited at one of them.
         first_at: Monotonic time of the first one, s.
     """
@@ -59,6 +65,7 @@
     crashes: int
     rounds: int
     repeats: int
+    quick_repeats: int
     requests: int
     first_at: float
 
@@ -67,11 +74,13 @@
         cls, crashes: Mapping[suspect_state.Crash, Sighting]
     ) -> "CrashTally":
         """Counts crashes."""
-        first = _first_of_each(crashes)
+        by_process = _by_process(crashes)
+        first = [sightings[0] for sightings in by_process]
         return cls(
             crashes=len(crashes),
             rounds=_rounds(first),
             repeats=len(crashes) - len(first),
+            quick_repeats=sum(map(_quick_repeats, by_process)),
             requests=len({s.request for s in crashes.values()}),
             first_at=min(
                 (s.at for s in crashes.values()), default=float("inf")
@@ -79,16 +88,20 @@
         )
 
 
-def _first_of_each(
+def _by_process(
     crashes: Mapping[suspect_state.Crash, Sighting],
-) -> list[Sighting]:
-    """Returns the first crash of each process of a server."""
-    first: dict[suspect_state.ServerProcess, Sighting] = {}
+) -> list[list[Sighting]]:
+    """Returns the crashes of each process of a server, the first one first."""
+    by_process: dict[suspect_state.ServerProcess, list[Sighting]] = {}
     for crash, sighting in crashes.items():
-        known = first.setdefault(crash.process, sighting)
-        if sighting.at < known.at:
-            first[crash.process] = sighting
-    return list(first.values())
+        by_process.setdefault(crash.process, []).append(sighting)
+    return [sorted(s, key=lambda s: s.at) for s in by_process.values()]
+
+
+def _quick_repeats(sightings: Sequence[Sighting]) -> int:
+    """Returns how many crashes of one process followed another too soon."""
+    pairs = itertools.pairwise(sightings)
+    return sum(later.at - before.at < MIN_RESTART_S for before, later in pairs)
 
 
 def _rounds(sightings: Iterable[Sighting]) -> int:
