Complete a stream whose end is known before a stop cuts it

What was seen (soak): an engine had answered whole, but the end of its answer did not arrive; a second attempt behind the last event ended empty. That end is taken at the deadline, since the first attempt may still go on. A stop ended before it, and the stream was cut behind its last event.

Change: while a stop runs, an attempt that ended empty counts as the end 0.3 s before streams are aborted.

Before: test_an_empty_second_answer_ends_a_stream_that_a_stop_would_cut fails (no answer in 5 s).

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -228,6 +228,14 @@
         self._leaving = True
         self._stop = stop
 
+    @property
+    def finishes_at(self) -> float:
+        """When streams that wait for their end alone are completed, s.
+
+        Monotonic time; infinite without a stop that has an end.
+        """
+        return float("inf") if self._stop is None else self._stop.finishes_at
+
     def may_begin(self, *, deadline: float) -> bool:
         """Returns whether a request that has just been read is begun.
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stall_guard.py
@@ -82,7 +82,8 @@
 
         Raises:
             standby_set.StandbyReadyError: A second attempt went on first.
-            upstream.AttemptFailedError: The deadline passed.
+            upstream.AttemptFailedError: The deadline passed, or the process
+                stops and another attempt has reached the end.
         """
         while True:
             if self._standbys.any_open:
@@ -93,10 +94,19 @@
             try:
                 return read(self._wake_at())
             except http_connection.ResponseTimeoutError as error:
-                if time.monotonic() >= self._repair.deadline:
-                    raise upstream.AttemptFailedError(
-                        attempt_lib.ExecutionStatus.UNKNOWN, "deadline exceeded"
-                    ) from error
+                self._raise_if_over(error)
+
+    def _raise_if_over(self, error: Exception) -> None:
+        now = time.monotonic()
+        if now >= self._repair.deadline:
+            reason = "deadline exceeded"
+        elif now >= self._standbys.empty_end_counts_at:
+            reason = "stop begins to abort, and another attempt has ended"
+        else:
+            return
+        raise upstream.AttemptFailedError(
+            attempt_lib.ExecutionStatus.UNKNOWN, reason
+        ) from error
 
     def _wake_at(self) -> float:
         """Returns when to stop reading in order to look after the rest."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/standby_set.py
@@ -90,6 +90,17 @@
                 return standby.attempt
         return None
 
+    @property
+    def empty_end_counts_at(self) -> float:
+        """When the end of an attempt without events ends the stream, s.
+
+        Monotonic time; until then another attempt may go on. A stop cuts what
+        has not ended by its abort.
+        """
+        if any(standby.ended_empty for standby in self._standbys):
+            return self._state.finishes_at
+        return float("inf")
+
     @contextlib.contextmanager
     def closed_on_exit(self) -> Iterator[None]:
         """Closes the second attempts that are left when the context ends."""
--- a/packages/dotterelgrade-front/tests/test_standby_set.py
+++ b/packages/dotterelgrade-front/tests/test_standby_set.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import re
+import time
 
 import front_fakes as fakes
 import gevent
@@ -10,6 +11,7 @@
 import stream_fakes as streams
 
 from dotterelgrade import http_connection
+from dotterelgrade_routing import graceful_stop
 from dotterelgrade_routing import stall_actions
 
 _LAST = 9
@@ -408,6 +410,25 @@
     assert _ask(front)[2] == streams.events(1, 3)
 
 
+def test_an_empty_second_answer_ends_a_stream_that_a_stop_would_cut(front):
+    """The end of the first answer is lost, and the grace period is over first.
+
+    The stream was cut behind its last event (soak, seed 4261609737).
+    """
+    streams.set_routes(front, max_attempts=2, timeout_s=10 * fakes.WAIT_S)
+    streams.add_chains(
+        front, [_stuck_after(3)], [streams.resuming(fakes.silent, last=3)]
+    )
+    now = time.monotonic()
+    front.state.mark_leaving(
+        graceful_stop.GracefulStop(
+            deregistered_at=now + fakes.WAIT_S, aborts_at=now + 1.5
+        )
+    )
+    assert _ask(front)[2] == streams.events(1, 3)
+    assert not streams.decisions(front, "stream_broken")
+
+
 def _until_standby_ended(front):
     """Returns a pause until some time after the second attempt has ended."""
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/graceful_stop.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/graceful_stop.py
@@ -7,6 +7,10 @@
 
 import dataclasses
 
+# Time before the abort in which a stream that waits for nothing but its end is
+# completed; the end is a few bytes.
+_FINISH_MARGIN_S = 0.3
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GracefulStop:
@@ -20,6 +24,11 @@
     deregistered_at: float
     aborts_at: float
 
+    @property
+    def finishes_at(self) -> float:
+        """When streams are completed that have nothing left to send, s."""
+        return self.aborts_at - _FINISH_MARGIN_S
+
     def permits(self, *, deadline: float, now: float) -> bool:
         """Returns whether a request is begun that has just been read.
 
