--- a/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
+++ b/packages/dotterelgrade/src/dotterelgrade/contract_feed.py
@@ -281,8 +281,18 @@
             gevent.sleep(_SNAPSHOT_CHECK_S)
             if self.is_snapshot_due():
                 gevent.sleep(self._schedule.wait_s())
-                if self.is_snapshot_due():
-                    self.append_snapshot()
+                self.append_snapshot_if_due()
+
+    def append_snapshot_if_due(self) -> None:
+        """Appends a snapshot unless the log has a newer one by now.
+
+        On a busy host the follower may not have read the snapshot that another
+        process appended during the wait.
+        """
+        if self.is_snapshot_due():
+            self._follower.refresh()
+        if self.is_snapshot_due():
+            self.append_snapshot()
 
     def is_snapshot_due(self) -> bool:
         """Whether this process should append a newer snapshot."""
--- a/packages/dotterelgrade/src/dotterelgrade/follower.py
+++ b/packages/dotterelgrade/src/dotterelgrade/follower.py
@@ -122,13 +122,23 @@
             self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
 
     def poll(self) -> bool:
-        """Reads one page and handles its records.
+        """Reads one page and handles its records, or waits for one.
 
         Returns:
             False when the read failed.
         """
+        return self._read(wait_ms=self._wait_ms if self.is_caught_up else 0)
+
+    def refresh(self) -> bool:
+        """Reads what the log has now, without waiting for more.
+
+        Returns:
+            False when the read failed.
+        """
+        return self._read(wait_ms=0)
+
+    def _read(self, *, wait_ms: int) -> bool:
         start = self._position
-        wait_ms = self._wait_ms if self.is_caught_up else 0
         read_result = self._log.read(self._stream, start=start, wait_ms=wait_ms)
         if isinstance(read_result, result.Failure):
             return self._handle_failure(read_result.failure())
--- a/packages/dotterelgrade/tests/test_contract_feed.py
+++ b/packages/dotterelgrade/tests/test_contract_feed.py
@@ -164,6 +164,20 @@
     assert 1 <= snapshot_count <= 3
 
 
+def test_a_snapshot_that_is_not_read_yet_is_not_appended_again(service):
+    """Busy processes whose waits ended together all appended one."""
+    feeds = [_feed(service, seed=n) for n in range(3)]
+    for number in range(6):
+        _append(service, number)
+    for feed in feeds:
+        _catch_up(feed)
+        assert feed.is_snapshot_due()
+    for feed in feeds:
+        feed.append_snapshot_if_due()
+    records = service.records(log_client.CONTRACT_STREAM)
+    assert sum(b'"snapshot"' in record.body for record in records) == 1
+
+
 def test_records_come_from_peers_in_a_log_outage(service):
     caught_up_feed = _feed(service)
     for number in range(1, 4):
