Rank requests by the workspace's priority, then the route's

Cause: a workspace's priority replaced the route's, so that requests of all routes had one priority where nearly all workspaces share one.

Change: the configuration numbers the pairs (workspace, route) densely for each service whose routes have at least two priorities. Routes with weight 0 for a service do not count.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -27,7 +27,9 @@
         route: The matching route.
         service: The service chosen from the route.
         workspace: Name of the caller's workspace, or empty.
-        priority: 0 is the most urgent.
+        priority: For the engine; 0 is the most urgent.
+        rank: Rank among the requests to the service, 0 is the most urgent, or
+            None if the service has no ranks.
         received_at: Monotonic time at which it was received completely, s.
         deadline: Deadline as monotonic time, s.
         attempts: What is known of each failed attempt, in order.
@@ -44,6 +46,7 @@
     service: configuration.Service
     workspace: str
     priority: int
+    rank: int | None = None
     received_at: float
     deadline: float
     attempts: list[attempt.ExecutionStatus] = dataclasses.field(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -311,6 +311,9 @@
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
+        rank = current.rank(service.name, route=route, workspace=workspace)
+        if rank is not None:
+            priority = rank
         timeout_s = route.timeout_s
         if facts.caller_timeout_s is not None:
             timeout_s = min(timeout_s, facts.caller_timeout_s)
@@ -321,6 +324,7 @@
             service=service,
             workspace="" if workspace is None else workspace.name,
             priority=priority,
+            rank=rank,
             received_at=received_at,
             deadline=received_at + timeout_s,
         )
--- a/packages/dotterelgrade-front/tests/support/platform_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/platform_fakes.py
@@ -38,6 +38,7 @@
             (b"workspace", orders.workspace.encode()),
             (b"chain", chain.encode()),
             (b"after", orders.resume_after.encode()),
+            (b"priority", str(orders.priority).encode()),
         ]
         return kept
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/configuration.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/configuration.py
@@ -1,9 +1,11 @@
 """The operators' configuration of a platform, as fronts use it."""
 
+from collections.abc import Iterable
 import dataclasses
 import functools
 
 from dotterelgrade_routing import layer_range
+from dotterelgrade_routing import request_rank
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -241,7 +243,64 @@
         """Returns the service of that name."""
         return self._service_by_name.get(name)
 
+    @functools.cached_property
+    def _ranks_by_service(self) -> dict[str, request_rank.ServiceRanks]:
+        pairs: dict[str, set[request_rank.PriorityPair]] = {}
+        for route in self.routes:
+            of_route = {
+                _priority_pair(route, workspace)
+                for workspace in self._workspaces_of(route)
+            }
+            for share in route.services:
+                if share.weight > 0:
+                    pairs.setdefault(share.service, set()).update(of_route)
+        return {
+            name: request_rank.ServiceRanks(found)
+            for name, found in pairs.items()
+        }
+
+    def _workspaces_of(self, route: Route) -> Iterable[Workspace | None]:
+        """Returns whose requests a route takes; None is no workspace."""
+        if route.public or not self.workspaces:
+            return (None, *self.workspaces)
+        return self.workspaces
+
+    def has_ranks(self, service: str) -> bool:
+        """Returns whether requests to a service differ in their urgency."""
+        ranks = self._ranks_by_service.get(service)
+        return ranks is not None and ranks.exist
+
+    @functools.cached_property
+    def ranks_any(self) -> bool:
+        """Whether requests to any model service differ in their urgency."""
+        return any(self.has_ranks(s.name) for s in self.model_services)
+
+    def rank(
+        self, service: str, *, route: Route, workspace: Workspace | None
+    ) -> int | None:
+        """Returns the rank of a request, or None if its service has no ranks.
+
+        Args:
+            service: Name of the service.
+            route: The route of the request.
+            workspace: The caller's workspace, or None.
+        """
+        ranks = self._ranks_by_service.get(service)
+        if ranks is None:
+            return None
+        return ranks.rank(_priority_pair(route, workspace))
+
     @property
     def model_services(self) -> list[Service]:
         """The services whose backend servers hold layers of a model."""
         return [s for s in self.services if s.engine is not None]
+
+
+def _priority_pair(
+    route: Route, workspace: Workspace | None
+) -> request_rank.PriorityPair:
+    priority = None if workspace is None else workspace.priority
+    return request_rank.PriorityPair(
+        workspace=route.priority if priority is None else priority,
+        route=route.priority,
+    )
