Admit by rank: headroom, guaranteed shares, pressure, retries

Cause: all requests were admitted up to 0.95 of memory. A burst of a less urgent kind fills it within seconds, and neither urgent requests nor streams that lose a stage find any.

Change: with ranks, the limit of a request falls with what more urgent ones are about to need in half a mean answer and with the streams that moved within a minute, at most 0.15 for these, and never below 0.5. A rank or workspace below half of its equal share is admitted up to 0.95, with the probability that gives it that half: one front sees too few requests of a workspace in 2 s for a plain comparison. Above 0.7 a workspace over its share, by more than one mean request, counts one rank lower. The draw among chains prefers cheap ones more for urgent requests. A stream that has not begun leaves 0.2 of the retry budget for each rank above it. Shares move from the entry to workspace_shares.py; setting `admission` with policies priority and uniform, log fields, a counter and a gauge. The mutant of unpaid retries follows its line.

Without ranks both policies decide alike (property test).

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/admission.py
@@ -11,7 +11,7 @@
 from dotterelgrade_entry import fair_queue
 from dotterelgrade_entry import planner as planner_lib
 from dotterelgrade_entry import request as request_lib
-from dotterelgrade_entry import shares as shares_lib
+from dotterelgrade_routing import workspace_shares
 
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 30.0
@@ -56,7 +56,7 @@
         self._predicts = predicts
         self._max_waiting = max_waiting
         self._queue = fair_queue.FairQueue()
-        self._shares = shares_lib.Shares()
+        self._shares = workspace_shares.Shares()
         self._first = calibration.Calibration()
         self._between = calibration.Calibration()
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -36,6 +36,16 @@
             "front_quarantined_fingerprints",
             "Fingerprints of which requests are refused.",
         )
+        self._admissions = self._metrics.counter(
+            "front_admissions",
+            "First decisions on requests of ranked services.",
+            ("rank", "outcome"),
+        )
+        self._rank_limits = self._metrics.gauge(
+            "front_rank_limit",
+            "Utilization up to which a rank was last admitted.",
+            ("rank",),
+        )
         self._oversized = self._metrics.counter(
             "front_oversized_responses",
             "Responses of backend servers above the size limit.",
@@ -93,6 +103,14 @@
         """Counts a request refused for crashes under others like it."""
         self._refused_suspects.labels(level).inc()
 
+    def count_admission(self, rank: int, outcome: str) -> None:
+        """Counts the first decision on a request of a ranked service."""
+        self._admissions.labels(rank, outcome).inc()
+
+    def set_rank_limit(self, rank: int, limit: float) -> None:
+        """Sets the utilization up to which a rank was last admitted."""
+        self._rank_limits.labels(rank).set(limit)
+
     def count_oversized(self) -> None:
         """Counts a response above the size limit."""
         self._oversized.inc()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -4,6 +4,7 @@
 
 from dotterelgrade import addresses
 from dotterelgrade import quarantine_policies
+from dotterelgrade_routing import admission_policies
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import relay_encoding as relay_encoding_lib
@@ -48,6 +49,7 @@
         silence_bound: How long a queried stage may stay silent.
         relay_encoding: How the planner encodes records for the other fronts.
         quarantine: When requests are refused for crashes under others.
+        admission: Name of the policy for requests of different urgency.
     """
 
     node: str
@@ -70,6 +72,7 @@
     silence_bound: str = "observed"
     relay_encoding: str = "delta"
     quarantine: str = "share"
+    admission: str = "priority"
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
@@ -77,6 +80,7 @@
         relay_encoding_lib.ENCODINGS.make(self.relay_encoding)
         silence_bounds.BOUNDS.make(self.silence_bound)
         quarantine_policies.POLICIES.make(self.quarantine)
+        admission_policies.POLICIES.make(self.admission)
         for address in (self.callers_address, self.ready_address):
             addresses.validate(address)
         self._check_numbers()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -13,6 +13,7 @@
 from dotterelgrade_front import front_metrics
 from dotterelgrade_front import front_settings
 from dotterelgrade_front import paced_election
+from dotterelgrade_front import rank_admission
 from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import server_notices
 from dotterelgrade_routing import backend_server
@@ -99,6 +100,9 @@
             load=self._load,
             holdoffs=holdoffs,
         )
+        self._rank_admission = rank_admission.RankAdmission(
+            policy=settings.admission, load=self._load, metrics=self._metrics
+        )
         self._notices = server_notices.ServerNotices(
             fleet=self._fleet,
             holdoffs=holdoffs,
@@ -174,6 +178,11 @@
         """The candidate chains of each model service."""
         return self._chains
 
+    @property
+    def rank_admission(self) -> rank_admission.RankAdmission:
+        """Terms for requests of ranked services."""
+        return self._rank_admission
+
     @property
     def rng(self) -> random.Random:
         """Random numbers that break ties and add jitter."""
@@ -215,6 +224,7 @@
     def reload(self, settings: front_settings.FrontSettings) -> None:
         """Applies changed settings."""
         self._settings = settings
+        self._rank_admission.set_policy(settings.admission)
         self._resize_budgets()
 
     def mark_leaving(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -223,7 +223,7 @@
         if call.attempts or not call.route.repeatable:
             return False
         servers_left = call.route.max_attempts - len(call.sent_to)
-        return servers_left > 0 and self._admissions.retries_left >= 1
+        return servers_left > 0 and self._admissions.may_retry(begun=False)
 
     @property
     def _pays_for_retry(self) -> bool:
@@ -252,7 +252,9 @@
 
     @property
     def _can_pay_for_retry(self) -> bool:
-        return not self._pays_for_retry or self._admissions.retries_left >= 1
+        return not self._pays_for_retry or self._admissions.may_retry(
+            begun=self._output.begun
+        )
 
     def _wait_for_capacity(self) -> bool:
         """Waits briefly if the stream has begun and the caller still waits.
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -312,7 +312,7 @@
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         rank = current.rank(service.name, route=route, workspace=workspace)
-        if rank is not None:
+        if rank is not None and self._state.rank_admission.uses_ranks:
             priority = rank
         timeout_s = route.timeout_s
         if facts.caller_timeout_s is not None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -9,7 +9,9 @@
 from dotterelgrade_front import front_state
 from dotterelgrade_front import stream_repair
 from dotterelgrade_routing import admission
+from dotterelgrade_routing import admission_shares
 from dotterelgrade_routing import chain_choice
+from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import retry_budget
 from dotterelgrade_routing import stall_actions
 
@@ -68,6 +70,10 @@
         self._call = call
         self._repair = repair
         self._recorded_refusal = ""
+        self._ask = state.rank_admission.ask_for(
+            call, tokens=total_tokens(call)
+        )
+        self._asked = False
 
     def __repr__(self) -> str:
         """Shows the request."""
@@ -78,6 +84,20 @@
         """Number of retries left in the retry budget."""
         return self._budget.left
 
+    def may_retry(self, *, begun: bool) -> bool:
+        """Returns whether the retry budget has a retry for the request.
+
+        Args:
+            begun: Whether the caller has received events already.
+        """
+        return self._budget.may_spend(reserve=self._reserve(begun=begun))
+
+    def _reserve(self, *, begun: bool) -> float:
+        """Returns the share of the retry budget that is left to others."""
+        if begun or self._ask is None:
+            return 0.0
+        return retry_budget.reserve_above(self._ask.rank)
+
     @property
     def _budget(self) -> retry_budget.RetryBudget:
         return self._state.retry_budget_for(self._call.service.name)
@@ -100,7 +120,9 @@
         """
         offer = self._state.chains.offer(self._call.service)
         chains = self._usable_chains(offer, beside)
-        decision = self._decide(offer, chains, begun=begun)
+        demand = self._demand()
+        terms = self._terms(offer, chains, demand, begun=begun)
+        decision = self._decide(offer, chains, begun=begun, terms=terms)
         if begun and self._was_just_refused(chains):
             decision = admission.Refused(
                 reason="refused a moment ago",
@@ -112,12 +134,16 @@
             "chains": len(chains),
             "tokens": round(total_tokens(self._call)),
         }
+        if demand is not None:
+            inputs |= _rank_inputs(self._ask, demand, terms)
         admitted = isinstance(decision, admission.Admitted)
-        if admitted and is_retry and not self._budget.spend():
+        reserve = self._reserve(begun=begun)
+        if admitted and is_retry and not self._budget.spend(reserve=reserve):
             decision = admission.Refused(
                 reason="retry budget empty",
                 retry_after_s=call_lib.DEFAULT_RETRY_AFTER_S,
             )
+        self._note_decided(decision, terms, begun=begun)
         if isinstance(decision, admission.Refused):
             kind = "refused"
             if beside is not None:
@@ -142,6 +168,51 @@
         )
         return decision
 
+    def _demand(self) -> rank_demand.ServiceDemand | None:
+        """Returns the demand for the service, or None without ranks."""
+        if self._ask is None:
+            return None
+        state = self._state
+        if not self._asked:
+            state.rank_admission.note_asked(self._ask)
+        return state.rank_admission.demand_for(
+            self._ask.service, fronts=len(state.fronts)
+        )
+
+    def _terms(
+        self,
+        offer: chain_directory.Offer,
+        chains: list[chain_choice.Chain],
+        demand: rank_demand.ServiceDemand | None,
+        *,
+        begun: bool,
+    ) -> admission.Terms:
+        if demand is None or begun:
+            return admission.UNIFORM_TERMS
+        return self._state.rank_admission.terms(
+            self._ask,
+            call=self._call,
+            chains=chains,
+            memory=offer.memory,
+            demand=demand,
+            chance=self._state.rng.random(),
+        )
+
+    def _note_decided(
+        self,
+        decision: admission.Admitted | admission.Refused,
+        terms: admission.Terms,
+        *,
+        begun: bool,
+    ) -> None:
+        """Counts the first decision, and moves of a begun stream."""
+        admissions = self._state.rank_admission
+        if begun and isinstance(decision, admission.Admitted):
+            admissions.note_moved(self._call, tokens=total_tokens(self._call))
+        if self._ask is not None and not self._asked:
+            self._asked = True
+            admissions.note_decided(self._ask, decision, terms)
+
     def _usable_chains(
         self, offer: chain_directory.Offer, beside: OpenAttempts | None
     ) -> list[chain_choice.Chain]:
@@ -181,6 +252,7 @@
         chains: list[chain_choice.Chain],
         *,
         begun: bool,
+        terms: admission.Terms,
     ) -> admission.Admitted | admission.Refused:
         state, call = self._state, self._call
         return admission.decide(
@@ -193,6 +265,7 @@
             chance=state.rng.random(),
             begun=begun,
             held_off_s=state.notices.holdoff_left_s(call.service.name),
+            terms=terms,
         )
 
     def _record_refusal(
@@ -215,6 +288,21 @@
         )
 
 
+def _rank_inputs(
+    ask: admission_shares.Ask,
+    demand: rank_demand.ServiceDemand,
+    terms: admission.Terms,
+) -> dict[str, float]:
+    """Returns what the log says of a decision by rank."""
+    return {
+        "rank": ask.rank,
+        "limit": round(terms.limit, 3),
+        "workspace_over": terms.workspace_over,
+        "urgent_per_s": round(demand.load_above(ask.rank)),
+        "demand_age_s": round(demand.age_s, 2),
+    }
+
+
 def _beside(
     chains: Collection[chain_choice.Chain], attempts: OpenAttempts
 ) -> list[chain_choice.Chain]:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_repair.py
@@ -214,6 +214,9 @@
             answer = self._order_reroute(chain, other, faulty)
             if answer.moved:
                 self._reroutes += 1
+                self._state.rank_admission.note_moved(
+                    self._call, tokens=self._tokens
+                )
                 return other
             if answer.faulty_address in ("", chain.first.address):
                 return None
--- /dev/null
+++ b/packages/dotterelgrade-front/tests/test_rank_admission.py
@@ -0,0 +1,188 @@
+"""Decisions with ranks, and the same ones as before without."""
+
+import dataclasses
+import types
+
+import front_fakes as fakes
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+import pytest
+import stream_fakes as streams
+
+from dotterelgrade_front import stream_admission
+from dotterelgrade_routing import admission
+from dotterelgrade_routing import rank_demand
+
+_FRACTIONS = st.floats(0.0, 1.0, exclude_max=True)
+
+
+@pytest.fixture
+def ranked(front):
+    """A front whose route `once` is more urgent than its route `stream`."""
+    current = front.state.configuration
+    front.state.known_configuration.configuration = dataclasses.replace(
+        current,
+        routes=tuple(
+            dataclasses.replace(r, priority=0) if r.name == "once" else r
+            for r in current.routes
+        ),
+    )
+    return front
+
+
+@pytest.fixture
+def make_admission():
+    """Makes the admission of a request without a budget of links."""
+
+    def make(state, *, rank=None, prompt_tokens=10):
+        current = state.configuration
+        call = types.SimpleNamespace(
+            facts=types.SimpleNamespace(
+                prompt_tokens=prompt_tokens,
+                expected_answer_tokens=0,
+                max_answer_tokens=0,
+            ),
+            service=current.service("model"),
+            rank=rank,
+            workspace="bench",
+            request_id="r",
+            unreachable=set(),
+            refused_by=set(),
+            refusals=0,
+            may_send_to=lambda server_id, *, pending: True,
+        )
+        repair = types.SimpleNamespace(
+            has_link_budget=lambda chain, *, tokens: True,
+            charge_link_budget=lambda chain, *, tokens: None,
+        )
+        return stream_admission.StreamAdmission(state, call=call, repair=repair)
+
+    return make
+
+
+def _set_used(state, share):
+    memory = state.chains.offer(state.configuration.service("model")).memory
+    state.load.set_others({name: share * v for name, v in memory.items()})
+
+
+def _urgent_demand(state, load_per_s):
+    state.rank_admission.set_totals(
+        [
+            rank_demand.RankDemand(
+                service="model",
+                rank=0,
+                load_per_s=load_per_s,
+                moved_per_s=0.0,
+            )
+        ]
+    )
+
+
+@examples(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    used=st.floats(0.0, 1.6),
+    chances=st.lists(_FRACTIONS, min_size=1, max_size=5),
+    begun=st.booleans(),
+    is_retry=st.booleans(),
+)
+def test_without_ranks_both_policies_decide_alike(
+    front, make_admission, used, chances, begun, is_retry
+):
+    """The configuration has no ranks: nothing may differ, nor be counted."""
+    state = front.state
+    if not front.backends:
+        streams.add_chains(front, [fakes.silent], [fakes.silent])
+    _set_used(state, used)
+    _urgent_demand(state, 1e12)
+    decisions = {}
+    for policy in ("uniform", "priority"):
+        state.rank_admission.set_policy(policy)
+        while state.retry_budget_for("model").left < len(chances):
+            state.retry_budget_for("model").note_request()
+        drawn = iter(chances)
+        state.rng.random = lambda drawn=drawn: next(drawn)
+        decisions[policy] = [
+            make_admission(state).admit(begun=begun, is_retry=is_retry)
+            for _ in chances
+        ]
+    assert decisions["uniform"] == decisions["priority"]
+    assert not state.rank_admission.own_rows
+    assert b"front_admissions_total{" not in state.metrics.as_text()
+    chosen = streams.decisions(front, "chain_chosen")
+    assert all("limit" not in record.details for record in chosen)
+
+
+def test_a_low_rank_is_refused_below_full_memory(ranked, make_admission):
+    """Load pattern: urgent requests need the memory that is still free."""
+    state = ranked.state
+    streams.add_chains(ranked, [fakes.silent], [fakes.silent])
+    _set_used(state, 0.9)
+    _urgent_demand(state, 1e12)
+    # Above the probability with which a rank gets its guaranteed part.
+    state.rng.random = lambda: 0.9
+    for rank, expected in ((0, admission.Admitted), (1, admission.Refused)):
+        decision = make_admission(state, rank=rank).admit(
+            begun=False, is_retry=False
+        )
+        assert isinstance(decision, expected)
+    (refused,) = streams.decisions(ranked, "refused")
+    assert refused.reason == "memory kept for more urgent requests"
+    assert refused.details["rank"] == 1
+    assert refused.details["limit"] == 0.5
+    assert refused.details["workspace_over"] is False
+    text = state.metrics.as_text()
+    assert b'front_admissions_total{outcome="refused",rank="1"} 1.0' in text
+    assert b'front_rank_limit{rank="1"} 0.5' in text
+    state.rank_admission.set_policy("uniform")
+    uniform = make_admission(state, rank=1).admit(begun=False, is_retry=False)
+    assert isinstance(uniform, admission.Admitted)
+
+
+def test_a_low_rank_takes_free_memory_that_nobody_asks_for(
+    ranked, make_admission
+):
+    state = ranked.state
+    streams.add_chains(ranked, [fakes.silent], [fakes.silent])
+    _set_used(state, 0.9)
+    decision = make_admission(state, rank=1).admit(begun=False, is_retry=False)
+    assert isinstance(decision, admission.Admitted)
+
+
+def test_begun_streams_are_neither_limited_nor_out_of_retries(
+    ranked, make_admission
+):
+    """Load pattern: a stage crashes while urgent requests press."""
+    state = ranked.state
+    streams.add_chains(ranked, [fakes.silent], [fakes.silent])
+    _set_used(state, 1.2)
+    _urgent_demand(state, 1e12)
+    budget = state.retry_budget_for("model")
+    while budget.left > 2:
+        budget.spend()
+    admissions = make_admission(state, rank=1)
+    assert not admissions.may_retry(begun=False)
+    assert isinstance(
+        admissions.admit(begun=True, is_retry=True), admission.Admitted
+    )
+    (row,) = [r for r in state.rank_admission.own_rows if r.moved_per_s]
+    assert row.rank == 1
+
+
+def test_only_the_first_attempt_of_a_request_counts_as_arrival(
+    ranked, make_admission
+):
+    state = ranked.state
+    streams.add_chains(ranked, [fakes.silent], [fakes.silent])
+    admissions = make_admission(state, rank=1)
+    admissions.admit(begun=False, is_retry=False)
+    (before,) = state.rank_admission.own_rows
+    admissions.admit(begun=False, is_retry=True)
+    (after,) = state.rank_admission.own_rows
+    assert after.load_per_s <= before.load_per_s
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -68,6 +68,26 @@
     retry_after_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Terms:
+    """Terms under which a request that has not begun is admitted.
+
+    Attributes:
+        limit: Utilization up to which chains are preferred.
+        max_utilization: Utilization up to which it is admitted at all.
+        cost_exponent: The weight of a chain falls with this power of its cost.
+        workspace_over: Whether its workspace has more than its share.
+    """
+
+    limit: float = MAX_UTILIZATION
+    max_utilization: float = MAX_UTILIZATION
+    cost_exponent: float = COST_EXPONENT
+    workspace_over: bool = False
+
+
+UNIFORM_TERMS = Terms()
+
+
 def decide(
     chains: Sequence[chain_choice.Chain],
     *,
@@ -79,6 +99,7 @@
     chance: float,
     begun: bool = False,
     held_off_s: float = 0.0,
+    terms: Terms = UNIFORM_TERMS,
 ) -> Admitted | Refused:
     """Chooses a chain for a request, or refuses it.
 
@@ -93,8 +114,11 @@
         begun: Whether the caller has received events already.
         held_off_s: Time until the first full backend server accepts requests
             again, s, or 0 if none is held off.
+        terms: Terms of a request that has not begun.
     """
-    max_utilization = MAX_UTILIZATION_STARTED if begun else MAX_UTILIZATION
+    max_utilization = (
+        MAX_UTILIZATION_STARTED if begun else terms.max_utilization
+    )
     retry_jitter = 1.0 + RETRY_JITTER * chance
     if not chains and held_off_s:
         return Refused(
@@ -112,11 +136,15 @@
         )
         for chain in chains
     ]
-    below_limit = [
-        option for option in options if option.utilization <= MAX_UTILIZATION
-    ]
-    if below_limit:
-        return _draw_weighted(below_limit, failure_domain, chance)
+    for limit in (terms.limit, terms.max_utilization):
+        below_limit = [o for o in options if o.utilization <= limit]
+        if below_limit:
+            return _draw_weighted(
+                below_limit,
+                failure_domain,
+                chance,
+                exponent=terms.cost_exponent,
+            )
     best = min(options, key=lambda option: option.utilization)
     if best.utilization <= max_utilization:
         return best
@@ -127,19 +155,24 @@
         * (best.utilization - max_utilization + 0.5)
     )
     wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    reason = "memory of backend servers full"
+    if best.utilization <= MAX_UTILIZATION:
+        reason = "memory kept for more urgent requests"
     return Refused(
-        reason="memory of backend servers full",
+        reason=reason,
         retry_after_s=wait_s * retry_jitter,
     )
 
 
 def _draw_weighted(
-    options: Sequence[Admitted], failure_domain: str, chance: float
+    options: Sequence[Admitted],
+    failure_domain: str,
+    chance: float,
+    *,
+    exponent: float,
 ) -> Admitted:
     """Returns a random option, weighted towards the lower cost."""
-    weights = [
-        _cost(option, failure_domain) ** -COST_EXPONENT for option in options
-    ]
+    weights = [_cost(option, failure_domain) ** -exponent for option in options]
     remaining = chance * sum(weights)
     for option, weight in zip(options, weights, strict=True):
         remaining -= weight
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
@@ -3,6 +3,19 @@
 from collections.abc import Callable
 import time
 
+# Share of the capacity that a request leaves to each more urgent rank.
+_RESERVE_PER_RANK = 0.2
+_MAX_RESERVE = 0.6
+
+
+def reserve_above(rank: int | None) -> float:
+    """Returns the share of the capacity kept for more urgent requests.
+
+    Args:
+        rank: Rank of the request, 0 is the most urgent, or None without ranks.
+    """
+    return min((rank or 0) * _RESERVE_PER_RANK, _MAX_RESERVE)
+
 
 class RetryBudget:
     """Token bucket that is filled by requests and at a small constant rate.
@@ -79,10 +92,22 @@
         """Adds the share that one request earns."""
         self._tokens = min(self._capacity, self._tokens + self._share)
 
-    def spend(self) -> bool:
-        """Uses one retry; returns False if none is left."""
-        self._refill()
-        if self._tokens < 1:
+    def may_spend(self, *, reserve: float = 0.0) -> bool:
+        """Returns whether a retry is left.
+
+        Args:
+            reserve: Share of the capacity that is left to others.
+        """
+        left = self.left
+        return left >= 1 and (not reserve or left > reserve * self._capacity)
+
+    def spend(self, *, reserve: float = 0.0) -> bool:
+        """Uses one retry; returns False if none is left.
+
+        Args:
+            reserve: Share of the capacity that is left to others.
+        """
+        if not self.may_spend(reserve=reserve):
             return False
         self._tokens -= 1
         return True
--- a/packages/dotterelgrade-routing/tests/test_retry_budget.py
+++ b/packages/dotterelgrade-routing/tests/test_retry_budget.py
@@ -23,3 +23,17 @@
     assert (budget.spend(), budget.spend(), budget.spend()) == (1, 1, 0)
     now[0] += 1_000
     assert budget.left == 3
+
+
+def test_less_urgent_requests_leave_retries_to_more_urgent_ones():
+    """Load pattern: a crash breaks many streams of all ranks together."""
+    budget = retry_budget.RetryBudget(
+        share=0.0, rate_per_s=0.0, capacity=10, clock=lambda: 0.0
+    )
+    spent = {}
+    for rank in (9, 2, 1, None):
+        reserve = retry_budget.reserve_above(rank)
+        spent[rank] = 0
+        while budget.spend(reserve=reserve):
+            spent[rank] += 1
+    assert spent == {9: 4, 2: 2, 1: 2, None: 2}
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/stream_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/stream_mutants.py
@@ -172,8 +172,8 @@
         name="retry-paid-for-nothing",
         promise=mutant.ENOUGH_ROOM,
         module="dotterelgrade_front.stream_admission",
-        old="        if admitted and is_retry and not self._budget.spend():",
-        new="        if is_retry and not self._budget.spend():",
+        old="        if admitted and is_retry and not self._budget.spend(",
+        new="        if is_retry and not self._budget.spend(",
         check=_STREAM_TEST,
     ),
     mutant.Mutant(
