Tell the retry time of every refusal of a front from one place

Cause: a front gave half a second in eight places, whatever the reason was, how many others were refused with it and how long the store had been unavailable.

Change: RefusalTimes of the front asks the policy of the setting retry_after (table [routing] of the settings file, forecast by default, fixed as before) for the time of each refusal of request_handler.py, model_stream.py, plain_call.py and the quarantine's default. The lines request_rejected and refused have the time and its inputs; refusals of plain calls and of requests whose attempts failed write a line refused now. New histogram front_retry_after_seconds.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/call.py
@@ -13,9 +13,6 @@
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import request_metadata
 
-# Sent to callers when the cause of a rejection gives no better estimate.
-DEFAULT_RETRY_AFTER_S = 0.5
-
 
 @dataclasses.dataclass(kw_only=True)
 class Call:
@@ -144,26 +141,17 @@
         )
         return errors.Error(kind=kind, message=message)
 
-    def failure(
-        self, message: str, *, retry_after_s: float = DEFAULT_RETRY_AFTER_S
-    ) -> errors.Error:
+    def failure(self, message: str) -> errors.Error:
         """Returns the error for the caller when no attempt succeeded.
 
         Args:
             message: Why the last attempt failed.
-            retry_after_s: Delay before a retry, s; sent only if the request
-                has certainly not run.
         """
         kind = attempt.failure_kind(
             attempt.combined(self.attempts),
             deadline_passed=self.remaining_s <= 0,
         )
-        not_run = kind is errors.ErrorKind.NO_CAPACITY
-        return errors.Error(
-            kind=kind,
-            message=message,
-            retry_after_s=retry_after_s if not_run else None,
-        )
+        return errors.Error(kind=kind, message=message)
 
 
 def fault_before_sending(message: str) -> errors.Error:
@@ -172,8 +160,4 @@
     Args:
         message: The fault.
     """
-    return errors.Error(
-        kind=errors.ErrorKind.INTERNAL_NOT_RUN,
-        message=message,
-        retry_after_s=DEFAULT_RETRY_AFTER_S,
-    )
+    return errors.Error(kind=errors.ErrorKind.INTERNAL_NOT_RUN, message=message)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -49,6 +49,9 @@
         self._first_event_delay = self._metrics.latency(
             "front_first_event_seconds", "Time from request to first event."
         )
+        self._retry_after = self._metrics.latency(
+            "front_retry_after_seconds", "Retry times told with refusals."
+        )
 
         self._loop_delay = self._metrics.latency(
             "front_loop_delay_seconds", "How late the event loop ran a timer."
@@ -63,6 +66,11 @@
         """Time from request to first event, s."""
         return self._first_event_delay
 
+    @property
+    def retry_after(self) -> metrics_lib.Latency:
+        """Retry times told with refusals, s."""
+        return self._retry_after
+
     @property
     def loop_delay(self) -> metrics_lib.Latency:
         """How late the event loop ran a timer, s."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -13,6 +13,7 @@
 from dotterelgrade_front import front_metrics
 from dotterelgrade_front import front_settings
 from dotterelgrade_front import paced_election
+from dotterelgrade_front import refusal_times
 from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import server_notices
 from dotterelgrade_routing import backend_server
@@ -110,6 +111,12 @@
             decisions=self._decisions,
             metrics=self._metrics,
         )
+        self._refusals = refusal_times.RefusalTimes(
+            settings.retry_after,
+            known=self._known_configuration,
+            decisions=self._decisions,
+            metrics=self._metrics,
+        )
         self._memory = memory_budget.MemoryBudget(
             capacity_bytes=settings.memory_bytes * _BODY_MEMORY_FRACTION,
             accounts=settings.most_connections,
@@ -164,6 +171,11 @@
         """Which requests are refused since servers crashed under them."""
         return self._quarantine
 
+    @property
+    def refusals(self) -> refusal_times.RefusalTimes:
+        """When callers of refused requests should retry."""
+        return self._refusals
+
     @property
     def load(self) -> reservations.Reservations:
         """Memory reserved by requests in flight."""
@@ -215,6 +227,7 @@
     def reload(self, settings: front_settings.FrontSettings) -> None:
         """Applies changed settings."""
         self._settings = settings
+        self._refusals.use(settings.retry_after)
         self._resize_budgets()
 
     def mark_leaving(
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/model_stream.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from dotterelgrade import errors
 from dotterelgrade_front import attempt_log
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
@@ -110,7 +111,6 @@
 
     def _serve(self) -> str:
         reason = "deadline exceeded"
-        retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
         while self._call.remaining_s > 0:
             decision = self._admissions.admit(
                 begun=self._output.begun, is_retry=self._pays_for_retry
@@ -119,7 +119,6 @@
                 if self._wait_for_capacity():
                     continue
                 reason = decision.reason
-                retry_after_s = decision.retry_after_s
                 break
             try:
                 return self._run(decision.chain)
@@ -127,7 +126,7 @@
                 reason = str(failed)
                 if not self._may_retry():
                     break
-        return self._give_up(reason, retry_after_s)
+        return self._give_up(reason)
 
     def _run(self, chain: chain_choice.Chain) -> str:
         """Runs the call on a chain, and goes on with second attempts.
@@ -273,8 +272,7 @@
         gevent.sleep(max(min(delay_s, call.remaining_s), 0.0))
         return True
 
-    def _give_up(self, reason: str, retry_after_s: float) -> str:
-        error = self._call.failure(reason, retry_after_s=retry_after_s)
+    def _give_up(self, reason: str) -> str:
         if self._output.begun:
             self._state.decisions.record(
                 "stream_broken",
@@ -284,6 +282,9 @@
                 tries=len(self._call.attempts),
             )
             raise client_connection.ResponseAbortedError(reason)
+        error = self._call.failure(reason)
+        if not self._call.may_have_run:
+            error = self._with_retry_time(error)
         responses.send_error(
             self._client,
             error,
@@ -291,3 +292,14 @@
             close=self._close,
         )
         return error.kind.value
+
+    def _with_retry_time(self, error: errors.Error) -> errors.Error:
+        """Returns the error of a request that has not run, for its caller.
+
+        Admission has computed the time, unless an attempt failed.
+        """
+        if self._admissions.told is not None:
+            return self._admissions.told.applied(error)
+        return self._state.refusals.refuse(
+            error, request_id=self._call.request_id, call=self._call
+        )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/plain_call.py
@@ -25,6 +25,7 @@
 from dotterelgrade_routing import attempt
 from dotterelgrade_routing import backend_server
 from dotterelgrade_routing import hedging
+from dotterelgrade_routing import return_forecast
 from dotterelgrade_routing import service_choice
 
 
@@ -184,6 +185,7 @@
         # Sends that need no retry budget: the first one, and one for each
         # attempt that could not connect.
         self._free_sends = 1
+        self._budget_empty = False
         self._asked_at = float("-inf")
         self._hedge_outcome: _HedgeOutcome | None = None
 
@@ -221,13 +223,27 @@
     def _last_resort(self) -> result.Result[_Answered, errors.Error]:
         if self._server_error is not None:
             return result.Success(self._server_error)
-        call = self._call
-        holdoff_s = self._state.notices.holdoff_left_s(call.service.name)
-        return result.Failure(
-            call.failure(
-                self._reason,
-                retry_after_s=holdoff_s or call_lib.DEFAULT_RETRY_AFTER_S,
-            )
+        error = self._call.failure(self._reason)
+        if self._call.may_have_run:
+            return result.Failure(error)
+        return result.Failure(self._with_retry_time(error))
+
+    def _with_retry_time(self, error: errors.Error) -> errors.Error:
+        """Returns the error of a call that has not run, for its caller."""
+        state, call = self._state, self._call
+        holdoff_s = state.notices.holdoff_left_s(call.service.name)
+        reason = return_forecast.Reason.OTHER
+        if holdoff_s:
+            reason = return_forecast.Reason.NO_ROOM
+        elif self._budget_empty:
+            reason = return_forecast.Reason.NO_RETRIES
+        return state.refusals.refuse(
+            error,
+            request_id=call.request_id,
+            reason=reason,
+            call=call,
+            usual_s=holdoff_s or return_forecast.DEFAULT_RETRY_AFTER_S,
+            budget=state.retry_budget_for(call.service.name),
         )
 
     def _next_start_at(self) -> float:
@@ -253,6 +269,7 @@
             return
         hedges = bool(self._open)
         outcome = self._try_start()
+        self._budget_empty = outcome is _HedgeOutcome.BUDGET_EMPTY
         if hedges:
             self._asked_at = time.monotonic()
             self._record_hedge(outcome)
@@ -377,6 +394,7 @@
 
     def _record_success(self, answered: plain_attempt.PlainAttempt) -> None:
         state = self._state
+        state.refusals.note_start(self._call)
         state.exclusions.note_success(
             answered.server_id,
             now=time.monotonic(),
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -1,8 +1,10 @@
 """Serves the requests that arrive on callers' connections."""
 
 import contextlib
+import dataclasses
 import http
 import logging
+import math
 import time
 
 from gevent import socket
@@ -14,12 +16,14 @@
 from dotterelgrade_front import front_state
 from dotterelgrade_front import model_stream
 from dotterelgrade_front import plain_call
+from dotterelgrade_front import refusal_times
 from dotterelgrade_front import request_parser
 from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import responses
 from dotterelgrade_front import stall_detector
 from dotterelgrade_routing import configuration
 from dotterelgrade_routing import request_metadata
+from dotterelgrade_routing import return_forecast
 from dotterelgrade_routing import service_choice
 
 _LOG = logging.getLogger(__name__)
@@ -32,19 +36,31 @@
     ),
     http.HTTPStatus.SERVICE_UNAVAILABLE: errors.ErrorKind.NO_MEMORY,
 }
-# Reading the configuration from the store takes less than this.
-_NOT_READY_RETRY_S = 0.5
 # Other fronts take the request at once.
 _OTHER_FRONT_RETRY_S = 0.05
 _FAULT_MESSAGE = "the front failed; its log has the details"
 
 
 class _RejectedError(Exception):
-    """The front rejects the request without forwarding it."""
+    """The front rejects the request without forwarding it.
 
-    def __init__(self, error: errors.Error) -> None:
+    Attributes:
+        error: The error for the caller, without a retry time.
+        refused_for: What the retry time depends on, or None without one.
+        usual_s: Retry time without an outage or mass refusals, s.
+    """
+
+    def __init__(
+        self,
+        error: errors.Error,
+        *,
+        refused_for: return_forecast.Reason | None = None,
+        usual_s: float = return_forecast.DEFAULT_RETRY_AFTER_S,
+    ) -> None:
         super().__init__(error.message)
         self.error = error
+        self.refused_for = refused_for
+        self.usual_s = usual_s
 
 
 class RequestHandler:
@@ -184,7 +200,8 @@
                 raise _rejected(
                     errors.ErrorKind.LEAVING,
                     "the front stops before the request's deadline",
-                    retry_after_s=_OTHER_FRONT_RETRY_S,
+                    refused_for=return_forecast.Reason.ELSEWHERE,
+                    usual_s=_OTHER_FRONT_RETRY_S,
                 )
             with self._state.quarantine.admitted(call):
                 outcome = self._dispatch(client, call, close=close)
@@ -195,21 +212,39 @@
             outcome = "stream_broken"
             raise
         except client_connection.StoppedError:
-            outcome = _send_interrupted(client, call, request_id=request_id)
+            outcome = _send_interrupted(
+                client,
+                call,
+                refusals=self._state.refusals,
+                request_id=request_id,
+            )
         except request_quarantine.QuarantinedError as refused:
             outcome = refused.error.kind.value
+            error = refused.error
+            # The quarantine states a time of its own.
+            if error.retry_after_s is None:
+                error = self._state.refusals.refuse(
+                    error, request_id=request_id, call=call
+                )
             responses.send_error(
-                client, refused.error, request_id=request_id, close=close
+                client, error, request_id=request_id, close=close
             )
         except _RejectedError as rejected:
             outcome = rejected.error.kind.value
-            self._record_rejection(request, facts, rejected.error)
+            error = self._reject(
+                request, facts, rejected, received_at=received_at, call=call
+            )
             responses.send_error(
-                client, rejected.error, request_id=request_id, close=close
+                client, error, request_id=request_id, close=close
             )
         except Exception:
             _LOG.exception("request failed", extra={"request_id": request_id})
-            _answer_fault(client, call, request_id=request_id)
+            _answer_fault(
+                client,
+                call,
+                refusals=self._state.refusals,
+                request_id=request_id,
+            )
             return False
         finally:
             seconds = time.monotonic() - received_at
@@ -241,11 +276,38 @@
         with contextlib.suppress(client_connection.CallerDisconnectedError):
             responses.send_error(client, error, request_id="", close=True)
 
+    def _reject(
+        self,
+        request: http_message.Request,
+        facts: request_metadata.RequestMetadata,
+        rejected: _RejectedError,
+        *,
+        received_at: float,
+        call: call_lib.Call | None,
+    ) -> errors.Error:
+        """Records a rejection; returns the error for the caller."""
+        error, told = rejected.error, None
+        if rejected.refused_for is not None:
+            left_s = math.inf
+            if facts.caller_timeout_s is not None:
+                elapsed_s = time.monotonic() - received_at
+                left_s = facts.caller_timeout_s - elapsed_s
+            told = self._state.refusals.after(
+                rejected.refused_for,
+                call=call,
+                usual_s=rejected.usual_s,
+                left_s=left_s,
+            )
+            error = told.applied(error)
+        self._record_rejection(request, facts, error, told)
+        return error
+
     def _record_rejection(
         self,
         request: http_message.Request,
         facts: request_metadata.RequestMetadata,
         error: errors.Error,
+        told: refusal_times.ToldTime | None,
     ) -> None:
         """Records on what knowledge of the configuration a request fails."""
         known = self._state.known_configuration
@@ -263,6 +325,7 @@
             era=freshness.era,
             age_s=None if age_s is None else round(age_s, 3),
             source=freshness.source.value,
+            **({} if told is None else told.log_fields),
         )
 
     def _dispatch(
@@ -299,7 +362,7 @@
             raise _rejected(
                 errors.ErrorKind.NOT_READY,
                 "no configuration loaded yet",
-                retry_after_s=_NOT_READY_RETRY_S,
+                refused_for=return_forecast.Reason.NO_CONFIGURATION,
             )
         route = current.route_for(request.host, request.path)
         if route is None:
@@ -348,7 +411,7 @@
         return _rejected(
             errors.ErrorKind.NOT_READY,
             f"{message}, but the configuration may be outdated",
-            retry_after_s=_NOT_READY_RETRY_S,
+            refused_for=return_forecast.Reason.NO_CONFIGURATION,
         )
 
     def _service(
@@ -361,7 +424,7 @@
             raise _rejected(
                 errors.ErrorKind.NO_CAPACITY,
                 f"route {route.name!r} has no known service",
-                retry_after_s=_NOT_READY_RETRY_S,
+                refused_for=return_forecast.Reason.NO_CONFIGURATION,
             )
         return service
 
@@ -372,23 +435,17 @@
     ) -> None:
         kind = _STATUS_KINDS.get(error.status, errors.ErrorKind.BAD_REQUEST)
         self._state.decisions.record("bytes_rejected", reason=str(error))
-        retry_after_s = None
+        answer = errors.Error(kind=kind, message=str(error))
         if kind is errors.ErrorKind.NO_MEMORY:
-            retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
-        responses.send_error(
-            client,
-            errors.Error(
-                kind=kind, message=str(error), retry_after_s=retry_after_s
-            ),
-            request_id="",
-            close=True,
-        )
+            answer = self._state.refusals.refuse(answer, request_id="")
+        responses.send_error(client, answer, request_id="", close=True)
 
 
 def _answer_fault(
     client: client_connection.ClientConnection,
     call: call_lib.Call | None,
     *,
+    refusals: refusal_times.RefusalTimes,
     request_id: str,
 ) -> None:
     """Answers a request that an unexpected exception ended.
@@ -402,6 +459,8 @@
         error = call_lib.fault_before_sending(_FAULT_MESSAGE)
     else:
         error = call.fault(_FAULT_MESSAGE)
+    if error.kind is errors.ErrorKind.INTERNAL_NOT_RUN:
+        error = refusals.refuse(error, request_id=request_id, call=call)
     responses.send_error(client, error, request_id=request_id, close=True)
 
 
@@ -409,6 +468,7 @@
     client: client_connection.ClientConnection,
     call: call_lib.Call | None,
     *,
+    refusals: refusal_times.RefusalTimes,
     request_id: str,
 ) -> str:
     """Answers a request that the end of the process cuts.
@@ -421,29 +481,29 @@
     """
     if client.response_bytes:
         raise client_connection.ResponseAbortedError("process exits")
-    kind, retry_after_s = errors.ErrorKind.INTERRUPTED, None
-    if call is None or not call.sent_to:
-        kind = errors.ErrorKind.LEAVING
-        retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
-    responses.send_error(
-        client,
-        errors.Error(
-            kind=kind,
-            message="the front stops",
-            retry_after_s=retry_after_s,
-        ),
-        request_id=request_id,
-        close=True,
+    error = errors.Error(
+        kind=errors.ErrorKind.INTERRUPTED, message="the front stops"
     )
-    return kind.value
+    if call is None or not call.sent_to:
+        error = refusals.refuse(
+            dataclasses.replace(error, kind=errors.ErrorKind.LEAVING),
+            request_id=request_id,
+            reason=return_forecast.Reason.ELSEWHERE,
+            call=call,
+        )
+    responses.send_error(client, error, request_id=request_id, close=True)
+    return error.kind.value
 
 
 def _rejected(
     kind: errors.ErrorKind,
     message: str,
     *,
-    retry_after_s: float | None = None,
+    refused_for: return_forecast.Reason | None = None,
+    usual_s: float = return_forecast.DEFAULT_RETRY_AFTER_S,
 ) -> _RejectedError:
     return _RejectedError(
-        errors.Error(kind=kind, message=message, retry_after_s=retry_after_s)
+        errors.Error(kind=kind, message=message),
+        refused_for=refused_for,
+        usual_s=usual_s,
     )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_quarantine.py
@@ -88,7 +88,8 @@
             call: The request.
 
         Raises:
-            QuarantinedError: It is refused.
+            QuarantinedError: It is refused; without a retry time while it is
+                only suspected.
         """
         self._requests += 1
         self._check(call)
@@ -238,7 +239,7 @@
         self.record_changes()
         if assessment.level is suspicion.Level.NONE:
             return
-        retry_after_s = call_lib.DEFAULT_RETRY_AFTER_S
+        retry_after_s = None
         if assessment.level is suspicion.Level.QUARANTINED:
             if self._quarantine.use_probe(assessment.fingerprint):
                 self._record("request_probed", call, assessment)
@@ -252,7 +253,7 @@
         self,
         call: call_lib.Call,
         assessment: suspicion.Assessment,
-        retry_after_s: float,
+        retry_after_s: float | None,
     ) -> None:
         self._quarantine.note_refused(assessment.fingerprint)
         self._metrics.count_quarantined(assessment.level.name.lower())
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -3,14 +3,17 @@
 from collections.abc import Collection
 import dataclasses
 import time
+from typing import Any
 
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import chain_directory
 from dotterelgrade_front import front_state
+from dotterelgrade_front import refusal_times
 from dotterelgrade_front import stream_repair
 from dotterelgrade_routing import admission
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import retry_budget
+from dotterelgrade_routing import return_forecast
 from dotterelgrade_routing import stall_actions
 
 # Refusals of a begun stream after which it waits before it asks again.
@@ -68,6 +71,7 @@
         self._call = call
         self._repair = repair
         self._recorded_refusal = ""
+        self._told: refusal_times.ToldTime | None = None
 
     def __repr__(self) -> str:
         """Shows the request."""
@@ -78,6 +82,11 @@
         """Number of retries left in the retry budget."""
         return self._budget.left
 
+    @property
+    def told(self) -> refusal_times.ToldTime | None:
+        """When the caller should retry, if the last decision refused it."""
+        return self._told
+
     @property
     def _budget(self) -> retry_budget.RetryBudget:
         return self._state.retry_budget_for(self._call.service.name)
@@ -116,7 +125,7 @@
         if admitted and is_retry and not self._budget.spend():
             decision = admission.Refused(
                 reason="retry budget empty",
-                retry_after_s=call_lib.DEFAULT_RETRY_AFTER_S,
+                retry_after_s=return_forecast.DEFAULT_RETRY_AFTER_S,
             )
         if isinstance(decision, admission.Refused):
             kind = "refused"
@@ -124,9 +133,14 @@
                 kind = "standby_refused"
             elif begun:
                 kind = "capacity_awaited"
+            else:
+                inputs |= self._tell_time(decision)
             self._record_refusal(kind, decision, inputs)
             return decision
         self._recorded_refusal = ""
+        self._told = None
+        if not begun and beside is None and not self._call.attempts:
+            self._state.refusals.note_start(self._call)
         self._repair.charge_link_budget(
             decision.chain, tokens=self._call.facts.prompt_tokens
         )
@@ -195,11 +209,26 @@
             held_off_s=state.notices.holdoff_left_s(call.service.name),
         )
 
+    def _tell_time(self, refused: admission.Refused) -> dict[str, Any]:
+        """Computes the caller's retry time; returns the fields to log.
+
+        A request that may have run is not refused but failed.
+        """
+        if self._call.may_have_run:
+            return {}
+        self._told = self._state.refusals.after(
+            return_forecast.Reason.of_admission(refused.reason),
+            call=self._call,
+            usual_s=refused.retry_after_s,
+            budget=self._budget,
+        )
+        return self._told.log_fields
+
     def _record_refusal(
         self,
         kind: str,
         refused: admission.Refused,
-        inputs: dict[str, float],
+        inputs: dict[str, Any],
     ) -> None:
         """Records a refusal, once while it is repeated for the same reason."""
         refusal = f"{kind}: {refused.reason}"
@@ -210,8 +239,7 @@
             kind,
             reason=refused.reason,
             request_id=self._call.request_id,
-            retry_after_s=round(refused.retry_after_s, 2),
-            **inputs,
+            **{"retry_after_s": round(refused.retry_after_s, 2), **inputs},
         )
 
 
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -35,6 +35,14 @@
     assert settings.memory_bytes == 222e6
 
 
+def test_the_policy_of_retry_times_is_optional(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(_FILE)
+    assert settings_file.load(str(path)).retry_after == "forecast"
+    path.write_text(_FILE + '[routing]\nretry_after = "fixed"\n')
+    assert settings_file.load(str(path)).retry_after == "fixed"
+
+
 def test_the_environment_names_the_file(tmp_path, monkeypatch):
     path = tmp_path / "local.toml"
     path.write_text(_FILE)
@@ -54,6 +62,7 @@
         _FILE.replace("grace_s = 8", "grace_s = nan"),
         _FILE.replace("grace_s = 8", "grace_s = inf"),
         _FILE.replace("memory_mb = 222", "memory_mb = 0"),
+        _FILE + '[routing]\nretry_after = "soon"\n',
         _FILE.replace("a_new_field = 1", "a = " + "[" * 100_000),
     ],
     ids=[
@@ -66,6 +75,7 @@
         "not a number",
         "infinite",
         "no memory",
+        "unknown policy",
         "nested",
     ],
 )
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/configuration.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/configuration.py
@@ -222,6 +222,19 @@
     def _service_by_name(self) -> dict[str, Service]:
         return {service.name: service for service in self.services}
 
+    @functools.cached_property
+    def _ranked_services(self) -> frozenset[str]:
+        priorities: dict[str, set[int]] = {}
+        for route in self.routes:
+            for weight in route.services:
+                found = priorities.setdefault(weight.service, set())
+                found.add(route.priority)
+        return frozenset(s for s, found in priorities.items() if len(found) > 1)
+
+    def has_ranks(self, service: str) -> bool:
+        """Returns whether the routes of a service differ in priority."""
+        return service in self._ranked_services
+
     def route_for(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path.
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/return_forecast.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/return_forecast.py
@@ -83,11 +83,13 @@
         expected_returns: Retries expected until then, of the same or a more
             urgent rank.
         no_time: Whether the request can't be served before its deadline.
+        capped: Whether the caller would not follow the expected time.
     """
 
     seconds: float
     expected_returns: int = 0
     no_time: bool = False
+    capped: bool = False
 
 
 class ReturnPolicy(Protocol):
@@ -261,11 +263,18 @@
         rank = refusal.rank
         seconds = max(estimate.seconds, MIN_RETRY_AFTER_S)
         wait_s = schedule.wait_s(seconds, rank, now=now)
+        behind_s = 0.0
+        if schedule.starts_per_s(now=now):
+            # Without a start it is not known how long the others take.
+            behind_s = wait_s - seconds
         told = _within_deadline(
             wait_s,
-            earliest_s=estimate.earliest_s + wait_s - seconds,
+            earliest_s=estimate.earliest_s + behind_s,
             left_s=max(refusal.left_s, 0.0),
         )
+        if told.capped:
+            seconds = schedule.wait_within_s(told.seconds, rank, now=now)
+            told = dataclasses.replace(told, seconds=seconds)
         told = dataclasses.replace(
             told,
             expected_returns=schedule.expected(told.seconds, rank, now=now),
@@ -300,4 +309,4 @@
         return ReturnTime(seconds=wait_s)
     if earliest_s >= left_s or followed_s < MIN_RETRY_AFTER_S:
         return ReturnTime(seconds=min(wait_s, left_s), no_time=True)
-    return ReturnTime(seconds=followed_s)
+    return ReturnTime(seconds=followed_s, capped=True)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/return_schedule.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/return_schedule.py
@@ -109,6 +109,31 @@
                 return begin_s + (interval - first) * _INTERVAL_S
         return begin_s + (ahead + 1) / rate_per_s
 
+    def wait_within_s(self, limit_s: float, rank: int, *, now: float) -> float:
+        """Returns a late time up to a limit with the fewest expected retries.
+
+        Otherwise all that would wait for longer came back at the limit.
+
+        Args:
+            limit_s: The longest wait, s; half of it is the shortest.
+            rank: Less urgent retries are left out.
+            now: Monotonic time, s.
+        """
+        self._drop_old(now)
+        room = math.ceil(self._rate_per_s(now) * _INTERVAL_S)
+        waits_s = [
+            limit_s - step * _INTERVAL_S
+            for step in range(_HORIZON)
+            if step * _INTERVAL_S <= limit_s / 2
+        ]
+
+        def excess(wait_s: float) -> int:
+            interval = interval_counts.interval_of(now + wait_s)
+            expected = self._returns.at(interval, most_rank=rank)
+            return max(expected + 1 - room, 0)
+
+        return min(waits_s, key=excess)
+
     def _drop_old(self, now: float) -> None:
         current = interval_counts.interval_of(now)
         self._returns.drop_before(current)
--- a/packages/dotterelgrade-routing/tests/test_retry_budget.py
+++ b/packages/dotterelgrade-routing/tests/test_retry_budget.py
@@ -23,3 +23,12 @@
     assert (budget.spend(), budget.spend(), budget.spend()) == (1, 1, 0)
     now[0] += 1_000
     assert budget.left == 3
+
+
+def test_the_time_to_the_next_retry_follows_from_what_is_earned():
+    budget = retry_budget.RetryBudget(
+        share=0.1, rate_per_s=1.0, capacity=1, clock=lambda: 0.0
+    )
+    assert budget.time_to_next_s(requests_per_s=10.0) == 0.0
+    budget.spend()
+    assert budget.time_to_next_s(requests_per_s=10.0) == 0.5
--- a/packages/dotterelgrade-routing/tests/test_return_forecast.py
+++ b/packages/dotterelgrade-routing/tests/test_return_forecast.py
@@ -121,6 +121,17 @@
     assert not told.no_time
 
 
+def test_waits_that_are_cut_to_the_remaining_time_are_spread_too():
+    """All that were cut came back in the same tenth of a second."""
+    policy = _policy("forecast")
+    refusal = _refusal(reason=_Reason.NO_CHAIN, usual_s=2.5, left_s=3.0)
+    told = [policy.refuse(refusal, now=100.0) for _ in range(70)]
+    cut = collections.Counter(round(t.seconds, 2) for t in told if t.capped)
+    assert cut[0.96] >= 10
+    assert max(cut.values()) <= 11
+    assert min(cut) >= 0.48
+
+
 @pytest.mark.parametrize(
     ("reason", "left_s"),
     [
