Merge the forecast of retry times

Tests of routing, of the adapter, and of the front's handler, streams, calls, ranks and retry times pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -8,6 +8,7 @@
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import relay_encoding as relay_encoding_lib
+from dotterelgrade_routing import return_forecast
 from dotterelgrade_routing import silence_bounds
 
 DEFAULT_METRICS_PORT = 9464
@@ -50,6 +51,7 @@
         relay_encoding: How the planner encodes records for the other fronts.
         quarantine: When requests are refused for crashes under others.
         admission: Name of the policy for requests of different urgency.
+        retry_after: How the retry time of a refused request is computed.
     """
 
     node: str
@@ -73,6 +75,7 @@
     relay_encoding: str = "delta"
     quarantine: str = "share"
     admission: str = "priority"
+    retry_after: str = "forecast"
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
@@ -81,6 +84,7 @@
         silence_bounds.BOUNDS.make(self.silence_bound)
         quarantine_policies.POLICIES.make(self.quarantine)
         admission_policies.POLICIES.make(self.admission)
+        return_forecast.POLICIES.make(self.retry_after)
         for address in (self.callers_address, self.ready_address):
             addresses.validate(address)
         self._check_numbers()
--- a/packages/dotterelgrade-front/tests/test_rank_admission.py
+++ b/packages/dotterelgrade-front/tests/test_rank_admission.py
@@ -51,6 +51,9 @@
             unreachable=set(),
             refused_by=set(),
             refusals=0,
+            attempts=[],
+            may_have_run=False,
+            remaining_s=10.0,
             may_send_to=lambda server_id, *, pending: True,
         )
         repair = types.SimpleNamespace(
--- a/packages/dotterelgrade-routing/tests/test_retry_budget.py
+++ b/packages/dotterelgrade-routing/tests/test_retry_budget.py
@@ -37,3 +37,12 @@
         while budget.spend(reserve=reserve):
             spent[rank] += 1
     assert spent == {9: 4, 2: 2, 1: 2, None: 2}
+
+
+def test_the_time_to_the_next_retry_follows_from_what_is_earned():
+    budget = retry_budget.RetryBudget(
+        share=0.1, rate_per_s=1.0, capacity=1, clock=lambda: 0.0
+    )
+    assert budget.time_to_next_s(requests_per_s=10.0) == 0.0
+    budget.spend()
+    assert budget.time_to_next_s(requests_per_s=10.0) == 0.5
