Add up the demand by rank at the planner

Cause: a front sees a fraction of the arrivals, so that its headroom would follow its own callers only.

Rows that are not valid leave the last ones in force and are logged as demand_rejected.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_state.py
@@ -25,6 +25,7 @@
 from dotterelgrade_routing import holdoff
 from dotterelgrade_routing import link_budget
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import reservations
 from dotterelgrade_routing import retry_budget
 
@@ -183,6 +184,40 @@
         """Terms for requests of ranked services."""
         return self._rank_admission
 
+    @property
+    def own_demand(self) -> list[rank_demand.RankDemand] | None:
+        """Demand at this front, or None while no service has ranks."""
+        current = self.configuration
+        if current is None or not current.ranks_any:
+            return None
+        return self._rank_admission.own_rows
+
+    def set_demand(
+        self, rows: list[rank_demand.RankDemand] | None, *, source: str
+    ) -> None:
+        """Sets the demand at all fronts.
+
+        Args:
+            rows: Rows of the planner; with None, or if they are not valid, the
+                last ones stay in force.
+            source: `IP:PORT` of the planner.
+        """
+        if rows is None:
+            return
+        try:
+            self._rank_admission.set_totals(rows)
+        except ValueError as error:
+            self.note_bad_demand(str(error), source=source)
+
+    def note_bad_demand(self, reason: str, *, source: str) -> None:
+        """Records that rows of demand were not valid.
+
+        Args:
+            reason: Why, in one clause.
+            source: `IP:PORT` of the sender.
+        """
+        self._decisions.record("demand_rejected", reason=reason, peer=source)
+
     @property
     def rng(self) -> random.Random:
         """Random numbers that break ties and add jitter."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/peer_frames.py
@@ -7,6 +7,7 @@
 from dotterelgrade import frame_codec
 from dotterelgrade import suspect_state
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import relay_encoding
 
 
@@ -94,6 +95,8 @@
         reads_changes: Whether it reads `RelayedChanges`; older builds don't.
         suspects: What has changed about requests that may crash servers since
             the last report over the connection, or None.
+        demand: Demand by service and rank, or None from an older build and
+            while no service has ranks.
     """
 
     number: bounded.Count
@@ -105,6 +108,7 @@
     strong: bool
     reads_changes: bool = False
     suspects: suspect_state.SuspectNews | None = None
+    demand: list[rank_demand.RankDemand] | None = None
 
 
 @frame_codec.frame
@@ -151,6 +155,8 @@
         feeds: The planner's positions in the feeds of the store.
         suspects: What has changed about requests that may crash servers since
             the last snapshot sent over the connection, or None.
+        demand: Demand of all fronts together by service and rank, or None from
+            an older build and while no service has ranks.
     """
 
     reserved: dict[str, bounded.Count]
@@ -160,6 +166,7 @@
     leaving: dict[str, bounded.UnixMs]
     feeds: list[FeedProgress]
     suspects: suspect_state.SuspectNews | None = None
+    demand: list[rank_demand.RankDemand] | None = None
 
 
 @frame_codec.frame
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_hub.py
@@ -18,6 +18,7 @@
 from dotterelgrade_routing import layer_range
 from dotterelgrade_routing import leadership as leadership_lib
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import relay_encoding
 
 # Time after its last report in which a front counts for the retry budget.
@@ -127,7 +128,8 @@
                 if isinstance(frame, peer_frames.FrontLoad):
                     now = time.monotonic()
                     self._reports[connection] = _Report(
-                        load=frame, received_at=now
+                        load=self._with_valid_demand(frame, connection),
+                        received_at=now,
                     )
                     self._reported_at[_address_of(connection)] = now
                     self._planner.add_suspects(frame.excluded)
@@ -137,6 +139,21 @@
             self._reports.pop(connection, None)
             self._listings.pop(connection, None)
 
+    def _with_valid_demand(
+        self, load: peer_frames.FrontLoad, connection: wire.Connection
+    ) -> peer_frames.FrontLoad:
+        """Returns a report, with the last demand if the new one is bad."""
+        try:
+            rank_demand.check(load.demand or ())
+        except ValueError as error:
+            self._state.note_bad_demand(
+                str(error), source=_address_of(connection)
+            )
+            last = self._reports.get(connection)
+            known = None if last is None else last.load.demand
+            return dataclasses.replace(load, demand=known)
+        return load
+
     def set_followers(self, followers: feed_follower.Followers) -> None:
         """Sets the followers of the store's feeds."""
         self._followers = followers
@@ -280,6 +297,12 @@
         would queue up, each older than the one before.
         """
         totals = self._total_reservations()
+        demand = rank_demand.combined(
+            [
+                self._state.own_demand,
+                *(load.demand for load in self._valid_loads()),
+            ]
+        )
         listing = self._current_listing()
         encoded: dict[int, bytes] = {}
         for connection, report in list(self._reports.items()):
@@ -289,7 +312,7 @@
             since = self._listings.get(connection, _EMPTY_LISTING)
             if id(since) not in encoded:
                 encoded[id(since)] = self._encode_snapshot(
-                    totals, listing, since=since
+                    totals, demand, listing, since=since
                 )
             number = report.load.number
             connection.send(peer_frames.ReportCounted(number=number))
@@ -297,6 +320,7 @@
             self._listings[connection] = listing
         own_report = self._state.load.report()
         self._state.load.set_totals(totals, counted=own_report.number)
+        self._state.set_demand(demand, source=self._state.settings.peer_address)
         self._state.set_fronts(listing.fronts)
 
     def _total_reservations(self) -> dict[str, int]:
@@ -315,7 +339,12 @@
         )
 
     def _encode_snapshot(
-        self, totals: dict[str, int], current: _Listing, *, since: _Listing
+        self,
+        totals: dict[str, int],
+        demand: list[rank_demand.RankDemand] | None,
+        current: _Listing,
+        *,
+        since: _Listing,
     ) -> bytes:
         """Encodes a snapshot with the changes since another one."""
         return frame_codec.encode(
@@ -331,6 +360,7 @@
                 leaving=self._state.fleet.leaving,
                 feeds=self._feed_progress(),
                 suspects=self._state.quarantine.news_since(since.suspects),
+                demand=demand,
             )
         )
 
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/planner_link.py
@@ -233,6 +233,7 @@
                     strong=state.settings.strong,
                     reads_changes=True,
                     suspects=suspects,
+                    demand=state.own_demand,
                 )
             )
             gevent.sleep(EXCHANGE_INTERVAL_S)
@@ -266,6 +267,7 @@
         state.load.set_totals(
             snapshot.reserved, counted=self._counted_report_number
         )
+        state.set_demand(snapshot.demand, source=self._planner)
         if snapshot.fronts:
             state.set_fronts(snapshot.fronts)
         for progress in snapshot.feeds:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
@@ -48,9 +48,9 @@
         return self._policy.uses_ranks
 
     @property
-    def own_rows(self) -> list[rank_demand.RankDemand]:
-        """Demand at this front."""
-        return self._arrivals.rows()
+    def own_rows(self) -> list[rank_demand.RankDemand] | None:
+        """Demand at this front, or None if the policy does not use it."""
+        return self._arrivals.rows() if self.uses_ranks else None
 
     def set_policy(self, policy: str) -> None:
         """Sets the policy in force by its name."""
--- a/packages/dotterelgrade-front/tests/support/front_fakes.py
+++ b/packages/dotterelgrade-front/tests/support/front_fakes.py
@@ -264,6 +264,17 @@
 )
 
 
+def with_ranks(current):
+    """Returns a configuration whose route `once` is the most urgent one."""
+    return dataclasses.replace(
+        current,
+        routes=tuple(
+            dataclasses.replace(r, priority=0) if r.name == "once" else r
+            for r in current.routes
+        ),
+    )
+
+
 class FrontUnderTest:
     """A request handler behind a listening socket."""
 
--- a/packages/dotterelgrade-front/tests/test_peer_frames.py
+++ b/packages/dotterelgrade-front/tests/test_peer_frames.py
@@ -7,6 +7,7 @@
 from dotterelgrade import suspect_state
 from dotterelgrade_front import peer_frames
 from dotterelgrade_routing import platform_port
+from dotterelgrade_routing import rank_demand
 
 _CRASH = suspect_state.CrashReport(
     crash=suspect_state.Crash(
@@ -15,6 +16,9 @@
     age_s=0.5,
     request_id="r",
 )
+_DEMAND = rank_demand.RankDemand(
+    service="m", rank=1, load_per_s=2.0, moved_per_s=0.5
+)
 _FRAMES = {
     "load": peer_frames.FrontLoad(
         number=1,
@@ -34,6 +38,7 @@
             ],
             crashes=[_CRASH],
         ),
+        demand=[_DEMAND],
     ),
     "snapshot": peer_frames.FleetSnapshot(
         reserved={"e": 1},
@@ -59,6 +64,7 @@
                 age_s=0.5,
             )
         ],
+        demand=[_DEMAND],
     ),
     "records": peer_frames.RelayedRecords(
         feed=peer_frames.FeedName.CONFIGURATIONS,
@@ -94,6 +100,8 @@
         ("load", ("leaving", "e")),
         ("load", ("suspects", "crashes", 0, "age_s")),
         ("load", ("suspects", "suspects", 0, "quarantined_age_s")),
+        ("load", ("demand", 0, "load_per_s")),
+        ("snapshot", ("demand", 0, "moved_per_s")),
         ("snapshot", ("reserved", "e")),
         ("snapshot", ("servers", 0, "end")),
         ("snapshot", ("servers", 0, "started_ms")),
@@ -122,8 +130,9 @@
         frame_codec.from_wire([tag, _with(fields, path, math.nan)])
 
 
+@pytest.mark.parametrize("field", ["suspects", "demand"])
 @pytest.mark.parametrize("name", ["load", "snapshot"])
-def test_a_frame_of_an_earlier_build_names_no_suspects(name):
+def test_a_frame_of_an_earlier_build_lacks_a_field(name, field):
     tag, fields = frame_codec.to_wire(_FRAMES[name])
-    del fields["suspects"]
-    assert frame_codec.from_wire([tag, fields]).suspects is None
+    del fields[field]
+    assert getattr(frame_codec.from_wire([tag, fields]), field) is None
--- a/packages/dotterelgrade-front/tests/test_planner_hub.py
+++ b/packages/dotterelgrade-front/tests/test_planner_hub.py
@@ -2,9 +2,15 @@
 import time
 import types
 
+import front_fakes as fakes
+import msgpack
+import stream_fakes as streams
+
+from dotterelgrade import frame_codec
 from dotterelgrade_front import peer_frames
 from dotterelgrade_front import planner as planner_lib
 from dotterelgrade_front import planner_hub
+from dotterelgrade_routing import rank_demand
 
 _LOAD = peer_frames.FrontLoad(
     number=1,
@@ -141,3 +147,49 @@
     hub.serve(connection)
     assert len(frames) == 2
     assert isinstance(frames[0], peer_frames.ReportCounted)
+
+
+class _ReportingConnection(_SilentConnection):
+    """Connection of a front that sends several reports."""
+
+    def __iter__(self):
+        yield from self._load
+        self._during()
+
+
+def _row(load_per_s):
+    return rank_demand.RankDemand(
+        service="model", rank=0, load_per_s=load_per_s, moved_per_s=0.0
+    )
+
+
+def test_demand_of_all_fronts_is_added_up(front):
+    """Rows that are not valid leave those before in force, and are logged."""
+    state = front.state
+    known = state.known_configuration
+    known.configuration = fakes.with_ranks(known.configuration)
+    hub = planner_hub.PlannerHub(state, planner=planner_lib.Planner(state))
+    hub.set_leading(True)
+    reports = [
+        dataclasses.replace(_LOAD, demand=rows)
+        for rows in ([_row(70.0)], [_row(1.0)] * 2)
+    ]
+    connection = _ReportingConnection(reports, during=hub.send_snapshots)
+    hub.serve(connection)
+    demand = state.rank_admission.demand_for("model", fronts=2)
+    assert demand.load_per_s == {0: 70.0}
+    snapshot = frame_codec.from_wire(msgpack.unpackb(connection.sent[-1]))
+    assert snapshot.demand == [_row(70.0)]
+    (rejected,) = streams.decisions(front, "demand_rejected")
+    assert rejected.details["peer"] == "10.0.0.2:1"
+
+
+def test_without_ranks_no_demand_is_sent(front):
+    hub = planner_hub.PlannerHub(
+        front.state, planner=planner_lib.Planner(front.state)
+    )
+    hub.set_leading(True)
+    connection = _ReportingConnection([_LOAD], during=hub.send_snapshots)
+    hub.serve(connection)
+    snapshot = frame_codec.from_wire(msgpack.unpackb(connection.sent[-1]))
+    assert snapshot.demand is None
--- a/packages/dotterelgrade-front/tests/test_planner_link.py
+++ b/packages/dotterelgrade-front/tests/test_planner_link.py
@@ -1,11 +1,13 @@
 """Tests a front's link to the planner against a scripted connection."""
 
+import dataclasses
 import random
 
 import front_fakes as fakes
 import gevent
 from gevent import queue
 import pytest
+import stream_fakes as streams
 
 from dotterelgrade import connection_frames
 from dotterelgrade import handshake
@@ -15,6 +17,7 @@
 from dotterelgrade_front import planner_link
 from dotterelgrade_routing import feed_timing
 from dotterelgrade_routing import leadership
+from dotterelgrade_routing import rank_demand
 
 _PLANNER = "127.0.0.1:1"
 
@@ -150,3 +153,17 @@
     assert not link._exchange(planner)
     entries = front.state.decisions.journal.latest(50)
     assert "planner_unreachable" in [entry.decision for entry in entries]
+
+
+def test_bad_rows_of_demand_leave_the_last_ones_in_force(front, follower):
+    """A snapshot of an older planner has no rows, and changes nothing."""
+    link = _make_link(front, follower)
+    row = rank_demand.RankDemand(
+        service="model", rank=0, load_per_s=9.0, moved_per_s=0.0
+    )
+    for rows in ([row], [row, row], None):
+        snapshot = dataclasses.replace(_snapshot(end=1), demand=rows)
+        link._apply_snapshot(snapshot)
+        demand = front.state.rank_admission.demand_for("model", fronts=1)
+        assert demand.load_per_s == {0: 9.0}
+    assert len(streams.decisions(front, "demand_rejected")) == 1
--- a/packages/dotterelgrade-front/tests/test_rank_admission.py
+++ b/packages/dotterelgrade-front/tests/test_rank_admission.py
@@ -1,6 +1,5 @@
 """Decisions with ranks, and the same ones as before without."""
 
-import dataclasses
 import types
 
 import front_fakes as fakes
@@ -21,14 +20,8 @@
 @pytest.fixture
 def ranked(front):
     """A front whose route `once` is more urgent than its route `stream`."""
-    current = front.state.configuration
-    front.state.known_configuration.configuration = dataclasses.replace(
-        current,
-        routes=tuple(
-            dataclasses.replace(r, priority=0) if r.name == "once" else r
-            for r in current.routes
-        ),
-    )
+    known = front.state.known_configuration
+    known.configuration = fakes.with_ranks(known.configuration)
     return front
 
 
