Read the policy of admission from the settings, and describe it

Cause: operators could neither choose the policy nor read why a request was refused below full memory.

Change: the optional table [routing] of the platform's settings file has `admission`, checked when it is read.

Result: tests of the settings file, the pages, capacity and mutants pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
@@ -10,6 +10,7 @@
 from dotterelgrade_routing import arrival_counter
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import demand_totals
+from dotterelgrade_routing import priority_headroom
 from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import reservations
 
@@ -168,7 +169,11 @@
                     for chain in chains
                 ),
                 capacity=sum(memory.values()),
-                turnover_s=mean_step_s * engine.mean_answer_tokens / 2,
+                turnover_s=(
+                    priority_headroom.TURNOVER_ANSWERS
+                    * engine.mean_answer_tokens
+                    * mean_step_s
+                ),
                 demand=demand,
                 shares=self._shares_of(ask.service),
                 chance=chance,
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -298,7 +298,9 @@
         "rank": ask.rank,
         "limit": round(terms.limit, 3),
         "workspace_over": terms.workspace_over,
-        "urgent_per_s": round(demand.load_above(ask.rank)),
+        "urgent_per_s": round(
+            demand.load_above(ask.rank + terms.workspace_over)
+        ),
         "demand_age_s": round(demand.age_s, 2),
     }
 
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -35,6 +35,16 @@
     assert settings.memory_bytes == 222e6
 
 
+@pytest.mark.parametrize(
+    ("table", "admission"),
+    [("", "priority"), ('[routing]\nadmission = "uniform"\n', "uniform")],
+)
+def test_the_table_of_policies_is_optional(tmp_path, table, admission):
+    path = tmp_path / "local.toml"
+    path.write_text(_FILE + table)
+    assert settings_file.load(str(path)).admission == admission
+
+
 def test_the_environment_names_the_file(tmp_path, monkeypatch):
     path = tmp_path / "local.toml"
     path.write_text(_FILE)
@@ -55,6 +65,7 @@
         _FILE.replace("grace_s = 8", "grace_s = inf"),
         _FILE.replace("memory_mb = 222", "memory_mb = 0"),
         _FILE.replace("a_new_field = 1", "a = " + "[" * 100_000),
+        _FILE + '[routing]\nadmission = "fair"',
     ],
     ids=[
         "empty",
@@ -67,6 +78,7 @@
         "infinite",
         "no memory",
         "nested",
+        "unknown policy",
     ],
 )
 def test_an_invalid_file_is_rejected_with_a_reason(tmp_path, text):
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/priority_headroom.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/priority_headroom.py
@@ -9,6 +9,8 @@
 from dotterelgrade_routing import admission
 from dotterelgrade_routing import rank_demand
 
+# Memory becomes free as answers end, after half of one on average.
+TURNOVER_ANSWERS = 0.5
 # Less urgent requests are admitted up to here whatever the demand.
 MIN_LIMIT = 0.5
 # Share of memory kept for streams that lose a stage. More of them were lost
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/rank_demand.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/rank_demand.py
@@ -5,6 +5,7 @@
 arrivals at all fronts, which the planner adds up.
 """
 
+import collections
 from collections.abc import Iterable, Mapping, Sequence
 import dataclasses
 import heapq
@@ -125,26 +126,20 @@
     if not known:
         return None
     scale = len(reports) / len(known)
-    totals: dict[tuple[str, int], RankDemand] = {}
+    loads: collections.Counter[tuple[str, int]] = collections.Counter()
+    moved: collections.Counter[tuple[str, int]] = collections.Counter()
     for rows in known:
         for row in rows:
-            key = (row.service, row.rank)
-            totals[key] = _sum(totals.get(key), row, scale=scale)
-    return limited(totals.values())
-
-
-def _sum(
-    total: RankDemand | None, row: RankDemand, *, scale: float
-) -> RankDemand:
-    load_per_s = row.load_per_s * scale
-    moved_per_s = row.moved_per_s * scale
-    if total is not None:
-        load_per_s += total.load_per_s
-        moved_per_s += total.moved_per_s
-    return dataclasses.replace(
-        row,
-        load_per_s=min(load_per_s, bounded.MAX_AMOUNT),
-        moved_per_s=min(moved_per_s, bounded.MAX_AMOUNT),
+            loads[row.service, row.rank] += row.load_per_s
+            moved[row.service, row.rank] += row.moved_per_s
+    return limited(
+        RankDemand(
+            service=service,
+            rank=rank,
+            load_per_s=min(load_per_s * scale, bounded.MAX_AMOUNT),
+            moved_per_s=min(moved[service, rank] * scale, bounded.MAX_AMOUNT),
+        )
+        for (service, rank), load_per_s in loads.items()
     )
 
 
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -53,6 +53,16 @@
 - Fronts on the users' platform under other work than the shifted one: the other
   deployments were not swept.
 """
+_OVERLOAD = """## Decisions under overload, for one front
+
+Measured once, on a shared machine; only services with ranks cost this.
+
+- Admission by rank: 103 us of processor time instead of 44 us for a decision
+  among 12 chains. A report or a snapshot grows by 204 bytes for three ranks of
+  one service, by 4.4 KB at the limit of 64 rows, four times a second. The
+  planner adds up 43 reports of three rows in 0.07 ms, 300 of 64 rows in 7.6 ms.
+  Arrivals, shares and moves of ten ranks and 350 workspaces hold 122 KB.
+"""
 
 
 def _table(headers: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
@@ -299,6 +309,7 @@
     sections += _platform_section(model)
     sections.append(capacity_future.section(model))
     sections += _sweeps_section(sweeps)
+    sections.append(_OVERLOAD)
     sections += _slopes_section(measured)
     sections.append(_UNKNOWN)
     return "\n".join(sections)
