--- a/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
@@ -10,6 +10,7 @@
 from dotterelgrade_routing import arrival_counter
 from dotterelgrade_routing import chain_choice
 from dotterelgrade_routing import demand_totals
+from dotterelgrade_routing import priority_headroom
 from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import reservations
 
@@ -48,9 +49,9 @@
         return self._policy.uses_ranks
 
     @property
-    def own_rows(self) -> list[rank_demand.RankDemand]:
-        """Demand at this front."""
-        return self._arrivals.rows()
+    def own_rows(self) -> list[rank_demand.RankDemand] | None:
+        """Demand at this front, or None if the policy does not use it."""
+        return self._arrivals.rows() if self.uses_ranks else None
 
     def set_policy(self, policy: str) -> None:
         """Sets the policy in force by its name."""
@@ -168,7 +169,11 @@
                     for chain in chains
                 ),
                 capacity=sum(memory.values()),
-                turnover_s=mean_step_s * engine.mean_answer_tokens / 2,
+                turnover_s=(
+                    priority_headroom.TURNOVER_ANSWERS
+                    * engine.mean_answer_tokens
+                    * mean_step_s
+                ),
                 demand=demand,
                 shares=self._shares_of(ask.service),
                 chance=chance,
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -35,12 +35,19 @@
     assert settings.memory_bytes == 222e6
 
 
-def test_the_policy_of_retry_times_is_optional(tmp_path):
+@pytest.mark.parametrize(
+    ("field", "default", "other"),
+    [
+        ("admission", "priority", "uniform"),
+        ("retry_after", "forecast", "fixed"),
+    ],
+)
+def test_the_table_of_policies_is_optional(tmp_path, field, default, other):
     path = tmp_path / "local.toml"
     path.write_text(_FILE)
-    assert settings_file.load(str(path)).retry_after == "forecast"
-    path.write_text(_FILE + '[routing]\nretry_after = "fixed"\n')
-    assert settings_file.load(str(path)).retry_after == "fixed"
+    assert getattr(settings_file.load(str(path)), field) == default
+    path.write_text(f'{_FILE}[routing]\n{field} = "{other}"\n')
+    assert getattr(settings_file.load(str(path)), field) == other
 
 
 def test_the_environment_names_the_file(tmp_path, monkeypatch):
@@ -64,6 +71,7 @@
         _FILE.replace("memory_mb = 222", "memory_mb = 0"),
         _FILE + '[routing]\nretry_after = "soon"\n',
         _FILE.replace("a_new_field = 1", "a = " + "[" * 100_000),
+        _FILE + '[routing]\nadmission = "fair"',
     ],
     ids=[
         "empty",
@@ -75,8 +83,9 @@
         "not a number",
         "infinite",
         "no memory",
-        "unknown policy",
+        "unknown policy of retry times",
         "nested",
+        "unknown policy of admission",
     ],
 )
 def test_an_invalid_file_is_rejected_with_a_reason(tmp_path, text):
