--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/front_mutants.py
@@ -15,6 +15,9 @@
 _EXCLUSIONS_TEST = "packages/dotterelgrade-routing/tests/test_exclusions.py"
 _LEADERSHIP_TEST = "packages/dotterelgrade-routing/tests/test_leadership.py"
 _ADMISSION_TEST = "packages/dotterelgrade-routing/tests/test_admission.py"
+_POLICIES_TEST = (
+    "packages/dotterelgrade-routing/tests/test_admission_policies.py"
+)
 _PLACEMENT_TEST = "packages/dotterelgrade-routing/tests/test_placement.py"
 _RESERVATIONS_TEST = "packages/dotterelgrade-routing/tests/test_reservations.py"
 _PLAIN_TEST = "packages/dotterelgrade-front/tests/test_plain_call.py"
@@ -143,6 +146,22 @@
         new="free_share = 1.0",
         check=_ADMISSION_TEST,
     ),
+    mutant.Mutant(
+        name="no-headroom-for-urgent-requests",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_routing.priority_headroom",
+        old="return max(admission.MAX_UTILIZATION - headroom, MIN_LIMIT)",
+        new="return admission.MAX_UTILIZATION",
+        check=_POLICIES_TEST,
+    ),
+    mutant.Mutant(
+        name="lowest-rank-starved",
+        promise=mutant.ENOUGH_ROOM,
+        module="dotterelgrade_routing.admission_shares",
+        old="return min(lacks / max(ask.size, _MIN_SIZE), 1.0)",
+        new="return 0.0 * lacks",
+        check=_POLICIES_TEST,
+    ),
     mutant.Mutant(
         name="no-reserve",
         promise=mutant.ENOUGH_ROOM,
