Reserve less memory for more urgent requests

Cause: headroom for half a mean answer and 0.15 for moved streams refused requests while memory was free, and the steep draw pushed less urgent ones to slow chains. Answers end all the time; memory for an eighth of one covers what arrives until the fronts see it.

Change: an eighth of an answer, 0.1 for moved streams, exponents from 2.5 to 3.5.

--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission_policies.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission_policies.py
@@ -28,7 +28,7 @@
     Attributes:
         utilization: Utilization of the emptiest chain with the request.
         capacity: Memory of the service for requests, tokens times layers.
-        turnover_s: Time in which memory becomes free, s: half a mean answer.
+        turnover_s: Time for whose more urgent arrivals memory is kept, s.
         demand: Demand for the service.
         shares: What ranks and workspaces were given.
         chance: Random number from 0 to 1.
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/priority_headroom.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/priority_headroom.py
@@ -9,15 +9,16 @@
 from dotterelgrade_routing import admission
 from dotterelgrade_routing import rank_demand
 
-# Memory becomes free as answers end, after half of one on average.
-TURNOVER_ANSWERS = 0.5
+# Fraction of a mean answer for whose more urgent arrivals memory is kept.
+# Answers end all the time, so that keeping it for longer leaves memory unused.
+TURNOVER_ANSWERS = 0.125
 # Less urgent requests are admitted up to here whatever the demand.
 MIN_LIMIT = 0.5
-# Share of memory kept for streams that lose a stage. More of them were lost
-# with many servers at once, for which no headroom suffices.
-MAX_MOVED_SHARE = 0.15
+# Share of memory kept for streams that lose a stage. Begun streams may exceed
+# the limits of new ones, and if many servers are lost no headroom suffices.
+MAX_MOVED_SHARE = 0.1
 # Change of the exponent from the middle of the ranks to either end.
-_EXPONENT_SPAN = 1.0
+_EXPONENT_SPAN = 0.5
 
 
 def limit(
@@ -33,7 +34,7 @@
         rank: The rank; 0 is the most urgent.
         demand: Demand for the service.
         capacity: Memory for requests of the service, tokens times layers.
-        turnover_s: Time in which memory becomes free, s.
+        turnover_s: Time for whose more urgent arrivals memory is kept, s.
     """
     if rank <= 0 or capacity <= 0:
         return admission.MAX_UTILIZATION
