--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/admission.py
@@ -79,6 +79,7 @@
     chance: float,
     begun: bool = False,
     held_off_s: float = 0.0,
+    other_domain_factor: float = OTHER_DOMAIN_FACTOR,
 ) -> Admitted | Refused:
     """Chooses a chain for a request, or refuses it.
 
@@ -93,6 +94,8 @@
         begun: Whether the caller has received events already.
         held_off_s: Time until the first full backend server accepts requests
             again, s, or 0 if none is held off.
+        other_domain_factor: Factor of the cost of a chain in another failure
+            domain.
     """
     max_utilization = MAX_UTILIZATION_STARTED if begun else MAX_UTILIZATION
     retry_jitter = 1.0 + RETRY_JITTER * chance
@@ -116,7 +119,11 @@
         option for option in options if option.utilization <= MAX_UTILIZATION
     ]
     if below_limit:
-        return _draw_weighted(below_limit, failure_domain, chance)
+        weights = [
+            _cost(option, failure_domain, other_domain_factor) ** -COST_EXPONENT
+            for option in below_limit
+        ]
+        return _draw_weighted(below_limit, weights, chance)
     best = min(options, key=lambda option: option.utilization)
     if best.utilization <= max_utilization:
         return best
@@ -134,12 +141,9 @@
 
 
 def _draw_weighted(
-    options: Sequence[Admitted], failure_domain: str, chance: float
+    options: Sequence[Admitted], weights: Sequence[float], chance: float
 ) -> Admitted:
     """Returns a random option, weighted towards the lower cost."""
-    weights = [
-        _cost(option, failure_domain) ** -COST_EXPONENT for option in options
-    ]
     remaining = chance * sum(weights)
     for option, weight in zip(options, weights, strict=True):
         remaining -= weight
@@ -162,10 +166,12 @@
     )
 
 
-def _cost(option: Admitted, failure_domain: str) -> float:
+def _cost(
+    option: Admitted, failure_domain: str, other_domain_factor: float
+) -> float:
     free_share = max(1.0 - option.utilization, MIN_FREE_SHARE)
     other_domain = option.chain.first.failure_domain != failure_domain
-    factor = OTHER_DOMAIN_FACTOR if other_domain else 1.0
+    factor = other_domain_factor if other_domain else 1.0
     return (
         factor
         * max(option.chain.step_s, MIN_STEP_S)
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/link_budget.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/link_budget.py
@@ -65,6 +65,14 @@
         self._refill()
         self._bits -= bits
 
+    @property
+    def share_left(self) -> float:
+        """Share of the budget that is left; 1 if the bandwidth is unknown."""
+        self._refill()
+        if not self._capacity_bits:
+            return 1.0
+        return max(self._bits, 0.0) / self._capacity_bits
+
     @property
     def _allowed_bits_per_s(self) -> float:
         return MAX_LINK_UTILIZATION * self._bits_per_s / self._fronts
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/service_choice.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/service_choice.py
@@ -59,6 +59,7 @@
     tried: Collection[str],
     failure_domain: str,
     rng: random.Random,
+    other_domain_requests: float = OTHER_DOMAIN_REQUESTS,
 ) -> backend_server.BackendServer | None:
     """Chooses a backend server.
 
@@ -69,6 +70,7 @@
         tried: Identifiers of those that this request was sent to.
         failure_domain: Failure domain of this front.
         rng: Breaks ties.
+        other_domain_requests: Penalty for another failure domain, in requests.
 
     Returns:
         The backend server, or None if all were tried.
@@ -79,6 +81,6 @@
     def cost(server: backend_server.BackendServer) -> float:
         other_domain = server.failure_domain != failure_domain
         load = in_flight.get(server.id, 0)
-        return load + other_domain * OTHER_DOMAIN_REQUESTS + rng.random() * 0.1
+        return load + other_domain * other_domain_requests + rng.random() * 0.1
 
     return min(healthy or untried, key=cost, default=None)
