--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -10,6 +10,7 @@
 from dotterelgrade_routing import relay_encoding as relay_encoding_lib
 from dotterelgrade_routing import return_forecast
 from dotterelgrade_routing import silence_bounds
+from dotterelgrade_routing import spillover as spillover_lib
 
 DEFAULT_METRICS_PORT = 9464
 # A change of these needs a restart.
@@ -52,6 +53,7 @@
         quarantine: When requests are refused for crashes under others.
         admission: Name of the policy for requests of different urgency.
         retry_after: How the retry time of a refused request is computed.
+        spillover: When requests leave the failure domain.
     """
 
     node: str
@@ -76,6 +78,7 @@
     quarantine: str = "share"
     admission: str = "priority"
     retry_after: str = "forecast"
+    spillover: str = "adaptive"
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
@@ -85,6 +88,7 @@
         quarantine_policies.POLICIES.make(self.quarantine)
         admission_policies.POLICIES.make(self.admission)
         return_forecast.POLICIES.make(self.retry_after)
+        spillover_lib.POLICIES.make(self.spillover)
         for address in (self.callers_address, self.ready_address):
             addresses.validate(address)
         self._check_numbers()
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -16,6 +16,7 @@
 from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import retry_budget
 from dotterelgrade_routing import return_forecast
+from dotterelgrade_routing import spillover
 from dotterelgrade_routing import stall_actions
 
 # Refusals of a begun stream after which it waits before it asks again.
@@ -167,6 +168,9 @@
         self._told = None
         if not begun and beside is None and not self._call.attempts:
             self._state.refusals.note_start(self._call)
+        self._state.spillover.note_sent(
+            self._call.service.name, decision.chain.first.failure_domain
+        )
         self._repair.charge_link_budget(
             decision.chain, tokens=self._call.facts.prompt_tokens
         )
@@ -267,6 +271,61 @@
         *,
         begun: bool,
         terms: admission.Terms,
+    ) -> admission.Admitted | admission.Refused:
+        """Decides on the chains that the request may use.
+
+        If they are full, it decides on all chains at the fixed costs, unless
+        others need the links.
+        """
+        crossing = self._crossing_terms(offer, begun=begun)
+        permitted = [
+            chain
+            for chain in chains
+            if self._state.spillover.permits(
+                crossing, chain.first.failure_domain
+            )
+        ]
+        decision = self._decide_on(
+            permitted or chains,
+            offer,
+            begun=begun,
+            terms=terms,
+            crossing=crossing,
+        )
+        refused = isinstance(decision, admission.Refused)
+        if refused and len(permitted) < len(chains) and not crossing.home_only:
+            return self._decide_on(
+                chains,
+                offer,
+                begun=begun,
+                terms=terms,
+                crossing=spillover.Terms(),
+            )
+        return decision
+
+    def _crossing_terms(
+        self, offer: chain_directory.Offer, *, begun: bool
+    ) -> spillover.Terms:
+        state, call = self._state, self._call
+        return state.spillover.chain_terms(
+            call.service.name,
+            offer,
+            engine=call.service.engine,
+            may_leave=lambda: spillover.may_leave(
+                rank=call.rank or 0,
+                begun=begun,
+                link_share=state.link_budget_for(call.service).share_left,
+            ),
+        )
+
+    def _decide_on(
+        self,
+        chains: list[chain_choice.Chain],
+        offer: chain_directory.Offer,
+        *,
+        begun: bool,
+        terms: admission.Terms,
+        crossing: spillover.Terms,
     ) -> admission.Admitted | admission.Refused:
         state, call = self._state, self._call
         return admission.decide(
@@ -280,6 +339,7 @@
             begun=begun,
             held_off_s=state.notices.holdoff_left_s(call.service.name),
             terms=terms,
+            other_domain_factor=crossing.other_domain_factor,
         )
 
     def _tell_time(self, refused: admission.Refused) -> dict[str, Any]:
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -40,6 +40,7 @@
     [
         ("admission", "priority", "uniform"),
         ("retry_after", "forecast", "fixed"),
+        ("spillover", "adaptive", "fixed"),
     ],
 )
 def test_the_table_of_policies_is_optional(tmp_path, field, default, other):
@@ -72,6 +73,8 @@
         _FILE + '[routing]\nretry_after = "soon"\n',
         _FILE.replace("a_new_field = 1", "a = " + "[" * 100_000),
         _FILE + '[routing]\nadmission = "fair"',
+        _FILE + '[routing]\nspillover = "other"\n',
+        _FILE + "[routing]\nspillover = 1\n",
     ],
     ids=[
         "empty",
@@ -86,6 +89,8 @@
         "unknown policy of retry times",
         "nested",
         "unknown policy of admission",
+        "unknown policy of spillover",
+        "policy without a name",
     ],
 )
 def test_an_invalid_file_is_rejected_with_a_reason(tmp_path, text):
