--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/capacity.py
@@ -58,10 +58,11 @@
 Measured once, on a shared machine.
 
 - Admission by rank, for services with ranks alone: 103 us of processor time
-  instead of 44 us for a decision among 12 chains. A report or a snapshot grows
-  by 204 bytes for three ranks of one service, by 4.4 KB at the limit of 64 rows, four times a second. The
-  planner adds up 43 reports of three rows in 0.07 ms, 300 of 64 rows in 7.6 ms.
-  Arrivals, shares and moves of ten ranks and 350 workspaces hold 122 KB.
+  instead of 44 us for a decision among 12 chains. A report or a snapshot
+  grows by 204 bytes for three ranks of one service, by 4.4 KB at the limit of
+  64 rows, four times a second. The planner adds up 43 reports of three rows
+  in 0.07 ms, 300 of 64 rows in 7.6 ms. Arrivals, shares and moves of ten
+  ranks and 350 workspaces hold 122 KB.
 - Spillover: 19 us for the loads and 135 us for the plan, twice a second for a
   service of six chains in three failure domains (0.03 % of a core), 0.4 us for
   each request, 2.7 KB for each service, and no bytes to other processes.
