Bound what clients take up at a front

Cause: heads, pipelined requests and unread answers were charged to nobody and cost up to 20 times their bytes as objects; a field without an end was held whatever its size; a connection with unread bytes kept the processor, in chunks of one byte for seconds; clients could use up the descriptors.

Change: the parser charges heads, incomplete fields, waiting requests and bodies to the memory budget, answers are charged until the client has taken them, and what a refused request holds is dropped at once. At most 16 requests of a connection are parsed ahead. Bytes are parsed in slices of 4 KiB with a turn for others behind each; bodies that are mostly framing share a quarter of the processor time and end with their client. A body must arrive, and an answer be read, at 1,024 bytes/s (over 5 s and 10 s of waiting). Kernel buffers are 64 KiB each way. 64 descriptors are reserved: above them an idle connection is closed for a new one, then an incomplete head, then an incomplete body, at an address with over half of the connections first. The limits are settings (`[clients]`), with the counter `front_limited_clients` and at most one line a second for each.

Two tests of the parser count heads now, as they are charged; the memory they leave for bodies is the same as before.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 import contextlib
+import errno
 import http
 import select
 import time
@@ -13,14 +14,20 @@
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
 from dotterelgrade import memory_budget
+from dotterelgrade_front import client_bounds
+from dotterelgrade_front import client_notices
+from dotterelgrade_front import connection_guard
+from dotterelgrade_front import processor_share
 from dotterelgrade_front import request_parser
+from dotterelgrade_front import transfer_rate
 from dotterelgrade_routing import configuration
 
 # A patched one would switch greenlets, which callbacks of the loop must not.
 _poll = monkey.get_original("select", "poll")
-_RECEIVE_BYTES = 65_536
 # Limit for a caller that takes nothing of a response.
 _SEND_TIMEOUT_S = 10.0
+# A send that takes less has not waited for the caller.
+_MIN_SEND_WAIT_S = 0.001
 _MS_PER_S = 1000
 # How soon a close behind a pipelined request is noticed.
 _CLOSE_POLL_S = 0.2
@@ -69,15 +76,24 @@
         *,
         limits: Callable[[], configuration.ClientLimits],
         account: memory_budget.Account,
+        bounds: client_bounds.ClientBounds | None = None,
+        tiny_chunks: processor_share.ProcessorShare | None = None,
+        notices: client_notices.ClientNotices | None = None,
+        address: str = "",
     ) -> None:
         """Initializes the connection.
 
         Args:
             sock: A connected socket; the creator closes it.
             limits: Returns the size and time limits in force.
-            account: Is charged for the bodies of requests; the creator closes
-                it.
+            account: Is charged for the requests; the creator closes it.
+            bounds: What the caller may take up.
+            tiny_chunks: Time for bodies that are mostly framing, shared by all
+                connections.
+            notices: Takes what the bounds did.
+            address: IP address of the caller.
         """
+        bounds = bounds or client_bounds.ClientBounds()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         http_connection.enable_keepalive(sock)
         # A caller may be slower to read than our own processes and servers.
@@ -87,8 +103,30 @@
             int(_SEND_TIMEOUT_S * _MS_PER_S),
         )
         self._sock = sock
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, bounds.receive_buffer_bytes
+        )
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, bounds.send_buffer_bytes
+        )
         self._limits = limits
-        self._parser = request_parser.RequestParser(limits, account=account)
+        self._bounds = bounds
+        self._tiny_chunks = tiny_chunks or processor_share.ProcessorShare(
+            bounds.tiny_chunk_share
+        )
+        self._notices = notices
+        self._address = address
+        self._parser = request_parser.RequestParser(
+            limits, account=account, most_requests=bounds.pipelined_requests
+        )
+        # Received bytes behind the requests that may wait.
+        self._unparsed = b""
+        self._body_rate: transfer_rate.TransferRate | None = None
+        self._answer_rate = transfer_rate.TransferRate(
+            bytes_per_s=bounds.answer_bytes_per_s,
+            window_s=bounds.answer_window_s,
+        )
+        self._unsent = account.beside()
         self._bad_request: request_parser.BadRequestError | None = None
         self._serving: gevent.Greenlet | None = None
         self._interrupted = False
@@ -101,6 +139,32 @@
         """Shows the number of queued requests."""
         return f"<ClientConnection {len(self._parser.requests)} waiting>"
 
+    @property
+    def address(self) -> str:
+        """IP address of the caller."""
+        return self._address
+
+    @property
+    def active_at(self) -> float:
+        """Monotonic time of the last answer or of the first bytes, s."""
+        return self._active_at
+
+    @property
+    def phase(self) -> connection_guard.Phase:
+        """What the connection is at."""
+        if self._serving is not None or self._parser.requests:
+            return connection_guard.Phase.SERVING
+        if self._parser.reading_body:
+            return connection_guard.Phase.BODY
+        if self._parser.started:
+            return connection_guard.Phase.HEAD
+        return connection_guard.Phase.IDLE
+
+    @property
+    def is_shut_down(self) -> bool:
+        """Whether this side has ended the connection."""
+        return self._shut_down
+
     @property
     def requests_read(self) -> int:
         """Number of complete requests read from the connection."""
@@ -142,10 +206,16 @@
         parser = self._parser
         if self._serving is not None or parser.started or parser.requests:
             return
+        if self._unparsed:
+            return
         if time.monotonic() - self._active_at < for_s:
             return
         if self._has_unread_bytes():
             return
+        self.shut_down()
+
+    def shut_down(self) -> None:
+        """Ends the connection at once; its greenlet closes it."""
         self._shut_down = True
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
@@ -163,16 +233,20 @@
         """
         parser = self._parser
         parser.release_taken()
+        if parser.requests or self._unparsed:
+            # Pipelined requests take turns with other connections.
+            gevent.sleep(0)
         timeout = self._start_timeout()
         while not parser.requests:
             if self._bad_request is not None:
                 raise self._bad_request
             was_started = parser.started
-            data = self._receive_in_time(timeout)
+            data = self._unparsed or self._receive_in_time(timeout)
             if self._shut_down or not data:
                 # Bytes that race with the shutdown count as never read.
                 return None
-            self._feed(data)
+            if not self._parse_in_turn(data):
+                return None
             if parser.reading_body or parser.started != was_started:
                 # The time for a body is limited between two pieces of it.
                 timeout = self._start_timeout()
@@ -185,16 +259,43 @@
 
         Raises:
             CallerDisconnectedError: The connection broke, or the caller took
-                nothing for too long.
+                too little for too long.
         """
-        self._sock.settimeout(_SEND_TIMEOUT_S)
         self._response_bytes += len(data)
         unsent = memoryview(data)
         try:
             while unsent:
-                unsent = unsent[self._sock.send(unsent) :]
+                # What is ready is delivered, whatever room there is.
+                self._unsent.hold(len(unsent))
+                unsent = unsent[self._send_some(unsent) :]
         except OSError as error:
             raise CallerDisconnectedError(str(error)) from error
+        finally:
+            self._unsent.close()
+
+    def _send_some(self, data: memoryview) -> int:
+        """Returns how many bytes were sent.
+
+        Raises:
+            CallerDisconnectedError: The caller reads too slowly.
+            OSError: The connection broke.
+        """
+        rate = self._answer_rate
+        began_at = time.monotonic()
+        self._sock.settimeout(min(_SEND_TIMEOUT_S, rate.left_s))
+        try:
+            sent = self._sock.send(data)
+        except TimeoutError as error:
+            if error.errno == errno.ETIMEDOUT:
+                raise
+            sent = 0
+        waited_s = time.monotonic() - began_at
+        if waited_s >= _MIN_SEND_WAIT_S:
+            rate.add(sent, waited_s=waited_s)
+        if rate.too_slow:
+            self._notify(client_notices.Reason.SLOW_READER)
+            raise CallerDisconnectedError("the answer is read too slowly")
+        return sent
 
     def end_responses(self) -> None:
         """Ends the connection such that the last response arrives whole.
@@ -206,7 +307,8 @@
             self._sock.shutdown(socket.SHUT_WR)
         deadline = time.monotonic() + _LINGER_S
         while time.monotonic() < deadline and self._receive(deadline):
-            pass
+            # A caller that goes on sending must not keep the processor.
+            gevent.sleep(0)
 
     def raise_if_disconnected(self) -> None:
         """Raises CallerDisconnectedError if the caller has closed already.
@@ -257,7 +359,7 @@
         timeout_s = self._sock.gettimeout()
         self._sock.settimeout(0.0)
         try:
-            return self._sock.recv(_RECEIVE_BYTES, socket.MSG_PEEK)
+            return self._sock.recv(1, socket.MSG_PEEK)
         finally:
             self._sock.settimeout(timeout_s)
 
@@ -285,9 +387,21 @@
 
         Raises:
             request_parser.BadRequestError: A request is incomplete at its
-                timeout.
+                timeout, or its body arrives too slowly.
         """
-        while (data := self._receive(timeout.deadline)) is None:
+        rate = self._current_body_rate()
+        while True:
+            began_at = time.monotonic()
+            deadline = timeout.deadline
+            if rate is not None:
+                deadline = min(deadline, began_at + rate.left_s)
+            data = self._receive(deadline)
+            if rate is not None:
+                waited_s = time.monotonic() - began_at
+                rate.add(len(data or b""), waited_s=waited_s)
+                self._check_body_rate(rate)
+            if data is not None:
+                return data
             if time.monotonic() < timeout.deadline:
                 # A newer configuration grants more time.
                 continue
@@ -296,22 +410,71 @@
                     http.HTTPStatus.REQUEST_TIMEOUT
                 )
             return b""
-        return data
+
+    def _current_body_rate(self) -> transfer_rate.TransferRate | None:
+        """Returns the rate of the body that is read, if any."""
+        if not self._parser.reading_body:
+            self._body_rate = None
+        elif self._body_rate is None:
+            self._body_rate = transfer_rate.TransferRate(
+                bytes_per_s=self._bounds.body_bytes_per_s,
+                window_s=self._bounds.body_window_s,
+            )
+        return self._body_rate
+
+    def _check_body_rate(self, rate: transfer_rate.TransferRate) -> None:
+        if rate.too_slow:
+            self._notify(client_notices.Reason.SLOW_BODY)
+            raise request_parser.BadRequestError(
+                http.HTTPStatus.REQUEST_TIMEOUT
+            )
 
     def _receive(self, deadline: float) -> bytes | None:
         """Returns received bytes, empty at the end, None at the deadline."""
         try:
-            return http_connection.receive(self._sock, deadline=deadline)
+            return http_connection.receive(
+                self._sock,
+                deadline=deadline,
+                most_bytes=self._bounds.slice_bytes,
+            )
         except TimeoutError:
             return None
         except OSError:
             return b""
 
+    def _parse_in_turn(self, data: bytes) -> bool:
+        """Parses received bytes; returns whether the caller is still there.
+
+        Other connections get a turn after each slice. Bodies that are mostly
+        framing share a part of the time, and their rest waits in the kernel.
+        """
+        if not self._parser.framing_heavy:
+            self._feed(data)
+            if not self._parser.requests:
+                gevent.sleep(0)
+            return True
+        self._notify(client_notices.Reason.TINY_CHUNKS)
+        with self._tiny_chunks.turn():
+            if self._shut_down or self._is_closed_by_caller():
+                return False
+            self._feed(data)
+        return True
+
     def _feed(self, data: bytes) -> None:
+        self._unparsed = b""
         try:
-            self._parser.feed(data)
+            self._unparsed = self._parser.feed(data)
         except request_parser.BadRequestError as error:
             # Complete requests before these bytes are served first.
             self._bad_request = error
+            if self._parser.framing_too_large:
+                self._notify(client_notices.Reason.FRAMING)
+            self._parser.discard()
+        if self._unparsed:
+            self._notify(client_notices.Reason.PIPELINED)
         if self._parser.take_expect_continue():
             self.write(_CONTINUE)
+
+    def _notify(self, reason: client_notices.Reason) -> None:
+        if self._notices is not None:
+            self._notices.record(reason, address=self._address)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -40,6 +40,9 @@
 _LOG = logging.getLogger(__name__)
 
 _LISTEN_BACKLOG = 512
+# Fewer than the descriptors that are reserved: a connection above the limit is
+# decided on before many more are accepted.
+_ACCEPTED_AT_ONCE = 16
 # The load balancer notices a leaving front within two checks a second apart.
 _DEREGISTRATION_WAIT_S = 2.6
 # Requests still in flight this long before SIGKILL are aborted.
@@ -113,6 +116,7 @@
             self._handler.serve_connection,
             backlog=_LISTEN_BACKLOG if isinstance(listener, tuple) else None,
         )
+        self._caller_server.max_accept = _ACCEPTED_AT_ONCE
 
     def __repr__(self) -> str:
         """Shows the host."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -40,6 +40,14 @@
             "front_oversized_responses",
             "Responses of backend servers above the size limit.",
         )
+        self._limited_clients = self._metrics.counter(
+            "front_limited_clients",
+            "Clients that reached a limit on what they take up, by limit.",
+            ("limit",),
+        )
+        self._connections = self._metrics.gauge(
+            "front_client_connections", "Open connections of clients."
+        )
         self._in_flight = self._metrics.gauge(
             "front_requests_in_flight", "Requests that are worked on."
         )
@@ -97,10 +105,18 @@
         """Counts a response above the size limit."""
         self._oversized.inc()
 
+    def count_limited_client(self, limit: str) -> None:
+        """Counts a client that reached a limit on what it takes up."""
+        self._limited_clients.labels(limit).inc()
+
     def set_quarantined(self, fingerprints: int) -> None:
         """Sets the number of fingerprints in quarantine."""
         self._quarantined.set(fingerprints)
 
+    def set_connections(self, connections: int) -> None:
+        """Sets the number of open connections of clients."""
+        self._connections.set(connections)
+
     def set_in_flight(self, requests: int) -> None:
         """Sets the number of requests in flight."""
         self._in_flight.set(requests)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -4,6 +4,7 @@
 
 from dotterelgrade import addresses
 from dotterelgrade import quarantine_policies
+from dotterelgrade_front import client_bounds
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
 from dotterelgrade_routing import relay_encoding as relay_encoding_lib
@@ -48,6 +49,7 @@
         silence_bound: How long a queried stage may stay silent.
         relay_encoding: How the planner encodes records for the other fronts.
         quarantine: When requests are refused for crashes under others.
+        clients: What clients may take up.
     """
 
     node: str
@@ -70,6 +72,7 @@
     silence_bound: str = "observed"
     relay_encoding: str = "delta"
     quarantine: str = "share"
+    clients: client_bounds.ClientBounds = client_bounds.ClientBounds()
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -11,9 +11,12 @@
 from dotterelgrade import http_message
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
+from dotterelgrade_front import client_notices
+from dotterelgrade_front import connection_guard
 from dotterelgrade_front import front_state
 from dotterelgrade_front import model_stream
 from dotterelgrade_front import plain_call
+from dotterelgrade_front import processor_share
 from dotterelgrade_front import request_parser
 from dotterelgrade_front import request_quarantine
 from dotterelgrade_front import responses
@@ -60,6 +63,12 @@
         self._plain = plain_call.PlainCalls(state)
         self._detector = stall_detector.StallDetector(state)
         self._connections: set[client_connection.ClientConnection] = set()
+        self._tiny_chunks = processor_share.ProcessorShare(
+            state.settings.clients.tiny_chunk_share
+        )
+        self._notices = client_notices.ClientNotices(
+            decisions=state.decisions, metrics=state.metrics
+        )
         self._in_flight = 0
 
     def __repr__(self) -> str:
@@ -96,26 +105,86 @@
             client.interrupt()
         return bool(unanswered)
 
-    def serve_connection(self, sock: socket.socket, _address: object) -> None:
+    def serve_connection(
+        self, sock: socket.socket, address: tuple[str, int]
+    ) -> None:
         """Serves a connection until it closes.
 
         Args:
             sock: The connected socket.
-            _address: The caller's address.
+            address: The caller's address.
         """
         try:
             with self._state.memory.open() as account:
                 client = client_connection.ClientConnection(
-                    sock, limits=self._current_limits, account=account
+                    sock,
+                    limits=self._current_limits,
+                    account=account,
+                    bounds=self._state.settings.clients,
+                    tiny_chunks=self._tiny_chunks,
+                    notices=self._notices,
+                    address=address[0],
                 )
-                self._serve_requests(client)
+                if self._make_room(client, descriptor=sock.fileno()):
+                    self._serve_requests(client)
         finally:
             sock.close()
 
+    def _make_room(
+        self, newcomer: client_connection.ClientConnection, *, descriptor: int
+    ) -> bool:
+        """Closes another connection if descriptors run out.
+
+        Args:
+            newcomer: The new connection.
+            descriptor: Its descriptor. The lowest free one is taken, so that
+                at least as many are open.
+
+        Returns:
+            Whether the new connection may stay.
+        """
+        settings = self._state.settings
+        reserved = settings.clients.reserved_descriptors
+        if descriptor < settings.most_connections - reserved:
+            return True
+        victim = connection_guard.choose(
+            [c for c in self._connections if not c.is_shut_down],
+            newcomer=newcomer.address,
+            address_share=settings.clients.address_share,
+        )
+        reason = client_notices.Reason.EVICTED
+        if victim is None:
+            reason = client_notices.Reason.REFUSED
+        limited = victim or newcomer
+        self._notices.record(
+            reason,
+            address=limited.address,
+            phase=limited.phase.name.lower(),
+            connections=len(self._connections),
+        )
+        if victim is not None:
+            victim.shut_down()
+            return True
+        self._refuse_connection(newcomer)
+        return False
+
+    def _refuse_connection(
+        self, client: client_connection.ClientConnection
+    ) -> None:
+        """Answers that nothing of this connection has run."""
+        error = errors.Error(
+            kind=errors.ErrorKind.NO_MEMORY,
+            message="too many connections",
+            retry_after_s=call_lib.DEFAULT_RETRY_AFTER_S,
+        )
+        with contextlib.suppress(client_connection.CallerDisconnectedError):
+            responses.send_error(client, error, request_id="", close=True)
+
     def _serve_requests(
         self, client: client_connection.ClientConnection
     ) -> None:
         self._connections.add(client)
+        self._state.metrics.set_connections(len(self._connections))
         try:
             while self._serve_next(client):
                 pass
@@ -130,6 +199,7 @@
             self._answer_connection_fault(client)
         finally:
             self._connections.discard(client)
+            self._state.metrics.set_connections(len(self._connections))
 
     def _current_limits(self) -> configuration.ClientLimits:
         current = self._state.configuration
--- a/packages/dotterelgrade-front/tests/test_client_connection.py
+++ b/packages/dotterelgrade-front/tests/test_client_connection.py
@@ -1,3 +1,4 @@
+import contextlib
 import dataclasses
 import re
 import subprocess
@@ -10,6 +11,7 @@
 import pytest
 
 from dotterelgrade import http_connection
+from dotterelgrade_front import client_bounds
 from dotterelgrade_front import client_connection
 
 # Well below the timeout of the routes.
@@ -390,6 +392,70 @@
         assert fakes.read_response(sock)[0] == 200
 
 
+@pytest.fixture
+def strict_front(settings, platform):
+    """Wants a body and an answer to move on within a part of a second."""
+    bounds = client_bounds.ClientBounds(
+        body_window_s=0.4, answer_window_s=0.4, send_buffer_bytes=4_096
+    )
+    settings = dataclasses.replace(settings, clients=bounds)
+    running = fakes.FrontUnderTest(settings, platform)
+    yield running
+    running.stop()
+
+
+def test_a_body_that_trickles_is_refused_and_not_run(strict_front):
+    """A byte now and then renewed the timeout without end."""
+    backend = strict_front.add("s", fakes.responding())
+    with strict_front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\n"
+            b"key: secret\r\ncontent-length: 4000\r\n\r\n"
+        )
+        with contextlib.suppress(OSError):
+            for _ in range(30):
+                sock.sendall(b"x")
+                gevent.sleep(0.05)
+        assert fakes.read_response(sock)[0] == 408
+    assert not backend.arrivals
+
+
+def test_an_answer_that_is_not_read_ends_its_connection(strict_front):
+    strict_front.add("s", fakes.responding(b"x" * 200_000))
+    sock = socket.socket()
+    with sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.connect(strict_front.connect().getpeername())
+        strict_front.send("/safe/x", sock=sock)
+        fakes.until(lambda: strict_front.handler.requests_in_flight)
+        fakes.until(lambda: not strict_front.handler.requests_in_flight)
+    assert b'limit="slow_reader"' in strict_front.state.metrics.as_text()
+    assert strict_front.state.memory.used_bytes == 0
+
+
+def test_parsing_ends_when_the_caller_of_tiny_chunks_leaves(front):
+    """The rest of what had arrived was parsed for nobody."""
+    backend = front.add("s", fakes.responding())
+    _set_limits(front, body_bytes=10**6)
+    with front.connect() as sock:
+        sock.sendall(
+            b"POST /safe/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n"
+            b"transfer-encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 5_000
+        )
+    fakes.until(lambda: not front.handler.connections)
+    assert not backend.arrivals
+
+
+def test_pipelined_requests_beyond_the_limit_are_answered_in_turn(front):
+    front.add("s", fakes.responding())
+    with front.connect() as sock:
+        one = b"GET /safe/x HTTP/1.1\r\nhost: shop.example\r\nkey: secret\r\n"
+        sock.sendall((one + b"request-id: r\r\n\r\n") * 60)
+        data = b""
+        while data.count(b"HTTP/1.1 200") < 60:
+            data += sock.recv(65536)
+
+
 _PATCHED = """
 from gevent import monkey
 monkey.patch_all()
--- a/packages/dotterelgrade-front/tests/test_request_parser.py
+++ b/packages/dotterelgrade-front/tests/test_request_parser.py
@@ -8,17 +8,32 @@
 _OFFER = b"connection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
 
 
+# Target and two fields of a request with a body.
+_HEAD_COST = len("/xhostacontent-length50") + 2 * request_parser.FIELD_BYTES
+_LIMITS = configuration.ClientLimits(header_bytes=500, body_bytes=50)
+
+
 @pytest.fixture
 def memory():
-    """Owns nothing for each account; all share 60 bytes."""
-    return memory_budget.MemoryBudget(capacity_bytes=120, accounts=10**6)
+    """Owns nothing for each account; all share two heads and 60 bytes."""
+    shared = 2 * _HEAD_COST + 60
+    return memory_budget.MemoryBudget(capacity_bytes=2 * shared, accounts=10**6)
 
 
 @pytest.fixture
-def parser(memory):
-    limits = configuration.ClientLimits(header_bytes=500, body_bytes=50)
+def parser():
     return request_parser.RequestParser(
-        lambda: limits, account=memory_budget.Account(memory)
+        lambda: _LIMITS, account=memory_budget.unlimited()
+    )
+
+
+@pytest.fixture
+def make_parser(memory):
+    """Makes parsers that share the memory."""
+    return lambda: request_parser.RequestParser(
+        lambda: _LIMITS,
+        account=memory_budget.Account(memory),
+        most_requests=16,
     )
 
 
@@ -107,22 +122,62 @@
         parser.feed(b"0\r\nfiller: " + b"x" * 600 + b"\r\n\r\n")
 
 
-def test_bodies_of_callers_share_the_memory(parser, memory):
+def test_bodies_of_callers_share_the_memory(make_parser):
     """Each was held up to the limit, at any number of connections."""
-    limits = configuration.ClientLimits(header_bytes=500, body_bytes=50)
-    other = request_parser.RequestParser(
-        lambda: limits, account=memory_budget.Account(memory)
-    )
-    parser.feed(_request(body=b"x" * 50)[:-1])
+    make_parser().feed(_request(body=b"x" * 50)[:-1])
     with pytest.raises(request_parser.BadRequestError) as refused:
-        other.feed(_request(body=b"x" * 50))
+        make_parser().feed(_request(body=b"x" * 50))
     assert refused.value.status == 503
 
 
-def test_a_body_is_charged_until_its_request_has_ended(parser, memory):
+def test_a_request_is_charged_until_it_has_ended(make_parser, memory):
+    parser = make_parser()
     parser.feed(_request(body=b"x" * 20) + _request(body=b"x" * 30))
-    assert memory.used_bytes == pytest.approx(50, abs=0.1)
+    both = pytest.approx(2 * _HEAD_COST + 50, abs=0.1)
+    assert memory.used_bytes == both
     parser.requests.popleft()
-    assert memory.used_bytes == pytest.approx(50, abs=0.1)
+    assert memory.used_bytes == both
     parser.release_taken()
-    assert memory.used_bytes == pytest.approx(30, abs=0.1)
+    assert memory.used_bytes == pytest.approx(_HEAD_COST + 30, abs=0.1)
+
+
+def test_fields_of_an_open_head_are_charged_as_objects(make_parser):
+    """Heads of thousands of short fields took 20 times their bytes (LOST)."""
+    with pytest.raises(request_parser.BadRequestError) as refused:
+        make_parser().feed(b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 10)
+    assert refused.value.status == 503
+
+
+@pytest.mark.parametrize("tail", [b"", b"content-length: 9\r\n"])
+def test_pipelined_requests_beyond_the_limit_stay_unparsed(tail):
+    parser = request_parser.RequestParser(
+        lambda: _LIMITS, account=memory_budget.unlimited(), most_requests=16
+    )
+    body = b"HTTP/1.1\n" if tail else b""
+    rest = (b"GET /x HTTP/1.1\r\n" + _HOST + tail + b"\r\n" + body) * 100
+    taken = 0
+    while rest:
+        rest = parser.feed(rest)
+        assert 0 < len(parser.requests) <= 16
+        taken += len(parser.requests)
+        parser.requests.clear()
+        parser.release_taken()
+    assert taken == 100
+
+
+def test_chunk_extensions_have_an_end(parser):
+    """They count for no limit of the body, and kept the processor busy."""
+    parser.feed(_request(rows=b"transfer-encoding: chunked\r\n"))
+    with pytest.raises(request_parser.BadRequestError) as refused:
+        for piece in (b"1;", *[b"x" * 100] * 10):
+            parser.feed(piece)
+    assert refused.value.status == 413
+
+
+def test_chunks_of_one_byte_are_read_whole(parser):
+    data = _request(rows=b"transfer-encoding: chunked\r\n")
+    parser.feed(data)
+    parser.feed(b"1\r\nx\r\n" * 30)
+    assert parser.framing_heavy
+    parser.feed(b"1\r\nx\r\n" * 20 + b"0\r\n\r\n")
+    assert parser.requests[0].body == b"x" * 50
--- a/packages/dotterelgrade/src/dotterelgrade/http_connection.py
+++ b/packages/dotterelgrade/src/dotterelgrade/http_connection.py
@@ -349,12 +349,15 @@
     return HttpConnection(sock, address=address)
 
 
-def receive(sock: socket.socket, *, deadline: float) -> bytes:
+def receive(
+    sock: socket.socket, *, deadline: float, most_bytes: int = _RECEIVE_BYTES
+) -> bytes:
     """Returns received bytes, empty at the end of the stream.
 
     Args:
         sock: A connected socket.
         deadline: Monotonic time at which to give up, s.
+        most_bytes: Most bytes to return.
 
     Raises:
         TimeoutError: Nothing had arrived at the deadline.
@@ -363,20 +366,22 @@
     """
     timeout_s = max(deadline - time.monotonic(), _MIN_SOCKET_TIMEOUT_S)
     try:
-        return _receive_once(sock, timeout_s=timeout_s)
+        return _receive_once(sock, timeout_s=timeout_s, most_bytes=most_bytes)
     except TimeoutError:
         # A busy event loop may run the timer before it reports the bytes.
         pass
     try:
-        return _receive_once(sock, timeout_s=0.0)
+        return _receive_once(sock, timeout_s=0.0, most_bytes=most_bytes)
     except BlockingIOError as error:
         raise TimeoutError("nothing received") from error
 
 
-def _receive_once(sock: socket.socket, *, timeout_s: float) -> bytes:
+def _receive_once(
+    sock: socket.socket, *, timeout_s: float, most_bytes: int
+) -> bytes:
     sock.settimeout(timeout_s)
     try:
-        return sock.recv(_RECEIVE_BYTES)
+        return sock.recv(most_bytes)
     except TimeoutError as error:
         if error.errno == errno.ETIMEDOUT:
             # The socket's error is cleared now: another read would report the
--- a/packages/dotterelgrade/src/dotterelgrade/memory_budget.py
+++ b/packages/dotterelgrade/src/dotterelgrade/memory_budget.py
@@ -47,6 +47,19 @@
         self._held_bytes = held_bytes
         return True
 
+    def hold(self, held_bytes: int) -> None:
+        """Charges for bytes that are held whether or not there is room.
+
+        Args:
+            held_bytes: Bytes that are held.
+        """
+        self._budget.move(self._held_bytes, held_bytes, forced=True)
+        self._held_bytes = held_bytes
+
+    def beside(self) -> "Account":
+        """Returns an empty account of the same budget."""
+        return Account(self._budget)
+
     def close(self) -> None:
         """Releases everything."""
         self.resize(0)
@@ -93,18 +106,22 @@
         finally:
             account.close()
 
-    def move(self, from_bytes: int, to_bytes: int) -> bool:
+    def move(
+        self, from_bytes: int, to_bytes: int, *, forced: bool = False
+    ) -> bool:
         """Charges an account for another number of bytes.
 
         Args:
             from_bytes: Bytes that it was charged for.
             to_bytes: Bytes that it will hold.
+            forced: Whether to charge it without room for them, too.
 
         Returns:
             False if the shared part has no room for them.
         """
         added = self._beyond_free(to_bytes) - self._beyond_free(from_bytes)
-        if added > 0 and self._used_bytes + added > self._shared_bytes:
+        full = self._used_bytes + added > self._shared_bytes
+        if added > 0 and full and not forced:
             return False
         self._used_bytes += added
         return True
