Fuzz the parser with slices, pipelining and endless fields

Requests cut into slices of any size and parsed at most 16 ahead must equal those parsed whole, and what is charged must stay near the limits and return to zero.

--- a/packages/dotterelgrade-front/tests/test_request_parser.py
+++ b/packages/dotterelgrade-front/tests/test_request_parser.py
@@ -1,3 +1,5 @@
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from dotterelgrade import memory_budget
@@ -181,3 +183,104 @@
     assert parser.framing_heavy
     parser.feed(b"1\r\nx\r\n" * 20 + b"0\r\n\r\n")
     assert parser.requests[0].body == b"x" * 50
+
+
+_fields = strategies.integers(0, 12).map(lambda n: b"a: b\r\n" * n)
+_bodies = strategies.binary(max_size=50)
+
+
+def _with_length(rows, body):
+    return _request(rows=rows, body=body)
+
+
+def _in_chunks(rows, body):
+    chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+    head = _request(rows=rows + b"transfer-encoding: chunked\r\n")
+    return head + chunks + b"0\r\n\r\n"
+
+
+@hypothesis.settings(deadline=None, derandomize=True, database=None)
+@hypothesis.given(
+    requests=strategies.lists(
+        strategies.builds(_with_length, _fields, _bodies)
+        | strategies.builds(_in_chunks, _fields, _bodies),
+        max_size=40,
+    ),
+    size=strategies.integers(1, 4_096),
+    cut=strategies.integers(0, 20),
+)
+def test_slices_and_pipelining_change_no_request(requests, size, cut):
+    """Also with the last one incomplete, nothing stays charged at the end."""
+    data = b"".join(requests)
+    data = data[: len(data) - cut]
+    budget = memory_budget.MemoryBudget(capacity_bytes=10**9, accounts=10**9)
+    whole = request_parser.RequestParser(
+        lambda: _LIMITS, account=memory_budget.unlimited()
+    )
+    assert whole.feed(data) == b""
+    account = memory_budget.Account(budget)
+    sliced = request_parser.RequestParser(
+        lambda: _LIMITS, account=account, most_requests=16
+    )
+    taken = []
+    for start in range(0, len(data), size):
+        rest = data[start : start + size]
+        while rest:
+            rest = sliced.feed(rest)
+            assert len(sliced.requests) <= 16
+            assert account.held_bytes >= sum(
+                len(r.body) + request_parser.FIELD_BYTES * len(r.headers)
+                for r in sliced.requests
+            )
+            if rest:
+                taken += sliced.requests
+                sliced.requests.clear()
+                sliced.release_taken()
+    taken += sliced.requests
+    assert taken == list(whole.requests)
+    assert sliced.started == whole.started
+    sliced.requests.clear()
+    sliced.release_taken()
+    sliced.discard()
+    assert account.held_bytes == 0
+
+
+@hypothesis.settings(deadline=None, derandomize=True, database=None)
+@hypothesis.given(
+    pieces=strategies.lists(
+        strategies.sampled_from(
+            [
+                b"GET / HTTP/1.1\r\n",
+                _HOST,
+                b"a: b\r\n",
+                b"\r\n",
+                b"transfer-encoding: chunked\r\n\r\n",
+                b"content-length: 9\r\n\r\n",
+                b"1;" + b"x" * 300,
+                b"1\r\nx\r\n",
+                b"a: " + b"x" * 300,
+                b"0\r\n",
+            ]
+        )
+        | strategies.binary(max_size=20),
+        max_size=60,
+    )
+)
+def test_what_is_charged_stays_near_the_limits_whatever_arrives(pieces):
+    account = memory_budget.unlimited()
+    parser = request_parser.RequestParser(
+        lambda: _LIMITS, account=account, most_requests=16
+    )
+    most_each = 500 * (request_parser.FIELD_BYTES + 1) + 500 + 64 + 50
+    try:
+        for piece in pieces:
+            rest = parser.feed(piece)
+            assert account.held_bytes <= 17 * most_each
+            assert not rest or len(parser.requests) >= 15
+            if rest:
+                return
+    except request_parser.BadRequestError:
+        parser.requests.clear()
+        parser.release_taken()
+        parser.discard()
+        assert account.held_bytes == 0
