Merge the limits on clients at a front

No limit on the number of fields or the size of chunks: a single such request is served. Tests of the client connection, the parser, the handler, the adapter, the operators' pages and of misbehaving clients pass.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -60,6 +60,14 @@
             "Share of the requests that is offered to other failure domains.",
             ("service",),
         )
+        self._limited_clients = self._metrics.counter(
+            "front_limited_clients",
+            "Clients that reached a limit on what they take up, by limit.",
+            ("limit",),
+        )
+        self._connections = self._metrics.gauge(
+            "front_client_connections", "Open connections of clients."
+        )
         self._in_flight = self._metrics.gauge(
             "front_requests_in_flight", "Requests that are worked on."
         )
@@ -141,10 +149,18 @@
         """Sets the share of a service's requests that leaves the domain."""
         self._spillover_fraction.labels(service).set(fraction)
 
+    def count_limited_client(self, limit: str) -> None:
+        """Counts a client that reached a limit on what it takes up."""
+        self._limited_clients.labels(limit).inc()
+
     def set_quarantined(self, fingerprints: int) -> None:
         """Sets the number of fingerprints in quarantine."""
         self._quarantined.set(fingerprints)
 
+    def set_connections(self, connections: int) -> None:
+        """Sets the number of open connections of clients."""
+        self._connections.set(connections)
+
     def set_in_flight(self, requests: int) -> None:
         """Sets the number of requests in flight."""
         self._in_flight.set(requests)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -4,6 +4,7 @@
 
 from dotterelgrade import addresses
 from dotterelgrade import quarantine_policies
+from dotterelgrade_front import client_bounds
 from dotterelgrade_routing import admission_policies
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
@@ -54,6 +55,7 @@
         admission: Name of the policy for requests of different urgency.
         retry_after: How the retry time of a refused request is computed.
         spillover: When requests leave the failure domain.
+        clients: What clients may take up.
     """
 
     node: str
@@ -79,6 +81,7 @@
     admission: str = "priority"
     retry_after: str = "forecast"
     spillover: str = "adaptive"
+    clients: client_bounds.ClientBounds = client_bounds.ClientBounds()
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
