Expect outages of the store to last longer when a retry time is told

Fronts that restarted while the store was unavailable told 0.7 to 1.6 s from their own start; callers came back before the store did, were refused again and lost.

Cause: the wait equalled the outage so far, within which half of the outages end, and a restarted front knows only the part since its start.

Ruled out: to guess when the outage began; a front without a configuration knows no other front.

Change: four times the outage so far, within a third of the caller's time as before.

--- a/packages/dotterelgrade-front/tests/test_refusal_times.py
+++ b/packages/dotterelgrade-front/tests/test_refusal_times.py
@@ -6,6 +6,7 @@
 import stream_fakes as streams
 
 from dotterelgrade_front import front_state
+from dotterelgrade_routing import return_forecast
 from dotterelgrade_routing import return_schedule
 
 
@@ -30,20 +31,21 @@
 
 
 @pytest.mark.parametrize(
-    ("policy", "expected"), [("forecast", 3.3), ("fixed", 0.5)]
+    ("policy", "factor", "rest_s"),
+    [("forecast", return_forecast.OUTAGE_FACTOR, 0.3), ("fixed", 0.0, 0.5)],
 )
 def test_a_request_without_configuration_returns_after_the_outage(
-    front, policy, expected
+    front, policy, factor, rest_s
 ):
     """All were told half a second, were refused again, and lost."""
     _use(front, policy)
     _begin_outage(front, 3.0)
-    told = _retry_after(front, patience_ms=20_000)
-    assert expected <= told < expected + 1.0
+    told = _retry_after(front, patience_ms=60_000)
     row = streams.decisions(front, "request_rejected")[-1].details
     assert row["retry_after_s"] == told
-    assert row["outage_s"] >= 3.0
-    assert 19.0 < row["left_s"] <= 20.0
+    assert 3.0 <= row["outage_s"] < 4.0
+    assert told == pytest.approx(factor * row["outage_s"] + rest_s, abs=0.1)
+    assert 59.0 < row["left_s"] <= 60.0
     assert (row["rank"], row["expected_returns"]) == (0, 0)
 
 
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/return_forecast.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/return_forecast.py
@@ -21,6 +21,9 @@
 MIN_RETRY_AFTER_S = 0.05
 # Time to read the configuration from a store that answers again.
 READ_S = 0.3
+# If half of the outages that have lasted a time t end within t, four fifths end
+# within 4 t. Most callers retry once: a second refusal is worse than a wait.
+OUTAGE_FACTOR = 4.0
 # A caller follows a retry time up to a third of its remaining time, which the
 # way of the answer shortens.
 FOLLOWED_SHARE = 0.32
@@ -172,11 +175,12 @@
 
 
 def _estimate_configuration(refusal: Refusal, missing_s: float) -> _Estimate:
-    """An outage that has lasted a time lasts about as long again."""
+    """An outage that has lasted longer is likely to last longer."""
     del missing_s
     if not refusal.outage_s:
         return _Estimate(seconds=refusal.usual_s, earliest_s=0.0)
-    return _Estimate(seconds=refusal.outage_s + READ_S, earliest_s=READ_S)
+    left_s = refusal.outage_s * OUTAGE_FACTOR
+    return _Estimate(seconds=left_s + READ_S, earliest_s=READ_S)
 
 
 def _estimate_chain(refusal: Refusal, missing_s: float) -> _Estimate:
--- a/packages/dotterelgrade-routing/tests/test_return_forecast.py
+++ b/packages/dotterelgrade-routing/tests/test_return_forecast.py
@@ -105,7 +105,7 @@
 def test_few_requests_are_refused_twice_in_an_outage_of_the_store():
     """Callers retry once; those that were refused again were lost."""
     assert _refused_twice("fixed") > 0.8 * 563
-    assert _refused_twice("forecast") < 0.5 * 563
+    assert _refused_twice("forecast") < 0.2 * 563
 
 
 def _short(reason, left_s, **rest):
