Bound what strangers hold at readiness, metrics and peer sockets

Cause: these sockets took any number of connections without a limit on time, heads, bodies or unread answers.

Change: ListenLimits (settings of front, agent and entry) bound connections, heads, times, rates of reading and the sum of unread answers. Refusals are counted (listener_refusals) and logged at most once a second for each reason; so are lines on peers that fail in the handshake. wsgi.serving has the limits; stand-ins use serving_unlimited.

--- a/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
+++ b/packages/dotterelgrade-agent/src/dotterelgrade_agent/agent.py
@@ -9,6 +9,7 @@
 import gevent.pool
 
 from dotterelgrade import admin
+from dotterelgrade import client_refusals
 from dotterelgrade import connection_frames
 from dotterelgrade import contract as contract_lib
 from dotterelgrade import contract_feed
@@ -68,6 +69,7 @@
         self._incarnation = uuid.uuid4().hex
         self._journal = journal_lib.Journal()
         self._metrics = metrics_lib.Metrics()
+        self._refusals = client_refusals.ClientRefusals(self._metrics)
         self._identity = _identity(settings, self._incarnation)
         self._shaper = shaper
         self._greenlets = gevent.pool.Group()
@@ -279,13 +281,23 @@
         app = admin.AdminApp(self)
         app.route("POST", "drain", self._handle_drain)
         listening = wire.listening(
-            self._server.handle, identity=self._identity, shaper=self._shaper
+            self._server.handle,
+            identity=self._identity,
+            shaper=self._shaper,
+            limits=process.listen,
+            refusals=self._refusals,
         )
         # The peer port goes first, since holding it is what makes this
         # process the only agent of the host.
         with (
             listening,
-            wsgi.serving(app, host=process.host, port=process.admin_port),
+            wsgi.serving(
+                app,
+                host=process.host,
+                port=process.admin_port,
+                limits=process.listen,
+                refusals=self._refusals,
+            ),
         ):
             self._start()
             try:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front.py
@@ -14,6 +14,7 @@
 from gevent import server as gevent_server
 
 from dotterelgrade import admin
+from dotterelgrade import client_refusals
 from dotterelgrade import connection_frames
 from dotterelgrade import handshake
 from dotterelgrade import supervision
@@ -103,6 +104,9 @@
             leads=lambda: self._is_planner,
             planner_silent_s=lambda: self._link.snapshot_age_s,
         )
+        self._refusals = client_refusals.ClientRefusals(
+            self._state.metrics.shared
+        )
         self._is_planner = False
         self._planner_since = float("-inf")
         self._term_read_at = float("-inf")
@@ -182,7 +186,12 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._serving_admin())
             stack.enter_context(
-                wire.listening(self._hub.serve, identity=self._identity)
+                wire.listening(
+                    self._hub.serve,
+                    identity=self._identity,
+                    limits=self._settings.listen,
+                    refusals=self._refusals,
+                )
             )
             greenlets = [
                 gevent.spawn(
@@ -257,12 +266,19 @@
         app = admin.AdminApp(self)
         app.route("GET", "ready", app.ready)
         ready_host, ready_port = _host_port(self._settings.ready_address)
-        with (
-            wsgi.serving(app, host=ready_host, port=ready_port),
-            wsgi.serving(
-                app, host=ready_host, port=self._settings.metrics_port
-            ),
-        ):
+        ports = {"ready": ready_port, "metrics": self._settings.metrics_port}
+        with contextlib.ExitStack() as stack:
+            for name, port in ports.items():
+                stack.enter_context(
+                    wsgi.serving(
+                        app,
+                        host=ready_host,
+                        port=port,
+                        name=name,
+                        limits=self._settings.listen,
+                        refusals=self._refusals,
+                    )
+                )
             yield
 
     def _make_followers(self) -> feed_follower.Followers:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_metrics.py
@@ -58,6 +58,11 @@
         """Shows the class."""
         return "<FrontMetrics>"
 
+    @property
+    def shared(self) -> metrics_lib.Metrics:
+        """The metrics, for parts that add their own."""
+        return self._metrics
+
     @property
     def first_event(self) -> metrics_lib.Latency:
         """Time from request to first event, s."""
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from dotterelgrade import addresses
+from dotterelgrade import listen_limits
 from dotterelgrade import quarantine_policies
 from dotterelgrade_routing import leadership
 from dotterelgrade_routing import placement_policies
@@ -20,6 +21,7 @@
     "peer_port",
     "metrics_port",
     "store_address",
+    "listen",
 )
 
 
@@ -48,6 +50,8 @@
         silence_bound: How long a queried stage may stay silent.
         relay_encoding: How the planner encodes records for the other fronts.
         quarantine: When requests are refused for crashes under others.
+        listen: Limits of each of the sockets for readiness checks, metrics
+            and peers; a change needs a restart.
     """
 
     node: str
@@ -70,6 +74,9 @@
     silence_bound: str = "observed"
     relay_encoding: str = "delta"
     quarantine: str = "share"
+    listen: listen_limits.ListenLimits = dataclasses.field(
+        default_factory=listen_limits.ListenLimits
+    )
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
--- a/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
+++ b/packages/dotterelgrade-standins/src/dotterelgrade_standins/web.py
@@ -184,7 +184,7 @@
     Raises:
         OSError: The address can't be bound.
     """
-    with wsgi.serving(
+    with wsgi.serving_unlimited(
         app,
         host=host,
         port=port,
--- a/packages/dotterelgrade/src/dotterelgrade/admin.py
+++ b/packages/dotterelgrade/src/dotterelgrade/admin.py
@@ -8,9 +8,12 @@
 
 from dotterelgrade import journal as journal_lib
 from dotterelgrade import metrics as metrics_lib
+from dotterelgrade import work_share
 
 Handler = Callable[[str, dict[str, str]], tuple[int, Any]]
 
+_CHECKS = frozenset(("ready", "readyz", "healthz"))
+
 
 class Process(Protocol):
     """Interface of a process that the admin endpoint exposes."""
@@ -45,6 +48,7 @@
             process: The process to expose.
         """
         self._process = process
+        self._share = work_share.WorkShare()
         self._routes: dict[tuple[str, str], Handler] = {}
         self.route("GET", "state", lambda _, __: (200, process.dump()))
         self.route("GET", "healthz", lambda _, __: (200, {"healthy": True}))
@@ -85,12 +89,29 @@
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        """Serves one HTTP request."""
+        """Serves one HTTP request.
+
+        What is costly to compute takes turns, so that checks are answered
+        while many clients ask for it.
+        """
         path = environ["PATH_INFO"].strip("/")
         name, _, rest = path.partition("/")
-        if name == "metrics":
-            body = self._process.metrics.as_text()
-            return _respond(start_response, 200, body, "text/plain")
+        if name in _CHECKS:
+            return self._answer(environ, start_response, path, rest)
+        with self._share.turn():
+            if name == "metrics":
+                body = self._process.metrics.as_text()
+                return _respond(start_response, 200, body, "text/plain")
+            return self._answer(environ, start_response, path, rest)
+
+    def _answer(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+        path: str,
+        rest: str,
+    ) -> Iterable[bytes]:
+        name = path.partition("/")[0]
         handler = self._routes.get((environ["REQUEST_METHOD"], name))
         if handler is None:
             status, value = 404, {"error": f"no route for /{path}"}
--- a/packages/dotterelgrade/src/dotterelgrade/handshake.py
+++ b/packages/dotterelgrade/src/dotterelgrade/handshake.py
@@ -14,7 +14,7 @@
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Until a peer has shown that it knows the key, few bytes are kept for it.
-_MAX_UNPROVEN_BYTES = 65_536
+_MAX_UNPROVEN_BYTES = 8 * 1024
 _READ_BYTES = 4 * 1024
 _NONCE_BYTES = 16
 
@@ -60,7 +60,10 @@
         OSError: The socket failed.
         ValueError: The peer sent undecodable bytes.
     """
-    unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES, raw=False)
+    # The buffer is as large as a read at first, and grows with frames.
+    unpacker = msgpack.Unpacker(
+        max_buffer_size=MAX_FRAME_BYTES, read_size=_READ_BYTES, raw=False
+    )
     own_hello = _make_hello(identity)
     _send_frame(sock, own_hello)
     peer_hello = _receive_frame(sock, unpacker, connection_frames.Hello)
--- a/packages/dotterelgrade/src/dotterelgrade/settings.py
+++ b/packages/dotterelgrade/src/dotterelgrade/settings.py
@@ -14,6 +14,7 @@
 
 from dotterelgrade import bounded
 from dotterelgrade import errors
+from dotterelgrade import listen_limits
 
 _T = TypeVar("_T")
 
@@ -31,6 +32,8 @@
         failure_domain: Failure domain of the process.
         region: Region of the process.
         shared_key: Key shared by every process of the fleet.
+        listen: Limits of the clients of the admin port, and of peers that
+            have not shown yet that they know the key.
     """
 
     host: str
@@ -39,6 +42,9 @@
     failure_domain: str
     region: str = ""
     shared_key: str = dataclasses.field(repr=False)
+    listen: listen_limits.ListenLimits = dataclasses.field(
+        default_factory=listen_limits.ListenLimits
+    )
 
     def __post_init__(self) -> None:
         """Validates what the types can't express."""
--- a/packages/dotterelgrade/src/dotterelgrade/wire.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wire.py
@@ -18,10 +18,13 @@
 import gevent.socket
 import msgpack
 
+from dotterelgrade import client_refusals
+from dotterelgrade import client_slots
 from dotterelgrade import connection_frames
 from dotterelgrade import errors
 from dotterelgrade import frame_codec
 from dotterelgrade import handshake
+from dotterelgrade import listen_limits
 
 _LOG = logging.getLogger(__name__)
 
@@ -29,6 +32,8 @@
 HANDSHAKE_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
 _READ_BYTES = 256 * 1024
+_MAX_ACCEPT = 8
+_LISTENER = "peers"
 
 
 class Shaper(Protocol):
@@ -247,6 +252,9 @@
     except errors.DotterelgradeError:
         _close_socket(sock)
         raise
+    except gevent.GreenletExit:
+        _close_socket(sock)
+        raise
     except (OSError, ValueError, msgpack.UnpackException) as error:
         _close_socket(sock)
         kind = (
@@ -297,12 +305,61 @@
     return _handshake(sock, identity=identity, dialing=True, shaper=shaper)
 
 
+class _Strangers:
+    """The connections whose handshake has not succeeded yet."""
+
+    def __init__(
+        self,
+        limits: listen_limits.ListenLimits,
+        *,
+        refusals: client_refusals.ClientRefusals,
+    ) -> None:
+        self._slots = client_slots.ClientSlots(
+            capacity=limits.handshakes,
+            on_closed=lambda slot: refusals.note(
+                _LISTENER, client_refusals.Reason.FULL, slot.address
+            ),
+        )
+        self._lines = client_refusals.BoundedLines()
+
+    def meet(
+        self, address: str, make: Callable[[], Connection]
+    ) -> Connection | None:
+        """Returns the connection after its handshake, or None if it failed."""
+        greenlet = gevent.getcurrent()
+        with self._slots.hold(address, lambda: greenlet.kill(block=False)):
+            try:
+                return make()
+            except errors.DotterelgradeError as error:
+                self._log(address, error.error)
+                return None
+            except gevent.GreenletExit:
+                # It made room. An exit that is kept as the result of the
+                # greenlet would keep its frames until a full collection.
+                return None
+
+    def _log(self, address: str, error: errors.Error) -> None:
+        is_lost = error.kind is errors.ErrorKind.PEER_UNREACHABLE
+        left_out = self._lines.admit("lost" if is_lost else "refused")
+        if left_out is not None:
+            _LOG.warning(
+                "peer lost" if is_lost else "peer refused",
+                extra={
+                    "peer": address,
+                    "reason": error.message,
+                    "left_out": left_out,
+                },
+            )
+
+
 @contextlib.contextmanager
 def listening(
     handler: Callable[[Connection], None],
     *,
     identity: handshake.ProcessIdentity,
     shaper: Shaper | None = None,
+    limits: listen_limits.ListenLimits | None = None,
+    refusals: client_refusals.ClientRefusals | None = None,
 ) -> Iterator[gevent_server.StreamServer]:
     """Accepts connections on the identity's address within the context.
 
@@ -312,6 +369,9 @@
         handler: Called with each new connection, in its own greenlet.
         identity: Identity of this process.
         shaper: Emulated link, or None.
+        limits: What clients may hold before they have shown that they know
+            the key; None for the defaults.
+        refusals: Counts those that are refused; None to log them only.
 
     Yields:
         The listening server.
@@ -319,18 +379,20 @@
     Raises:
         OSError: The address is in use or does not belong to this host.
     """
+    strangers = _Strangers(
+        limits or listen_limits.ListenLimits(),
+        refusals=refusals or client_refusals.ClientRefusals(),
+    )
 
     def serve(sock: gevent.socket.socket, address: tuple[str, int]) -> None:
-        try:
-            connection = _handshake(
+        connection = strangers.meet(
+            address[0],
+            lambda: _handshake(
                 sock, identity=identity, dialing=False, shaper=shaper
-            )
-        except errors.DotterelgradeError as error:
-            lost = error.error.kind is errors.ErrorKind.PEER_UNREACHABLE
-            _LOG.warning(
-                "peer lost" if lost else "peer refused",
-                extra={"peer": address[0], "reason": error.error.message},
-            )
+            ),
+        )
+        if connection is None:
+            _close_socket(sock)
             return
         try:
             handler(connection)
@@ -338,6 +400,8 @@
             connection.close("handler ended")
 
     listener = gevent_server.StreamServer((identity.host, identity.port), serve)
+    # Strangers that make room must have gone before many more come.
+    listener.max_accept = _MAX_ACCEPT
     listener.start()
     try:
         yield listener
--- a/packages/dotterelgrade/src/dotterelgrade/wsgi.py
+++ b/packages/dotterelgrade/src/dotterelgrade/wsgi.py
@@ -8,7 +8,10 @@
 from gevent import pywsgi
 from gevent import socket as gevent_socket
 
+from dotterelgrade import client_refusals
 from dotterelgrade import early_sockets
+from dotterelgrade import limited_handler
+from dotterelgrade import listen_limits as listen_limits_lib
 
 _LOG = logging.getLogger(__name__)
 
@@ -48,7 +51,7 @@
 
 
 @contextlib.contextmanager
-def serving(
+def serving_unlimited(
     app: Callable[..., Iterable[bytes]],
     *,
     host: str,
@@ -56,7 +59,7 @@
     handler_class: type[NoDelayHandler] = NoDelayHandler,
     stop_timeout_s: float = STOP_TIMEOUT_S,
 ) -> Iterator[pywsgi.WSGIServer]:
-    """Serves a WSGI application while the context is open.
+    """Serves trusted clients of a WSGI application in the context.
 
     Args:
         app: The application.
@@ -83,3 +86,45 @@
         yield server
     finally:
         server.stop(timeout=stop_timeout_s)
+
+
+@contextlib.contextmanager
+def serving(
+    app: Callable[..., Iterable[bytes]],
+    *,
+    host: str,
+    port: int,
+    name: str = "admin",
+    limits: listen_limits_lib.ListenLimits | None = None,
+    refusals: client_refusals.ClientRefusals | None = None,
+) -> Iterator[limited_handler.LimitedServer]:
+    """Serves untrusted clients of a WSGI application in the context.
+
+    Args:
+        app: The application; it reads no request bodies.
+        host: IP number to bind.
+        port: TCP port to bind.
+        name: Name of the socket in metrics and log lines.
+        limits: What its clients may hold; None for the defaults.
+        refusals: Counts those that are refused; None to log them only.
+
+    Yields:
+        The listening server.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    server = limited_handler.LimitedServer(
+        listener(host, port),
+        app,
+        name=name,
+        limits=limits or listen_limits_lib.ListenLimits(),
+        refusals=refusals or client_refusals.ClientRefusals(),
+        error_log=_LOG,
+        handler_class=limited_handler.LimitedHandler,
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(timeout=STOP_TIMEOUT_S)
