Keep a new connection until its first request can be read

Change: a new connection counts as one whose head is incomplete, the youngest of them. test_a_new_connection_outlives_those_that_wait_longer holds it.

--- a/packages/dotterelgrade/src/dotterelgrade/client_slots.py
+++ b/packages/dotterelgrade/src/dotterelgrade/client_slots.py
@@ -32,7 +32,7 @@
     def __init__(
         self, slots: "ClientSlots", *, address: str, close: Close
     ) -> None:
-        """Initializes the place of an idle connection; see `ClientSlots.hold`.
+        """Initializes the place of a new connection; see `ClientSlots.hold`.
 
         Args:
             slots: Where it belongs.
@@ -42,7 +42,8 @@
         self._slots = slots
         self._address = address
         self._close = close
-        self._phase = Phase.IDLE
+        # Its first head may be on its way, so it is not yet idle.
+        self._phase = Phase.HEAD
         self._held_bytes = 0
         self._is_open = True
 
--- a/packages/dotterelgrade/src/dotterelgrade/limited_handler.py
+++ b/packages/dotterelgrade/src/dotterelgrade/limited_handler.py
@@ -114,9 +114,10 @@
             TimeoutError: The connection is idle for too long.
         """
         limits = self.server.limits
-        self.slot.enter(client_slots.Phase.IDLE)
-        # Pipelined requests take turns with those of other connections.
-        gevent.sleep(0)
+        if self.requestline is not None:
+            self.slot.enter(client_slots.Phase.IDLE)
+            # Pipelined requests take turns with those of other connections.
+            gevent.sleep(0)
         idle = TimeoutError("idle")
         with gevent.Timeout(limits.idle_timeout_s, idle):
             if not self.rfile.peek(1):
--- a/packages/dotterelgrade/tests/test_client_slots.py
+++ b/packages/dotterelgrade/tests/test_client_slots.py
@@ -71,3 +71,13 @@
         slot.enter(_Phase.ANSWER)
         slot.resize(50)
     assert (len(place.slots), place.slots.held_bytes) == (0, 0)
+
+
+def test_a_new_connection_outlives_those_that_wait_longer(place):
+    """The load balancer's check was closed before its request was read."""
+    for number in range(4):
+        place(f"half a head {number}", phase=_Phase.HEAD)
+    with place.slots.hold("check", lambda: place.closed.append("check")):
+        for number in range(3):
+            place(f"later {number}", phase=_Phase.HEAD)
+        assert "check" not in place.closed
