Bound what callers hold at the HTTP interface of an entry

Cause: the entry read bodies without a bound on their sum (97 MB for 90 bodies that stop short of 1 MiB), parsed chunks byte by byte (75 MB for chunks of a byte), read on the unread body of a refused request for as long as its caller sent, took lines of a head of 64 KiB each (163 MB), refused 1,200 short fields, and accepted nobody while idle connections filled its pool.

--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry.py
@@ -12,6 +12,7 @@
 
 from dotterelgrade import admin
 from dotterelgrade import charges
+from dotterelgrade import client_refusals
 from dotterelgrade import connection_frames
 from dotterelgrade import contract_feed
 from dotterelgrade import contract_metrics
@@ -72,6 +73,7 @@
         self._settings = settings
         self._process = str(uuid.uuid4())
         self._metrics = metrics_lib.Metrics()
+        self._refusals = client_refusals.ClientRefusals(self._metrics)
         self._journal = journal_lib.Journal()
         self._state = messages.ProcessState.STARTING
         log = log or log_client.LogClient(settings.platform)
@@ -295,8 +297,16 @@
         greenlets = []
         try:
             with (
-                wsgi.serving(self._admin, host=own.host, port=own.admin_port),
-                http_server.serving(self._api, self._settings) as server,
+                wsgi.serving(
+                    self._admin,
+                    host=own.host,
+                    port=own.admin_port,
+                    limits=own.listen,
+                    refusals=self._refusals,
+                ),
+                http_server.serving(
+                    self._api, self._settings, refusals=self._refusals
+                ) as server,
             ):
                 self._server = server
                 greenlets += [
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_settings.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/entry_settings.py
@@ -6,6 +6,11 @@
 
 _POSITIVE = (
     "max_body_bytes",
+    "max_body_memory_bytes",
+    "max_answer_memory_bytes",
+    "max_head_bytes",
+    "min_body_rate",
+    "body_rate_window_s",
     "max_connections",
     "max_prompt_tokens",
     "max_tokens",
@@ -42,6 +47,12 @@
         drain_wait_s: Time for the balancer to notice that the entry leaves, s.
         drain_limit_s: Longest wait for answers in flight while leaving, s.
         max_body_bytes: Largest request body.
+        max_body_memory_bytes: Bytes of all bodies and heads that are held.
+        max_answer_memory_bytes: Bytes of all answers that callers have not
+            read yet.
+        max_head_bytes: Largest head of a request.
+        min_body_rate: Least rate at which a caller sends a body, byte/s.
+        body_rate_window_s: Time over which that is averaged, s.
         max_connections: Most callers' connections open at once.
         max_prompt_tokens: Longest prompt.
         max_tokens: Most tokens that one request may generate.
@@ -76,6 +87,11 @@
     drain_wait_s: float = 3.0
     drain_limit_s: float = 120.0
     max_body_bytes: int = 1024 * 1024
+    max_body_memory_bytes: int = 32 * 1024 * 1024
+    max_answer_memory_bytes: int = 64 * 1024 * 1024
+    max_head_bytes: int = 16_384
+    min_body_rate: int = 1_024
+    body_rate_window_s: float = 5.0
     max_connections: int = 10_000
     max_prompt_tokens: int = 8_192
     max_tokens: int = 2_048
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_answer.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_answer.py
@@ -46,8 +46,8 @@
         The whole body.
 
     Raises:
-        errors.DotterelgradeError: BODY_TOO_LARGE, REQUEST_TIMEOUT or
-            BAD_REQUEST; the connection then closes after the answer.
+        errors.DotterelgradeError: BODY_TOO_LARGE, REQUEST_TIMEOUT, NO_MEMORY
+            or BAD_REQUEST; the connection then closes after the answer.
     """
     limit = settings.max_body_bytes
     timeout = errors.new_exception(
@@ -57,13 +57,14 @@
     try:
         if int(environ.get("CONTENT_LENGTH") or 0) > limit:
             raise _too_large(limit)
-        with gevent.Timeout(settings.body_timeout_s, timeout):
-            body = _read_up_to(environ["wsgi.input"], limit + 1)
-        if len(body) > limit:
-            raise _too_large(limit)
-        return body
-    except errors.DotterelgradeError:
+        with (
+            http_server.reading_body(environ) as body,
+            gevent.Timeout(settings.body_timeout_s, timeout),
+        ):
+            return body.read_whole(most_bytes=limit)
+    except errors.DotterelgradeError as error:
         http_server.close_after_answer(environ)
+        http_server.note_body(environ, error.error.kind)
         raise
     except (OSError, ValueError) as error:
         http_server.close_after_answer(environ)
@@ -72,18 +73,6 @@
         ) from error
 
 
-def _read_up_to(stream: Any, limit: int) -> bytes:
-    parts = []
-    left = limit
-    while left > 0:
-        part = stream.read(left)
-        if not part:
-            break
-        parts.append(part)
-        left -= len(part)
-    return b"".join(parts)
-
-
 def _too_large(limit: int) -> errors.DotterelgradeError:
     return errors.new_exception(
         errors.ErrorKind.BODY_TOO_LARGE,
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_api.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_api.py
@@ -161,6 +161,8 @@
         body = http_answer.read_body(exchange.environ, self._models.settings)
         shape_class = self._shapes[exchange.path]
         call = shape_class.parse(body, self._models.settings)
+        del body
+        http_server.release_body(exchange.environ)
         shape = shape_class(call, request_id=exchange.request_id)
         answer = self._models.answer(
             call, workspace=workspace, request_id=exchange.request_id
--- a/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_server.py
+++ b/packages/dotterelgrade-entry/src/dotterelgrade_entry/http_server.py
@@ -7,19 +7,26 @@
 from typing import Any
 
 import gevent
-from gevent import pool
-from gevent import pywsgi
 
-from dotterelgrade import wsgi
+from dotterelgrade import client_refusals
+from dotterelgrade import client_slots
+from dotterelgrade import errors
+from dotterelgrade import limited_handler
+from dotterelgrade import listen_limits
+from dotterelgrade import memory_budget
+from dotterelgrade import work_share
+from dotterelgrade_entry import caller_body
 from dotterelgrade_entry import entry_settings
 
 _LOG = logging.getLogger(__name__)
 
 HANDLER_KEY = "dotterelgrade.handler"
 _BACKLOG = 1_024
-_LINGER_S = 0.3
 _LINGER_BYTES = 4 * 1024 * 1024
-_READ_BYTES = 64 * 1024
+_BUFFER_BYTES = 128 * 1024
+# What a field costs beside its bytes, and what any head may cost for nothing.
+_FIELD_BYTES = 300
+_ORDINARY_HEAD_BYTES = 16 * 1024
 
 App = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -32,68 +39,86 @@
     """
 
 
-class _Handler(wsgi.NoDelayHandler):
+class _Handler(limited_handler.LimitedHandler):
     """One caller's connection."""
 
-    def read_requestline(self) -> Any:
-        settings = self.server.entry_settings
-        self.socket.settimeout(settings.write_timeout_s)
-        with gevent.Timeout(settings.idle_timeout_s, TimeoutError("idle")):
-            return super().read_requestline()
-
-    def read_request(self, raw_requestline: str) -> Any:
-        limit = self.server.entry_settings.header_timeout_s
-        with gevent.Timeout(limit, ValueError("headers took too long")):
-            return super().read_request(raw_requestline)
+    service_phase = client_slots.Phase.SERVICE
+    takes_bodies = True
+    wanted_fields = None
 
     def handle_one_response(self) -> None:
         with self.server.counting():
             super().handle_one_response()
 
+    def handle_one_request(self) -> Any:
+        with self.server.memory.open() as self.account:
+            return super().handle_one_request()
+
+    def charge_head(self, *, size: int, fields: int) -> bool:
+        cost = 2 * size + fields * _FIELD_BYTES - _ORDINARY_HEAD_BYTES
+        return self.account.resize(max(cost, 0))
+
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         if self.server.is_leaving:
             self.close_connection = True
         environ[HANDLER_KEY] = self
+        self.wsgi_input = environ["wsgi.input"] = caller_body.CallerBody(
+            self, limits=self.server.body_limits, account=self.account
+        )
         return environ
 
-    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
-        if isinstance(v, OSError | gevent.GreenletExit):
-            self.close_connection = True
-            return
-        super().handle_error(t, v, tb)
-
-    def _handle_client_error(self, ex: BaseException) -> tuple[str, bytes]:
-        if not isinstance(ex, ValueError | OSError):
-            ex = ValueError(repr(ex))
-        return super()._handle_client_error(ex)
-
 
-class CallerServer(pywsgi.WSGIServer):
+class CallerServer(limited_handler.LimitedServer):
     """Listens for callers."""
 
     def __init__(
-        self, app: App, settings: entry_settings.EntrySettings
+        self,
+        app: App,
+        settings: entry_settings.EntrySettings,
+        *,
+        refusals: client_refusals.ClientRefusals,
     ) -> None:
         """Initializes a server that does not listen yet.
 
         Args:
             app: The WSGI application.
             settings: The settings of the entry.
+            refusals: Counts the callers that are refused.
         """
         super().__init__(
             (settings.process.host, settings.http_port),
             app,
-            log=None,
+            name="callers",
+            limits=_limits(settings),
+            refusals=refusals,
             error_log=_LOG,
             handler_class=_Handler,
-            spawn=pool.Pool(settings.max_connections),
             backlog=_BACKLOG,
         )
         self._settings = settings
+        self._memory = memory_budget.MemoryBudget(
+            capacity_bytes=settings.max_body_memory_bytes,
+            accounts=settings.max_connections,
+        )
+        self._body_limits = caller_body.BodyLimits(
+            min_rate=settings.min_body_rate,
+            rate_window_s=settings.body_rate_window_s,
+            framing=work_share.WorkShare(),
+        )
         self._in_flight = 0
         self._is_leaving = False
 
+    @property
+    def memory(self) -> memory_budget.MemoryBudget:
+        """Bounds the bytes of heads and bodies."""
+        return self._memory
+
+    @property
+    def body_limits(self) -> caller_body.BodyLimits:
+        """Limits of each body."""
+        return self._body_limits
+
     @property
     def entry_settings(self) -> entry_settings.EntrySettings:
         """The settings of the entry."""
@@ -123,6 +148,54 @@
             self._in_flight -= 1
 
 
+def _limits(
+    settings: entry_settings.EntrySettings,
+) -> listen_limits.ListenLimits:
+    return listen_limits.ListenLimits(
+        connections=listen_limits.within_descriptors(settings.max_connections),
+        head_bytes=settings.max_head_bytes,
+        head_timeout_s=settings.header_timeout_s,
+        idle_timeout_s=settings.idle_timeout_s,
+        write_timeout_s=settings.write_timeout_s,
+        answer_bytes=settings.max_answer_memory_bytes,
+        buffer_bytes=_BUFFER_BYTES,
+    )
+
+
+@contextlib.contextmanager
+def reading_body(
+    environ: dict[str, Any],
+) -> Iterator[caller_body.CallerBody]:
+    """Yields the body of a request, to be read while the context is open.
+
+    Args:
+        environ: The WSGI environment of the request.
+    """
+    slot = environ[HANDLER_KEY].slot
+    slot.enter(client_slots.Phase.BODY)
+    try:
+        yield environ["wsgi.input"]
+    finally:
+        slot.enter(client_slots.Phase.SERVICE)
+
+
+def release_body(environ: dict[str, Any]) -> None:
+    """Notes that the bytes of a body are no longer held."""
+    environ[HANDLER_KEY].account.resize(0)
+
+
+_BODY_REASONS = {
+    errors.ErrorKind.REQUEST_TIMEOUT: client_refusals.Reason.BODY_TOO_SLOW,
+    errors.ErrorKind.NO_MEMORY: client_refusals.Reason.BODIES_FULL,
+}
+
+
+def note_body(environ: dict[str, Any], kind: errors.ErrorKind) -> None:
+    """Counts a body that was refused for its rate or for want of memory."""
+    if kind in _BODY_REASONS:
+        environ[HANDLER_KEY].note(_BODY_REASONS[kind])
+
+
 @contextlib.contextmanager
 def watching_caller(environ: dict[str, Any]) -> Iterator[None]:
     """Raises `CallerGone` in the current greenlet if the caller hangs up.
@@ -159,43 +232,29 @@
         return
 
 
-class _Leftover:
-    """The unread rest of a request body, read for a moment only.
-
-    Closing at once would reset the connection before the caller has read its
-    answer; reading on would let a caller hold it for as long as it sends.
-    """
-
-    def __init__(self, handler: _Handler) -> None:
-        self._handler = handler
-
-    def _discard(self) -> None:
-        left = _LINGER_BYTES
-        with gevent.Timeout(_LINGER_S, False):
-            while left > 0:
-                data = self._handler.socket.recv(_READ_BYTES)
-                if not data:
-                    return
-                left -= len(data)
-
-
 def close_after_answer(environ: dict[str, Any]) -> None:
     """Closes the connection after the answer, whatever was not read."""
     handler = environ.get(HANDLER_KEY)
     if handler is not None:
         handler.close_connection = True
-        handler.wsgi_input = _Leftover(handler)
+        handler.wsgi_input = limited_handler.UnreadBody(
+            handler, most_bytes=_LINGER_BYTES
+        )
 
 
 @contextlib.contextmanager
 def serving(
-    app: App, settings: entry_settings.EntrySettings
+    app: App,
+    settings: entry_settings.EntrySettings,
+    *,
+    refusals: client_refusals.ClientRefusals | None = None,
 ) -> Iterator[CallerServer]:
     """Serves callers while the context is open.
 
     Args:
         app: The WSGI application.
         settings: The settings of the entry.
+        refusals: Counts the callers that are refused; None to log them only.
 
     Yields:
         The listening server.
@@ -203,7 +262,9 @@
     Raises:
         OSError: The address can't be bound.
     """
-    server = CallerServer(app, settings)
+    server = CallerServer(
+        app, settings, refusals=refusals or client_refusals.ClientRefusals()
+    )
     server.start()
     try:
         yield server
