--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from dotterelgrade import addresses
+from dotterelgrade import listen_limits
 from dotterelgrade import quarantine_policies
 from dotterelgrade_front import client_bounds
 from dotterelgrade_routing import admission_policies
@@ -14,6 +15,7 @@
 from dotterelgrade_routing import spillover as spillover_lib
 
 DEFAULT_METRICS_PORT = 9464
+_DESCRIPTORS_PER_HANDSHAKE = 8
 # A change of these needs a restart.
 _IDENTITY = (
     "node",
@@ -24,6 +26,7 @@
     "peer_port",
     "metrics_port",
     "store_address",
+    "listen",
 )
 
 
@@ -56,6 +59,8 @@
         retry_after: How the retry time of a refused request is computed.
         spillover: When requests leave the failure domain.
         clients: What clients may take up.
+        listen: Limits of each of the sockets for readiness checks, metrics
+            and peers; a change needs a restart.
     """
 
     node: str
@@ -82,6 +87,9 @@
     retry_after: str = "forecast"
     spillover: str = "adaptive"
     clients: client_bounds.ClientBounds = client_bounds.ClientBounds()
+    listen: listen_limits.ListenLimits = dataclasses.field(
+        default_factory=listen_limits.ListenLimits
+    )
 
     def __post_init__(self) -> None:
         """Validates the names of policies, the addresses and the numbers."""
@@ -124,6 +132,18 @@
             self, **{name: getattr(running, name) for name in _IDENTITY}
         )
 
+    @property
+    def peer_limits(self) -> listen_limits.ListenLimits:
+        """Limits of the socket for other fronts.
+
+        All fronts of a large deployment dial a new planner at the same time,
+        and a planner's host has many descriptors.
+        """
+        handshakes = self.most_connections // _DESCRIPTORS_PER_HANDSHAKE
+        return dataclasses.replace(
+            self.listen, handshakes=max(self.listen.handshakes, handshakes)
+        )
+
     @property
     def strong(self) -> bool:
         """Whether the host has enough CPU and bandwidth to run a planner."""
