--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -14,10 +14,10 @@
 from dotterelgrade import http_connection
 from dotterelgrade import http_message
 from dotterelgrade import memory_budget
+from dotterelgrade import work_share
 from dotterelgrade_front import client_bounds
 from dotterelgrade_front import client_notices
 from dotterelgrade_front import connection_guard
-from dotterelgrade_front import processor_share
 from dotterelgrade_front import request_parser
 from dotterelgrade_front import transfer_rate
 from dotterelgrade_routing import configuration
@@ -77,7 +77,7 @@
         limits: Callable[[], configuration.ClientLimits],
         account: memory_budget.Account,
         bounds: client_bounds.ClientBounds | None = None,
-        tiny_chunks: processor_share.ProcessorShare | None = None,
+        tiny_chunks: work_share.WorkShare | None = None,
         notices: client_notices.ClientNotices | None = None,
         address: str = "",
     ) -> None:
@@ -111,7 +111,7 @@
         )
         self._limits = limits
         self._bounds = bounds
-        self._tiny_chunks = tiny_chunks or processor_share.ProcessorShare(
+        self._tiny_chunks = tiny_chunks or work_share.WorkShare(
             bounds.tiny_chunk_share
         )
         self._notices = notices
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -11,6 +11,7 @@
 
 from dotterelgrade import errors
 from dotterelgrade import http_message
+from dotterelgrade import work_share
 from dotterelgrade_front import call as call_lib
 from dotterelgrade_front import client_connection
 from dotterelgrade_front import client_notices
@@ -18,7 +19,6 @@
 from dotterelgrade_front import front_state
 from dotterelgrade_front import model_stream
 from dotterelgrade_front import plain_call
-from dotterelgrade_front import processor_share
 from dotterelgrade_front import refusal_times
 from dotterelgrade_front import request_parser
 from dotterelgrade_front import request_quarantine
@@ -79,7 +79,7 @@
         self._plain = plain_call.PlainCalls(state)
         self._detector = stall_detector.StallDetector(state)
         self._connections: set[client_connection.ClientConnection] = set()
-        self._tiny_chunks = processor_share.ProcessorShare(
+        self._tiny_chunks = work_share.WorkShare(
             state.settings.clients.tiny_chunk_share
         )
         self._notices = client_notices.ClientNotices(
--- a/packages/dotterelgrade/src/dotterelgrade/work_share.py
+++ b/packages/dotterelgrade/src/dotterelgrade/work_share.py
@@ -21,6 +21,7 @@
         share: float = 0.25,
         *,
         clock: Callable[[], float] = time.monotonic,
+        processor_time: Callable[[], float] = time.thread_time,
         sleep: Callable[[float], None] = gevent.sleep,
     ) -> None:
         """Initializes it without work done.
@@ -28,10 +29,12 @@
         Args:
             share: Largest share of processor time, above 0 up to 1.
             clock: Monotonic time, s.
+            processor_time: Processor time used so far, s.
             sleep: Waits for a number of seconds.
         """
         self._share = share
         self._clock = clock
+        self._processor_time = processor_time
         self._sleep = sleep
         self._lock = lock.BoundedSemaphore(1)
         self._free_at = float("-inf")
@@ -47,13 +50,12 @@
         The work must not wait for a client.
         """
         with self._lock:
-            wait_s = self._free_at - self._clock()
-            if wait_s > 0:
-                self._sleep(wait_s)
-            began_at = self._clock()
+            # Other greenlets get a turn also when no pause is left.
+            self._sleep(max(self._free_at - self._clock(), 0.0))
+            used_s = self._processor_time()
             try:
                 yield
             finally:
-                ended_at = self._clock()
-                pause_s = (ended_at - began_at) * (1 / self._share - 1)
-                self._free_at = ended_at + pause_s
+                spent_s = self._processor_time() - used_s
+                pause_s = spent_s * (1 / self._share - 1)
+                self._free_at = self._clock() + pause_s
