--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_connection.py
@@ -475,6 +475,7 @@
         """
         if not self._parser.framing_heavy:
             self._feed(data)
+            self._send_continue()
             if not self._parser.requests:
                 gevent.sleep(0)
             return True
@@ -483,8 +484,14 @@
             if self._shut_down or self._is_closed_by_caller():
                 return False
             self._feed(data)
+        self._send_continue()
         return True
 
+    def _send_continue(self) -> None:
+        """Answers a caller that waits before it sends the body."""
+        if self._parser.take_expect_continue():
+            self.write(_CONTINUE)
+
     def _feed(self, data: bytes) -> None:
         self._unparsed = b""
         try:
@@ -497,8 +504,6 @@
             self._parser.discard()
         if self._unparsed:
             self._notify(client_notices.Reason.PIPELINED)
-        if self._parser.take_expect_continue():
-            self.write(_CONTINUE)
 
     def _notify(self, reason: client_notices.Reason) -> None:
         if self._notices is not None:
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/rank_admission.py
@@ -14,6 +14,9 @@
 from dotterelgrade_routing import rank_demand
 from dotterelgrade_routing import reservations
 
+# Bounds the state if names of services change without end.
+_MAX_SERVICES = 256
+
 
 class RankAdmission:
     """Demand and shares of all ranked services, and the policy in force."""
@@ -181,6 +184,8 @@
         )
 
     def _shares_of(self, service: str) -> admission_shares.AdmissionShares:
-        return self._shares.setdefault(
-            service, admission_shares.AdmissionShares()
-        )
+        if service not in self._shares:
+            if len(self._shares) >= _MAX_SERVICES:
+                self._shares.pop(next(iter(self._shares)))
+            self._shares[service] = admission_shares.AdmissionShares()
+        return self._shares[service]
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/refusal_times.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/refusal_times.py
@@ -157,7 +157,7 @@
                 rank=call.rank or 0,
                 ranked=call.rank is not None,
                 left_s=call.remaining_s,
-                budget_s=self._budget_s(call.service.name, budget),
+                budget_s=self._budget_s(call, budget),
             )
         told = ToldTime(
             refusal=refusal,
@@ -200,9 +200,11 @@
         return told.applied(error)
 
     def _budget_s(
-        self, service: str, budget: retry_budget.RetryBudget | None
+        self, call: call_lib.Call, budget: retry_budget.RetryBudget | None
     ) -> float:
         if budget is None:
             return return_forecast.DEFAULT_RETRY_AFTER_S
-        rate = self._policy.starts_per_s(service, now=self._clock())
-        return budget.time_to_next_s(requests_per_s=rate)
+        rate = self._policy.starts_per_s(call.service.name, now=self._clock())
+        return budget.time_to_next_s(
+            requests_per_s=rate, reserve=retry_budget.reserve_above(call.rank)
+        )
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/request_handler.py
@@ -191,7 +191,7 @@
         error = errors.Error(
             kind=errors.ErrorKind.NO_MEMORY,
             message="too many connections",
-            retry_after_s=call_lib.DEFAULT_RETRY_AFTER_S,
+            retry_after_s=return_forecast.DEFAULT_RETRY_AFTER_S,
         )
         with contextlib.suppress(client_connection.CallerDisconnectedError):
             responses.send_error(client, error, request_id="", close=True)
--- a/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/stream_admission.py
@@ -153,7 +153,7 @@
                 reason="retry budget empty",
                 retry_after_s=return_forecast.DEFAULT_RETRY_AFTER_S,
             )
-        self._note_decided(decision, terms, begun=begun)
+        self._note_decided(decision, terms, moved=begun and beside is None)
         if isinstance(decision, admission.Refused):
             kind = "refused"
             if beside is not None:
@@ -221,11 +221,11 @@
         decision: admission.Admitted | admission.Refused,
         terms: admission.Terms,
         *,
-        begun: bool,
+        moved: bool,
     ) -> None:
-        """Counts the first decision, and moves of a begun stream."""
+        """Counts the first decision, and a begun stream that moves."""
         admissions = self._state.rank_admission
-        if begun and isinstance(decision, admission.Admitted):
+        if moved and isinstance(decision, admission.Admitted):
             admissions.note_moved(self._call, tokens=total_tokens(self._call))
         if self._ask is not None and not self._asked:
             self._asked = True
--- a/packages/dotterelgrade-front/tests/test_refusal_times.py
+++ b/packages/dotterelgrade-front/tests/test_refusal_times.py
@@ -5,6 +5,7 @@
 import pytest
 import stream_fakes as streams
 
+from dotterelgrade_front import connection_guard
 from dotterelgrade_front import front_state
 from dotterelgrade_routing import return_forecast
 from dotterelgrade_routing import return_schedule
@@ -116,3 +117,14 @@
     ranked = dataclasses.replace(fakes.CONFIGURATION, routes=routes)
     assert ranked.has_ranks("plain")
     assert not ranked.has_ranks("model")
+
+
+def test_a_connection_that_finds_no_descriptor_is_told_a_time(
+    front, monkeypatch
+):
+    """The refusal failed itself, and the caller got a reset."""
+    monkeypatch.setattr(connection_guard, "choose", lambda *_, **__: None)
+    front.state.reload(
+        dataclasses.replace(front.state.settings, most_connections=1)
+    )
+    assert _retry_after(front) == return_forecast.DEFAULT_RETRY_AFTER_S
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/crossing_health.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/crossing_health.py
@@ -129,9 +129,12 @@
         if link is None:
             return
         link.waiting.pop(crossing, None)
+        if crossing.began_at <= link.stopped_at:
+            # It was sent before the stop, and says nothing of the link now.
+            return
         if crossing.is_late(now):
             link.stop(now)
-        elif crossing.began_at > link.stopped_at:
+        else:
             link.probe_at = float("inf")
 
     def note_unconnected(self, crossing: Crossing, *, now: float) -> None:
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/priority_headroom.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/priority_headroom.py
@@ -1,9 +1,8 @@
 """Memory that less urgent requests leave free for more urgent ones.
 
-Load pattern: a burst of 2.3 times one kind of request for 6.5 s took the share
-of chains above 0.6 of memory from 0 to 0.9 within 4 s. No request was refused
-while it did, and requests of the most urgent kind, and the streams of the next
-two stages that crashed, found memory full.
+Load pattern: a burst of less urgent requests fills memory within seconds,
+before any request is refused. More urgent requests, and streams that lose a
+stage, then find no free memory.
 """
 
 from dotterelgrade_routing import admission
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/request_rank.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/request_rank.py
@@ -1,9 +1,8 @@
 """Order of a service's requests by urgency.
 
-Load pattern: demand exceeds what a service can start. Nearly all workspaces
-have the same priority, which replaced that of the routes, so that the most
-urgent kind of request had no precedence. The workspace's priority decides
-first, and the route's decides among equals.
+Load pattern: demand exceeds what a service can start. Most workspaces have the
+same priority, so that it alone does not order requests: the workspace's
+priority decides first, and the route's among equals.
 """
 
 import bisect
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/retry_budget.py
@@ -67,14 +67,17 @@
         """Whether more than half of the capacity is left."""
         return self.left > self._capacity / 2
 
-    def time_to_next_s(self, *, requests_per_s: float) -> float:
-        """Returns the time in which the budget earns a whole retry, s.
+    def time_to_next_s(
+        self, *, requests_per_s: float, reserve: float = 0.0
+    ) -> float:
+        """Returns the time until a retry may be spent, s.
 
         Args:
             requests_per_s: Expected rate of requests, which earn retries.
+            reserve: Share of the capacity that is left to others.
         """
-        missing = max(1.0 - self.left, 0.0)
-        if not missing:
+        missing = max(1.0, reserve * self._capacity) - self.left
+        if missing <= 0:
             return 0.0
         earned_per_s = self._rate_per_s + self._share * requests_per_s
         return missing / earned_per_s if earned_per_s else float("inf")
--- a/packages/dotterelgrade-routing/src/dotterelgrade_routing/spillover.py
+++ b/packages/dotterelgrade-routing/src/dotterelgrade_routing/spillover.py
@@ -30,8 +30,9 @@
 MIN_TIME_RATIO = 2.0
 # Below this share of the link budget, only the most urgent requests leave.
 MIN_LINK_SHARE = 0.5
-# A chain elsewhere has at most 1/8 of the weight of the best one at home. With
-# a higher margin, more requests are late; with a lower one, more leave.
+# Cost of the best chain elsewhere relative to the best one at home. With the
+# uniform cost exponent of 3 its weight is at most 1/8 of that at home. A higher
+# margin makes more requests late; a lower one lets more leave.
 _KEEP_MARGIN = 2.0
 # A service without requests for so long starts anew; its share would have
 # fallen to 0 by then.
--- a/packages/dotterelgrade-routing/tests/test_crossing_health.py
+++ b/packages/dotterelgrade-routing/tests/test_crossing_health.py
@@ -50,3 +50,16 @@
         health.note_unconnected(health.begin("b", now=0.1), now=0.5)
     health.note_answered(old, now=0.6)
     assert not health.usable("b", now=0.7)
+
+
+def test_a_late_answer_of_before_the_stop_does_not_stop_a_sound_link(health):
+    """Answers held up by a cut link arrive after its probe has succeeded."""
+    old = health.begin("b", now=0.0)
+    for _ in range(2):
+        health.note_unconnected(health.begin("b", now=0.1), now=0.4)
+    assert health.take_probe("b", now=2.4)
+    probe = health.begin("b", now=2.4)
+    health.note_connected(probe, now=2.5)
+    health.note_answered(probe, now=2.6)
+    health.note_answered(old, now=2.7)
+    assert health.usable("b", now=2.8)
--- a/packages/dotterelgrade-routing/tests/test_retry_budget.py
+++ b/packages/dotterelgrade-routing/tests/test_retry_budget.py
@@ -46,3 +46,14 @@
     assert budget.time_to_next_s(requests_per_s=10.0) == 0.0
     budget.spend()
     assert budget.time_to_next_s(requests_per_s=10.0) == 0.5
+
+
+def test_the_time_to_the_next_retry_counts_what_is_left_to_others():
+    """A less urgent request was told to come back at once, in vain."""
+    budget = retry_budget.RetryBudget(
+        share=0.0, rate_per_s=1.0, capacity=10, clock=lambda: 0.0
+    )
+    for _ in range(7):
+        budget.spend()
+    assert not budget.may_spend(reserve=0.4)
+    assert budget.time_to_next_s(requests_per_s=0.0, reserve=0.4) == 1.0
--- a/packages/dotterelgrade/src/dotterelgrade/client_slots.py
+++ b/packages/dotterelgrade/src/dotterelgrade/client_slots.py
@@ -107,7 +107,8 @@
         Args:
             capacity: Most connections open at once.
             held_bytes: Most bytes of unread answers, over all connections.
-            on_closed: Called when a connection was closed for another.
+            on_closed: Called with a connection that was closed for another, or
+                refused since none could be closed.
             on_overfull: Called when one was closed for another's answer.
         """
         self._capacity = capacity
@@ -175,7 +176,8 @@
     def _find_victim(self) -> Slot | None:
         """Returns the oldest connection that is worth least.
 
-        An address that holds more than half of all gives up its own first.
+        Within a phase, an address that holds more than half of all gives up
+        its own first.
         """
         greedy = [
             address
--- a/packages/dotterelgrade/src/dotterelgrade/head_fields.py
+++ b/packages/dotterelgrade/src/dotterelgrade/head_fields.py
@@ -70,11 +70,12 @@
         The fields.
 
     Raises:
-        ValueError: A line is not a field, or lengths of the body contradict
-            each other.
+        ValueError: A line is not a field, or the end of the body is not
+            clear.
     """
     fields = []
     lengths = set()
+    codings = []
     for line in lines.decode("latin-1").split("\n"):
         name, colon, value = line.rstrip("\r").partition(":")
         if not name and not colon:
@@ -84,8 +85,13 @@
         lowered = name.lower()
         if lowered == "content-length":
             lengths.add(value.strip())
+        elif lowered == "transfer-encoding":
+            codings.append(value.strip().lower())
         if wanted is None or lowered in wanted:
             fields.append((name, value.strip()))
     if len(lengths) > 1:
         raise ValueError("several values of Content-Length")
+    if codings and (codings != ["chunked"] or lengths):
+        # Servers that disagree on the end of a body take it for a request.
+        raise ValueError("Transfer-Encoding other than chunked, or a length")
     return HeadFields(fields)
--- a/packages/dotterelgrade/tests/test_head_fields.py
+++ b/packages/dotterelgrade/tests/test_head_fields.py
@@ -27,8 +27,12 @@
         b": no name\r\n",
         b"sp ace: b\r\n",
         b"Content-Length: 1\r\nContent-Length: 2\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
     ],
 )
 def test_other_lines_are_refused(lines):
-    with pytest.raises(ValueError, match="field|several"):
+    """The end of a body that is not clear hides another request in it."""
+    with pytest.raises(ValueError, match="field|several|Transfer-Encoding"):
         head_fields.parse(lines)
