Leave the failure domain at the fixed costs unless the settings ask for more

Change: the default is fixed, so that deployments are served as before; adaptive is chosen in the settings file. Its tests choose it.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/front_settings.py
@@ -85,7 +85,7 @@
     quarantine: str = "share"
     admission: str = "priority"
     retry_after: str = "forecast"
-    spillover: str = "adaptive"
+    spillover: str = "fixed"
     clients: client_bounds.ClientBounds = client_bounds.ClientBounds()
     listen: listen_limits.ListenLimits = dataclasses.field(
         default_factory=listen_limits.ListenLimits
--- a/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
+++ b/packages/dotterelgrade-front/tests/adapter/test_settings_file.py
@@ -40,7 +40,7 @@
     [
         ("admission", "priority", "uniform"),
         ("retry_after", "forecast", "fixed"),
-        ("spillover", "adaptive", "fixed"),
+        ("spillover", "fixed", "adaptive"),
     ],
 )
 def test_the_table_of_policies_is_optional(tmp_path, field, default, other):
--- a/packages/dotterelgrade-front/tests/test_domain_spillover.py
+++ b/packages/dotterelgrade-front/tests/test_domain_spillover.py
@@ -11,6 +11,12 @@
 _CAPACITY = 150_000 * 8
 
 
+@pytest.fixture
+def settings(settings):
+    """Settings with the policy that is tested, which is not the default."""
+    return dataclasses.replace(settings, spillover="adaptive")
+
+
 @pytest.fixture
 def clock(monkeypatch):
     now = [100.0]
