Bound the log lines on clients by one class

The front's ClientNotices had the rule of one line a second again that BoundedLines of the other listeners holds; it calls that now. Counts and lines are as before; its test and that of the listeners pass, with ruff.

--- a/packages/dotterelgrade-front/src/dotterelgrade_front/client_notices.py
+++ b/packages/dotterelgrade-front/src/dotterelgrade_front/client_notices.py
@@ -4,11 +4,10 @@
 import enum
 import time
 
+from dotterelgrade import client_refusals
 from dotterelgrade import decision_log
 from dotterelgrade_front import front_metrics
 
-_LINE_INTERVAL_S = 1.0
-
 
 class Reason(enum.Enum):
     """A limit that a client has reached."""
@@ -41,13 +40,11 @@
         """
         self._decisions = decisions
         self._metrics = metrics
-        self._clock = clock
-        self._unlogged: dict[Reason, int] = dict.fromkeys(Reason, 0)
-        self._logged_at: dict[Reason, float] = {}
+        self._lines = client_refusals.BoundedLines(clock)
 
     def __repr__(self) -> str:
-        """Shows how many wait for their line."""
-        return f"<ClientNotices {sum(self._unlogged.values())} unlogged>"
+        """Shows the lines left out."""
+        return f"<ClientNotices {self._lines!r}>"
 
     def record(
         self, reason: Reason, *, address: str, **details: object
@@ -60,17 +57,14 @@
             **details: What the decision went by.
         """
         self._metrics.count_limited_client(reason.name.lower())
-        self._unlogged[reason] += 1
-        now = self._clock()
-        if now - self._logged_at.get(reason, float("-inf")) < _LINE_INTERVAL_S:
+        left_out = self._lines.admit(reason.name)
+        if left_out is None:
             return
-        self._logged_at[reason] = now
-        count, self._unlogged[reason] = self._unlogged[reason], 0
         self._decisions.record(
             "client_limited",
             reason=reason.value,
             limit=reason.name.lower(),
             address=address,
-            n=count,
+            n=left_out + 1,
             **details,
         )
