--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,6 +3,7 @@
 See claim.txt.
 """
 
+from collections.abc import Callable
 import sys
 import time
 
@@ -72,7 +73,12 @@
     )
 
 
-def repeat(per_s: float, until: float, action, *args) -> list:
+def repeat(
+    per_s: float,
+    until: float,
+    action: Callable[..., None],
+    *args: object,
+) -> list[gevent.Greenlet]:
     """Starts an action at a steady rate; returns its greenlets."""
     started = []
     while time.monotonic() < until:
--- a/review/common-2/callers.py
+++ b/review/common-2/callers.py
@@ -1,7 +1,9 @@
 """Sound clients for the scripts of a review."""
 
+from collections.abc import Callable
 import dataclasses
 import itertools
+import re
 import time
 
 import deployment
@@ -9,6 +11,10 @@
 from gevent import socket
 
 CONNECT_TIMEOUT_S = 1.0
+_KEPT_PATIENCE_S = 20.0
+_TAIL_BYTES = 1_024
+# Stands in the body of each refusal, behind its headers.
+_RETRY_AFTER = re.compile(rb'"retry_after_s": ([0-9.]+)\}')
 _ids = itertools.count(1)
 
 
@@ -89,7 +95,7 @@
     return answer
 
 
-def _read_answer(sock, answer: Answer) -> None:
+def _read_answer(sock: socket.socket, answer: Answer) -> None:
     data = b""
     while b"\r\n\r\n" not in data:
         piece = sock.recv(65_536)
@@ -113,6 +119,57 @@
     answer.complete = True
 
 
+def stream_repeatedly(
+    address: tuple[str, int],
+    make_request: Callable[[str], bytes],
+    note: Callable[[str], None],
+    *,
+    pause_s: float,
+) -> None:
+    """Makes streamed requests on a kept connection until it is killed.
+
+    Waits after a refusal as the front says.
+    """
+    while True:
+        try:
+            sock = socket.create_connection(address, timeout=CONNECT_TIMEOUT_S)
+        except OSError as error:
+            note(f"no connection: {error}")
+            gevent.sleep(1.0)
+            continue
+        try:
+            sock.settimeout(_KEPT_PATIENCE_S)
+            while True:
+                request_id = new_id("stream")
+                wait_s = _one_stream(sock, make_request(request_id))
+                note(
+                    f"{request_id}: complete"
+                    if wait_s is None
+                    else f"{request_id}: refused for {wait_s} s"
+                )
+                gevent.sleep(pause_s if wait_s is None else wait_s)
+        except OSError as error:
+            note(f"{request_id}: {error}")
+        finally:
+            sock.close()
+        gevent.sleep(1.0)
+
+
+def _one_stream(sock: socket.socket, data: bytes) -> float | None:
+    """Reads one answer; returns the time to wait if it is a refusal, s."""
+    sock.sendall(data)
+    tail = b""
+    while not tail.endswith(b"0\r\n\r\n"):
+        piece = sock.recv(65_536)
+        if not piece:
+            raise ConnectionError("closed")
+        tail = (tail + piece)[-_TAIL_BYTES:]
+        refused = _RETRY_AFTER.search(tail)
+        if refused:
+            return float(refused.group(1))
+    return None
+
+
 def stream(
     address: tuple[str, int],
     request_id: str,
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -4,7 +4,7 @@
 starts them, and the workers of `workers.py` run beside them.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import contextlib
 import dataclasses
 import json
@@ -21,6 +21,7 @@
 import traceback
 
 import gevent
+from gevent import socket as gevent_socket
 
 from dotterelgrade_platform import store as store_names
 from dotterelgrade_standins import platform_store
@@ -36,6 +37,9 @@
 ZONE = "zone-a"
 _FRONT_PORT, _READY_PORT, _PEER_PORT = 8227, 8220, 7340
 _BEAT_S = 1.2
+# A silent worker is taken off the list after three heartbeats.
+_LAPSE_S = 3 * _BEAT_S
+_LEAST_DESCRIPTORS = 4_096
 
 
 def run(case: Callable[[bool], int]) -> int:
@@ -53,6 +57,18 @@
         return COULD_NOT_RUN
 
 
+def raise_descriptor_limit() -> None:
+    """Lets this process open as many sockets as it may.
+
+    Raises:
+        RuntimeError: They are too few for a crowd.
+    """
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    if hard != resource.RLIM_INFINITY and hard < _LEAST_DESCRIPTORS:
+        raise RuntimeError(f"only {hard} descriptors")
+
+
 def route(name: str, service: str, kind: str, **rest: object) -> dict:
     """Returns a route of the configuration at `/NAME/`."""
     return {
@@ -165,8 +181,10 @@
 
 
 @contextlib.contextmanager
-def _connected(address, timeout_s):
-    sock = gevent.socket.create_connection(address, timeout=timeout_s)
+def _connected(
+    address: tuple[str, int], timeout_s: float
+) -> Iterator[gevent_socket.socket]:
+    sock = gevent_socket.create_connection(address, timeout=timeout_s)
     with contextlib.closing(sock):
         yield sock
 
@@ -180,6 +198,12 @@
     """
 
     def __init__(self, folder: pathlib.Path, *, case: str) -> None:
+        """Initializes a deployment without processes.
+
+        Args:
+            folder: Where settings files and logs are kept.
+            case: The case, in whose folder the record is written.
+        """
         self.folder = folder
         self.store = platform_store.PlatformStore()
         self.fronts: list[Front] = []
@@ -187,6 +211,8 @@
         self._entries: dict[str, dict] = {}
         self._children: list[subprocess.Popen] = []
         self._workers: list[Workers] = []
+        self._known: set[str] = set()
+        self._silent: dict[str, float] = {}
         self._stack = contextlib.ExitStack()
         self.record = (ROOT / "review" / case / "record.txt").open("w")
         self._began_at = time.monotonic()
@@ -203,12 +229,14 @@
         return f"{self.network}.{number}"
 
     def __enter__(self) -> "Deployment":
+        """Starts the store."""
         host, port = self._stack.enter_context(self.store.serving(self.ip(1)))
         self.store_address = f"{host}:{port}"
         self._stack.callback(gevent.spawn(self._beat).kill)
         return self
 
     def __exit__(self, *_: object) -> None:
+        """Ends all processes that were started."""
         for child in [f.child for f in self.fronts] + self._children:
             if child is not None and child.poll() is None:
                 child.kill()
@@ -251,10 +279,38 @@
         self._workers.append(started)
         born = started.wait_for_born(len(workers))
         for name, address in workers.items():
+            self._known.add(name)
             self._entries[name] = entry(name, address, born[name])
             self._publish(name)
         return started
 
+    def start_crowd(
+        self, front: Front, *, clients: int, sources: list[str], behaviour: str
+    ) -> None:
+        """Starts a process with a crowd of clients at one front.
+
+        Args:
+            front: The front.
+            clients: Their number.
+            sources: Their addresses.
+            behaviour: What they do; see `crowd.py`.
+        """
+        log = (self.folder / f"crowd-{len(self._children)}.log").open("wb")
+        command = [
+            sys.executable,
+            str(pathlib.Path(__file__).with_name("crowd.py")),
+            "{}:{}".format(*front.address),
+            *sources,
+            "--clients",
+            str(clients),
+            "--behaviour",
+            behaviour,
+        ]
+        self._children.append(
+            subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT)
+        )
+        self.note(f"{front.name}: {clients} {behaviour} clients come")
+
     def note_runs(self) -> None:
         """Writes what the workers have run to the record."""
         for workers in self._workers:
@@ -296,17 +352,49 @@
     def _beat(self) -> None:
         while True:
             gevent.sleep(_BEAT_S)
+            for workers in self._workers:
+                self._follow(workers)
             for name, found in self._entries.items():
                 found["sequence"] += 1
                 self._publish(name)
 
+    def _follow(self, workers: "Workers") -> None:
+        """Takes workers that have crashed off the list, and adds new ones."""
+        for event in workers.new_events():
+            name = event.get("server", "")
+            if event["kind"] == "crashed":
+                self._silent[name] = time.monotonic()
+                self._entries.pop(name, None)
+            if event["kind"] == "born" and name not in self._known:
+                self._known.add(name)
+                self._entries[name] = entry(
+                    name, event["address"], event["born"]
+                )
+        for name, since in list(self._silent.items()):
+            if time.monotonic() - since >= _LAPSE_S:
+                del self._silent[name]
+                self.store.write(store_names.SERVERS_TOPIC, name, b"")
+
 
 class Workers:
     """A process with workers."""
 
     def __init__(self, child: subprocess.Popen, log: pathlib.Path) -> None:
+        """Initializes it.
+
+        Args:
+            child: The process.
+            log: Where it writes its events.
+        """
         self._child = child
         self._log = log
+        self._followed = 0
+
+    def new_events(self) -> list[dict]:
+        """Returns what they have written since the last call."""
+        events = self.events()
+        new, self._followed = events[self._followed :], len(events)
+        return new
 
     def set_trouble(self, active: bool) -> None:
         """Starts or ends the trouble."""
@@ -416,7 +504,7 @@
 
 
 @contextlib.contextmanager
-def temporary_folder():
+def temporary_folder() -> Iterator[pathlib.Path]:
     """Yields a folder that is removed at the end."""
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
         yield pathlib.Path(folder)
